--- /dev/null
+++ b/packages/bench/src/registry.ts
@@ -0,0 +1,6 @@
+/** All benches, in the order in which `npm run bench` runs them. Each is loaded when it is run. */
+import { type Bench } from './Bench.js';
+
+type BenchLoader = () => Promise<Bench>;
+
+export const BENCHES: Readonly<Record<string, BenchLoader>> = {};
