--- a/packages/bench/src/Bench.ts
+++ b/packages/bench/src/Bench.ts
@@ -29,7 +29,7 @@
 }
 
 /** A measured figure beside its bound. */
-export function bound(
+export function checkBound(
   name: string,
   value: number,
   unit: string,
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -8,12 +8,8 @@
 import { CallerServer, RequestRunner, TargetClient, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
-import {
-  ConfigFollower,
-  HttpLogService,
-  HttpPlatformClient,
-  PatchSubmitter,
-} from '@acaciadock/platform';
+import { HttpLogService, HttpPlatformClient } from '@acaciadock/platform';
+import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
 import { Dispatcher } from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
--- a/packages/daemon/src/OperatorServer.ts
+++ b/packages/daemon/src/OperatorServer.ts
@@ -3,7 +3,7 @@
 import { type AddressInfo } from 'node:net';
 import { Disposable, toDisposable } from '@acaciadock/core';
 import { type ConfigView, patchRecordSchema } from '@acaciadock/config';
-import { type PatchSubmitter, type SubmitOutcome } from '@acaciadock/platform';
+import { type PatchSubmitter, type SubmitOutcome } from '@acaciadock/replication';
 
 const MAX_PATCH_BYTES = 16 * 1024 * 1024;
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,5 +7,3 @@
 export * from './HttpLogService.js';
 export * from './HttpInstanceDirectory.js';
 export * from './HttpInstanceControl.js';
-export * from './ConfigFollower.js';
-export * from './PatchSubmitter.js';
--- a/packages/platform/src/ConfigFollower.ts
+++ b/packages/replication/src/ConfigFollower.ts
@@ -10,8 +10,13 @@
   EMPTY_DOCUMENT,
   type RecordVerdict,
 } from '@acaciadock/config';
-import { type LogPage, type LogRecord, type LogService, type ReadFailure } from './LogService.js';
-import { CONFIG_STREAM } from './streams.js';
+import {
+  CONFIG_STREAM,
+  type LogPage,
+  type LogRecord,
+  type LogService,
+  type ReadFailure,
+} from '@acaciadock/platform';
 
 const PAGE_RECORDS = 1_000;
 const READ_WAIT_MS = 2_000;
--- a/packages/platform/src/PatchSubmitter.ts
+++ b/packages/replication/src/PatchSubmitter.ts
@@ -4,9 +4,8 @@
  */
 import { type Clock, Disposable } from '@acaciadock/core';
 import { type PatchRecord, type RecordVerdict } from '@acaciadock/config';
+import { type AppendFailure, CONFIG_STREAM, type LogService } from '@acaciadock/platform';
 import { type ConfigFollower } from './ConfigFollower.js';
-import { type AppendFailure, type LogService } from './LogService.js';
-import { CONFIG_STREAM } from './streams.js';
 
 const SETTLE_TIMEOUT_MS = 6_000;
 
