--- a/eslint.config.js
+++ b/eslint.config.js
@@ -68,6 +68,11 @@
     files: ['tools/**', 'packages/cli/**', 'packages/bench/**', 'packages/demo/**'],
     rules: { 'no-console': 'off', 'n/no-process-exit': 'off', 'n/no-sync': 'off' },
   },
+  {
+    // A program decides its own exit code.
+    files: ['**/main.ts'],
+    rules: { 'n/no-process-exit': 'off' },
+  },
   {
     files: ['**/*.test.ts'],
     rules: { 'max-classes-per-file': 'off' },
--- /dev/null
+++ b/packages/cli/bin/acaciadock.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/core/src/contracts/Logger.ts
@@ -0,0 +1,17 @@
+/**
+ * Structured logs: one JSON line an event, with a stable event name and typed fields. Keys and
+ * bodies of requests are never passed in.
+ */
+
+/** Values of one log line; nested objects are written as JSON. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+export abstract class Logger {
+  abstract debug(event: string, fields?: LogFields): void;
+
+  abstract info(event: string, fields?: LogFields): void;
+
+  abstract warn(event: string, fields?: LogFields): void;
+
+  abstract error(event: string, fields?: LogFields): void;
+}
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -3,7 +3,14 @@
  * decides nothing itself.
  */
 import { randomUUID } from 'node:crypto';
-import { type Clock, Disposable, Random, toDisposable } from '@acaciadock/core';
+import {
+  type Clock,
+  Disposable,
+  type Logger,
+  Random,
+  SilentLogger,
+  toDisposable,
+} from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
 import { CallerServer, RequestRunner, TargetClient, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
@@ -39,6 +46,7 @@
     private readonly settings: Settings,
     clock: Clock,
     seed: number,
+    logger: Logger = new SilentLogger(),
   ) {
     super();
     const random = new Random(seed);
@@ -67,7 +75,10 @@
     const homes = new FixedMembership(entryIds);
     const fence = new OpenFence();
     const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
-    this.register(new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation));
+    const dispatcher = this.register(
+      new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation),
+    );
+    this.register(dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })));
     const desk = this.register(new TicketDesk(homes, this.links, clock));
     const targets = this.register(new TargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -1,13 +1,25 @@
-/** Settings of one entry process, read from one JSON file and checked as a whole. */
+/** Settings of one entry process: one JSON file, checked as a whole before anything starts. */
 import { entryIdSchema, zoneIdSchema } from '@acaciadock/core';
 import { addressSchema } from '@acaciadock/config';
 import { z } from 'zod';
 
 const peerSchema = z.strictObject({ entryId: entryIdSchema, address: addressSchema });
+const filePath = z.string().min(1);
+
+/** Key files for HTTPS towards callers and operators. */
+export const serverTlsSchema = z.strictObject({ certFile: filePath, keyFile: filePath });
+
+/** Key files for mutual TLS between entries; the certificate's name is the entry's id. */
+export const peerTlsSchema = z.strictObject({
+  certFile: filePath,
+  keyFile: filePath,
+  caFile: filePath,
+});
 
 export const settingsSchema = z.strictObject({
   schemaVersion: z.literal(1),
   entryId: entryIdSchema,
+  /** The availability zone that this entry runs in. */
   zoneId: zoneIdSchema,
   /** Where callers reach this entry; port 0 takes a free one. */
   callerAddress: addressSchema,
@@ -16,10 +28,22 @@
   /** Where other entries reach this entry. */
   peerAddress: addressSchema,
   platform: z.strictObject({ logUrl: z.url(), directoryUrl: z.url(), controlUrl: z.url() }),
-  /** The entries of the deployment, this one included. */
+  /** Entries to begin with; all others are found through the roster in the log. */
   peers: z.array(peerSchema).default([]),
+  tls: z
+    .strictObject({
+      callers: serverTlsSchema.optional(),
+      peers: peerTlsSchema.optional(),
+      /** How often the key files are looked at for a change. */
+      reloadPeriodMs: z.int().min(100).default(10_000),
+    })
+    .optional(),
+  /** SHA-256, in hex, of each token that operators may use; none means that no token is asked. */
+  operatorTokenSha256s: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
 export type SettingsInput = z.input<typeof settingsSchema>;
+export type ServerTlsSettings = z.infer<typeof serverTlsSchema>;
+export type PeerTlsSettings = z.infer<typeof peerTlsSchema>;
