Fair queues over teams, learned run times, target health and a dispatcher that holds by lease

Cause: the dispatcher had one first-come array over all teams and scanned it on every event.

Each pool now has one home (homes are ranked by pool, since services share a pool's slots) and one scheduler of pure decisions: start-time fair queueing in slot-milliseconds, charged by a learned estimate and corrected by the time held; admission by predicted start; slots over all gateways; outlier ejection; retry budgets; checkpoints of background work for urgent work. The dispatcher sends what they decide, holds grants until told of the end or until the lease lapses, and gathers acknowledgements. New messages: work-report, drain-status, targets-closed, team-usage; new refusal reason retry-budget-spent.

--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -3,19 +3,33 @@
  * decides nothing itself.
  */
 import { randomUUID } from 'node:crypto';
-import { type Clock, Disposable, Random, toDisposable } from '@acaciadock/core';
+import { setTimeout } from 'node:timers/promises';
+import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
 import { CallerServer, RequestRunner, TargetClient, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
-import { HttpLogService, HttpPlatformClient } from '@acaciadock/platform';
+import {
+  HttpInstanceControl,
+  HttpInstanceDirectory,
+  HttpLogService,
+  HttpPlatformClient,
+} from '@acaciadock/platform';
 import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
-import { Dispatcher } from '@acaciadock/scheduling';
+import {
+  Dispatcher,
+  FleetWork,
+  LeavingWatch,
+  PoolHomes,
+  WorkReporter,
+} from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { OperatorServer } from './OperatorServer.js';
 import { type Settings } from './Settings.js';
 
+const GIVE_BACK_MS = 50;
+
 export interface EntryAddresses {
   readonly callerAddress: string;
   readonly operatorAddress: string;
@@ -33,7 +47,10 @@
 
   private readonly operators: OperatorServer;
 
-  private readonly platformClient: HttpPlatformClient;
+  private readonly dispatcher: Dispatcher;
+
+  /** The work on leaving instances, for maintenance. */
+  readonly work: WorkView;
 
   constructor(
     private readonly settings: Settings,
@@ -43,13 +60,7 @@
     super();
     const random = new Random(seed);
     const incarnation = randomUUID();
-    this.platformClient = new HttpPlatformClient(settings.platform.logUrl);
-    this.register(
-      toDisposable(() => {
-        void this.platformClient.close();
-      }),
-    );
-    const log = new HttpLogService(this.platformClient);
+    const log = new HttpLogService(this.clientOf(settings.platform.logUrl));
     this.follower = this.register(new ConfigFollower(log, clock, random));
     this.links = this.register(
       new PeerLinks(
@@ -64,10 +75,27 @@
       ),
     );
     const entryIds = settings.peers.map((peer) => peer.entryId);
-    const homes = new FixedMembership(entryIds);
+    const homes = new PoolHomes(new FixedMembership(entryIds), this.follower);
     const fence = new OpenFence();
     const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
-    this.register(new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation));
+    const directory = new HttpInstanceDirectory(this.clientOf(settings.platform.directoryUrl));
+    const control = new HttpInstanceControl(this.clientOf(settings.platform.controlUrl));
+    this.dispatcher = this.register(
+      new Dispatcher({
+        config: this.follower,
+        credits,
+        fence,
+        homes,
+        network: this.links,
+        leaving: this.register(new LeavingWatch(directory, clock)),
+        control,
+        clock,
+        random,
+        incarnation,
+      }),
+    );
+    this.register(new WorkReporter(homes, this.links, clock));
+    this.work = this.register(new FleetWork(homes, this.links, clock));
     const desk = this.register(new TicketDesk(homes, this.links, clock));
     const targets = this.register(new TargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
@@ -98,6 +126,19 @@
   /** Graceful stop: requests in progress are finished first. */
   async stop(): Promise<void> {
     await this.callers.stop();
+    this.dispatcher.stop();
+    // The tickets that it gives back leave in the next turns.
+    await setTimeout(GIVE_BACK_MS);
     this.dispose();
   }
+
+  private clientOf(url: string): HttpPlatformClient {
+    const client = new HttpPlatformClient(url);
+    this.register(
+      toDisposable(() => {
+        void client.close();
+      }),
+    );
+    return client;
+  }
 }
--- a/packages/gateway/src/Problem.ts
+++ b/packages/gateway/src/Problem.ts
@@ -15,6 +15,7 @@
   | 'deadline-unreachable'
   | 'no-target-fits'
   | 'team-limit-zero'
+  | 'retry-budget-spent'
   | 'log-unavailable'
   | 'already-accepted'
   | 'claim-expired'
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -3,6 +3,7 @@
 export * from './messages/HeartbeatMessages.js';
 export * from './messages/PeerMessage.js';
 export * from './messages/TicketMessages.js';
+export * from './messages/WorkMessages.js';
 export * from './MessageCodec.js';
 export * from './PeerLinks.js';
 export * from './PeerNetwork.js';
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -14,6 +14,12 @@
   ticketsCancelledSchema,
   ticketsReturnedSchema,
 } from './TicketMessages.js';
+import {
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
+  workReportSchema,
+} from './WorkMessages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
@@ -26,6 +32,10 @@
   grantEndedAckSchema,
   configPullSchema,
   configRecordsSchema,
+  workReportSchema,
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- a/packages/peers/src/messages/TicketMessages.ts
+++ b/packages/peers/src/messages/TicketMessages.ts
@@ -41,7 +41,10 @@
   ticketIds: z.array(idSchema),
 });
 
-/** Allows one run of the request on one target. */
+/**
+ * Allows one run of the request on one target. A home that gets a ticket again sends its open
+ * grant again: a gateway that has seen the grant's id ignores it.
+ */
 export const grantSchema = z.object({
   kind: z.literal('grant'),
   ticketId: idSchema,
@@ -65,6 +68,8 @@
   'team-limit-zero',
   'fenced',
   'stopping',
+  /** The service's retries would add too much to its load. */
+  'retry-budget-spent',
 ]);
 
 /** The request will not be granted: it did not run. */
@@ -113,6 +118,12 @@
   ticketIds: z.array(idSchema),
 });
 
+/** The request that a ticket is an attempt of; a ticket's id is `requestId:attempt`. */
+export function requestIdOf(ticketId: string): string {
+  const end = ticketId.lastIndexOf(':');
+  return end < 0 ? ticketId : ticketId.slice(0, end);
+}
+
 export type Ticket = z.infer<typeof ticketSchema>;
 export type TicketsCancelled = z.infer<typeof ticketsCancelledSchema>;
 export type Grant = z.infer<typeof grantSchema>;
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -1,174 +1,396 @@
 /**
- * The task that dispatches the services whose home is this entry: it queues tickets and grants
- * each one a run on a target, as credits and slots allow.
+ * The task that dispatches the pools whose home is this entry: queues tickets, grants runs as
+ * turn, credits and slots allow, and holds each grant's slot and credit until its end is known or
+ * its lease has lapsed. All messages of one turn are handled before anything is granted.
  */
+import { type EntryId, type PoolId, Task, type TeamId } from '@acaciadock/core';
 import {
-  type Clock,
-  type CreditSource,
-  type EntryId,
-  type Fence,
-  type IDisposable,
-  type ServiceId,
-  Task,
-} from '@acaciadock/core';
-import { type ConfigView } from '@acaciadock/config';
-import {
-  type Grant,
   type GrantEnded,
-  MAX_CLOCK_SKEW_MS,
-  type PeerNetwork,
+  type GrantOutcome,
   type ReceivedMessage,
+  requestIdOf,
   type Ticket,
-  type TicketRefusalReason,
 } from '@acaciadock/peers';
-import { TargetSlots } from './TargetSlots.js';
+import { AckBatches } from './AckBatches.js';
+import { ClosedTargets } from './ClosedTargets.js';
+import { type DispatcherMessage, type DispatcherParts } from './DispatcherMessage.js';
+import { DrainReporter } from './DrainReporter.js';
+import { FleetUsage } from './FleetUsage.js';
+import { ForeignWork } from './ForeignWork.js';
+import { GrantBook, type OpenGrant } from './GrantBook.js';
+import { GrantMaker } from './GrantMaker.js';
+import { PoolBoard } from './PoolBoard.js';
+import { type PoolScheduler } from './PoolScheduler.js';
+import { TicketTable } from './TicketTable.js';
+import { type Placement, type Refusal, type WaitingTicket } from './WaitingTicket.js';
 
-/** How long a gateway may take from the grant to the send. */
-const START_WINDOW_MS = 1_000;
-const RETRY_AFTER_MS = 1_000;
+const TICK_MS = 250;
+const STATUS_TICKS = 2;
+const USAGE_TICKS = 20;
+const MOST_TEAMS_TOLD = 32;
+const MOST_WAITING_TICKETS = 100_000;
+const FENCED_RETRY_AFTER_MS = 1_000;
 
-interface Waiting {
-  readonly ticket: Ticket;
-  readonly gatewayEntryId: EntryId;
-}
+export class Dispatcher extends Task<DispatcherMessage> {
+  private readonly board: PoolBoard;
 
-interface Running {
-  readonly grant: Grant;
-  readonly lapse: IDisposable;
-}
+  private readonly grants = new GrantBook();
 
-type DispatcherMessage =
-  | { readonly kind: 'received'; readonly received: ReceivedMessage }
-  | { readonly kind: 'wake' }
-  | { readonly kind: 'lapsed'; readonly grantId: string };
+  private readonly tickets = new TicketTable();
 
-export class Dispatcher extends Task<DispatcherMessage> {
-  private waiting: Waiting[] = [];
+  private readonly foreign: ForeignWork;
+
+  private readonly closed = new ClosedTargets();
+
+  private readonly usage = new FleetUsage();
+
+  private readonly acks: AckBatches;
+
+  private readonly drains: DrainReporter;
 
-  private readonly running = new Map<string, Running>();
+  private readonly maker: GrantMaker;
 
-  private readonly slots = new TargetSlots();
+  private readonly dirty = new Set<PoolId>();
 
-  private nextGrant = 0;
+  private flushPosted = false;
 
-  constructor(
-    private readonly config: ConfigView,
-    private readonly credits: CreditSource,
-    private readonly fence: Fence,
-    private readonly network: PeerNetwork,
-    private readonly clock: Clock,
-    private readonly incarnation: string,
-  ) {
+  private stopping = false;
+
+  private ticks = 0;
+
+  constructor(private readonly parts: DispatcherParts) {
     super('dispatcher');
+    const { config, credits, fence, homes, network, leaving, clock, random } = parts;
+    this.board = new PoolBoard(clock, random);
+    this.foreign = new ForeignWork({
+      take: (serviceId, targetId) => this.poolOfService(serviceId)?.targets.take(targetId),
+      release: (serviceId, targetId) => this.poolOfService(serviceId)?.targets.release(targetId),
+    });
+    this.acks = new AckBatches(network);
+    this.maker = new GrantMaker(config, clock, parts.incarnation);
+    this.drains = new DrainReporter(
+      network.selfEntryId,
+      this.board,
+      homes,
+      this.grants,
+      this.foreign,
+      clock,
+    );
+    this.board.configure(config.state().document);
+    this.closed.setListed(leaving.leaving);
+    this.board.setLeaving(this.closed.all());
     this.register(network.onMessage((received) => this.post({ kind: 'received', received })));
-    this.register(credits.onAvailable(() => this.post({ kind: 'wake' })));
-    this.register(config.onChange(() => this.post({ kind: 'wake' })));
+    this.register(credits.onAvailable((teamId) => this.post({ kind: 'credits', teamId })));
+    this.register(config.onChange(() => this.post({ kind: 'configured' })));
+    this.register(leaving.onChange((ids) => this.post({ kind: 'listed', leaving: ids })));
+    this.register(homes.onChange(() => this.post({ kind: 'homes-changed' })));
+    this.register(fence.onChange(() => this.post({ kind: 'tick' })));
+    this.register(clock.every(TICK_MS, () => this.post({ kind: 'tick' })));
+  }
+
+  /** Gives all waiting tickets back and takes no more. Open grants are still followed. */
+  stop(): void {
+    this.post({ kind: 'stop' });
+  }
+
+  /** Tickets that wait here. */
+  get waitingTickets(): number {
+    return this.tickets.size;
+  }
+
+  /** Grants that are open here. */
+  get openGrants(): number {
+    return this.grants.size;
   }
 
   protected override handle(message: DispatcherMessage): void {
-    if (message.kind === 'received') this.receive(message.received);
-    else if (message.kind === 'lapsed') this.end(message.grantId);
-    else this.dispatch();
+    switch (message.kind) {
+      case 'received':
+        this.receive(message.received);
+        break;
+      case 'credits':
+        this.resume(message.teamId);
+        break;
+      case 'configured':
+        this.configure();
+        break;
+      case 'listed':
+        this.closed.setListed(message.leaving);
+        this.applyClosed();
+        break;
+      case 'homes-changed':
+        this.returnForeign();
+        break;
+      case 'checkpoint-failed':
+        this.board.of(message.poolId)?.keepRunning(message.placement);
+        break;
+      case 'tick':
+        this.tick();
+        break;
+      case 'stop':
+        this.stopping = true;
+        this.returnTickets([...this.tickets.waiting()]);
+        break;
+      case 'flush':
+        this.flush();
+        break;
+      default:
+    }
   }
 
   private receive({ fromEntryId, message }: ReceivedMessage): void {
-    if (message.kind === 'ticket') this.enqueue({ ticket: message, gatewayEntryId: fromEntryId });
-    else if (message.kind === 'tickets-cancelled') this.cancel(new Set(message.ticketIds));
-    else if (message.kind === 'grant-ended') this.acknowledge(fromEntryId, message);
+    if (message.kind === 'ticket') this.takeTicket(message, fromEntryId);
+    else if (message.kind === 'tickets-cancelled') this.cancel(message.ticketIds);
+    else if (message.kind === 'grant-ended') this.takeEnd(fromEntryId, message);
+    else if (message.kind === 'work-report') {
+      const unknown = message.grants.filter(({ grantId }) => !this.grants.get(grantId));
+      this.foreign.report(fromEntryId, unknown);
+      this.markAllDirty();
+    } else if (message.kind === 'targets-closed') {
+      this.closed.close(fromEntryId, message.instanceIds, this.parts.clock.monotonicMs());
+      this.applyClosed();
+    } else if (message.kind === 'team-usage' && fromEntryId !== this.parts.network.selfEntryId) {
+      this.usage.addRemote(message.teams);
+    }
   }
 
-  private enqueue(waiting: Waiting): void {
-    const { document } = this.config.state();
-    if (!document.services[waiting.ticket.serviceId]) {
-      this.refuse(waiting, 'no-target-fits');
-      return;
+  private takeTicket(ticket: Ticket, gatewayEntryId: EntryId): void {
+    if (this.isKnown(ticket, gatewayEntryId)) return;
+    const refusal = this.refusalOf() ?? this.offer(ticket, gatewayEntryId);
+    if (!refusal) return;
+    const { ticketId } = ticket;
+    this.parts.network.send(gatewayEntryId, { kind: 'ticket-refused', ticketId, ...refusal });
+  }
+
+  /** A ticket that came before: its open grant is sent again, everything else stands. */
+  private isKnown({ ticketId }: Ticket, gatewayEntryId: EntryId): boolean {
+    const open = this.grants.ofTicket(ticketId);
+    if (open && open.grant.startByMs > this.parts.clock.unixMs()) {
+      this.parts.network.send(gatewayEntryId, open.grant);
+    }
+    return open !== undefined || this.tickets.has(ticketId) || this.grants.hasEnded(ticketId);
+  }
+
+  private refusalOf(): Refusal | undefined {
+    const retryAfterMs = FENCED_RETRY_AFTER_MS;
+    if (this.stopping) return { reason: 'stopping', retryAfterMs };
+    if (this.parts.fence.reason()) return { reason: 'fenced', retryAfterMs };
+    if (this.tickets.size >= MOST_WAITING_TICKETS) return { reason: 'queue-full', retryAfterMs };
+    return undefined;
+  }
+
+  private offer(ticket: Ticket, gatewayEntryId: EntryId): Refusal | undefined {
+    const poolId = this.parts.config.state().document.services[ticket.serviceId]?.poolId;
+    const pool = poolId === undefined ? undefined : this.board.of(poolId);
+    if (poolId === undefined || !pool) {
+      return { reason: 'no-target-fits', retryAfterMs: FENCED_RETRY_AFTER_MS };
+    }
+    const refusal = pool.offer(ticket, gatewayEntryId);
+    if (refusal) return refusal;
+    this.tickets.add(ticket.ticketId, poolId);
+    this.markDirty(poolId);
+    return undefined;
+  }
+
+  private cancel(ticketIds: readonly string[]): void {
+    ticketIds.forEach((ticketId) => {
+      const poolId = this.tickets.poolOf(ticketId);
+      if (poolId === undefined) return;
+      this.tickets.remove(ticketId);
+      this.board.of(poolId)?.cancel(ticketId);
+    });
+  }
+
+  private takeEnd(fromEntryId: EntryId, ended: GrantEnded): void {
+    const open = this.grants.get(ended.grantId);
+    if (!open) this.endForeign(fromEntryId, ended.grantId);
+    else if (ended.outcome !== 'unknown') this.end(open, ended.outcome);
+    else if (!open.unknown) {
+      // The work may still run: its slot and credit wait for the lease to lapse.
+      open.unknown = true;
+      this.board.of(open.poolId)?.suspect(open.placement);
+    }
+    this.acks.add(fromEntryId, ended.grantId);
+    this.postFlush();
+  }
+
+  private endForeign(gatewayEntryId: EntryId, grantId: string): void {
+    this.foreign.end(gatewayEntryId, grantId);
+    this.markAllDirty();
+  }
+
+  private end(open: OpenGrant, outcome: GrantOutcome | 'lapsed'): void {
+    const { grant, placement, poolId } = open;
+    const heldMs = this.parts.clock.monotonicMs() - placement.startedAtMs;
+    this.grants.remove(grant.grantId, outcome !== 'lapsed' || open.unknown);
+    this.parts.credits.release(grant.creditUseId);
+    this.board.of(poolId)?.end(placement, outcome);
+    this.usage.addLocal(poolId, grant.teamId, heldMs);
+    this.markDirty(poolId);
+  }
+
+  private dispatch(poolId: PoolId): void {
+    const pool = this.board.of(poolId);
+    if (!pool) return;
+    for (;;) {
+      if (this.parts.fence.reason()) return;
+      const placement = pool.next(this.parts.credits);
+      if (!placement) break;
+      this.grant(poolId, pool, placement);
     }
-    if (this.fence.reason()) {
-      this.refuse(waiting, 'fenced');
+    pool.runsToPreempt().forEach((placement) => {
+      void this.checkpoint(poolId, placement);
+    });
+  }
+
+  private grant(poolId: PoolId, pool: PoolScheduler, placement: Placement): void {
+    const { waiting, creditUse } = placement;
+    const grant = this.maker.make(placement);
+    if (this.parts.network.send(waiting.gatewayEntryId, grant)) {
+      this.tickets.remove(waiting.ticketId);
+      this.grants.add({ grant, placement, poolId, unknown: false });
       return;
     }
-    this.waiting.push(waiting);
-    this.dispatch();
+    // Nothing was sent, so nothing can run: the ticket waits aside till its gateway is back.
+    pool.undo(placement);
+    this.parts.credits.release(creditUse.useId);
+    this.tickets.setAside(waiting);
   }
 
-  private refuse({ ticket, gatewayEntryId }: Waiting, reason: TicketRefusalReason): void {
-    const { ticketId } = ticket;
-    const retryAfterMs = RETRY_AFTER_MS;
-    this.network.send(gatewayEntryId, { kind: 'ticket-refused', ticketId, reason, retryAfterMs });
+  private async checkpoint(poolId: PoolId, placement: Placement): Promise<void> {
+    const { waiting, targetId } = placement;
+    const operationId = `checkpoint:${waiting.ticketId}`;
+    const requestId = requestIdOf(waiting.ticketId);
+    const done = await this.parts.control.checkpoint(operationId, targetId, requestId);
+    if (done.isErr()) this.post({ kind: 'checkpoint-failed', poolId, placement });
+  }
+
+  private tick(): void {
+    this.ticks += 1;
+    const nowMs = this.parts.clock.unixMs();
+    this.grants.lapsed(nowMs).forEach((grantId) => {
+      const open = this.grants.get(grantId);
+      if (open) this.end(open, 'lapsed');
+    });
+    this.foreign.lapse(nowMs);
+    if (this.closed.lapse(this.parts.clock.monotonicMs())) this.applyClosed();
+    this.tickets.takeAside().forEach((waiting) => this.requeue(waiting, nowMs));
+    this.expire();
+    if (this.ticks % STATUS_TICKS === 0) this.tellDrains();
+    if (this.ticks % USAGE_TICKS === 0) this.tellUsage();
+    this.markAllDirty();
+  }
+
+  private requeue(waiting: WaitingTicket, nowMs: number): void {
+    const poolId = this.tickets.poolOf(waiting.ticketId);
+    if (poolId === undefined) return;
+    if (waiting.ticket.deadlineAtMs <= nowMs) this.tickets.remove(waiting.ticketId);
+    else this.board.of(poolId)?.requeue(waiting);
+  }
+
+  private expire(): void {
+    for (const [, pool] of this.board.all()) {
+      pool.takeExpired().forEach(({ ticketId, gatewayEntryId }) => {
+        this.tickets.remove(ticketId);
+        this.parts.network.send(gatewayEntryId, {
+          kind: 'ticket-refused',
+          ticketId,
+          reason: 'deadline-unreachable',
+          retryAfterMs: FENCED_RETRY_AFTER_MS,
+        });
+      });
+      pool.tick();
+    }
   }
 
-  private cancel(ticketIds: ReadonlySet<string>): void {
-    this.waiting = this.waiting.filter(({ ticket }) => !ticketIds.has(ticket.ticketId));
+  private tellDrains(): void {
+    const status = this.drains.status();
+    if (!status) return;
+    const { homes, network } = this.parts;
+    homes.liveEntries().forEach((entryId) => network.send(entryId, status));
   }
 
-  private dispatch(): void {
-    if (this.fence.reason()) return;
-    const nowMs = this.clock.unixMs();
-    const kept: Waiting[] = [];
-    this.waiting.forEach((waiting) => {
-      if (waiting.ticket.deadlineAtMs <= nowMs) this.refuse(waiting, 'deadline-unreachable');
-      else if (!this.tryGrant(waiting)) kept.push(waiting);
+  private tellUsage(): void {
+    const { charges, local } = this.usage.collect();
+    charges.forEach((teams, poolId) => {
+      const pool = this.board.of(poolId);
+      teams.forEach(({ teamId, slotMs }) => pool?.chargeElsewhere(teamId, slotMs));
     });
-    this.waiting = kept;
-  }
-
-  private tryGrant({ ticket, gatewayEntryId }: Waiting): boolean {
-    const { document } = this.config.state();
-    const service = document.services[ticket.serviceId];
-    if (!service) return false;
-    const target = this.slots.pick(document, service, new Set(ticket.avoidTargetIds));
-    if (!target) return false;
-    const use = this.credits.tryAcquire(ticket.teamId);
-    if (!use) {
-      this.credits.want(ticket.teamId, 1);
-      return false;
+    const { homes, network } = this.parts;
+    const teams = [...local].sort((a, b) => b.slotMs - a.slotMs).slice(0, MOST_TEAMS_TOLD);
+    if (teams.length === 0) return;
+    homes
+      .liveEntries()
+      .filter((entryId) => entryId !== network.selfEntryId)
+      .forEach((entryId) => network.send(entryId, { kind: 'team-usage', teams }));
+  }
+
+  private resume(teamId: TeamId): void {
+    for (const [poolId, pool] of this.board.all()) {
+      pool.resumeTeam(teamId);
+      this.markDirty(poolId);
+    }
+  }
+
+  private configure(): void {
+    this.board.configure(this.parts.config.state().document);
+    this.markAllDirty();
+  }
+
+  private applyClosed(): void {
+    this.board.setLeaving(this.closed.all());
+    this.markAllDirty();
+  }
+
+  /** Gives back the tickets of pools whose home is another entry now. */
+  private returnForeign(): void {
+    const { homes, network } = this.parts;
+    for (const [poolId, pool] of this.board.all()) {
+      if (homes.homeOfPool(poolId) === network.selfEntryId) continue;
+      this.returnTickets(pool.waitingTickets().map(({ ticketId }) => ticketId));
     }
-    const startByMs = this.clock.unixMs() + START_WINDOW_MS;
-    const grant: Grant = {
-      kind: 'grant',
-      ticketId: ticket.ticketId,
-      grantId: this.newGrantId(ticket.serviceId),
-      serviceId: ticket.serviceId,
-      teamId: ticket.teamId,
-      targetId: target.targetId,
-      startByMs,
-      leaseExpiresAtMs: startByMs + service.taskLeaseMs,
-      creditUseId: use.useId,
-      creditHolderEntryId: use.holderEntryId,
-      creditEpoch: use.epoch,
-    };
-    this.hold(grant);
-    this.network.send(gatewayEntryId, grant);
-    return true;
-  }
-
-  private newGrantId(serviceId: ServiceId): string {
-    this.nextGrant += 1;
-    return `${serviceId}:${this.incarnation}:${this.nextGrant}`;
-  }
-
-  private hold(grant: Grant): void {
-    this.slots.take(grant.targetId);
-    const lapseMs = grant.leaseExpiresAtMs + MAX_CLOCK_SKEW_MS - this.clock.unixMs();
-    const lapse = this.clock.after(lapseMs, () => {
-      this.post({ kind: 'lapsed', grantId: grant.grantId });
+  }
+
+  private returnTickets(ticketIds: readonly string[]): void {
+    const byGateway = new Map<EntryId, string[]>();
+    ticketIds.forEach((ticketId) => {
+      const poolId = this.tickets.poolOf(ticketId);
+      const waiting = poolId === undefined ? undefined : this.board.of(poolId)?.cancel(ticketId);
+      const aside = this.tickets.remove(ticketId);
+      const gatewayEntryId = (waiting ?? aside)?.gatewayEntryId;
+      if (gatewayEntryId === undefined) return;
+      byGateway.set(gatewayEntryId, [...(byGateway.get(gatewayEntryId) ?? []), ticketId]);
+    });
+    byGateway.forEach((returned, entryId) => {
+      this.parts.network.send(entryId, { kind: 'tickets-returned', ticketIds: returned });
     });
-    this.running.set(grant.grantId, { grant, lapse });
   }
 
-  private acknowledge(fromEntryId: EntryId, ended: GrantEnded): void {
-    // The work of an unknown outcome may still run: its credit waits for the lease to lapse.
-    if (ended.outcome !== 'unknown') this.end(ended.grantId);
-    this.network.send(fromEntryId, { kind: 'grant-ended-ack', grantIds: [ended.grantId] });
+  private poolOfService(serviceId: string): PoolScheduler | undefined {
+    const poolId = this.parts.config.state().document.services[serviceId]?.poolId;
+    return poolId === undefined ? undefined : this.board.of(poolId);
+  }
+
+  private markAllDirty(): void {
+    for (const [poolId] of this.board.all()) this.markDirty(poolId);
+  }
+
+  private markDirty(poolId: PoolId): void {
+    this.dirty.add(poolId);
+    this.postFlush();
+  }
+
+  /** The flush comes after all messages that are in the mailbox now. */
+  private postFlush(): void {
+    if (this.flushPosted) return;
+    this.flushPosted = this.post({ kind: 'flush' });
   }
 
-  private end(grantId: string): void {
-    const ended = this.running.get(grantId);
-    if (!ended) return;
-    this.running.delete(grantId);
-    ended.lapse.dispose();
-    this.slots.free(ended.grant.targetId);
-    this.credits.release(ended.grant.creditUseId);
-    this.dispatch();
+  private flush(): void {
+    this.flushPosted = false;
+    this.acks.flush();
+    const poolIds = [...this.dirty];
+    this.dirty.clear();
+    poolIds.forEach((poolId) => this.dispatch(poolId));
   }
 }
--- /dev/null
+++ b/packages/scheduling/src/DispatcherMessage.ts
@@ -0,0 +1,41 @@
+/** What the dispatcher's mailbox takes, and what the dispatcher is built from. */
+import {
+  type Clock,
+  type CreditSource,
+  type Fence,
+  type InstanceId,
+  type PoolId,
+  type Random,
+  type TeamId,
+} from '@acaciadock/core';
+import { type ConfigView } from '@acaciadock/config';
+import { type PeerNetwork, type ReceivedMessage } from '@acaciadock/peers';
+import { type InstanceControl } from '@acaciadock/platform';
+import { type LeavingWatch } from './LeavingWatch.js';
+import { type PoolHomes } from './PoolHomes.js';
+import { type Placement } from './WaitingTicket.js';
+
+export type DispatcherMessage =
+  | { readonly kind: 'received'; readonly received: ReceivedMessage }
+  | { readonly kind: 'credits'; readonly teamId: TeamId }
+  | { readonly kind: 'configured' }
+  | { readonly kind: 'listed'; readonly leaving: ReadonlySet<InstanceId> }
+  | { readonly kind: 'homes-changed' }
+  | { readonly kind: 'checkpoint-failed'; readonly poolId: PoolId; readonly placement: Placement }
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'flush' }
+  | { readonly kind: 'stop' };
+
+export interface DispatcherParts {
+  readonly config: ConfigView;
+  readonly credits: CreditSource;
+  readonly fence: Fence;
+  readonly homes: PoolHomes;
+  readonly network: PeerNetwork;
+  readonly leaving: LeavingWatch;
+  readonly control: InstanceControl;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Changes with each start of the process; part of every grant's id. */
+  readonly incarnation: string;
+}
--- /dev/null
+++ b/packages/scheduling/src/Estimates.test.ts
@@ -0,0 +1,112 @@
+import { Random } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { admit, predictedWaitMs } from './Admission.js';
+import { RetryBudget } from './RetryBudget.js';
+import { RunTimeEstimator } from './RunTimeEstimator.js';
+
+const KIND = { serviceId: 's', teamId: 'a', urgency: 'urgent' } as const;
+const SEED = 11;
+
+describe('RunTimeEstimator', () => {
+  it(`learns what was declared ten times off, within 20 % (seed ${SEED})`, (t) => {
+    [20, 2_000].forEach((declaredMs) => {
+      const random = new Random(SEED);
+      const estimator = new RunTimeEstimator();
+      t.equal(estimator.estimateMs(KIND, declaredMs), declaredMs);
+      Array.from({ length: 100 }, () => estimator.learn(KIND, 100 + 200 * random.next()));
+      const estimateMs = estimator.estimateMs(KIND, declaredMs);
+      t.ok(Math.abs(estimateMs - 200) < 40, `${estimateMs}`);
+    });
+  });
+
+  it('is moved little by one stalled run, and follows a lasting change', (t) => {
+    const estimator = new RunTimeEstimator();
+    Array.from({ length: 50 }, () => estimator.learn(KIND, 100));
+    estimator.learn(KIND, 60_000);
+    t.ok(estimator.estimateMs(KIND, 1) < 120);
+    Array.from({ length: 100 }, () => estimator.learn(KIND, 400));
+    t.ok(Math.abs(estimator.estimateMs(KIND, 1) - 400) < 40);
+  });
+
+  it('uses the runs of other teams before the declaration, and forgets what is gone', (t) => {
+    const estimator = new RunTimeEstimator();
+    estimator.learn(KIND, 70);
+    t.equal(estimator.estimateMs({ ...KIND, teamId: 'b' }, 500), 70);
+    t.equal(estimator.estimateMs({ ...KIND, urgency: 'background' }, 500), 500);
+    estimator.retain(() => false);
+    t.equal(estimator.size, 0);
+  });
+});
+
+describe('Admission', () => {
+  const backlog = {
+    tickets: 10,
+    aheadMs: 10_000,
+    portion: 0.25,
+    urgentPortion: 0.5,
+    leadMs: 5_000,
+  };
+  const capacity = { slots: 8, freeSlots: 0, teamLimit: 100, heldSlots: 0 };
+
+  const waits = [
+    {
+      name: 'nothing ahead and a free slot',
+      change: { tickets: 0 },
+      slots: { freeSlots: 1 },
+      ms: 0,
+    },
+    { name: 'background at the portion', urgency: 'background', ms: 5_000 },
+    // 5 s of slot time at 4 slots, then 5 s at 2.
+    { name: 'urgent within and beyond the lead', ms: 1_250 + 2_500 },
+    { name: 'a team held at its limit', slots: { teamLimit: 1 }, ms: 10_000 },
+    { name: 'all slots held by long runs', slots: { heldSlots: 8 }, ms: Infinity },
+  ] as const;
+  waits.forEach((wait) => {
+    it(`predicts the wait: ${wait.name}`, (t) => {
+      const urgency = 'urgency' in wait ? wait.urgency : 'urgent';
+      const change = 'change' in wait ? wait.change : {};
+      const slots = 'slots' in wait ? wait.slots : {};
+      t.equal(
+        predictedWaitMs(urgency, { ...backlog, ...change }, { ...capacity, ...slots }),
+        wait.ms,
+      );
+    });
+  });
+
+  const arrival = {
+    urgency: 'urgent',
+    nowMs: 1_000,
+    deadlineAtMs: 4_000,
+    estimateMs: 500,
+    startByMs: 3_000,
+  } as const;
+  const decisions = [
+    { waitMs: 2_000, kind: 'admitted' },
+    { waitMs: 2_600, kind: 'late', retryAfterMs: 600 },
+    { waitMs: 2_001, kind: 'late', retryAfterMs: 100 },
+    { waitMs: Infinity, kind: 'late', retryAfterMs: 60_000 },
+  ];
+  decisions.forEach(({ waitMs, kind, retryAfterMs }) => {
+    it(`decides on a wait of ${waitMs} ms: ${kind}`, (t) => {
+      t.match(admit(arrival, waitMs), { kind, ...(retryAfterMs ? { retryAfterMs } : {}) });
+    });
+  });
+});
+
+describe('RetryBudget', () => {
+  it('lets retries add at most their part to the load, however many fail', (t) => {
+    const budget = new RetryBudget(0.1);
+    let retries = 0;
+    Array.from({ length: 10_000 }, () => {
+      budget.earn();
+      if (budget.trySpend()) retries += 1;
+      return retries;
+    });
+    t.ok(retries <= 10_000 * 0.1 + 10, `${retries}`);
+    t.ok(retries >= 1_000, `${retries}`);
+  });
+
+  it('allows none at a ratio of zero', (t) => {
+    t.notOk(new RetryBudget(0).trySpend());
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/FairQueue.ts
@@ -0,0 +1,242 @@
+/**
+ * Weighted fair queueing over teams by start tags: start-time fair queueing (Goyal, Vin and Cheng,
+ * 1996) for many servers at once as in SFQ(D) (Jin, Chase and Kaur, 2004). A team's tag grows by
+ * slot-milliseconds over share as its tickets start, and the team with the least tag is next.
+ * Urgent tickets may run ahead of their team's turn by a bounded lead, the warp of borrowed virtual
+ * time scheduling (Duda and Cheriton, 1999): they start early, the long-run portion stays the same.
+ *
+ * A team that comes back from idle starts at the current virtual time, so it brings no hoarded
+ * turn; what it was ahead stays charged. A parked team keeps its tag and catches up by at most
+ * `CATCH_UP_MS` of its portion. Starting costs O(log teams), removing O(1) where the team stays
+ * backlogged.
+ */
+import { type TeamId, type Urgency } from '@acaciadock/core';
+import { IndexedHeap } from './IndexedHeap.js';
+import {
+  type Backlog,
+  type EstimateOf,
+  QueueDiscipline,
+  type QueueItem,
+  type QueueSettings,
+} from './QueueDiscipline.js';
+import { TeamQueue } from './TeamQueue.js';
+
+const CATCH_UP_MS = 1_000;
+const MIN_SHARE = 1e-6;
+
+export class FairQueue<Item extends QueueItem> extends QueueDiscipline<Item> {
+  private readonly waiting = new Map<string, Item>();
+
+  private readonly teams = new Map<TeamId, TeamQueue<Item>>();
+
+  private readonly byTag = new IndexedHeap<TeamQueue<Item>>((team) => team.tag);
+
+  private readonly urgentByTag = new IndexedHeap<TeamQueue<Item>>((team) => team.tag);
+
+  private virtualTime = 0;
+
+  /** Sum of the shares of the teams that wait or run. */
+  private activeShare = 0;
+
+  /** Sum of the shares of the teams with urgent tickets waiting. */
+  private urgentShare = 0;
+
+  private urgentCount = 0;
+
+  private settings: QueueSettings = {
+    shares: new Map(),
+    slots: 0,
+    urgentLeadMs: 0,
+    ageingMs: Number.POSITIVE_INFINITY,
+  };
+
+  constructor(private readonly estimateOf: EstimateOf) {
+    super();
+  }
+
+  override get size(): number {
+    return this.waiting.size;
+  }
+
+  override get urgentSize(): number {
+    return this.urgentCount;
+  }
+
+  override configure(settings: QueueSettings): void {
+    this.settings = settings;
+    this.teams.forEach((team) => Object.assign(team, { share: this.shareOf(team.teamId) }));
+    this.forgetIdle();
+    this.sumShares();
+  }
+
+  override push(item: Item): void {
+    if (this.waiting.has(item.ticketId)) return;
+    const team = this.teamOf(item.teamId);
+    this.change(team, () => {
+      if (team.size === 0) team.tag = Math.max(team.tag, this.virtualTime);
+      team.push(item);
+      this.waiting.set(item.ticketId, item);
+    });
+  }
+
+  override get(ticketId: string): Item | undefined {
+    return this.waiting.get(ticketId);
+  }
+
+  override remove(ticketId: string): Item | undefined {
+    const item = this.waiting.get(ticketId);
+    if (!item) return undefined;
+    this.change(this.teamOf(item.teamId), (team) => this.drop(team, item));
+    return item;
+  }
+
+  override peek(nowMs: number, backgroundAllowed: boolean): Item | undefined {
+    const next = this.byTag.top()?.first(nowMs, this.settings.ageingMs);
+    const urgentTeam = this.urgentByTag.top();
+    const urgent = urgentTeam?.first(nowMs, this.settings.ageingMs);
+    if (!next || next === urgent) return next;
+    if (!backgroundAllowed && !this.isPressing(next, nowMs)) return urgent;
+    if (!urgentTeam) return next;
+    const leadsBy = urgentTeam.tag - (this.byTag.top()?.tag ?? 0);
+    return leadsBy <= this.toVirtual(this.settings.urgentLeadMs) ? urgent : next;
+  }
+
+  override start(item: Item): number {
+    const chargedMs = this.estimateOf(item);
+    this.change(this.teamOf(item.teamId), (team) => {
+      this.virtualTime = Math.max(this.virtualTime, this.byTag.top()?.tag ?? 0);
+      this.drop(team, item);
+      FairQueue.charge(team, chargedMs);
+      Object.assign(team, { running: team.running + 1 });
+    });
+    return chargedMs;
+  }
+
+  override end(item: QueueItem, chargedMs: number, heldMs: number): void {
+    this.change(this.teamOf(item.teamId), (team) => {
+      FairQueue.charge(team, heldMs - chargedMs);
+      Object.assign(team, { running: Math.max(0, team.running - 1) });
+    });
+  }
+
+  override chargeElsewhere(teamId: TeamId, slotMs: number): void {
+    const known = this.teams.get(teamId);
+    if (known) this.change(known, (team) => FairQueue.charge(team, slotMs));
+  }
+
+  override park(teamId: TeamId): void {
+    this.change(this.teamOf(teamId), (team) => Object.assign(team, { parked: true }));
+  }
+
+  override unpark(teamId: TeamId): void {
+    const parked = this.teams.get(teamId);
+    if (!parked?.parked) return;
+    const earliestTag = this.virtualTime - this.toVirtual(CATCH_UP_MS);
+    this.change(parked, (team) =>
+      Object.assign(team, { parked: false, tag: Math.max(team.tag, earliestTag) }),
+    );
+  }
+
+  override backlog(teamId: TeamId, urgency: Urgency): Backlog {
+    const team = this.teams.get(teamId);
+    const share = this.shareOf(teamId);
+    const active = team && FairQueue.isActive(team);
+    const urgent = team && team.urgentSize > 0;
+    const tag = Math.max(team?.tag ?? 0, this.virtualTime);
+    const least = Math.min(this.byTag.top()?.tag ?? tag, tag);
+    const leadLeft = this.toVirtual(this.settings.urgentLeadMs) - (tag - least);
+    return {
+      tickets: team?.size ?? 0,
+      aheadMs: team?.aheadMs(urgency, this.estimateOf) ?? 0,
+      portion: share / (this.activeShare + (active ? 0 : share)),
+      urgentPortion: share / (this.urgentShare + (urgent ? 0 : share)),
+      leadMs: Math.max(0, leadLeft * share),
+    };
+  }
+
+  override oldestUrgent(): Item | undefined {
+    return this.urgentByTag.top()?.firstUrgent();
+  }
+
+  override items(): Item[] {
+    return [...this.waiting.values()];
+  }
+
+  /** Teams that the queue keeps state of. */
+  get teamCount(): number {
+    return this.teams.size;
+  }
+
+  private isPressing(item: Item, nowMs: number): boolean {
+    return item.urgency === 'urgent' || nowMs - item.acceptedAtMs >= this.settings.ageingMs;
+  }
+
+  private drop(team: TeamQueue<Item>, item: Item): void {
+    team.remove(item);
+    this.waiting.delete(item.ticketId);
+  }
+
+  private static charge(team: TeamQueue<QueueItem>, slotMs: number): void {
+    Object.assign(team, { tag: team.tag + slotMs / team.share });
+  }
+
+  private teamOf(teamId: TeamId): TeamQueue<Item> {
+    const known = this.teams.get(teamId);
+    if (known) return known;
+    const team = new TeamQueue<Item>(teamId, this.shareOf(teamId));
+    this.teams.set(teamId, team);
+    return team;
+  }
+
+  private shareOf(teamId: TeamId): number {
+    return Math.max(MIN_SHARE, this.settings.shares.get(teamId) ?? MIN_SHARE);
+  }
+
+  /** Applies a change to a team and brings sums and heaps up to date. */
+  private change(team: TeamQueue<Item>, apply: (team: TeamQueue<Item>) => void): void {
+    const wasActive = FairQueue.isActive(team);
+    const hadUrgent = team.urgentSize;
+    apply(team);
+    if (wasActive !== FairQueue.isActive(team)) {
+      this.activeShare = Math.max(0, this.activeShare + (wasActive ? -team.share : team.share));
+    }
+    if (hadUrgent > 0 !== team.urgentSize > 0) {
+      this.urgentShare = Math.max(0, this.urgentShare + (hadUrgent ? -team.share : team.share));
+    }
+    this.urgentCount += team.urgentSize - hadUrgent;
+    FairQueue.place(this.byTag, team, team.size > 0 && !team.parked);
+    FairQueue.place(this.urgentByTag, team, team.urgentSize > 0 && !team.parked);
+  }
+
+  private static place<T>(heap: IndexedHeap<T>, member: T, belongs: boolean): void {
+    if (belongs) heap.update(member);
+    else heap.remove(member);
+  }
+
+  private static isActive(team: TeamQueue<QueueItem>): boolean {
+    return team.size > 0 || team.running > 0;
+  }
+
+  /** Time at the full portion of a team, as a difference of tags. */
+  private toVirtual(durationMs: number): number {
+    const competing = Math.max(this.activeShare, MIN_SHARE);
+    return (durationMs * this.settings.slots) / competing;
+  }
+
+  private sumShares(): void {
+    this.activeShare = 0;
+    this.urgentShare = 0;
+    this.teams.forEach((team) => {
+      if (FairQueue.isActive(team)) this.activeShare += team.share;
+      if (team.urgentSize > 0) this.urgentShare += team.share;
+    });
+  }
+
+  /** Forgets teams that owe nothing: they would start at the virtual time again anyway. */
+  private forgetIdle(): void {
+    this.teams.forEach((team, teamId) => {
+      if (FairQueue.isActive(team) || team.tag > this.virtualTime) return;
+      this.teams.delete(teamId);
+    });
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/PoolBoard.ts
@@ -0,0 +1,70 @@
+/** The schedulers of the pools that this entry dispatches, made when the first ticket arrives. */
+import { type Clock, type InstanceId, type PoolId, type Random } from '@acaciadock/core';
+import { type ConfigDocument, type InstanceConfig } from '@acaciadock/config';
+import { FairQueue } from './FairQueue.js';
+import { OutlierEjection } from './OutlierEjection.js';
+import { PoolScheduler } from './PoolScheduler.js';
+import { type PoolView, poolViewsOf } from './PoolView.js';
+import { RunTimeEstimator } from './RunTimeEstimator.js';
+
+export class PoolBoard {
+  private readonly schedulers = new Map<PoolId, PoolScheduler>();
+
+  private views: ReadonlyMap<PoolId, PoolView> = new Map();
+
+  private leaving: ReadonlySet<InstanceId> = new Set();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  configure(document: ConfigDocument): void {
+    this.views = poolViewsOf(document);
+    this.schedulers.forEach((scheduler, poolId) => {
+      const view = this.views.get(poolId);
+      if (view) scheduler.configure(view);
+    });
+  }
+
+  setLeaving(leaving: ReadonlySet<InstanceId>): void {
+    this.leaving = leaving;
+    this.schedulers.forEach((scheduler) => scheduler.setLeaving(leaving));
+  }
+
+  poolIds(): Iterable<PoolId> {
+    return this.views.keys();
+  }
+
+  /** The scheduler of a pool; undefined if the pool is not configured. */
+  of(poolId: PoolId): PoolScheduler | undefined {
+    const known = this.schedulers.get(poolId);
+    if (known) return known;
+    const view = this.views.get(poolId);
+    if (!view) return undefined;
+    const scheduler = new PoolScheduler(
+      view,
+      {
+        queueOf: (estimateOf) => new FairQueue(estimateOf),
+        health: new OutlierEjection(this.random),
+        estimator: new RunTimeEstimator(),
+      },
+      this.clock,
+    );
+    scheduler.setLeaving(this.leaving);
+    this.schedulers.set(poolId, scheduler);
+    return scheduler;
+  }
+
+  /** Targets of a pool that take no new work, whether or not the pool has a scheduler here. */
+  leavingOf(poolId: PoolId): readonly InstanceId[] {
+    const instances = this.views.get(poolId)?.instances ?? new Map<InstanceId, InstanceConfig>();
+    return [...instances]
+      .filter(([id, { intent }]) => intent !== 'serving' || this.leaving.has(id))
+      .map(([id]) => id);
+  }
+
+  all(): Iterable<[PoolId, PoolScheduler]> {
+    return this.schedulers;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/PoolHomes.ts
@@ -0,0 +1,31 @@
+/**
+ * Homes by pool: services that share a pool have one home, which so counts all slots of the pool.
+ * Ranks a service's homes by the name of its pool; a service that is not configured by its own.
+ */
+import { type EntryId, HomeMap, type PoolId, type ServiceId } from '@acaciadock/core';
+import { type ConfigView } from '@acaciadock/config';
+
+export class PoolHomes extends HomeMap {
+  override readonly onChange: HomeMap['onChange'];
+
+  constructor(
+    private readonly members: HomeMap,
+    private readonly config: ConfigView,
+  ) {
+    super();
+    this.onChange = members.onChange;
+  }
+
+  override rankedHomes(serviceId: ServiceId): readonly EntryId[] {
+    const poolId = this.config.state().document.services[serviceId]?.poolId;
+    return this.members.rankedHomes(poolId ?? serviceId);
+  }
+
+  override liveEntries(): readonly EntryId[] {
+    return this.members.liveEntries();
+  }
+
+  homeOfPool(poolId: PoolId): EntryId | undefined {
+    return this.members.rankedHomes(poolId)[0];
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/PoolTargets.test.ts
@@ -0,0 +1,111 @@
+import { describe, it } from '@acaciadock/core/testing';
+import { type InstanceConfig } from '@acaciadock/config';
+import { PoolTargets, type TargetWish } from './PoolTargets.js';
+
+function instance(change: Partial<InstanceConfig> = {}): InstanceConfig {
+  return {
+    poolId: 'p',
+    zoneId: 'z',
+    rackId: 'r0',
+    address: '127.0.0.1:1',
+    cores: 1,
+    memoryBytes: 1,
+    accelerators: 0,
+    slots: 2,
+    connections: 64,
+    intent: 'serving',
+    ...change,
+  };
+}
+
+function poolOf(instances: Readonly<Record<string, InstanceConfig>>): PoolTargets {
+  const pool = new PoolTargets();
+  pool.configure(new Map(Object.entries(instances)));
+  return pool;
+}
+
+function wish(change: Partial<TargetWish> = {}): TargetWish {
+  const avoidTargetIds: ReadonlySet<string> = new Set();
+  const avoidRackIds: ReadonlySet<string> = new Set();
+  return { accelerators: 0, avoidTargetIds, avoidRackIds, mayTry: false, ...change };
+}
+
+describe('PoolTargets', () => {
+  it('picks the least loaded target and keeps the sums', (t) => {
+    const pool = poolOf({ a: instance(), b: instance() });
+    pool.take('a');
+    t.equal(pool.pick(wish()), 'b');
+    pool.take('b');
+    pool.take('b');
+    t.equal(pool.pick(wish()), 'a');
+    pool.take('a');
+    t.equal(pool.pick(wish()), undefined);
+    t.same([pool.slots, pool.freeSlots], [4, 0]);
+    pool.release('b');
+    t.equal(pool.pick(wish()), 'b');
+    t.equal(pool.freeSlots, 1);
+  });
+
+  describe('gives no work to', () => {
+    const cases: readonly { name: string; change: (pool: PoolTargets) => void }[] = [
+      { name: 'a target listed as leaving', change: (pool) => pool.setLeaving(new Set(['a'])) },
+      {
+        name: 'a target whose intent is to drain',
+        change: (pool) => pool.configure(new Map([['a', instance({ intent: 'draining' })]])),
+      },
+      { name: 'an ejected target', change: (pool) => pool.setEjected('a', true) },
+      { name: 'a resting target', change: (pool) => pool.setResting('a', true) },
+      { name: 'a target taken out of the pool', change: (pool) => pool.configure(new Map()) },
+    ];
+    cases.forEach(({ name, change }) => {
+      it(name, (t) => {
+        const pool = poolOf({ a: instance() });
+        change(pool);
+        t.equal(pool.pick(wish()), undefined);
+        t.equal(pool.freeSlots, 0);
+      });
+    });
+  });
+
+  describe('with targets and racks to avoid', () => {
+    const racks = { a: instance(), b: instance(), c: instance({ rackId: 'r1' }) };
+    const avoid = wish({ avoidTargetIds: new Set(['a']), avoidRackIds: new Set(['r0']) });
+
+    it('goes to another rack, then to another target', (t) => {
+      const pool = poolOf(racks);
+      t.equal(pool.pick(avoid), 'c');
+      pool.setEjected('c', true);
+      t.equal(pool.pick(avoid), 'b');
+    });
+
+    it('waits for a busy one rather than going back', (t) => {
+      const pool = poolOf(racks);
+      ['b', 'b', 'c', 'c'].forEach((targetId) => pool.take(targetId));
+      t.equal(pool.pick(avoid), undefined);
+    });
+
+    it('goes back only where there is no other', (t) => {
+      t.equal(poolOf({ a: instance() }).pick(avoid), 'a');
+    });
+  });
+
+  it('gives a trial to one run that may be one', (t) => {
+    const pool = poolOf({ a: instance(), b: instance() });
+    pool.setEjected('a', true);
+    pool.allowTrial('a');
+    t.equal(pool.pick(wish()), 'b');
+    t.equal(pool.pick(wish({ mayTry: true })), 'a');
+    pool.take('a');
+    t.equal(pool.pick(wish({ mayTry: true })), 'b');
+  });
+
+  it('counts work that it did not place, beyond the slots too', (t) => {
+    const pool = poolOf({ a: instance() });
+    ['a', 'a', 'a'].forEach((targetId) => pool.take(targetId));
+    t.equal(pool.freeSlots, 0);
+    pool.release('a');
+    t.equal(pool.pick(wish()), undefined);
+    pool.release('a');
+    t.equal(pool.pick(wish()), 'a');
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/WaitingTicket.ts
@@ -0,0 +1,25 @@
+/** A ticket as its home holds it, from its arrival to the end of its run. */
+import { type CreditUse, type EntryId, type TargetId } from '@acaciadock/core';
+import { type Ticket, type TicketRefusalReason } from '@acaciadock/peers';
+import { type QueueItem } from './QueueDiscipline.js';
+
+export interface WaitingTicket extends QueueItem {
+  readonly ticket: Ticket;
+  readonly gatewayEntryId: EntryId;
+}
+
+/** A ticket that got a slot and a credit. */
+export interface Placement {
+  readonly waiting: WaitingTicket;
+  readonly targetId: TargetId;
+  readonly creditUse: CreditUse;
+  /** Slot time that the team was charged when the run started. */
+  readonly chargedMs: number;
+  /** Monotonic milliseconds. */
+  readonly startedAtMs: number;
+}
+
+export interface Refusal {
+  readonly reason: TicketRefusalReason;
+  readonly retryAfterMs: number;
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,2 +1,19 @@
-/** Public interface: the dispatcher and the decisions that it takes. */
+/** Public interface: the dispatcher, its view for maintenance, and the decisions that it takes. */
+export * from './Admission.js';
 export * from './Dispatcher.js';
+export * from './FairQueue.js';
+export * from './FleetUsage.js';
+export * from './FleetWork.js';
+export * from './HealthPolicy.js';
+export * from './LeavingWatch.js';
+export * from './OutlierEjection.js';
+export * from './PoolHomes.js';
+export * from './PoolScheduler.js';
+export * from './PoolTargets.js';
+export * from './PoolView.js';
+export * from './QueueDiscipline.js';
+export * from './RetryBudget.js';
+export * from './RunTimeEstimator.js';
+export * from './SchedulingPolicy.js';
+export * from './WaitingTicket.js';
+export * from './WorkReporter.js';
