A maintenance controller: drains, roll-outs, moves and lent spares over the control stream

The controller's role is a claim with a renewed lease; its epoch is the claim's offset. Every step is a record before the platform is called, and counts only under the current epoch and on the state it was decided on. Instances are closed by a patch of their intent (a new value, maintenance, so that an operator's draining is never taken back).

--- a/packages/config/src/ConfigDocument.ts
+++ b/packages/config/src/ConfigDocument.ts
@@ -36,8 +36,11 @@
   description: z.string().max(500).default(''),
 });
 
-/** What the operator wants of an instance. */
-export const instanceIntentSchema = z.enum(['serving', 'draining']);
+/**
+ * What is wanted of an instance. Only a `serving` one gets new work. `draining` is an operator's
+ * wish; `maintenance` is the controller's, which it takes back itself and only if it still stands.
+ */
+export const instanceIntentSchema = z.enum(['serving', 'draining', 'maintenance']);
 
 export const instanceSchema = z.strictObject({
   poolId: poolIdSchema,
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -5,15 +5,24 @@
 import { randomUUID } from 'node:crypto';
 import { type Clock, Disposable, Random, toDisposable } from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TargetClient, TicketDesk } from '@acaciadock/gateway';
+import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
-import { HttpLogService, HttpPlatformClient } from '@acaciadock/platform';
+import {
+  HttpInstanceControl,
+  HttpInstanceDirectory,
+  HttpLogService,
+  HttpPlatformClient,
+} from '@acaciadock/platform';
 import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
 import { Dispatcher } from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { CountingTargetClient } from './CountingTargetClient.js';
+import { HttpInstanceProbe } from './HttpInstanceProbe.js';
+import { Maintenance } from './Maintenance.js';
 import { OperatorServer } from './OperatorServer.js';
+import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
 
 export interface EntryAddresses {
@@ -33,7 +42,7 @@
 
   private readonly operators: OperatorServer;
 
-  private readonly platformClient: HttpPlatformClient;
+  readonly maintenance: Maintenance;
 
   constructor(
     private readonly settings: Settings,
@@ -43,13 +52,7 @@
     super();
     const random = new Random(seed);
     const incarnation = randomUUID();
-    this.platformClient = new HttpPlatformClient(settings.platform.logUrl);
-    this.register(
-      toDisposable(() => {
-        void this.platformClient.close();
-      }),
-    );
-    const log = new HttpLogService(this.platformClient);
+    const log = new HttpLogService(this.platformCall(settings.platform.logUrl));
     this.follower = this.register(new ConfigFollower(log, clock, random));
     this.links = this.register(
       new PeerLinks(
@@ -69,20 +72,42 @@
     const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
     this.register(new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation));
     const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new TargetClient(clock));
+    const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
     this.callers = this.register(
       new CallerServer(this.follower, fence, runner, this.outcomes, clock),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
+    this.maintenance = this.register(
+      new Maintenance({
+        settings,
+        incarnation,
+        config: this.follower,
+        writer: new PatchConfigWriter(submitter, clock),
+        log,
+        control: new HttpInstanceControl(this.platformCall(settings.platform.controlUrl)),
+        directory: new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl)),
+        probe: this.register(new HttpInstanceProbe()),
+        runs: targets,
+        homes,
+        network: this.links,
+        clock,
+        random,
+      }),
+    );
     this.operators = this.register(new OperatorServer(this.follower, submitter));
   }
 
+  get entryId(): string {
+    return this.settings.entryId;
+  }
+
   /** Opens the ports and begins to follow the configuration. */
   async start(): Promise<EntryAddresses> {
     const listening = await this.links.listen();
     if (listening.isErr()) throw new Error(listening.error.kind, { cause: listening.error });
     void this.follower.run();
+    this.maintenance.start();
     return {
       peerAddress: listening.value,
       callerAddress: await this.callers.listen(this.settings.callerAddress),
@@ -97,7 +122,18 @@
 
   /** Graceful stop: requests in progress are finished first. */
   async stop(): Promise<void> {
+    await this.maintenance.stop();
     await this.callers.stop();
     this.dispose();
   }
+
+  private platformCall(url: string): HttpPlatformClient {
+    const client = new HttpPlatformClient(url);
+    this.register(
+      toDisposable(() => {
+        void client.close();
+      }),
+    );
+    return client;
+  }
 }
--- /dev/null
+++ b/packages/daemon/src/Maintenance.ts
@@ -0,0 +1,93 @@
+/** The maintenance part of an entry: builds its tasks and hands each what it needs. */
+import { type Clock, Disposable, type HomeMap, type Random } from '@acaciadock/core';
+import { type ConfigView } from '@acaciadock/config';
+import {
+  CommandSubmitter,
+  type ConfigWriter,
+  ControlReader,
+  DemandSmoother,
+  DrainTracker,
+  type InstanceProbe,
+  JobDecider,
+  MaintenanceController,
+  RoleKeeper,
+  type RunCounter,
+  WorkResponder,
+  WorkSurvey,
+} from '@acaciadock/maintenance';
+import { type PeerNetwork } from '@acaciadock/peers';
+import {
+  type InstanceControl,
+  type InstanceDirectory,
+  type LogService,
+} from '@acaciadock/platform';
+import { type Settings } from './Settings.js';
+
+export interface MaintenanceServices {
+  readonly settings: Settings;
+  readonly incarnation: string;
+  readonly config: ConfigView;
+  readonly writer: ConfigWriter;
+  readonly log: LogService;
+  readonly control: InstanceControl;
+  readonly directory: InstanceDirectory;
+  readonly probe: InstanceProbe;
+  readonly runs: RunCounter;
+  readonly homes: HomeMap;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+export class Maintenance extends Disposable {
+  readonly reader: ControlReader;
+
+  readonly commands: CommandSubmitter;
+
+  readonly role: RoleKeeper;
+
+  readonly controller: MaintenanceController;
+
+  readonly demand: DemandSmoother;
+
+  constructor(services: MaintenanceServices) {
+    super();
+    const { settings, incarnation, config, log, network, clock, random } = services;
+    const { maintenance, entryId } = settings;
+    this.register(new WorkResponder(config, services.runs, network));
+    this.reader = this.register(new ControlReader(log, clock, random));
+    this.commands = this.register(new CommandSubmitter(log, this.reader, clock));
+    const roleOptions = { entryId, incarnation, leaseMs: maintenance.leaseMs };
+    this.role = this.register(new RoleKeeper(roleOptions, log, this.reader, clock, random));
+    this.demand = new DemandSmoother(clock);
+    const tracker = new DrainTracker(clock, maintenance);
+    const survey = this.register(
+      new WorkSurvey(incarnation, services.homes, network, tracker, this.demand, clock),
+    );
+    const knownEntryIds = settings.peers.map((peer) => peer.entryId);
+    this.controller = this.register(
+      new MaintenanceController(
+        {
+          ...services,
+          reader: this.reader,
+          role: this.role,
+          tracker,
+          survey,
+          demand: this.demand,
+          decider: new JobDecider(maintenance),
+        },
+        { ...maintenance, knownEntryIds },
+      ),
+    );
+  }
+
+  start(): void {
+    void this.reader.run();
+    this.controller.start();
+  }
+
+  /** Hands the role over before the entry stops. */
+  async stop(): Promise<void> {
+    await this.role.release();
+  }
+}
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -5,6 +5,27 @@
 
 const peerSchema = z.strictObject({ entryId: entryIdSchema, address: addressSchema });
 
+/** Timing of the maintenance controller. The defaults suit every deployment known so far. */
+export const maintenanceSettingsSchema = z.strictObject({
+  /** Lease of the controller's role; a successor waits for it to lapse. */
+  leaseMs: z.int().min(500).default(6_000),
+  tickMs: z.int().min(10).default(200),
+  /** How often the platform's list of instances is read. */
+  listPeriodMs: z.int().min(10).default(500),
+  /** How often the entries are asked what runs. */
+  surveyPeriodMs: z.int().min(10).default(500),
+  /** Longest time from a grant to its send. */
+  startWindowMs: z.int().min(0).default(1_000),
+  /** An entry that has not answered the survey for so long counts as silent. */
+  silentAfterMs: z.int().min(0).default(3_000),
+  /** After so long an entry that can't confirm that it is current starts no work. */
+  fenceMs: z.int().min(0).default(10_000),
+  /** Health checks in a row that an instance must pass to return. */
+  checksToReturn: z.int().min(1).default(2),
+  /** A rebooted instance that is not healthy after this time has failed. */
+  probeTimeoutMs: z.int().min(0).default(120_000),
+});
+
 export const settingsSchema = z.strictObject({
   schemaVersion: z.literal(1),
   entryId: entryIdSchema,
@@ -18,6 +39,7 @@
   platform: z.strictObject({ logUrl: z.url(), directoryUrl: z.url(), controlUrl: z.url() }),
   /** The entries of the deployment, this one included. */
   peers: z.array(peerSchema).default([]),
+  maintenance: maintenanceSettingsSchema.prefault({}),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,3 +2,4 @@
 export * from './Entry.js';
 export * from './OperatorServer.js';
 export * from './Settings.js';
+export * from './Maintenance.js';
--- /dev/null
+++ b/packages/maintenance/src/CommandSubmitter.ts
@@ -0,0 +1,58 @@
+/**
+ * Writes an operator's command to the control stream and waits until it is read back. Any entry
+ * takes commands; whichever holds the controller's role carries them out.
+ */
+import { type Clock, Disposable } from '@acaciadock/core';
+import { type AppendFailure, CONTROL_STREAM, type LogService } from '@acaciadock/platform';
+import { type ControlReader } from './ControlReader.js';
+import { type MaintenanceCommand } from './MaintenanceRecord.js';
+
+const SETTLE_TIMEOUT_MS = 6_000;
+
+export type CommandOutcome =
+  | { readonly kind: 'accepted'; readonly commandId: string }
+  /** It does not apply to the state of maintenance, such as a second roll-out at a time. */
+  | { readonly kind: 'not-applicable'; readonly commandId: string }
+  | { readonly kind: 'not-appended'; readonly failure: AppendFailure }
+  /** It could not be settled in time: look at the status, and ask again if it is not there. */
+  | { readonly kind: 'unknown'; readonly commandId: string };
+
+export class CommandSubmitter extends Disposable {
+  constructor(
+    private readonly log: LogService,
+    private readonly reader: ControlReader,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  async submit(
+    commandId: string,
+    author: string,
+    command: MaintenanceCommand,
+  ): Promise<CommandOutcome> {
+    const settled = this.waitFor(commandId);
+    const record = { kind: 'maintenance-command', commandId, author, command };
+    const appended = await this.log.append(CONTROL_STREAM, [record]);
+    if (appended.isErr() && appended.error.kind !== 'append-unknown') {
+      return { kind: 'not-appended', failure: appended.error };
+    }
+    return settled;
+  }
+
+  private waitFor(commandId: string): Promise<CommandOutcome> {
+    return new Promise((resolve) => {
+      const subscription = this.reader.onRecord(({ verdict }) => {
+        if (verdict.kind === 'foreign' || verdict.record.kind !== 'maintenance-command') return;
+        if (verdict.record.commandId !== commandId) return;
+        subscription.dispose();
+        const kind = verdict.kind === 'accepted' ? 'accepted' : 'not-applicable';
+        resolve({ kind, commandId });
+      });
+      this.clock.after(SETTLE_TIMEOUT_MS, () => {
+        subscription.dispose();
+        resolve({ kind: 'unknown', commandId });
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/maintenance/src/ControlReader.ts
@@ -0,0 +1,95 @@
+/** The task that reads the control stream and holds what it says about maintenance. */
+import { Backoff, type Clock, Disposable, EventEmitter, type Random } from '@acaciadock/core';
+import {
+  CONTROL_STREAM,
+  type LogPage,
+  type LogService,
+  type ReadFailure,
+} from '@acaciadock/platform';
+import { MaintenanceReducer, type MaintenanceVerdict } from './MaintenanceReducer.js';
+import { type MaintenanceState } from './MaintenanceState.js';
+
+const PAGE_RECORDS = 1_000;
+const READ_WAIT_MS = 2_000;
+const RETRY = { firstMs: 50, mostMs: 1_000 };
+
+export interface ReadControlRecord {
+  readonly offset: number;
+  readonly verdict: MaintenanceVerdict;
+}
+
+export class ControlReader extends Disposable {
+  private readonly reducer = new MaintenanceReducer();
+
+  private readonly recordEmitter = this.register(new EventEmitter<ReadControlRecord>());
+
+  /** Fires for each record of maintenance, with the verdict that all readers give alike. */
+  readonly onRecord = this.recordEmitter.event;
+
+  private readonly backoff: Backoff;
+
+  private nextOffset = 0;
+
+  private caughtUp = false;
+
+  constructor(
+    private readonly log: LogService,
+    private readonly clock: Clock,
+    random: Random,
+  ) {
+    super();
+    this.backoff = new Backoff(RETRY, random);
+  }
+
+  get state(): MaintenanceState {
+    return this.reducer.state;
+  }
+
+  /** Offset of the last record read; -1 before the first. */
+  get lastOffset(): number {
+    return this.nextOffset - 1;
+  }
+
+  /** Whether the end of the stream was read, so that a decision may rest on the state. */
+  get isCaughtUp(): boolean {
+    return this.caughtUp && this.reducer.isWhole;
+  }
+
+  /** Reads until disposed. */
+  async run(): Promise<void> {
+    while (!this.isDisposed) {
+      const page = await this.log.read({
+        stream: CONTROL_STREAM,
+        fromOffset: this.nextOffset,
+        mostRecords: PAGE_RECORDS,
+        waitMs: this.caughtUp ? READ_WAIT_MS : 0,
+      });
+      if (this.isDisposed) return;
+      if (page.isOk()) this.accept(page.value);
+      else await this.recover(page.error);
+    }
+  }
+
+  private accept(page: LogPage): void {
+    this.backoff.reset();
+    page.records.forEach((record) => {
+      if (record.offset === 0) this.reducer.markWhole();
+      const verdict = this.reducer.reduce(record);
+      if (verdict.kind !== 'foreign') this.recordEmitter.fire({ offset: record.offset, verdict });
+    });
+    this.nextOffset = page.nextOffset;
+    if (page.nextOffset < page.endOffset) return;
+    this.caughtUp = true;
+    this.reducer.markWhole();
+  }
+
+  private async recover(failure: ReadFailure): Promise<void> {
+    if (failure.kind === 'offset-expired') {
+      this.nextOffset = failure.firstOffset;
+      this.caughtUp = false;
+      this.reducer.reset();
+      return;
+    }
+    await this.clock.sleep(this.backoff.nextMs());
+  }
+}
--- /dev/null
+++ b/packages/maintenance/src/DemandSmoother.ts
@@ -0,0 +1,43 @@
+/**
+ * Demand of each service in slots, as an exponentially weighted mean over a time that is longer
+ * than a move takes: a burst of seconds hardly shows. The mean is divided by the weight seen so
+ * far, so that the first observations are not read as a rise from zero.
+ */
+import { type Clock, type ServiceId } from '@acaciadock/core';
+import { type Demand } from './AvailabilityBudget.js';
+
+const HALF_LIFE_MS = 10 * 60 * 1_000;
+
+interface Mean {
+  weightedSlots: number;
+  weight: number;
+  observedAtMs: number;
+}
+
+export class DemandSmoother {
+  private readonly means = new Map<ServiceId, Mean>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly halfLifeMs = HALF_LIFE_MS,
+  ) {}
+
+  /** The service has had this many slots in use since the last observation. */
+  observe(serviceId: ServiceId, slots: number): void {
+    const nowMs = this.clock.monotonicMs();
+    const mean = this.means.get(serviceId);
+    if (!mean) {
+      this.means.set(serviceId, { weightedSlots: 0, weight: 0, observedAtMs: nowMs });
+      return;
+    }
+    const kept = 0.5 ** ((nowMs - mean.observedAtMs) / this.halfLifeMs);
+    mean.weightedSlots = mean.weightedSlots * kept + slots * (1 - kept);
+    mean.weight = mean.weight * kept + (1 - kept);
+    mean.observedAtMs = nowMs;
+  }
+
+  demand(): Demand {
+    const seen = [...this.means].filter(([, { weight }]) => weight > 0);
+    return new Map(seen.map(([id, { weightedSlots, weight }]) => [id, weightedSlots / weight]));
+  }
+}
--- /dev/null
+++ b/packages/maintenance/src/MaintenanceController.ts
@@ -0,0 +1,260 @@
+/**
+ * The task that carries maintenance out while this entry holds the controller's role. Each step
+ * is in the control stream before the platform is asked for it; what is not recorded can be
+ * observed again, so any successor goes on from the records alone.
+ */
+import { randomUUID } from 'node:crypto';
+import { type Clock, type EntryId, type InstanceId, Task } from '@acaciadock/core';
+import { type ConfigView } from '@acaciadock/config';
+import {
+  CONTROL_STREAM,
+  type InstanceControl,
+  type InstanceDirectory,
+  type LogService,
+  type OperationState,
+} from '@acaciadock/platform';
+import { type ConfigWriter } from './ConfigWriter.js';
+import { type ControlReader } from './ControlReader.js';
+import { type DemandSmoother } from './DemandSmoother.js';
+import { type DrainTracker } from './DrainTracker.js';
+import { FleetHealth } from './FleetHealth.js';
+import { HealthSweep } from './HealthSweep.js';
+import { patchFor } from './InstancePatches.js';
+import { type InstanceProbe } from './InstanceProbe.js';
+import { type JobAction, type JobDecider } from './JobDecider.js';
+import { JobOpener, type Opening, type RollOutWait } from './JobOpener.js';
+import { JobWatch } from './JobWatch.js';
+import { type MaintenanceRecord } from './MaintenanceRecord.js';
+import { type Job } from './MaintenanceState.js';
+import { type RoleKeeper } from './RoleKeeper.js';
+import { type WorkSurvey } from './WorkSurvey.js';
+
+export interface ControllerOptions {
+  readonly tickMs: number;
+  readonly listPeriodMs: number;
+  readonly surveyPeriodMs: number;
+  /** Entries that may have work open when this one takes the role, dead ones included. */
+  readonly knownEntryIds: readonly EntryId[];
+}
+
+export interface ControllerServices {
+  readonly config: ConfigView;
+  readonly writer: ConfigWriter;
+  readonly log: LogService;
+  readonly reader: ControlReader;
+  readonly role: RoleKeeper;
+  readonly control: InstanceControl;
+  readonly directory: InstanceDirectory;
+  readonly probe: InstanceProbe;
+  readonly tracker: DrainTracker;
+  readonly survey: WorkSurvey;
+  readonly demand: DemandSmoother;
+  readonly decider: JobDecider;
+  readonly clock: Clock;
+}
+
+type ControllerMessage =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'operation'; readonly jobId: string; readonly state: OperationState }
+  | { readonly kind: 'checked'; readonly job: Job; readonly healthy: boolean };
+
+/** How long a decision waits for its record to be read back before it is made again. */
+const READ_BACK_MS = 2_000;
+
+export class MaintenanceController extends Task<ControllerMessage> {
+  private readonly health: FleetHealth;
+
+  private readonly sweep: HealthSweep;
+
+  private readonly watch: JobWatch;
+
+  /** Calls under way, by what they are for: each is made once at a time. */
+  private readonly underWay = new Set<string>();
+
+  private readBackOffset = -1;
+
+  private readBackUntilMs = 0;
+
+  private listedAtMs = Number.NEGATIVE_INFINITY;
+
+  private surveyedAtMs = Number.NEGATIVE_INFINITY;
+
+  private lastEpoch: number | undefined;
+
+  private lastWait: RollOutWait | undefined;
+
+  constructor(
+    private readonly services: ControllerServices,
+    private readonly options: ControllerOptions,
+  ) {
+    super('maintenance-controller');
+    const { clock, probe, tracker, config, decider } = services;
+    this.health = new FleetHealth(clock);
+    this.sweep = new HealthSweep(probe, this.health);
+    this.watch = new JobWatch(clock, decider, tracker, this.health);
+    this.register(config.onChange(() => this.post({ kind: 'tick' })));
+  }
+
+  /** Begins to seek the role and, when it has it, to work. */
+  start(): void {
+    this.register(
+      this.services.clock.every(this.options.tickMs, () => this.post({ kind: 'tick' })),
+    );
+  }
+
+  /** Why the roll-out does not go on, as this controller sees it. */
+  get wait(): RollOutWait | undefined {
+    return this.services.role.epoch === undefined ? undefined : this.lastWait;
+  }
+
+  protected override handle(message: ControllerMessage): void {
+    if (message.kind === 'operation') this.watch.operation(message.jobId, message.state);
+    else if (message.kind === 'checked') this.watch.checked(message.job, message.healthy);
+    else this.tick();
+  }
+
+  private tick(): void {
+    void this.services.role.tick();
+    const { epoch } = this.services.role;
+    if (epoch === undefined) return;
+    if (epoch !== this.lastEpoch) this.begin(epoch);
+    this.observe();
+    if (this.isWaitingForReadBack()) return;
+    const opened = this.open(epoch);
+    if (!opened) this.advance(epoch);
+  }
+
+  /** The role is new: whoever held it before may have had work open when it died. */
+  private begin(epoch: number): void {
+    this.lastEpoch = epoch;
+    this.services.tracker.reset();
+    this.services.tracker.expect(this.options.knownEntryIds);
+  }
+
+  private observe(): void {
+    const { clock, survey, config } = this.services;
+    const nowMs = clock.monotonicMs();
+    this.sweep.tick(config.state().document);
+    if (nowMs - this.listedAtMs >= this.options.listPeriodMs) {
+      this.listedAtMs = nowMs;
+      this.once('list', async () => {
+        const list = await this.services.directory.list();
+        if (list.isOk()) this.health.list(list.value);
+      });
+    }
+    if (nowMs - this.surveyedAtMs < this.options.surveyPeriodMs) return;
+    this.surveyedAtMs = nowMs;
+    survey.ask();
+  }
+
+  private isWaitingForReadBack(): boolean {
+    if (this.underWay.has('append')) return true;
+    if (this.services.reader.lastOffset >= this.readBackOffset) return false;
+    return this.services.clock.monotonicMs() < this.readBackUntilMs;
+  }
+
+  private open(epoch: number): boolean {
+    const { reader, config, demand } = this.services;
+    const opening = new JobOpener({
+      document: config.state().document,
+      state: reader.state,
+      health: this.health,
+      demand: demand.demand(),
+      newJobId: (purpose, instanceId) => `${purpose}.${instanceId}.${randomUUID()}`,
+    }).decide();
+    this.lastWait = opening.wait;
+    if (MaintenanceController.isEmpty(opening)) return false;
+    const { basisOffset } = reader.state;
+    const { jobs, settledMoveIds, wantedMoves } = opening;
+    this.append({
+      kind: 'maintenance-jobs-opened',
+      epoch,
+      basisOffset,
+      jobs: [...jobs],
+      settledMoveIds: [...settledMoveIds],
+      wantedMoves: [...wantedMoves],
+    });
+    return true;
+  }
+
+  private static isEmpty({ jobs, settledMoveIds, wantedMoves }: Opening): boolean {
+    return jobs.length + settledMoveIds.length + wantedMoves.length === 0;
+  }
+
+  private advance(epoch: number): void {
+    const { reader, config, demand } = this.services;
+    const { document, version } = config.state();
+    const { jobs, basisOffset } = reader.state;
+    const steps = this.watch.decide(Object.values(jobs), { document, version }, demand.demand());
+    const transitions = steps.flatMap(({ job, action }) =>
+      action.kind === 'transition' ? [{ jobId: job.jobId, to: action.to }] : [],
+    );
+    const dropped = steps.filter(({ action }) => action.kind === 'drop');
+    if (transitions.length > 0) {
+      this.append({ kind: 'maintenance-transitions', epoch, basisOffset, transitions });
+    } else if (dropped.length > 0) {
+      const jobIds = dropped.map(({ job }) => job.jobId);
+      this.append({ kind: 'maintenance-jobs-dropped', epoch, basisOffset, jobIds });
+    }
+    const operations = steps.flatMap(({ job, action }) =>
+      patchFor(document, job.instanceId, action),
+    );
+    if (operations.length > 0) {
+      const patchId = `maintenance.${epoch}.${randomUUID()}`;
+      this.once('patch', async () => {
+        await this.services.writer.write({ patchId, baseVersion: version, operations });
+      });
+    }
+    steps.forEach(({ job, action }) => this.act(epoch, job, action));
+  }
+
+  private act(epoch: number, job: Job, action: JobAction): void {
+    if (action.kind === 'reboot') {
+      this.once(`reboot ${job.jobId}`, () => this.reboot(epoch, job));
+    } else if (action.kind === 'check-health') {
+      this.once(`check ${job.jobId}`, () => this.check(job));
+    }
+  }
+
+  /** The call carries the job's id, so a repeat after a lost answer has no further effect. */
+  private async reboot(epoch: number, job: Job): Promise<void> {
+    // Checked last of all: this process may have been paused since the decision.
+    if (this.services.role.epoch !== epoch) return;
+    const called = await this.services.control.reboot(job.jobId, job.instanceId);
+    if (called.isOk()) {
+      this.post({ kind: 'operation', jobId: job.jobId, state: called.value });
+    } else if (called.error.kind === 'control-refused') {
+      this.post({ kind: 'operation', jobId: job.jobId, state: 'failed' });
+    }
+  }
+
+  private async check(job: Job): Promise<void> {
+    const { config, probe, clock } = this.services;
+    const address = config.state().document.instances[job.instanceId]?.address;
+    if (address === undefined) return;
+    const healthy = await probe.isHealthy(job.instanceId, address);
+    this.post({ kind: 'checked', job, healthy });
+    await clock.sleep(this.options.tickMs);
+  }
+
+  private append(record: MaintenanceRecord): void {
+    if ('epoch' in record && this.services.role.epoch !== record.epoch) return;
+    this.once('append', async () => {
+      const appended = await this.services.log.append(CONTROL_STREAM, [record]);
+      if (appended.isErr()) return;
+      this.readBackOffset = appended.value.firstOffset;
+      this.readBackUntilMs = this.services.clock.monotonicMs() + READ_BACK_MS;
+    });
+  }
+
+  private once(key: string, call: () => Promise<void>): void {
+    if (this.underWay.has(key)) return;
+    this.underWay.add(key);
+    void call().finally(() => this.underWay.delete(key));
+  }
+
+  /** What the drain of an instance waits for, as this controller sees it. */
+  blockers(instanceId: InstanceId): ReturnType<DrainTracker['blockers']> {
+    return this.services.tracker.blockers(instanceId);
+  }
+}
--- /dev/null
+++ b/packages/maintenance/src/RollOutProgress.ts
@@ -0,0 +1,150 @@
+/** How commands and ended jobs change the roll-out and the list of wanted moves. */
+import { type InstanceId } from '@acaciadock/core';
+import { type CommandRecord, type MaintenanceCommand } from './MaintenanceRecord.js';
+import {
+  type Job,
+  type MaintenanceState,
+  type RollOut,
+  type WantedMove,
+} from './MaintenanceState.js';
+
+/** Jobs in these states have asked nothing of the platform yet and can be given up. */
+const REVOCABLE: ReadonlySet<string> = new Set(['draining', 'drained']);
+
+type RollOutCommand = Extract<
+  MaintenanceCommand,
+  { action: 'pause-roll-out' | 'resume-roll-out' | 'abort-roll-out' }
+>;
+
+function isOpen({ status }: RollOut): boolean {
+  return status !== 'done' && status !== 'aborted';
+}
+
+export class RollOutProgress {
+  /** The state after an operator's command; undefined if it does not apply. */
+  static command(
+    state: MaintenanceState,
+    { commandId, command }: CommandRecord,
+    atMs: number,
+  ): MaintenanceState | undefined {
+    if (command.action === 'move') {
+      const { instanceId, toPoolId } = command;
+      if (state.wantedMoves.some(({ moveId }) => moveId === commandId)) return undefined;
+      const wanted = { moveId: commandId, instanceId, toPoolId };
+      return { ...state, wantedMoves: [...state.wantedMoves, wanted] };
+    }
+    if (command.action === 'readmit') {
+      return RollOutProgress.readmit(state, command.instanceId, atMs);
+    }
+    if (command.action === 'start-roll-out') return RollOutProgress.start(state, command, atMs);
+    return RollOutProgress.steer(state, command, atMs);
+  }
+
+  /** A job came to rest or failed. */
+  static jobEnded(state: MaintenanceState, job: Job, atMs: number): MaintenanceState {
+    const { rollOut } = state;
+    if (!rollOut || job.rollOutId !== rollOut.rollOutId) return state;
+    if (job.state === 'failed') {
+      const failed = [...rollOut.failed, job.instanceId];
+      const status = isOpen(rollOut) ? 'stopped' : rollOut.status;
+      return { ...state, rollOut: { ...rollOut, status, failed } };
+    }
+    if (job.purpose === 'move') {
+      const lent = rollOut.lent.filter(
+        ({ instanceId, fromPoolId }) =>
+          instanceId !== job.instanceId || fromPoolId !== job.toPoolId,
+      );
+      return { ...state, rollOut: { ...rollOut, lent, moves: rollOut.moves + 1 } };
+    }
+    if (!job.rebooted) return state;
+    return RollOutProgress.instanceGone(state, job.instanceId, atMs);
+  }
+
+  /** Remembers which of these moves lend a spare instance. */
+  static lend(state: MaintenanceState, moves: readonly WantedMove[]): MaintenanceState {
+    const { rollOut } = state;
+    const lent = moves.flatMap(({ instanceId, toPoolId, lentFromPoolId }) =>
+      lentFromPoolId === undefined ? [] : [{ instanceId, toPoolId, fromPoolId: lentFromPoolId }],
+    );
+    if (!rollOut || lent.length === 0) return state;
+    return { ...state, rollOut: { ...rollOut, lent: [...rollOut.lent, ...lent] } };
+  }
+
+  /** Nothing is left to do for this instance. */
+  static instanceGone(
+    state: MaintenanceState,
+    instanceId: InstanceId,
+    atMs: number,
+  ): MaintenanceState {
+    const { rollOut } = state;
+    if (!rollOut?.pending.includes(instanceId)) return state;
+    const pending = rollOut.pending.filter((other) => other !== instanceId);
+    const failed = rollOut.failed.filter((other) => other !== instanceId);
+    const isDone = pending.length === 0 && isOpen(rollOut);
+    const ended = isDone ? { status: 'done' as const, endedAtMs: atMs } : {};
+    return { ...state, rollOut: { ...rollOut, pending, failed, ...ended } };
+  }
+
+  private static start(
+    state: MaintenanceState,
+    command: Extract<MaintenanceCommand, { action: 'start-roll-out' }>,
+    atMs: number,
+  ): MaintenanceState | undefined {
+    if (state.rollOut && isOpen(state.rollOut)) return undefined;
+    if (state.rollOut?.rollOutId === command.rollOutId) return undefined;
+    const pending = [...new Set(command.instanceIds)];
+    const rollOut: RollOut = {
+      rollOutId: command.rollOutId,
+      status: 'running',
+      startedAtMs: atMs,
+      racksAtOnce: command.racksAtOnce,
+      totalInstances: pending.length,
+      pending,
+      failed: [],
+      moves: 0,
+      lent: [],
+    };
+    return { ...state, rollOut };
+  }
+
+  private static steer(
+    state: MaintenanceState,
+    command: RollOutCommand,
+    atMs: number,
+  ): MaintenanceState | undefined {
+    const { rollOut } = state;
+    if (!rollOut || !isOpen(rollOut) || rollOut.rollOutId !== command.rollOutId) return undefined;
+    if (command.action === 'pause-roll-out') {
+      return { ...state, rollOut: { ...rollOut, status: 'paused' } };
+    }
+    if (command.action === 'resume-roll-out') {
+      return { ...state, rollOut: { ...rollOut, status: 'running' } };
+    }
+    return {
+      ...state,
+      jobs: RollOutProgress.revoke(state, command.rollOutId),
+      rollOut: { ...rollOut, status: 'aborted', endedAtMs: atMs },
+    };
+  }
+
+  private static revoke(state: MaintenanceState, rollOutId: string): MaintenanceState['jobs'] {
+    const jobs = Object.entries(state.jobs).map(([jobId, job]) => {
+      const revoked = job.rollOutId === rollOutId && REVOCABLE.has(job.state);
+      return [jobId, revoked ? { ...job, cancelled: true } : job] as const;
+    });
+    return Object.fromEntries(jobs);
+  }
+
+  private static readmit(
+    state: MaintenanceState,
+    instanceId: InstanceId,
+    atMs: number,
+  ): MaintenanceState | undefined {
+    const job = Object.values(state.jobs).find(
+      (other) => other.instanceId === instanceId && other.state === 'failed',
+    );
+    if (!job) return undefined;
+    const readmitted: Job = { ...job, state: 'probing', sinceMs: atMs };
+    return { ...state, jobs: { ...state.jobs, [job.jobId]: readmitted } };
+  }
+}
--- /dev/null
+++ b/packages/maintenance/src/WorkSurvey.ts
@@ -0,0 +1,76 @@
+/**
+ * The controller's survey of all entries: how far each has the configuration in force, what runs
+ * at the closed instances, and the demand of each service.
+ */
+import {
+  type Clock,
+  Disposable,
+  type EntryId,
+  type HomeMap,
+  type ServiceId,
+} from '@acaciadock/core';
+import { type PeerNetwork, type ReceivedMessage, type WorkReply } from '@acaciadock/peers';
+import { type DemandSmoother } from './DemandSmoother.js';
+import { type DrainTracker } from './DrainTracker.js';
+
+/** Queries whose replies are still taken. */
+const MAX_OPEN_QUERIES = 16;
+
+interface OpenQuery {
+  readonly queriedAtMs: number;
+  readonly missing: Set<EntryId>;
+  readonly running: Map<ServiceId, number>;
+}
+
+export class WorkSurvey extends Disposable {
+  private readonly queries = new Map<string, OpenQuery>();
+
+  private nextQuery = 0;
+
+  constructor(
+    private readonly incarnation: string,
+    private readonly homes: HomeMap,
+    private readonly network: PeerNetwork,
+    private readonly tracker: DrainTracker,
+    private readonly demand: DemandSmoother,
+    private readonly clock: Clock,
+  ) {
+    super();
+    this.register(network.onMessage((received) => this.receive(received)));
+  }
+
+  /** Asks every entry that is believed alive. */
+  ask(): void {
+    const entryIds = this.homes.liveEntries();
+    this.tracker.expect(entryIds);
+    this.nextQuery += 1;
+    const queryId = `${this.incarnation}.${this.nextQuery}`;
+    this.queries.set(queryId, {
+      queriedAtMs: this.clock.monotonicMs(),
+      missing: new Set(entryIds),
+      running: new Map(),
+    });
+    const [oldest] = this.queries.keys();
+    if (this.queries.size > MAX_OPEN_QUERIES && oldest !== undefined) this.queries.delete(oldest);
+    const instanceIds = [...this.tracker.closed];
+    entryIds.forEach((entryId) => {
+      this.network.send(entryId, { kind: 'work-query', queryId, instanceIds });
+    });
+  }
+
+  private receive({ fromEntryId, message }: ReceivedMessage): void {
+    if (message.kind !== 'work-reply') return;
+    const query = this.queries.get(message.queryId);
+    if (!query?.missing.delete(fromEntryId)) return;
+    this.tracker.report(fromEntryId, message, query.queriedAtMs);
+    this.add(query, message);
+  }
+
+  private add(query: OpenQuery, reply: WorkReply): void {
+    reply.runningByService.forEach(({ serviceId, count }) => {
+      query.running.set(serviceId, (query.running.get(serviceId) ?? 0) + count);
+    });
+    if (query.missing.size > 0) return;
+    query.running.forEach((count, serviceId) => this.demand.observe(serviceId, count));
+  }
+}
--- a/packages/maintenance/src/index.ts
+++ b/packages/maintenance/src/index.ts
@@ -1,1 +1,24 @@
-export {};
+/** Public interface: drains, roll-outs, moves and spare planning under availability budgets. */
+export * from './InstanceState.js';
+export * from './MaintenanceState.js';
+export * from './MaintenanceRecord.js';
+export * from './MaintenanceReducer.js';
+export * from './AvailabilityBudget.js';
+export * from './PoolCapacity.js';
+export * from './RollOutPlanner.js';
+export * from './SpareLender.js';
+export * from './DemandSmoother.js';
+export * from './DrainTracker.js';
+export * from './FleetHealth.js';
+export * from './JobDecider.js';
+export * from './JobOpener.js';
+export * from './LeaseHold.js';
+export * from './ConfigWriter.js';
+export * from './InstanceProbe.js';
+export * from './RunCounter.js';
+export * from './ControlReader.js';
+export * from './RoleKeeper.js';
+export * from './CommandSubmitter.js';
+export * from './WorkResponder.js';
+export * from './WorkSurvey.js';
+export * from './MaintenanceController.js';
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
+import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
 import {
   grantEndedAckSchema,
   grantEndedSchema,
@@ -26,6 +27,8 @@
   grantEndedAckSchema,
   configPullSchema,
   configRecordsSchema,
+  workQuerySchema,
+  workReplySchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,2 +1,5 @@
-/** Scenarios and promise tests run from here; there is no interface to import. */
-export {};
+/** Public interface: whole fleets in one process, for the promise tests and for benches. */
+export * from './fleet/deploymentDocument.js';
+export * from './fleet/FleetLoad.js';
+export * from './fleet/FleetObserver.js';
+export * from './fleet/MaintenanceFleet.js';
