--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -6,7 +6,7 @@
 import { setTimeout } from 'node:timers/promises';
 import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TargetClient, TicketDesk } from '@acaciadock/gateway';
+import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
 import {
@@ -25,7 +25,11 @@
 } from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { CountingTargetClient } from './CountingTargetClient.js';
+import { HttpInstanceProbe } from './HttpInstanceProbe.js';
+import { Maintenance } from './Maintenance.js';
 import { OperatorServer } from './OperatorServer.js';
+import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
 
 const GIVE_BACK_MS = 50;
@@ -52,6 +56,8 @@
   /** The work on leaving instances, for maintenance. */
   readonly work: WorkView;
 
+  readonly maintenance: Maintenance;
+
   constructor(
     private readonly settings: Settings,
     clock: Clock,
@@ -60,7 +66,7 @@
     super();
     const random = new Random(seed);
     const incarnation = randomUUID();
-    const log = new HttpLogService(this.clientOf(settings.platform.logUrl));
+    const log = new HttpLogService(this.platformCall(settings.platform.logUrl));
     this.follower = this.register(new ConfigFollower(log, clock, random));
     this.links = this.register(
       new PeerLinks(
@@ -78,8 +84,8 @@
     const homes = new PoolHomes(new FixedMembership(entryIds), this.follower);
     const fence = new OpenFence();
     const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
-    const directory = new HttpInstanceDirectory(this.clientOf(settings.platform.directoryUrl));
-    const control = new HttpInstanceControl(this.clientOf(settings.platform.controlUrl));
+    const directory = new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl));
+    const control = new HttpInstanceControl(this.platformCall(settings.platform.controlUrl));
     this.dispatcher = this.register(
       new Dispatcher({
         config: this.follower,
@@ -97,20 +103,42 @@
     this.register(new WorkReporter(homes, this.links, clock));
     this.work = this.register(new FleetWork(homes, this.links, clock));
     const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new TargetClient(clock));
+    const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
     this.callers = this.register(
       new CallerServer(this.follower, fence, runner, this.outcomes, clock),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
+    this.maintenance = this.register(
+      new Maintenance({
+        settings,
+        incarnation,
+        config: this.follower,
+        writer: new PatchConfigWriter(submitter, clock),
+        log,
+        control,
+        directory,
+        probe: this.register(new HttpInstanceProbe()),
+        runs: targets,
+        homes,
+        network: this.links,
+        clock,
+        random,
+      }),
+    );
     this.operators = this.register(new OperatorServer(this.follower, submitter));
   }
 
+  get entryId(): string {
+    return this.settings.entryId;
+  }
+
   /** Opens the ports and begins to follow the configuration. */
   async start(): Promise<EntryAddresses> {
     const listening = await this.links.listen();
     if (listening.isErr()) throw new Error(listening.error.kind, { cause: listening.error });
     void this.follower.run();
+    this.maintenance.start();
     return {
       peerAddress: listening.value,
       callerAddress: await this.callers.listen(this.settings.callerAddress),
@@ -125,6 +153,7 @@
 
   /** Graceful stop: requests in progress are finished first. */
   async stop(): Promise<void> {
+    await this.maintenance.stop();
     await this.callers.stop();
     this.dispatcher.stop();
     // The tickets that it gives back leave in the next turns.
@@ -132,7 +161,7 @@
     this.dispose();
   }
 
-  private clientOf(url: string): HttpPlatformClient {
+  private platformCall(url: string): HttpPlatformClient {
     const client = new HttpPlatformClient(url);
     this.register(
       toDisposable(() => {
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
+import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
 import {
   grantEndedAckSchema,
   grantEndedSchema,
@@ -36,6 +37,8 @@
   drainStatusSchema,
   targetsClosedSchema,
   teamUsageSchema,
+  workQuerySchema,
+  workReplySchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
