--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,3 +14,4 @@
 export * from './contracts/OutcomeRecorder.js';
 export * from './contracts/Logger.js';
 export * from './SilentLogger.js';
+export * from './contracts/WorkView.js';
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -3,6 +3,7 @@
  * decides nothing itself.
  */
 import { randomUUID } from 'node:crypto';
+import { setTimeout } from 'node:timers/promises';
 import {
   type Clock,
   Disposable,
@@ -10,19 +11,37 @@
   Random,
   SilentLogger,
   toDisposable,
+  type WorkView,
 } from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TargetClient, TicketDesk } from '@acaciadock/gateway';
+import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
-import { HttpLogService, HttpPlatformClient } from '@acaciadock/platform';
+import {
+  HttpInstanceControl,
+  HttpInstanceDirectory,
+  HttpLogService,
+  HttpPlatformClient,
+} from '@acaciadock/platform';
 import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
-import { Dispatcher } from '@acaciadock/scheduling';
+import {
+  Dispatcher,
+  FleetWork,
+  LeavingWatch,
+  PoolHomes,
+  WorkReporter,
+} from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { CountingTargetClient } from './CountingTargetClient.js';
+import { HttpInstanceProbe } from './HttpInstanceProbe.js';
+import { Maintenance } from './Maintenance.js';
 import { OperatorServer } from './OperatorServer.js';
+import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
 
+const GIVE_BACK_MS = 50;
+
 export interface EntryAddresses {
   readonly callerAddress: string;
   readonly operatorAddress: string;
@@ -40,7 +59,12 @@
 
   private readonly operators: OperatorServer;
 
-  private readonly platformClient: HttpPlatformClient;
+  private readonly dispatcher: Dispatcher;
+
+  /** The work on leaving instances, for maintenance. */
+  readonly work: WorkView;
+
+  readonly maintenance: Maintenance;
 
   constructor(
     private readonly settings: Settings,
@@ -51,13 +75,7 @@
     super();
     const random = new Random(seed);
     const incarnation = randomUUID();
-    this.platformClient = new HttpPlatformClient(settings.platform.logUrl);
-    this.register(
-      toDisposable(() => {
-        void this.platformClient.close();
-      }),
-    );
-    const log = new HttpLogService(this.platformClient);
+    const log = new HttpLogService(this.platformCall(settings.platform.logUrl));
     this.follower = this.register(new ConfigFollower(log, clock, random));
     this.links = this.register(
       new PeerLinks(
@@ -72,28 +90,67 @@
       ),
     );
     const entryIds = settings.peers.map((peer) => peer.entryId);
-    const homes = new FixedMembership(entryIds);
+    const homes = new PoolHomes(new FixedMembership(entryIds), this.follower);
     const fence = new OpenFence();
     const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
-    const dispatcher = this.register(
-      new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation),
+    const directory = new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl));
+    const control = new HttpInstanceControl(this.platformCall(settings.platform.controlUrl));
+    this.dispatcher = this.register(
+      new Dispatcher({
+        config: this.follower,
+        credits,
+        fence,
+        homes,
+        network: this.links,
+        leaving: this.register(new LeavingWatch(directory, clock)),
+        control,
+        clock,
+        random,
+        incarnation,
+      }),
+    );
+    this.register(new WorkReporter(homes, this.links, clock));
+    this.work = this.register(new FleetWork(homes, this.links, clock));
+    this.register(
+      this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
     );
-    this.register(dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })));
     const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new TargetClient(clock));
+    const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
     this.callers = this.register(
       new CallerServer(this.follower, fence, runner, this.outcomes, clock),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
+    this.maintenance = this.register(
+      new Maintenance({
+        settings,
+        incarnation,
+        config: this.follower,
+        writer: new PatchConfigWriter(submitter, clock),
+        log,
+        control,
+        directory,
+        probe: this.register(new HttpInstanceProbe()),
+        runs: targets,
+        homes,
+        network: this.links,
+        clock,
+        random,
+      }),
+    );
     this.operators = this.register(new OperatorServer(this.follower, submitter));
   }
 
+  get entryId(): string {
+    return this.settings.entryId;
+  }
+
   /** Opens the ports and begins to follow the configuration. */
   async start(): Promise<EntryAddresses> {
     const listening = await this.links.listen();
     if (listening.isErr()) throw new Error(listening.error.kind, { cause: listening.error });
     void this.follower.run();
+    this.maintenance.start();
     return {
       peerAddress: listening.value,
       callerAddress: await this.callers.listen(this.settings.callerAddress),
@@ -108,7 +165,21 @@
 
   /** Graceful stop: requests in progress are finished first. */
   async stop(): Promise<void> {
+    await this.maintenance.stop();
     await this.callers.stop();
+    this.dispatcher.stop();
+    // The tickets that it gives back leave in the next turns.
+    await setTimeout(GIVE_BACK_MS);
     this.dispose();
   }
+
+  private platformCall(url: string): HttpPlatformClient {
+    const client = new HttpPlatformClient(url);
+    this.register(
+      toDisposable(() => {
+        void client.close();
+      }),
+    );
+    return client;
+  }
 }
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
+import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
 import {
   grantEndedAckSchema,
   grantEndedSchema,
@@ -14,6 +15,12 @@
   ticketsCancelledSchema,
   ticketsReturnedSchema,
 } from './TicketMessages.js';
+import {
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
+  workReportSchema,
+} from './WorkMessages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
@@ -26,6 +33,12 @@
   grantEndedAckSchema,
   configPullSchema,
   configRecordsSchema,
+  workReportSchema,
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
+  workQuerySchema,
+  workReplySchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
