--- a/packages/config/src/ConfigDocument.ts
+++ b/packages/config/src/ConfigDocument.ts
@@ -114,37 +114,83 @@
   maxEjectedRatio: ratio.default(0.5),
 });
 
-export const configDocumentSchema = z
-  .strictObject({
-    schemaVersion: z.literal(1),
-    deploymentName: z.string().min(1).max(200),
-    regionId: regionIdSchema,
-    zones: z.record(zoneIdSchema, z.strictObject({ description: z.string().max(500).default('') })),
-    pools: z.record(poolIdSchema, poolSchema),
-    instances: z.record(instanceIdSchema, instanceSchema),
-    services: z.record(serviceIdSchema, serviceSchema),
-    teams: z.record(teamIdSchema, teamSchema),
-    policy: policySchema,
-  })
-  .superRefine((document, context) => {
-    const unknown = (path: (string | number)[], what: string): void => {
-      context.addIssue({ code: 'custom', path, message: `names an unknown ${what}` });
-    };
-    Object.entries(document.instances).forEach(([id, instance]) => {
-      if (!Object.hasOwn(document.pools, instance.poolId))
-        unknown(['instances', id, 'poolId'], 'pool');
-      if (!Object.hasOwn(document.zones, instance.zoneId))
-        unknown(['instances', id, 'zoneId'], 'availability zone');
-    });
-    Object.entries(document.services).forEach(([id, service]) => {
-      if (!Object.hasOwn(document.pools, service.poolId))
-        unknown(['services', id, 'poolId'], 'pool');
-      if (service.access !== 'open') return;
-      if (service.openTeamId === undefined || !Object.hasOwn(document.teams, service.openTeamId)) {
-        unknown(['services', id, 'openTeamId'], 'team');
-      }
-    });
-  });
+export const zoneSchema = z.strictObject({ description: z.string().max(500).default('') });
+
+const documentFields = z.strictObject({
+  schemaVersion: z.literal(1),
+  deploymentName: z.string().min(1).max(200),
+  regionId: regionIdSchema,
+  zones: z.record(zoneIdSchema, zoneSchema),
+  pools: z.record(poolIdSchema, poolSchema),
+  instances: z.record(instanceIdSchema, instanceSchema),
+  services: z.record(serviceIdSchema, serviceSchema),
+  teams: z.record(teamIdSchema, teamSchema),
+  policy: policySchema,
+});
+
+export interface DocumentFault {
+  /** JSON pointer of the place that does not fit. */
+  readonly pointer: string;
+  readonly detail: string;
+}
+
+export interface ReferenceFault {
+  readonly path: readonly string[];
+  readonly detail: string;
+}
+
+type DocumentFields = z.infer<typeof documentFields>;
+
+function unknown(path: readonly string[], what: string): ReferenceFault {
+  return { path, detail: `names an unknown ${what}` };
+}
+
+function instanceFaults(document: DocumentFields, id: string): ReferenceFault[] {
+  const instance = document.instances[id];
+  if (!instance) return [];
+  const faults: ReferenceFault[] = [];
+  if (!Object.hasOwn(document.pools, instance.poolId)) {
+    faults.push(unknown(['instances', id, 'poolId'], 'pool'));
+  }
+  if (!Object.hasOwn(document.zones, instance.zoneId)) {
+    faults.push(unknown(['instances', id, 'zoneId'], 'availability zone'));
+  }
+  return faults;
+}
+
+function serviceFaults(document: DocumentFields, id: string): ReferenceFault[] {
+  const service = document.services[id];
+  if (!service) return [];
+  const faults: ReferenceFault[] = [];
+  if (!Object.hasOwn(document.pools, service.poolId)) {
+    faults.push(unknown(['services', id, 'poolId'], 'pool'));
+  }
+  const { access, openTeamId } = service;
+  if (access !== 'open') return faults;
+  if (openTeamId === undefined || !Object.hasOwn(document.teams, openTeamId)) {
+    faults.push(unknown(['services', id, 'openTeamId'], 'team'));
+  }
+  return faults;
+}
+
+/** References of these instances and services to what the document does not hold. */
+export function referenceFaults(
+  document: DocumentFields,
+  instanceIds: readonly string[],
+  serviceIds: readonly string[],
+): ReferenceFault[] {
+  return [
+    ...instanceIds.flatMap((id) => instanceFaults(document, id)),
+    ...serviceIds.flatMap((id) => serviceFaults(document, id)),
+  ];
+}
+
+export const configDocumentSchema = documentFields.superRefine((document, context) => {
+  const { instances, services } = document;
+  referenceFaults(document, Object.keys(instances), Object.keys(services)).forEach(
+    ({ path, detail }) => context.addIssue({ code: 'custom', path: [...path], message: detail }),
+  );
+});
 
 export type ConfigDocument = z.infer<typeof configDocumentSchema>;
 /** The document as written by hand: fields with a default may be left out. */
--- a/packages/config/src/ConfigRecord.ts
+++ b/packages/config/src/ConfigRecord.ts
@@ -6,6 +6,8 @@
 import { z } from 'zod';
 import { configDocumentSchema } from './ConfigDocument.js';
 
+/** The version of the record format that this program writes, and the newest that it reads. */
+export const RECORD_SCHEMA_VERSION = 1;
 const MAX_OPERATIONS = 5_000;
 const pointer = z
   .string()
@@ -34,22 +36,35 @@
   operations: z.array(patchOperationSchema).min(1).max(MAX_OPERATIONS),
 });
 
+export const refusalKindSchema = z.enum(['stale-base', 'patch-not-applicable', 'document-invalid']);
+
+/** How a patch was decided when its record was first read. */
+export const patchDecisionSchema = z.union([
+  z.strictObject({ patchId: idSchema, version: z.int().min(1) }),
+  z.strictObject({ patchId: idSchema, refusal: refusalKindSchema }),
+]);
+
 export const snapshotRecordSchema = z.strictObject({
   kind: z.literal('snapshot'),
   schemaVersion: z.literal(1),
   version: z.int().min(0),
-  /** Offset of the last configuration record that the snapshot includes. */
+  /** Offset of the last record that the snapshot includes. Later ones come on top of it. */
   includedOffset: z.int().min(-1),
   document: configDocumentSchema,
-  /** Ids of the latest accepted patches, so that a repeat is known again. */
-  recentPatchIds: z.array(z.tuple([idSchema, z.int().min(0)])),
+  /** The latest decisions, oldest first, so that a repeated patch is known again. */
+  decisions: z.array(patchDecisionSchema),
 });
 
+/** What every record begins with, whatever its format. */
+export const recordHeadSchema = z.looseObject({ schemaVersion: z.int(), kind: z.string() });
+
 export const configRecordSchema = z.discriminatedUnion('kind', [
   patchRecordSchema,
   snapshotRecordSchema,
 ]);
 
+export type RefusalKind = z.infer<typeof refusalKindSchema>;
+export type PatchDecision = z.infer<typeof patchDecisionSchema>;
 export type PatchOperation = z.infer<typeof patchOperationSchema>;
 export type PatchRecord = z.infer<typeof patchRecordSchema>;
 export type SnapshotRecord = z.infer<typeof snapshotRecordSchema>;
--- /dev/null
+++ b/packages/config/src/ConfigReducer.test.ts
@@ -0,0 +1,185 @@
+import { describe, it } from '@acaciadock/core/testing';
+import fc from 'fast-check';
+import { ConfigReducer } from './ConfigReducer.js';
+import { limitPatch, patchRecord, smallDocument } from './testing/records.js';
+
+const SEED = 20_261_203;
+
+function readerOf(...records: readonly unknown[]): ConfigReducer {
+  const reader = new ConfigReducer(smallDocument());
+  records.forEach((record, offset) => reader.reduce(offset, record));
+  return reader;
+}
+
+function verdictOf(reader: ConfigReducer, record: unknown) {
+  return reader.reduce(reader.state.offset + 1, record);
+}
+
+describe('ConfigReducer', () => {
+  describe('patches', () => {
+    it('applies a patch on the current version and refuses a stale one', (t) => {
+      const reader = readerOf(limitPatch('a', 0, 5));
+      t.match(verdictOf(reader, limitPatch('b', 0, 6)), {
+        kind: 'refused',
+        refusal: { kind: 'stale-base', baseVersion: 0, currentVersion: 1 },
+      });
+      t.equal(reader.state.version, 1);
+      t.equal(reader.state.document.teams.desk?.limit, 5);
+    });
+
+    it('applies a repeated patch once', (t) => {
+      const reader = readerOf(limitPatch('a', 0, 5), limitPatch('b', 1, 6));
+      t.match(verdictOf(reader, limitPatch('a', 0, 5)), { kind: 'repeated', version: 1 });
+      t.equal(reader.state.version, 2);
+    });
+
+    it('keeps a refusal when the same id comes again at the version it was based on', (t) => {
+      const reader = readerOf(limitPatch('early', 1, 5), limitPatch('a', 0, 6));
+      t.match(verdictOf(reader, limitPatch('early', 1, 5)), {
+        kind: 'refused',
+        refusal: { kind: 'refused-before', first: 'stale-base' },
+      });
+      t.equal(reader.state.document.teams.desk?.limit, 6);
+    });
+
+    it('leaves the document of the version before as it was', (t) => {
+      const reader = readerOf();
+      const before = reader.state.document;
+      verdictOf(reader, limitPatch('a', 0, 5));
+      t.equal(before.teams.desk?.limit, 8);
+      t.equal(before.instances, reader.state.document.instances, 'shares what did not change');
+    });
+  });
+
+  describe('records that can not be reduced', () => {
+    const malformed: readonly [string, unknown][] = [
+      ['no object', 'text'],
+      ['no kind', { schemaVersion: 1 }],
+      ['unknown kind', { kind: 'other', schemaVersion: 1 }],
+      ['unknown field', { ...limitPatch('a', 0, 5), extra: 1 }],
+      ['no operation', { ...limitPatch('a', 0, 5), operations: [] }],
+      ['pointer without a slash', patchRecord('a', 0, [{ op: 'remove', path: 'teams' }])],
+      ['older format', { ...limitPatch('a', 0, 5), schemaVersion: 0 }],
+    ];
+    malformed.forEach(([name, payload]) => {
+      it(`steps over a malformed record: ${name}`, (t) => {
+        const reader = readerOf();
+        t.match(verdictOf(reader, payload), { kind: 'record-malformed' });
+        t.match(verdictOf(reader, limitPatch('b', 0, 4)), { kind: 'applied', version: 1 });
+      });
+    });
+
+    it('halts at a record of a newer format and does not step over it', (t) => {
+      const reader = readerOf();
+      const newer = { kind: 'patch', schemaVersion: 2 };
+      t.match(verdictOf(reader, newer), { kind: 'record-too-new', schemaVersion: 2 });
+      t.equal(reader.haltedBySchemaVersion, 2);
+      t.same(reader.reduce(1, limitPatch('a', 0, 4)), { kind: 'gap', missingOffset: 0 });
+      t.equal(reader.state.version, 0);
+    });
+
+    it('changes nothing at a record after a gap', (t) => {
+      const reader = readerOf();
+      t.same(reader.reduce(1, limitPatch('a', 0, 4)), { kind: 'gap', missingOffset: 0 });
+      t.equal(reader.state.offset, -1);
+    });
+  });
+
+  describe('snapshots', () => {
+    it('checks a snapshot against the version at the offset it includes', (t) => {
+      const reader = readerOf(limitPatch('a', 0, 5));
+      const snapshot = reader.snapshot();
+      verdictOf(reader, limitPatch('b', 1, 6));
+      const verdict = verdictOf(reader, JSON.parse(JSON.stringify(snapshot)));
+      t.same(verdict, { kind: 'snapshot-agrees', version: 1, compared: true });
+      t.equal(reader.state.document.teams.desk?.limit, 6, 'the patch around it stays');
+    });
+
+    it('neither loses nor doubles the patch between a snapshot and its own offset', (t) => {
+      const writer = readerOf(limitPatch('a', 0, 5));
+      const records = [limitPatch('a', 0, 5), limitPatch('b', 1, 6), writer.snapshot()];
+      const late = new ConfigReducer(smallDocument());
+      t.match(late.adopt(writer.snapshot()), { kind: 'adopted', version: 1 });
+      t.match(late.reduce(1, records[1]), { kind: 'applied', version: 2 });
+      t.match(late.reduce(2, records[2]), { kind: 'snapshot-agrees', version: 1 });
+      t.same(late.state, readerOf(...records).state);
+    });
+
+    const contradictions: readonly [string, object][] = [
+      ['another document', { document: { ...smallDocument(), deploymentName: 'other' } }],
+      ['a higher version', { version: 7 }],
+      ['a lower version', { version: 0 }],
+      ['an offset that is not written yet', { includedOffset: 9 }],
+    ];
+    contradictions.forEach(([name, change]) => {
+      it(`refuses a snapshot with ${name}`, (t) => {
+        const reader = readerOf(limitPatch('a', 0, 5));
+        const { state } = reader;
+        const verdict = verdictOf(reader, { ...reader.snapshot(), ...change });
+        t.match(verdict, { kind: 'snapshot-contradicts' });
+        t.same(reader.state, { ...state, offset: 1 });
+      });
+    });
+
+    it('never adopts a lower version, nor another document of the same version', (t) => {
+      const reader = readerOf(limitPatch('a', 0, 5));
+      const ahead = { ...reader.snapshot(), includedOffset: 9 };
+      t.match(reader.adopt({ ...ahead, version: 0 }), { kind: 'snapshot-contradicts' });
+      const other = { ...ahead, document: smallDocument() };
+      t.match(reader.adopt(other), { kind: 'snapshot-contradicts' });
+      t.equal(reader.state.offset, 0);
+    });
+
+    it('knows repeats and refusals again from a snapshot', (t) => {
+      const writer = readerOf(limitPatch('early', 2, 1), limitPatch('a', 0, 5));
+      const late = new ConfigReducer(smallDocument());
+      late.adopt(writer.snapshot());
+      t.match(verdictOf(late, limitPatch('a', 0, 5)), { kind: 'repeated', version: 1 });
+      t.match(verdictOf(late, limitPatch('early', 2, 1)), { kind: 'refused' });
+    });
+  });
+
+  describe('what changed since', () => {
+    it('lists the operations of the versions between', (t) => {
+      const reader = readerOf(limitPatch('a', 0, 5), limitPatch('b', 1, 6));
+      const { changes, truncated } = reader.changesSince(1);
+      t.match(changes, [{ version: 2, patchId: 'b', operations: [{ value: 6 }] }]);
+      t.equal(truncated, false);
+    });
+
+    it('says so when older changes are no longer kept', (t) => {
+      const late = new ConfigReducer(smallDocument());
+      late.adopt(readerOf(limitPatch('a', 0, 5)).snapshot());
+      t.same(late.changesSince(0), { changes: [], truncated: true });
+    });
+  });
+
+  it('is the same at every reader, whichever snapshot it started from', (t) => {
+    const record = fc.oneof(
+      fc
+        .tuple(fc.integer({ min: 0, max: 8 }), fc.integer({ min: 0, max: 12 }), fc.nat(20))
+        .map(([id, base, limit]) => limitPatch(`p${id}`, base, limit)),
+      fc.constantFrom<unknown>('junk', { kind: 'patch', schemaVersion: 1 }),
+      fc
+        .tuple(fc.constantFrom('p1', 'gone'), fc.integer({ min: 0, max: 6 }))
+        .map(([poolId, base]) =>
+          patchRecord(`m${base}${poolId}`, base, [
+            { op: 'replace', path: '/instances/i1/poolId', value: poolId },
+          ]),
+        ),
+    );
+    fc.assert(
+      fc.property(fc.array(record, { maxLength: 30 }), fc.nat(30), (records, cut) => {
+        const full = new ConfigReducer(smallDocument());
+        const verdicts = records.map((payload, offset) => full.reduce(offset, payload));
+        const prefix = readerOf(...records.slice(0, cut));
+        const late = new ConfigReducer(smallDocument());
+        late.adopt(JSON.parse(JSON.stringify(prefix.snapshot())) as never);
+        const later = records.slice(cut).map((payload, index) => late.reduce(cut + index, payload));
+        t.same(later, verdicts.slice(cut));
+        t.same(late.state, full.state);
+      }),
+      { seed: SEED, numRuns: 300 },
+    );
+  });
+});
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,7 +1,11 @@
 /** Public interface: the configuration document, its records and their reduction. */
 export * from './ConfigDocument.js';
+export * from './DocumentCheck.js';
+export * from './DocumentPatch.js';
 export * from './ConfigRecord.js';
+export * from './ConfigHistory.js';
 export * from './ConfigView.js';
 export * from './ConfigReducer.js';
+export * from './canonicalJson.js';
 export * from './TeamKey.js';
 export * from './emptyDocument.js';
