--- a/packages/config/src/ConfigReducer.ts
+++ b/packages/config/src/ConfigReducer.ts
@@ -39,6 +39,8 @@
   | { readonly kind: 'snapshot-contradicts'; readonly version: number }
   | { readonly kind: 'record-malformed'; readonly detail: string }
   | { readonly kind: 'record-too-new'; readonly schemaVersion: number }
+  /** A peer relayed that the record changed nothing, without its content. */
+  | { readonly kind: 'left-out' }
   | { readonly kind: 'already-read' }
   /** Records before this one are missing here; nothing was changed. */
   | { readonly kind: 'gap'; readonly missingOffset: number };
@@ -112,6 +114,15 @@
     return this.reducePatch(offset, parsed.data);
   }
 
+  /** Steps over the record at `offset`, of which it is known that it changed nothing. */
+  stepOver(offset: number): RecordVerdict {
+    if (offset <= this.current.offset) return { kind: 'already-read' };
+    const expected = this.current.offset + 1;
+    if (offset > expected) return { kind: 'gap', missingOffset: expected };
+    this.current = { ...this.current, offset };
+    return { kind: 'left-out' };
+  }
+
   /** Takes over a snapshot that is ahead of this reader, which has missed records before it. */
   adopt(snapshot: SnapshotRecord): AdoptVerdict {
     const { version, includedOffset, document } = snapshot;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './Random.js';
 export * from './Backoff.js';
 export * from './Task.js';
+export * from './contracts/ConfigFreshness.js';
 export * from './contracts/CreditSource.js';
 export * from './contracts/HomeMap.js';
 export * from './contracts/Fence.js';
--- a/packages/peers/src/messages/ConfigMessages.ts
+++ b/packages/peers/src/messages/ConfigMessages.ts
@@ -7,11 +7,20 @@
   afterOffset: z.number().int().min(-1),
 });
 
-/** Records as read from the log, in order; or a snapshot first where the asked ones are gone. */
+const relayedRecordSchema = z.object({
+  offset: z.number().int().min(0),
+  payload: z.unknown(),
+  /** The record is a snapshot, which changes nothing for a reader up to here: it is left out. */
+  leftOut: z.boolean().optional(),
+});
+
+/** Records as read from the log, in order; on top of a snapshot where the asked ones are gone. */
 export const configRecordsSchema = z.object({
   kind: z.literal('config-records'),
-  records: z.array(z.object({ offset: z.number().int().min(0), payload: z.unknown() })),
+  snapshot: z.unknown().optional(),
+  records: z.array(relayedRecordSchema),
 });
 
+export type RelayedRecord = z.infer<typeof relayedRecordSchema>;
 export type ConfigPull = z.infer<typeof configPullSchema>;
 export type ConfigRecords = z.infer<typeof configRecordsSchema>;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,6 +3,7 @@
 export * from './InstanceDirectory.js';
 export * from './InstanceControl.js';
 export * from './streams.js';
+export * from './AppendBudget.js';
 export * from './HttpPlatformClient.js';
 export * from './HttpLogService.js';
 export * from './HttpInstanceDirectory.js';
--- a/packages/replication/src/ConfigFollower.ts
+++ b/packages/replication/src/ConfigFollower.ts
@@ -1,52 +1,75 @@
 /**
- * The task that reads the configuration stream and holds the version in force at this entry.
+ * The task that follows the configuration stream: it reads the log, and where the log does not
+ * answer in time, asks a peer that has read further. What it reads goes to the replica, which
+ * decides.
  */
-import { Backoff, type Clock, Disposable, EventEmitter, type Random } from '@acaciadock/core';
 import {
+  Backoff,
+  type Clock,
+  type ConfigFreshness,
+  Disposable,
+  type EntryId,
+  type Random,
+} from '@acaciadock/core';
+import {
+  type ChangesSince,
   type ConfigDocument,
-  ConfigReducer,
   type ConfigState,
   type ConfigView,
   EMPTY_DOCUMENT,
-  type RecordVerdict,
+  type PatchDecision,
+  type SnapshotRecord,
 } from '@acaciadock/config';
+import { type ConfigRecords, type PeerNetwork, type ReceivedMessage } from '@acaciadock/peers';
 import {
   CONFIG_STREAM,
   type LogPage,
-  type LogRecord,
   type LogService,
   type ReadFailure,
 } from '@acaciadock/platform';
+import { ConfigReplica } from './ConfigReplica.js';
+import { type PeerPosition } from './PeerPositions.js';
+import { SnapshotSearch } from './SnapshotSearch.js';
 
 const PAGE_RECORDS = 1_000;
 const READ_WAIT_MS = 2_000;
 const RETRY = { firstMs: 50, mostMs: 1_000 };
+/** How long the log may take to bring what a peer already has before the peer is asked. */
+const LOG_GRACE_MS = 300;
+/** How long an answer of a peer is waited for before another is asked. */
+const PULL_TIMEOUT_MS = 500;
 
-export interface ReducedRecord {
-  readonly offset: number;
-  readonly verdict: RecordVerdict;
-  readonly state: ConfigState;
-}
+export class ConfigFollower extends Disposable implements ConfigView, ConfigFreshness {
+  readonly replica: ConfigReplica;
 
-export class ConfigFollower extends Disposable implements ConfigView {
-  private readonly reducer: ConfigReducer;
+  readonly onChange;
 
-  private readonly backoff: Backoff;
+  readonly onRecord;
 
-  private readonly changeEmitter = this.register(new EventEmitter<ConfigState>());
+  readonly onAlarm;
 
-  readonly onChange = this.changeEmitter.event;
+  readonly onFreshness;
 
-  private readonly recordEmitter = this.register(new EventEmitter<ReducedRecord>());
+  private readonly backoff: Backoff;
+
+  private readonly search: SnapshotSearch;
 
-  /** Fires for every record read, with the verdict that all readers give alike. */
-  readonly onRecord = this.recordEmitter.event;
+  private network: PeerNetwork | undefined;
 
-  private reachable = false;
+  /** Undefined until the log has answered, or failed to, for the first time. */
+  private reachable: boolean | undefined;
 
   private caughtUp = false;
 
-  private nextOffset = 0;
+  private fromPeer = false;
+
+  /** The kept records may not reach back to what was read: look for a snapshot first. */
+  private mustSearch = true;
+
+  private pulledAtMs = -Infinity;
+
+  /** Each further try asks the next of the peers that are ahead. */
+  private pullsWithoutProgress = 0;
 
   constructor(
     private readonly log: LogService,
@@ -55,13 +78,18 @@
     initial: ConfigDocument = EMPTY_DOCUMENT,
   ) {
     super();
-    this.reducer = new ConfigReducer(initial);
+    this.replica = this.register(new ConfigReplica(clock, initial));
+    this.onChange = this.replica.onChange;
+    this.onRecord = this.replica.onRecord;
+    this.onAlarm = this.replica.onAlarm;
+    this.onFreshness = this.replica.onFreshness;
     this.backoff = new Backoff(RETRY, random);
+    this.search = new SnapshotSearch(log);
   }
 
   /** Whether the last read of the log was answered. */
   get logReachable(): boolean {
-    return this.reachable;
+    return this.reachable === true;
   }
 
   /** Whether the end of the log has been read at least once since the start. */
@@ -69,47 +97,145 @@
     return this.caughtUp;
   }
 
+  isReady(): boolean {
+    if (this.caughtUp) return true;
+    return this.fromPeer && this.behindForMs() === undefined;
+  }
+
+  behindForMs(): number | undefined {
+    return this.replica.behindForMs();
+  }
+
   state(): ConfigState {
-    return this.reducer.state;
+    return this.replica.state();
+  }
+
+  /** How a patch was decided; undefined if its record was not read, or too long ago. */
+  decision(patchId: string): PatchDecision | undefined {
+    return this.replica.decision(patchId);
+  }
+
+  /** What changed after a version, as far as it is kept. */
+  changesSince(version: number): ChangesSince {
+    return this.replica.changesSince(version);
+  }
+
+  snapshot(): SnapshotRecord {
+    return this.replica.snapshot();
+  }
+
+  peerPositions(): readonly PeerPosition[] {
+    return this.replica.peerPositions();
+  }
+
+  /** Relays records to and from the entries of this network. */
+  attach(network: PeerNetwork): void {
+    this.network = network;
+    this.register(network.onMessage((received) => this.receive(received)));
   }
 
   /** Reads until disposed. */
   async run(): Promise<void> {
     while (!this.isDisposed) {
-      const page = await this.log.read({
-        stream: CONFIG_STREAM,
-        fromOffset: this.nextOffset,
-        mostRecords: PAGE_RECORDS,
-        waitMs: this.caughtUp ? READ_WAIT_MS : 0,
-      });
-      if (this.isDisposed) return;
-      if (page.isOk()) this.accept(page.value);
-      else await this.recover(page.error);
+      if (this.mustSearch) await this.searchSnapshot();
+      else await this.readPage();
+    }
+  }
+
+  private async searchSnapshot(): Promise<void> {
+    const result = await this.search.find(this.state().offset + 1);
+    if (this.isDisposed) return;
+    if (result.isErr()) {
+      await this.recover(result.error);
+      return;
     }
+    this.reachable = true;
+    if (result.value.kind === 'none') {
+      this.replica.observeNoSnapshot(result.value.firstOffset);
+      await this.clock.sleep(this.backoff.nextMs());
+      return;
+    }
+    if (result.value.kind === 'found') this.replica.adopt(result.value.snapshot);
+    this.mustSearch = false;
+  }
+
+  private async readPage(): Promise<void> {
+    const fromOffset = this.state().offset + 1;
+    const page = await this.log.read({
+      stream: CONFIG_STREAM,
+      fromOffset,
+      mostRecords: PAGE_RECORDS,
+      waitMs: this.caughtUp ? READ_WAIT_MS : 0,
+    });
+    if (this.isDisposed) return;
+    if (page.isErr()) await this.recover(page.error);
+    else if (page.value.endOffset < fromOffset) await this.refuseShortened(page.value);
+    else await this.accept(page.value);
   }
 
-  private accept(page: LogPage): void {
+  private async accept(page: LogPage): Promise<void> {
     this.reachable = true;
     this.backoff.reset();
-    page.records.forEach((record) => this.reduce(record));
-    this.nextOffset = page.nextOffset;
-    if (page.nextOffset >= page.endOffset) this.caughtUp = true;
+    const before = this.state().offset;
+    this.replica.accept(page.records);
+    this.replica.observeLogEnd(page.endOffset);
+    if (this.state().offset + 1 >= page.endOffset) this.caughtUp = true;
+    const stuck = page.records.length > 0 && this.state().offset === before;
+    if (stuck) await this.clock.sleep(this.backoff.nextMs());
   }
 
-  private reduce(record: LogRecord): void {
-    const before = this.reducer.state.version;
-    const verdict = this.reducer.reduce(record.offset, record.payload);
-    const { state } = this.reducer;
-    if (state.version > before) this.changeEmitter.fire(state);
-    this.recordEmitter.fire({ offset: record.offset, verdict, state });
+  private async refuseShortened(page: LogPage): Promise<void> {
+    this.reachable = true;
+    this.replica.observeShortenedLog(page.endOffset);
+    await this.clock.sleep(RETRY.mostMs);
   }
 
   private async recover(failure: ReadFailure): Promise<void> {
     if (failure.kind === 'offset-expired') {
-      this.nextOffset = failure.firstOffset;
+      this.mustSearch = true;
       return;
     }
     this.reachable = false;
     await this.clock.sleep(this.backoff.nextMs());
   }
+
+  private receive({ fromEntryId, message }: ReceivedMessage): void {
+    if (fromEntryId === this.network?.selfEntryId) return;
+    if (message.kind === 'heartbeat') {
+      this.replica.observeHeartbeat(fromEntryId, message);
+      this.pullIfNeeded();
+    }
+    if (message.kind === 'config-pull') this.answerPull(fromEntryId, message.afterOffset);
+    if (message.kind === 'config-records') this.acceptRelayed(message);
+  }
+
+  private pullIfNeeded(): void {
+    const ahead = this.replica.peersAhead();
+    const asked = ahead[this.pullsWithoutProgress % ahead.length];
+    if (!asked) return;
+    const behindForMs = this.behindForMs() ?? 0;
+    if (this.reachable !== false && behindForMs < LOG_GRACE_MS) return;
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - this.pulledAtMs < PULL_TIMEOUT_MS) return;
+    this.pulledAtMs = nowMs;
+    this.pullsWithoutProgress += 1;
+    const afterOffset = this.state().offset;
+    this.network?.send(asked.entryId, { kind: 'config-pull', afterOffset });
+  }
+
+  private answerPull(toEntryId: EntryId, afterOffset: number): void {
+    const answer = this.replica.relay(afterOffset);
+    if (answer) this.network?.send(toEntryId, answer);
+  }
+
+  private acceptRelayed(message: ConfigRecords): void {
+    const before = this.state().offset;
+    if (message.snapshot !== undefined) this.replica.adopt(message.snapshot);
+    this.replica.accept(message.records);
+    if (this.state().offset === before) return;
+    this.fromPeer = true;
+    this.pulledAtMs = -Infinity;
+    this.pullsWithoutProgress = 0;
+    this.pullIfNeeded();
+  }
 }
--- /dev/null
+++ b/packages/replication/src/SnapshotSearch.ts
@@ -0,0 +1,103 @@
+/**
+ * Finds the newest usable snapshot in the log by reading it page by page from its end, so that a
+ * start costs the records since the last snapshot and not all that are kept.
+ */
+import { type SnapshotRecord, snapshotRecordSchema } from '@acaciadock/config';
+import {
+  CONFIG_STREAM,
+  type LogRecord,
+  type LogService,
+  type ReadFailure,
+} from '@acaciadock/platform';
+import { err, ok, type Result } from 'neverthrow';
+
+const PAGE_RECORDS = 1_000;
+
+export type SearchResult =
+  | { readonly kind: 'found'; readonly snapshot: SnapshotRecord }
+  /** Nothing is missing, and no snapshot is worth a jump: read on. */
+  | { readonly kind: 'read-on' }
+  /** Records are missing and no kept snapshot bridges the gap. */
+  | { readonly kind: 'none'; readonly firstOffset: number };
+
+interface Bounds {
+  /** Oldest offset worth reading: the next to read, or the oldest that is kept. */
+  readonly firstOffset: number;
+  readonly endOffset: number;
+  /** Whether records between the next to read and `firstOffset` have expired. */
+  readonly missing: boolean;
+}
+
+function looksLikeSnapshot(payload: unknown): boolean {
+  if (typeof payload !== 'object' || payload === null) return false;
+  return 'kind' in payload && payload.kind === 'snapshot';
+}
+
+/** The newest snapshot of a page after whose included records nothing has expired. */
+function newestOf(records: readonly LogRecord[], bounds: Bounds): SnapshotRecord | undefined {
+  for (const { payload } of [...records].reverse()) {
+    if (!looksLikeSnapshot(payload)) continue;
+    const snapshot = snapshotRecordSchema.safeParse(payload);
+    if (snapshot.success && snapshot.data.includedOffset + 1 >= bounds.firstOffset) {
+      return snapshot.data;
+    }
+  }
+  return undefined;
+}
+
+export class SnapshotSearch {
+  constructor(private readonly log: LogService) {}
+
+  /** Searches for a snapshot that is ahead of a reader whose next offset is `nextOffset`. */
+  async find(nextOffset: number): Promise<Result<SearchResult, ReadFailure>> {
+    const found = await this.bounds(nextOffset);
+    if (found.isErr()) return err(found.error);
+    const bounds = found.value;
+    if (!bounds.missing && bounds.endOffset - nextOffset <= PAGE_RECORDS) {
+      return ok({ kind: 'read-on' });
+    }
+    let until = bounds.endOffset;
+    while (until > bounds.firstOffset) {
+      const from = Math.max(bounds.firstOffset, until - PAGE_RECORDS);
+      const records = await this.readRange(from, until);
+      if (records.isErr()) return err(records.error);
+      const snapshot = newestOf(records.value, bounds);
+      if (snapshot) return ok({ kind: 'found', snapshot });
+      until = from;
+    }
+    if (bounds.missing) return ok({ kind: 'none', firstOffset: bounds.firstOffset });
+    return ok({ kind: 'read-on' });
+  }
+
+  private async bounds(nextOffset: number): Promise<Result<Bounds, ReadFailure>> {
+    const page = await this.readPage(nextOffset, 1);
+    if (page.isOk()) {
+      return ok({ firstOffset: nextOffset, endOffset: page.value.endOffset, missing: false });
+    }
+    if (page.error.kind !== 'offset-expired') return err(page.error);
+    const { firstOffset } = page.error;
+    const oldest = await this.readPage(firstOffset, 1);
+    if (oldest.isErr()) return err(oldest.error);
+    return ok({ firstOffset, endOffset: oldest.value.endOffset, missing: true });
+  }
+
+  private async readRange(
+    from: number,
+    until: number,
+  ): Promise<Result<readonly LogRecord[], ReadFailure>> {
+    const records: LogRecord[] = [];
+    let next = from;
+    while (next < until) {
+      const page = await this.readPage(next, until - next);
+      if (page.isErr()) return err(page.error);
+      if (page.value.records.length === 0) break;
+      records.push(...page.value.records);
+      next = page.value.nextOffset;
+    }
+    return ok(records);
+  }
+
+  private readPage(fromOffset: number, mostRecords: number) {
+    return this.log.read({ stream: CONFIG_STREAM, fromOffset, mostRecords, waitMs: 0 });
+  }
+}
--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -1,3 +1,9 @@
 /** Public interface: the configuration in force at this entry. */
+export * from './ConfigAlarm.js';
 export * from './ConfigFollower.js';
+export * from './ConfigReplica.js';
 export * from './PatchSubmitter.js';
+export * from './PeerPositions.js';
+export * from './SnapshotPublisher.js';
+export * from './SnapshotSchedule.js';
+export * from './SnapshotSearch.js';
--- a/packages/testkit/src/LogStandIn.ts
+++ b/packages/testkit/src/LogStandIn.ts
@@ -7,15 +7,10 @@
 import { type LogRecord } from '@acaciadock/platform';
 import { z } from 'zod';
 import { HttpStandIn } from './HttpStandIn.js';
+import { LogStore } from './LogStore.js';
 
-const HOLD_POLL_MS = 20;
 const appendSchema = z.object({ payloads: z.array(z.unknown()) });
 
-interface Stream {
-  firstOffset: number;
-  records: LogRecord[];
-}
-
 export interface LogFaults {
   /** Connections are cut without an answer and without effect. */
   down: boolean;
@@ -25,58 +20,57 @@
   loseAppendAnswers: number;
   /** How many of the next appends are refused with a typed answer. */
   refuseAppends: number;
+  /** How many of the next answers are cut in the middle; the call took effect. */
+  cutAnswers: number;
+  /** How many of the next answers are no JSON; the call took effect. */
+  garbleAnswers: number;
 }
 
 export class LogStandIn extends HttpStandIn {
-  readonly faults: LogFaults = { down: false, slowMs: 0, loseAppendAnswers: 0, refuseAppends: 0 };
+  readonly faults: LogFaults = {
+    down: false,
+    slowMs: 0,
+    loseAppendAnswers: 0,
+    refuseAppends: 0,
+    cutAnswers: 0,
+    garbleAnswers: 0,
+  };
 
-  private readonly streams = new Map<string, Stream>();
-
-  private appends = 0;
+  readonly store: LogStore;
 
   constructor(private readonly clock: Clock) {
     super();
+    this.store = new LogStore(clock);
   }
 
   /** Append calls that took effect so far. */
   get appendCount(): number {
-    return this.appends;
+    return this.store.appendCount;
+  }
+
+  /** How long a record is kept, in milliseconds. */
+  set retentionMs(retentionMs: number) {
+    this.store.retentionMs = retentionMs;
   }
 
   /** Expires all records of a stream before `offset`. */
   expireBefore(name: string, offset: number): void {
-    const stream = this.stream(name);
-    stream.records = stream.records.filter((record) => record.offset >= offset);
-    stream.firstOffset = Math.max(stream.firstOffset, offset);
+    this.store.expireBefore(name, offset);
   }
 
-  /** Expires all records older than `retentionMs`. */
-  expireOlderThan(retentionMs: number): void {
-    const untilMs = this.clock.unixMs() - retentionMs;
-    this.streams.forEach((stream, name) => {
-      const kept = stream.records.find((record) => record.appendedAtMs >= untilMs);
-      this.expireBefore(name, kept?.offset ?? LogStandIn.endOf(stream));
-    });
+  /** Expires all records older than `ageMs`. */
+  expireOlderThan(ageMs: number): void {
+    this.store.expireOlderThan(ageMs);
   }
 
   /** All records of a stream that are still kept. */
   records(name: string): readonly LogRecord[] {
-    return this.stream(name).records;
+    return this.store.records(name);
   }
 
   /** Appends as a service call would, without HTTP. Returns the first offset. */
   append(name: string, payloads: readonly unknown[]): number {
-    const stream = this.stream(name);
-    const firstOffset = LogStandIn.endOf(stream);
-    payloads.forEach((payload, index) => {
-      stream.records.push({
-        offset: firstOffset + index,
-        appendedAtMs: this.clock.unixMs(),
-        payload,
-      });
-    });
-    this.appends += 1;
-    return firstOffset;
+    return this.store.append(name, payloads);
   }
 
   protected override async answer(
@@ -106,13 +100,13 @@
       HttpStandIn.send(response, 429, { retryAfterMs: 100 });
       return;
     }
-    const firstOffset = this.append(name, payloads);
+    const firstOffset = this.store.append(name, payloads);
     if (this.faults.loseAppendAnswers > 0) {
       this.faults.loseAppendAnswers -= 1;
       response.destroy();
       return;
     }
-    HttpStandIn.send(response, 200, { firstOffset, count: payloads.length });
+    this.send(response, 200, { firstOffset, count: payloads.length });
   }
 
   private async answerRead(
@@ -121,40 +115,30 @@
     response: ServerResponse,
   ): Promise<void> {
     const from = Number(query.get('from'));
-    const most = Number(query.get('most'));
-    const stream = this.stream(name);
-    await this.holdWhileEmpty(stream, from, Number(query.get('waitMs')));
+    await this.store.waitFor(name, from, Number(query.get('waitMs')));
     if (this.faults.down) {
       response.destroy();
       return;
     }
-    if (from < stream.firstOffset) {
-      HttpStandIn.send(response, 410, { firstOffset: stream.firstOffset });
-      return;
-    }
-    const skip = from - stream.firstOffset;
-    const records = stream.records.slice(skip, skip + most);
-    const endOffset = LogStandIn.endOf(stream);
-    HttpStandIn.send(response, 200, { records, nextOffset: from + records.length, endOffset });
+    const page = this.store.read(name, from, Number(query.get('most')));
+    if ('kind' in page) this.send(response, 410, { firstOffset: page.firstOffset });
+    else this.send(response, 200, page);
   }
 
-  private async holdWhileEmpty(stream: Stream, from: number, waitMs: number): Promise<void> {
-    const untilMs = this.clock.monotonicMs() + waitMs;
-    while (LogStandIn.endOf(stream) <= from && this.clock.monotonicMs() < untilMs) {
-      if (this.faults.down) return;
-      await this.clock.sleep(HOLD_POLL_MS);
+  /** Sends an answer, whole or broken as the faults say. */
+  private send(response: ServerResponse, statusCode: number, body: unknown): void {
+    if (this.faults.garbleAnswers > 0) {
+      this.faults.garbleAnswers -= 1;
+      response.writeHead(200, { 'content-type': 'application/json' }).end('{"records":');
+      return;
     }
-  }
-
-  private stream(name: string): Stream {
-    const known = this.streams.get(name);
-    if (known) return known;
-    const created: Stream = { firstOffset: 0, records: [] };
-    this.streams.set(name, created);
-    return created;
-  }
-
-  private static endOf(stream: Stream): number {
-    return stream.firstOffset + stream.records.length;
+    if (this.faults.cutAnswers > 0) {
+      this.faults.cutAnswers -= 1;
+      const text = JSON.stringify(body);
+      response.writeHead(statusCode, { 'content-length': text.length });
+      response.write(text.slice(0, text.length / 2), () => response.destroy());
+      return;
+    }
+    HttpStandIn.send(response, statusCode, body);
   }
 }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,5 +1,7 @@
 /** Public interface: stand-ins for the outside systems, for tests, benches and the demo. */
 export * from './HttpStandIn.js';
+export * from './LogStore.js';
+export * from './MemoryLogService.js';
 export * from './LogStandIn.js';
 export * from './DirectoryStandIn.js';
 export * from './ControlStandIn.js';
