Operators read history, patches by id and the status of each entry over HTTP

Cause: a patch whose outcome was unknown could not be asked for later, and nobody could tell where a version is in force.

--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -14,10 +14,17 @@
   HttpLogService,
   HttpPlatformClient,
 } from '@acaciadock/platform';
-import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
+import {
+  AlarmLog,
+  ConfigFollower,
+  PatchSubmitter,
+  SnapshotPublisher,
+  snapshotScheduleFor,
+} from '@acaciadock/replication';
 import { Dispatcher } from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { ConfigRoutes } from './ConfigRoutes.js';
 import { CountingTargetClient } from './CountingTargetClient.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
@@ -66,6 +73,16 @@
         random,
       ),
     );
+    this.follower.attach(this.links);
+    this.register(
+      new SnapshotPublisher(
+        log,
+        this.follower,
+        clock,
+        random,
+        snapshotScheduleFor(settings.platform.logRetentionMs),
+      ),
+    );
     const entryIds = settings.peers.map((peer) => peer.entryId);
     const homes = new FixedMembership(entryIds);
     const fence = new OpenFence();
@@ -95,7 +112,9 @@
         random,
       }),
     );
-    this.operators = this.register(new OperatorServer(this.follower, submitter));
+    this.operators = this.register(
+      new OperatorServer([...this.configRoutes(submitter, clock).routes()]),
+    );
   }
 
   get entryId(): string {
@@ -127,6 +146,11 @@
     this.dispose();
   }
 
+  private configRoutes(submitter: PatchSubmitter, clock: Clock): ConfigRoutes {
+    const alarms = this.register(new AlarmLog(this.follower, clock));
+    return new ConfigRoutes(this.settings.entryId, this.follower, submitter, alarms, clock);
+  }
+
   private platformCall(url: string): HttpPlatformClient {
     const client = new HttpPlatformClient(url);
     this.register(
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -36,7 +36,13 @@
   operatorAddress: addressSchema,
   /** Where other entries reach this entry. */
   peerAddress: addressSchema,
-  platform: z.strictObject({ logUrl: z.url(), directoryUrl: z.url(), controlUrl: z.url() }),
+  platform: z.strictObject({
+    logUrl: z.url(),
+    directoryUrl: z.url(),
+    controlUrl: z.url(),
+    /** How long the log keeps a record. Snapshots are published well before it ends. */
+    logRetentionMs: z.int().min(60_000).default(86_400_000),
+  }),
   /** The entries of the deployment, this one included. */
   peers: z.array(peerSchema).default([]),
   maintenance: maintenanceSettingsSchema.prefault({}),
--- a/packages/replication/src/PatchSubmitter.test.ts
+++ b/packages/replication/src/PatchSubmitter.test.ts
@@ -126,6 +126,20 @@
     t.match(fleet.entry(1).submitter.status('b'), { kind: 'not-seen', readUpToOffset: 0 });
   });
 
+  it('never says of a patch that may be in the log that it has no effect', async (t) => {
+    const fleet = await fleetOf(t);
+    const { submitter, way } = fleet.entry(0);
+    way.faults.delayMs = 8_000;
+    const first = submitter.submit(limitPatch('a', 0, 5));
+    await fleet.advance(7_000);
+    t.match(await first, { kind: 'unknown', patchId: 'a' });
+    way.faults.down = true;
+    t.match(await submitter.submit(limitPatch('a', 0, 5)), { kind: 'unknown' });
+    Object.assign(way.faults, { down: false, delayMs: 0 });
+    await fleet.advance(20_000);
+    t.match(submitter.status('a'), { kind: 'decided', decision: { version: 1 } });
+  });
+
   it('keeps within the append budget', async (t) => {
     const fleet = await fleetOf(t);
     const { submitter } = fleet.entry(0);
--- a/packages/replication/src/PatchSubmitter.ts
+++ b/packages/replication/src/PatchSubmitter.ts
@@ -23,6 +23,7 @@
 /** How long a record is looked for after a lost answer before it is appended again. */
 const REPEAT_AFTER_MS = 2_000;
 const BURST_APPENDS = 50;
+const MOST_DOUBTFUL = 1_000;
 
 export type SubmitOutcome =
   | {
@@ -33,7 +34,7 @@
     }
   /**
    * The log did not take the patch, so this submission has no effect. An earlier one under the
-   * same id that ended as unknown may still have.
+   * same id through another entry, if it ended as unknown, may still have.
    */
   | { readonly kind: 'not-appended'; readonly failure: AppendFailure }
   /** It could not be settled in time. Ask for the patch id later, or submit the same again. */
@@ -57,6 +58,9 @@
 export class PatchSubmitter extends Disposable {
   private readonly pending = new Map<string, Pending>();
 
+  /** Ids of patches that ended as unknown here and may yet be read. */
+  private readonly doubtful = new Set<string>();
+
   private readonly budget: AppendBudget;
 
   constructor(
@@ -121,7 +125,7 @@
     };
     const outcome = new Promise<SubmitOutcome>((resolve) => {
       const end = (result: SubmitOutcome): void => {
-        resolve(result);
+        resolve(this.withDoubt(patchId, result));
         release();
       };
       owned.push(
@@ -137,6 +141,18 @@
     return outcome;
   }
 
+  /** A patch that may be in the log from an earlier try is never said to have no effect. */
+  private withDoubt(patchId: string, outcome: SubmitOutcome): SubmitOutcome {
+    if (outcome.kind === 'settled') this.doubtful.delete(patchId);
+    if (outcome.kind === 'unknown') this.doubtful.add(patchId);
+    if (this.doubtful.size > MOST_DOUBTFUL) {
+      const [oldest] = this.doubtful;
+      if (oldest !== undefined) this.doubtful.delete(oldest);
+    }
+    const doubted = outcome.kind === 'not-appended' && this.doubtful.has(patchId);
+    return doubted ? { kind: 'unknown', patchId } : outcome;
+  }
+
   private async append(
     record: PatchRecord,
     owned: IDisposable[],
--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -1,4 +1,5 @@
 /** Public interface: the configuration in force at this entry. */
+export * from './AlarmLog.js';
 export * from './ConfigAlarm.js';
 export * from './ConfigFollower.js';
 export * from './ConfigReplica.js';
