--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -3,7 +3,8 @@
  * decides nothing itself.
  */
 import { randomUUID } from 'node:crypto';
-import { type Clock, Disposable, Random, toDisposable } from '@acaciadock/core';
+import { setTimeout } from 'node:timers/promises';
+import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
 import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
@@ -21,7 +22,13 @@
   SnapshotPublisher,
   snapshotScheduleFor,
 } from '@acaciadock/replication';
-import { Dispatcher } from '@acaciadock/scheduling';
+import {
+  Dispatcher,
+  FleetWork,
+  LeavingWatch,
+  PoolHomes,
+  WorkReporter,
+} from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { ConfigRoutes } from './ConfigRoutes.js';
@@ -32,6 +39,8 @@
 import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
 
+const GIVE_BACK_MS = 50;
+
 export interface EntryAddresses {
   readonly callerAddress: string;
   readonly operatorAddress: string;
@@ -49,6 +58,11 @@
 
   private readonly operators: OperatorServer;
 
+  private readonly dispatcher: Dispatcher;
+
+  /** The work on leaving instances, for maintenance. */
+  readonly work: WorkView;
+
   readonly maintenance: Maintenance;
 
   constructor(
@@ -84,10 +98,27 @@
       ),
     );
     const entryIds = settings.peers.map((peer) => peer.entryId);
-    const homes = new FixedMembership(entryIds);
+    const homes = new PoolHomes(new FixedMembership(entryIds), this.follower);
     const fence = new OpenFence();
     const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
-    this.register(new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation));
+    const directory = new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl));
+    const control = new HttpInstanceControl(this.platformCall(settings.platform.controlUrl));
+    this.dispatcher = this.register(
+      new Dispatcher({
+        config: this.follower,
+        credits,
+        fence,
+        homes,
+        network: this.links,
+        leaving: this.register(new LeavingWatch(directory, clock)),
+        control,
+        clock,
+        random,
+        incarnation,
+      }),
+    );
+    this.register(new WorkReporter(homes, this.links, clock));
+    this.work = this.register(new FleetWork(homes, this.links, clock));
     const desk = this.register(new TicketDesk(homes, this.links, clock));
     const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
@@ -102,8 +133,8 @@
         config: this.follower,
         writer: new PatchConfigWriter(submitter, clock),
         log,
-        control: new HttpInstanceControl(this.platformCall(settings.platform.controlUrl)),
-        directory: new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl)),
+        control,
+        directory,
         probe: this.register(new HttpInstanceProbe()),
         runs: targets,
         homes,
@@ -143,6 +174,9 @@
   async stop(): Promise<void> {
     await this.maintenance.stop();
     await this.callers.stop();
+    this.dispatcher.stop();
+    // The tickets that it gives back leave in the next turns.
+    await setTimeout(GIVE_BACK_MS);
     this.dispose();
   }
 
