--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -48,7 +48,13 @@
   operatorAddress: addressSchema,
   /** Where other entries reach this entry. */
   peerAddress: addressSchema,
-  platform: z.strictObject({ logUrl: z.url(), directoryUrl: z.url(), controlUrl: z.url() }),
+  platform: z.strictObject({
+    logUrl: z.url(),
+    directoryUrl: z.url(),
+    controlUrl: z.url(),
+    /** How long the log keeps a record. Snapshots are published well before it ends. */
+    logRetentionMs: z.int().min(60_000).default(86_400_000),
+  }),
   /** Entries to begin with; all others are found through the roster in the log. */
   peers: z.array(peerSchema).default([]),
   tls: z
