acaciadock, the operators' command line: config, team, pool, service, key

Cause: operators drive the system by patches against a numbered version. Every change goes through one place that settles stale, refused, unknown and unreachable alike, each with its own exit code; a stale patch says what changed since.

--- /dev/null
+++ b/packages/cli/src/createProgram.ts
@@ -0,0 +1,49 @@
+/** Builds the command line: the global flags and one module for each group of commands. */
+import { Command } from 'commander';
+import { type CommandContext, type GlobalFlags } from './CommandContext.js';
+import { registerConfig } from './commands/config.js';
+import { registerKey } from './commands/key.js';
+import { registerSections } from './commands/sections.js';
+import { EXIT_CODE_HELP } from './ExitCode.js';
+import { OperatorClient } from './OperatorClient.js';
+
+const DEFAULT_URL = 'http://127.0.0.1:8081';
+
+export interface ProgramSurroundings {
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  print(text: string): void;
+  nowMs(): number;
+}
+
+export function createProgram(surroundings: ProgramSurroundings): Command {
+  const { environment } = surroundings;
+  const program = new Command('acaciadock')
+    .description('Operates a deployment of acaciadock through any of its entries.')
+    .option(
+      '--url <url>',
+      "operators' address of an entry",
+      environment.ACACIADOCK_URL ?? DEFAULT_URL,
+    )
+    .option(
+      '--token <token>',
+      "operator's token (or ACACIADOCK_TOKEN)",
+      environment.ACACIADOCK_TOKEN,
+    )
+    .option('--json', 'print one JSON value instead of text')
+    .option('--base-version <number>', 'version that a change is made for; refused if it is stale')
+    .option('--patch-id <id>', 'id of a change, to repeat one whose outcome is unknown')
+    .option('--author <name>', 'who makes a change', environment.USER ?? 'operator')
+    .addHelpText('after', EXIT_CODE_HELP)
+    .exitOverride();
+  const flags = (): GlobalFlags => program.opts<GlobalFlags>();
+  const context: CommandContext = {
+    flags,
+    client: () => new OperatorClient({ url: flags().url, token: flags().token }),
+    print: (text) => surroundings.print(text),
+    nowMs: () => surroundings.nowMs(),
+  };
+  registerConfig(program, context);
+  registerSections(program, context);
+  registerKey(program, context);
+  return program;
+}
