Maintenance in virtual time: crashes at every step, lost answers, outages, races of moves

Found by the test that kills the controller twice while an instance is probing: the time in which no controller watched counted against the instance and failed it; it no longer does.

--- /dev/null
+++ b/packages/bench/src/rollout/RollOutTrial.ts
@@ -0,0 +1,143 @@
+/** One roll-out over a whole deployment under load, through the real path, with its faults. */
+import { type Clock, type InstanceId } from '@acaciadock/core';
+import { type InstanceState } from '@acaciadock/maintenance';
+import { type DeploymentName, MaintenanceFleet } from '@acaciadock/scenarios';
+
+const ENTRIES = 6;
+const REBOOT_MS = 200;
+const RUN_MS = 60;
+const MEAN_GAP_MS = 40;
+const START_TIMEOUT_MS = 10_000;
+const RACK_LOST_MS = 3_000;
+
+export interface TrialOptions {
+  readonly deployment: DeploymentName;
+  readonly seed: number;
+  /** Instances to reboot; all if left out. */
+  readonly instances?: number;
+  /** The controller is killed when a job is first seen in this state. */
+  readonly killAt?: InstanceState;
+  /** The whole entry dies with it, its open requests too. */
+  readonly killEntry?: boolean;
+  /** A rack is lost in the middle of the first wave. */
+  readonly loseRack?: boolean;
+  readonly timeoutMs: number;
+}
+
+export interface TrialResult {
+  readonly finished: boolean;
+  readonly tookMs: number;
+  readonly sent: number;
+  readonly answered: number;
+  readonly notRun: number;
+  /** Requests that ended without a whole answer after the work may have run. */
+  readonly cutRequests: number;
+  /** Runs on a target at the moment of its planned reboot. */
+  readonly cutRuns: number;
+  readonly lateRuns: number;
+  readonly longestLateMs: number;
+  readonly budgetBreaches: number;
+  readonly rebooted: number;
+  readonly rebootedTwice: number;
+  readonly moves: number;
+  readonly mostOut: number;
+  readonly kills: number;
+  readonly problems: string;
+}
+
+export class RollOutTrial {
+  private readonly fleet: MaintenanceFleet;
+
+  private kills = 0;
+
+  private rackLost = false;
+
+  constructor(
+    private readonly options: TrialOptions,
+    private readonly clock: Clock,
+  ) {
+    const { deployment, seed } = options;
+    this.fleet = new MaintenanceFleet(
+      { deployment, seed, entries: ENTRIES, rebootMs: REBOOT_MS },
+      clock,
+    );
+  }
+
+  async run(): Promise<TrialResult> {
+    const { fleet } = this;
+    await fleet.start();
+    const load = fleet.load(MEAN_GAP_MS, RUN_MS);
+    load.start();
+    await fleet.until(() => fleet.holder !== undefined, START_TIMEOUT_MS);
+    const startedAtMs = this.clock.monotonicMs();
+    const instanceIds = this.wanted();
+    const command = { action: 'start-roll-out', rollOutId: 'bench', racksAtOnce: 1 } as const;
+    await fleet.command({ ...command, instanceIds: [...instanceIds] });
+    const finished = await fleet.until(() => this.isDone(), this.options.timeoutMs);
+    const tookMs = this.clock.monotonicMs() - startedAtMs;
+    await load.stop();
+    fleet.observer.finish();
+    const { observer, state } = fleet;
+    const result: TrialResult = {
+      finished,
+      tookMs,
+      sent: load.sent,
+      answered: load.answered,
+      notRun: load.notRun,
+      cutRequests: load.cut,
+      cutRuns: observer.cutRuns,
+      lateRuns: observer.lateRuns,
+      longestLateMs: observer.longestLateMs,
+      budgetBreaches: observer.budgetBreaches,
+      rebooted: new Set(observer.rebooted).size,
+      rebootedTwice: observer.rebooted.length - new Set(observer.rebooted).size,
+      moves: state.rollOut?.moves ?? 0,
+      mostOut: observer.mostOut,
+      kills: this.kills,
+      problems: JSON.stringify(Object.fromEntries(load.problems)),
+    };
+    await fleet.stop();
+    return result;
+  }
+
+  private wanted(): readonly InstanceId[] {
+    const { instanceIds } = this.fleet;
+    return instanceIds.slice(0, this.options.instances ?? instanceIds.length);
+  }
+
+  private isDone(): boolean {
+    this.disturb();
+    const { rollOut, jobs } = this.fleet.state;
+    if (rollOut?.status !== 'done' || rollOut.lent.length > 0) return false;
+    return Object.keys(jobs).length === 0;
+  }
+
+  private disturb(): void {
+    const jobs = Object.values(this.fleet.state.jobs);
+    if (this.options.loseRack && !this.rackLost && jobs.length > 0) this.loseRack(jobs.length);
+    const { killAt } = this.options;
+    if (killAt === undefined || this.kills > 0) return;
+    if (!jobs.some(({ state }) => state === killAt)) return;
+    const { holder } = this.fleet;
+    if (!holder) return;
+    this.kills += 1;
+    if (this.options.killEntry) {
+      holder.dispose();
+      return;
+    }
+    holder.maintenance.controller.dispose();
+    holder.maintenance.role.dispose();
+  }
+
+  /** Loses the rack with most of the instances that are not under way. */
+  private loseRack(jobCount: number): void {
+    if (jobCount === 0) return;
+    this.rackLost = true;
+    const busy = new Set(Object.values(this.fleet.state.jobs).map((job) => job.instanceId));
+    const { instances } = this.fleet.deployment.document;
+    const free = Object.entries(instances).find(([id]) => !busy.has(id));
+    const rackId = free?.[1].rackId ?? '';
+    this.fleet.setRackLost(rackId, true);
+    this.clock.after(RACK_LOST_MS, () => this.fleet.setRackLost(rackId, false));
+  }
+}
--- a/packages/maintenance/src/JobOpener.ts
+++ b/packages/maintenance/src/JobOpener.ts
@@ -141,6 +141,11 @@
     const waiting = rollOut.pending.filter(
       (id) => !this.busy.has(id) && health.isUp(id) && document.instances[id]?.intent === 'serving',
     );
+    const lending = this.lender().lend(rollOut, this.lastingShortfalls(waiting));
+    if (lending.length > 0) {
+      this.wantedMoves.push(...lending);
+      return { kind: 'moving-spares' };
+    }
     const underWay = jobs.filter(({ state: at }) => at !== 'failed').map((job) => job.instanceId);
     const { racksAtOnce, rollOutId } = rollOut;
     const step = new RollOutPlanner(document).next({ waiting, underWay, racksAtOnce }, this.budget);
@@ -155,6 +160,28 @@
     return moves.length > 0 ? { kind: 'moving-spares' } : step;
   }
 
+  /**
+   * Pools of which some instance could not be taken out even if all others served: waiting for
+   * steps under way would not help them.
+   */
+  private lastingShortfalls(waiting: readonly InstanceId[]): readonly Shortfall[] {
+    const { document, health, demand } = this.view;
+    const down = Object.entries(document.instances).filter(
+      ([id, { intent }]) => intent === 'draining' || !health.isUp(id),
+    );
+    const budget = new AvailabilityBudget(document, new Set(down.map(([id]) => id)), demand);
+    const shortfalls = new Map<string, Shortfall>();
+    waiting.forEach((instanceId) => {
+      const poolId = document.instances[instanceId]?.poolId ?? '';
+      if (shortfalls.has(poolId)) return;
+      budget.takeOut(instanceId);
+      const shortfall = budget.shortfallAfterRackLoss(poolId);
+      budget.putBack(instanceId);
+      if (shortfall) shortfalls.set(poolId, shortfall);
+    });
+    return [...shortfalls.values()];
+  }
+
   private lender(): SpareLender {
     return new SpareLender(
       this.view.document,
--- a/packages/maintenance/src/JobWatch.ts
+++ b/packages/maintenance/src/JobWatch.ts
@@ -27,6 +27,8 @@
 
   private readonly passedChecks = new Map<string, number>();
 
+  private beganAtMs = 0;
+
   constructor(
     private readonly clock: Clock,
     private readonly decider: JobDecider,
@@ -34,6 +36,13 @@
     private readonly health: FleetHealth,
   ) {}
 
+  /** The role is new: time in which nobody watched doesn't count against an instance. */
+  begin(): void {
+    this.beganAtMs = this.clock.unixMs();
+    this.operations.clear();
+    this.passedChecks.clear();
+  }
+
   operation(jobId: string, state: OperationState): void {
     this.operations.set(jobId, state);
   }
@@ -63,7 +72,7 @@
         drained: this.tracker.isDrained(job.instanceId),
         operation: this.operations.get(job.jobId),
         passedChecks: this.passedChecks.get(JobWatch.probingKey(job)) ?? 0,
-        stateMs: this.clock.unixMs() - job.sinceMs,
+        stateMs: this.clock.unixMs() - Math.max(job.sinceMs, this.beganAtMs),
         mustGiveWay: JobWatch.mustGiveWay(job, budget, instance?.poolId),
         leaving: leaving.has(job.instanceId),
       };
--- a/packages/maintenance/src/MaintenanceController.ts
+++ b/packages/maintenance/src/MaintenanceController.ts
@@ -61,6 +61,8 @@
 /** How long a decision waits for its record to be read back before it is made again. */
 const READ_BACK_MS = 2_000;
 
+const SNAPSHOT_PERIOD_MS = 10 * 60 * 1_000;
+
 export class MaintenanceController extends Task<ControllerMessage> {
   private readonly health: FleetHealth;
 
@@ -71,6 +73,8 @@
   /** Calls under way, by what they are for: each is made once at a time. */
   private readonly underWay = new Set<string>();
 
+  private nextSnapshotMs = 0;
+
   private readBackOffset = -1;
 
   private readBackUntilMs = 0;
@@ -120,6 +124,7 @@
     if (epoch !== this.lastEpoch) this.begin(epoch);
     this.observe();
     if (this.isWaitingForReadBack()) return;
+    if (this.snapshot(epoch)) return;
     const opened = this.open(epoch);
     if (!opened) this.advance(epoch);
   }
@@ -127,6 +132,8 @@
   /** The role is new: whoever held it before may have had work open when it died. */
   private begin(epoch: number): void {
     this.lastEpoch = epoch;
+    this.nextSnapshotMs = 0;
+    this.watch.begin();
     this.services.tracker.reset();
     this.services.tracker.expect(this.options.knownEntryIds);
   }
@@ -147,6 +154,15 @@
     survey.ask();
   }
 
+  /** Well before the records behind it expire, and first of all as a new holder. */
+  private snapshot(epoch: number): boolean {
+    const { clock, reader } = this.services;
+    if (clock.monotonicMs() < this.nextSnapshotMs) return false;
+    this.nextSnapshotMs = clock.monotonicMs() + SNAPSHOT_PERIOD_MS;
+    this.append({ kind: 'maintenance-snapshot', epoch, state: reader.state });
+    return true;
+  }
+
   private isWaitingForReadBack(): boolean {
     if (this.underWay.has('append')) return true;
     if (this.services.reader.lastOffset >= this.readBackOffset) return false;
--- a/packages/maintenance/src/MaintenanceRecord.ts
+++ b/packages/maintenance/src/MaintenanceRecord.ts
@@ -107,3 +107,4 @@
 export type CommandRecord = z.infer<typeof commandRecordSchema>;
 export type JobsOpened = z.infer<typeof jobsOpenedSchema>;
 export type Transitions = z.infer<typeof transitionsSchema>;
+export type SnapshotRecord = z.infer<typeof snapshotSchema>;
--- a/packages/maintenance/src/MaintenanceReducer.ts
+++ b/packages/maintenance/src/MaintenanceReducer.ts
@@ -12,6 +12,7 @@
   type MaintenanceRecord,
   maintenanceRecordSchema,
   type NewJob,
+  type SnapshotRecord,
   type Transitions,
 } from './MaintenanceRecord.js';
 import { EMPTY_MAINTENANCE_STATE, type Job, type MaintenanceState } from './MaintenanceState.js';
@@ -32,6 +33,9 @@
 
   private whole = false;
 
+  /** Records read before the state is whole. */
+  private early: LogRecord[] = [];
+
   get state(): MaintenanceState {
     return this.current;
   }
@@ -44,9 +48,11 @@
   /** The stream is read from its first record, or to its end without any snapshot in it. */
   markWhole(): void {
     this.whole = true;
+    this.early = [];
   }
 
   reduce(logRecord: LogRecord): MaintenanceVerdict {
+    if (!this.whole) this.early.push(logRecord);
     const verdict = this.judge(logRecord);
     if (verdict.kind !== 'accepted' || verdict.record.kind === 'maintenance-renewal')
       return verdict;
@@ -58,6 +64,7 @@
   reset(): void {
     this.current = EMPTY_MAINTENANCE_STATE;
     this.whole = false;
+    this.early = [];
   }
 
   private judge({ offset, appendedAtMs, payload }: LogRecord): MaintenanceVerdict {
@@ -67,9 +74,7 @@
     if (record.kind === 'maintenance-claim') return this.claim(record, offset, appendedAtMs);
     if (record.kind === 'maintenance-command') return this.command(record, appendedAtMs);
     if (record.kind === 'maintenance-snapshot' && !this.whole) {
-      this.current = record.state;
-      this.whole = true;
-      return { kind: 'accepted', record };
+      return this.adopt(record, offset);
     }
     if (record.epoch !== this.current.lease?.epoch) return { kind: 'fenced', record };
     if ('basisOffset' in record && record.basisOffset !== this.current.basisOffset) {
@@ -78,6 +83,21 @@
     return this.controllerRecord(record, appendedAtMs);
   }
 
+  /**
+   * A snapshot shows the state up to its basis. Commands may have come between that and the
+   * snapshot itself: they are reduced again, and a snapshot with a gap before it is left aside.
+   */
+  private adopt(record: SnapshotRecord, offset: number): MaintenanceVerdict {
+    const { basisOffset } = record.state;
+    const [first] = this.early;
+    if (!first || first.offset > basisOffset + 1) return { kind: 'not-applicable', record };
+    const later = this.early.filter((read) => read.offset > basisOffset && read.offset < offset);
+    this.current = record.state;
+    this.markWhole();
+    later.forEach((read) => this.reduce(read));
+    return { kind: 'accepted', record };
+  }
+
   private claim(record: ClaimRecord, offset: number, atMs: number): MaintenanceVerdict {
     const { lease } = this.current;
     if (lease && atMs <= lease.expiresAtMs + MAX_CLOCK_SKEW_MS) return { kind: 'fenced', record };
--- a/packages/maintenance/src/SpareLender.ts
+++ b/packages/maintenance/src/SpareLender.ts
@@ -1,7 +1,7 @@
 /**
  * Lends spare instances to pools that can't be maintained without one, and takes them back when
- * the pool has nothing left to do. A spare that has had its own reboot is preferred: it need not
- * be taken out again while it is lent.
+ * the pool has nothing left to do. A spare in a rack that the pool does not use is preferred, since
+ * it adds nothing to what one rack can take away; then one that has had its own reboot.
  */
 import { type InstanceId } from '@acaciadock/core';
 import { type ConfigDocument } from '@acaciadock/config';
@@ -16,11 +16,11 @@
 
   /** Moves that would let the roll-out go on, for the first pool that can be helped. */
   lend(rollOut: RollOut, shortfalls: readonly Shortfall[]): readonly WantedMove[] {
-    const spares = this.spares(rollOut);
     const lent = new Set(rollOut.lent.map(({ instanceId }) => instanceId));
-    const free = spares.filter((instanceId) => !lent.has(instanceId));
+    const free = this.spares().filter((instanceId) => !lent.has(instanceId));
     for (const shortfall of shortfalls) {
-      const chosen = this.cover(shortfall, free);
+      const ordered = this.byPreference(free, shortfall.poolId, rollOut);
+      const chosen = this.cover(shortfall, ordered);
       if (chosen.length > 0) {
         return chosen.map((instanceId) => this.move(rollOut, instanceId, shortfall.poolId));
       }
@@ -58,16 +58,33 @@
       }));
   }
 
-  private spares(rollOut: RollOut): InstanceId[] {
-    const pending = new Set(rollOut.pending);
+  private spares(): InstanceId[] {
     return Object.entries(this.document.instances)
       .filter(
         ([, { poolId, intent }]) =>
           this.document.pools[poolId]?.role === 'spare' && intent === 'serving',
       )
       .map(([instanceId]) => instanceId)
-      .filter((instanceId) => this.isFree(instanceId))
-      .sort((a, b) => Number(pending.has(a)) - Number(pending.has(b)) || (a < b ? -1 : 1));
+      .filter((instanceId) => this.isFree(instanceId));
+  }
+
+  private byPreference(
+    spares: readonly InstanceId[],
+    poolId: string,
+    rollOut: RollOut,
+  ): InstanceId[] {
+    const pending = new Set(rollOut.pending);
+    const poolInRack = new Map<string, number>();
+    Object.values(this.document.instances)
+      .filter((instance) => instance.poolId === poolId)
+      .forEach(({ rackId }) => poolInRack.set(rackId, (poolInRack.get(rackId) ?? 0) + 1));
+    const ranked = spares.map((instanceId) => ({
+      instanceId,
+      neighbours: poolInRack.get(this.document.instances[instanceId]?.rackId ?? '') ?? 0,
+      isPending: Number(pending.has(instanceId)),
+    }));
+    ranked.sort((a, b) => a.neighbours - b.neighbours || a.isPending - b.isPending);
+    return ranked.map(({ instanceId }) => instanceId);
   }
 
   private cover(shortfall: Shortfall, free: readonly InstanceId[]): InstanceId[] {
--- a/packages/scenarios/src/fleet/FleetLoad.ts
+++ b/packages/scenarios/src/fleet/FleetLoad.ts
@@ -5,6 +5,9 @@
 
 const problemSchema = z.object({ type: z.string(), executed: z.string() });
 
+/** A request without an answer for so long counts as cut. */
+const ANSWER_TIMEOUT_MS = 15_000;
+
 export interface LoadOptions {
   readonly callerAddresses: readonly string[];
   readonly serviceIds: readonly ServiceId[];
@@ -27,7 +30,7 @@
   /** Problems by type. */
   readonly problems = new Map<string, number>();
 
-  private readonly agent = new Agent({ connections: 64 });
+  private readonly agent = new Agent({ connections: 64, headersTimeout: ANSWER_TIMEOUT_MS });
 
   private readonly open = new Set<Promise<void>>();
 
--- a/packages/scenarios/src/fleet/MaintenanceFleet.ts
+++ b/packages/scenarios/src/fleet/MaintenanceFleet.ts
@@ -107,7 +107,8 @@
 
   async stop(): Promise<void> {
     this.observer.dispose();
-    await Promise.all(this.entries.map((entry) => entry.stop()));
+    const living = this.entries.filter(({ isDisposed }) => !isDisposed);
+    await Promise.all(living.map((entry) => entry.stop()));
     await Promise.all([...this.targets.values()].map((target) => target.close()));
     await Promise.all([this.log.close(), this.directory.close(), this.control.close()]);
   }
