--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -3,7 +3,16 @@
  * decides nothing itself.
  */
 import { randomUUID } from 'node:crypto';
-import { type Clock, Disposable, Random, toDisposable } from '@acaciadock/core';
+import { setTimeout } from 'node:timers/promises';
+import {
+  type Clock,
+  Disposable,
+  type Logger,
+  Random,
+  SilentLogger,
+  toDisposable,
+  type WorkView,
+} from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
 import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
@@ -14,10 +23,23 @@
   HttpLogService,
   HttpPlatformClient,
 } from '@acaciadock/platform';
-import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
-import { Dispatcher } from '@acaciadock/scheduling';
+import {
+  AlarmLog,
+  ConfigFollower,
+  PatchSubmitter,
+  SnapshotPublisher,
+  snapshotScheduleFor,
+} from '@acaciadock/replication';
+import {
+  Dispatcher,
+  FleetWork,
+  LeavingWatch,
+  PoolHomes,
+  WorkReporter,
+} from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { ConfigRoutes } from './ConfigRoutes.js';
 import { CountingTargetClient } from './CountingTargetClient.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
@@ -25,6 +47,8 @@
 import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
 
+const GIVE_BACK_MS = 50;
+
 export interface EntryAddresses {
   readonly callerAddress: string;
   readonly operatorAddress: string;
@@ -42,12 +66,18 @@
 
   private readonly operators: OperatorServer;
 
+  private readonly dispatcher: Dispatcher;
+
+  /** The work on leaving instances, for maintenance. */
+  readonly work: WorkView;
+
   readonly maintenance: Maintenance;
 
   constructor(
     private readonly settings: Settings,
     clock: Clock,
     seed: number,
+    logger: Logger = new SilentLogger(),
   ) {
     super();
     const random = new Random(seed);
@@ -66,11 +96,41 @@
         random,
       ),
     );
+    this.follower.attach(this.links);
+    this.register(
+      new SnapshotPublisher(
+        log,
+        this.follower,
+        clock,
+        random,
+        snapshotScheduleFor(settings.platform.logRetentionMs),
+      ),
+    );
     const entryIds = settings.peers.map((peer) => peer.entryId);
-    const homes = new FixedMembership(entryIds);
+    const homes = new PoolHomes(new FixedMembership(entryIds), this.follower);
     const fence = new OpenFence();
     const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
-    this.register(new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation));
+    const directory = new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl));
+    const control = new HttpInstanceControl(this.platformCall(settings.platform.controlUrl));
+    this.dispatcher = this.register(
+      new Dispatcher({
+        config: this.follower,
+        credits,
+        fence,
+        homes,
+        network: this.links,
+        leaving: this.register(new LeavingWatch(directory, clock)),
+        control,
+        clock,
+        random,
+        incarnation,
+      }),
+    );
+    this.register(new WorkReporter(homes, this.links, clock));
+    this.work = this.register(new FleetWork(homes, this.links, clock));
+    this.register(
+      this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
+    );
     const desk = this.register(new TicketDesk(homes, this.links, clock));
     const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
@@ -85,8 +145,8 @@
         config: this.follower,
         writer: new PatchConfigWriter(submitter, clock),
         log,
-        control: new HttpInstanceControl(this.platformCall(settings.platform.controlUrl)),
-        directory: new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl)),
+        control,
+        directory,
         probe: this.register(new HttpInstanceProbe()),
         runs: targets,
         homes,
@@ -95,7 +155,9 @@
         random,
       }),
     );
-    this.operators = this.register(new OperatorServer(this.follower, submitter));
+    this.operators = this.register(
+      new OperatorServer([...this.configRoutes(submitter, clock).routes()]),
+    );
   }
 
   get entryId(): string {
@@ -124,9 +186,17 @@
   async stop(): Promise<void> {
     await this.maintenance.stop();
     await this.callers.stop();
+    this.dispatcher.stop();
+    // The tickets that it gives back leave in the next turns.
+    await setTimeout(GIVE_BACK_MS);
     this.dispose();
   }
 
+  private configRoutes(submitter: PatchSubmitter, clock: Clock): ConfigRoutes {
+    const alarms = this.register(new AlarmLog(this.follower, clock));
+    return new ConfigRoutes(this.settings.entryId, this.follower, submitter, alarms, clock);
+  }
+
   private platformCall(url: string): HttpPlatformClient {
     const client = new HttpPlatformClient(url);
     this.register(
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -1,9 +1,20 @@
-/** Settings of one entry process, read from one JSON file and checked as a whole. */
+/** Settings of one entry process: one JSON file, checked as a whole before anything starts. */
 import { entryIdSchema, zoneIdSchema } from '@acaciadock/core';
 import { addressSchema } from '@acaciadock/config';
 import { z } from 'zod';
 
 const peerSchema = z.strictObject({ entryId: entryIdSchema, address: addressSchema });
+const filePath = z.string().min(1);
+
+/** Key files for HTTPS towards callers and operators. */
+export const serverTlsSchema = z.strictObject({ certFile: filePath, keyFile: filePath });
+
+/** Key files for mutual TLS between entries; the certificate's name is the entry's id. */
+export const peerTlsSchema = z.strictObject({
+  certFile: filePath,
+  keyFile: filePath,
+  caFile: filePath,
+});
 
 /** Timing of the maintenance controller. The defaults suit every deployment known so far. */
 export const maintenanceSettingsSchema = z.strictObject({
@@ -29,6 +40,7 @@
 export const settingsSchema = z.strictObject({
   schemaVersion: z.literal(1),
   entryId: entryIdSchema,
+  /** The availability zone that this entry runs in. */
   zoneId: zoneIdSchema,
   /** Where callers reach this entry; port 0 takes a free one. */
   callerAddress: addressSchema,
@@ -36,12 +48,30 @@
   operatorAddress: addressSchema,
   /** Where other entries reach this entry. */
   peerAddress: addressSchema,
-  platform: z.strictObject({ logUrl: z.url(), directoryUrl: z.url(), controlUrl: z.url() }),
-  /** The entries of the deployment, this one included. */
+  platform: z.strictObject({
+    logUrl: z.url(),
+    directoryUrl: z.url(),
+    controlUrl: z.url(),
+    /** How long the log keeps a record. Snapshots are published well before it ends. */
+    logRetentionMs: z.int().min(60_000).default(86_400_000),
+  }),
+  /** Entries to begin with; all others are found through the roster in the log. */
   peers: z.array(peerSchema).default([]),
+  tls: z
+    .strictObject({
+      callers: serverTlsSchema.optional(),
+      peers: peerTlsSchema.optional(),
+      /** How often the key files are looked at for a change. */
+      reloadPeriodMs: z.int().min(100).default(10_000),
+    })
+    .optional(),
+  /** SHA-256, in hex, of each token that operators may use; none means that no token is asked. */
+  operatorTokenSha256s: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
   maintenance: maintenanceSettingsSchema.prefault({}),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
 export type SettingsInput = z.input<typeof settingsSchema>;
+export type ServerTlsSettings = z.infer<typeof serverTlsSchema>;
+export type PeerTlsSettings = z.infer<typeof peerTlsSchema>;
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -15,6 +15,12 @@
   ticketsCancelledSchema,
   ticketsReturnedSchema,
 } from './TicketMessages.js';
+import {
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
+  workReportSchema,
+} from './WorkMessages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
@@ -27,6 +33,10 @@
   grantEndedAckSchema,
   configPullSchema,
   configRecordsSchema,
+  workReportSchema,
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
   workQuerySchema,
   workReplySchema,
 ]);
