Service-level burn: recorded by each entry, kept in the log, reported with alerts and a page

Cause: operators had no way to see what was promised against what was kept. Each entry appends one summary a minute to its stream of the log; every entry merges all of them, so the report survives the replacement of every entry. A summary counts once, also after an append whose answer was lost (tests with refused and lost appends). Windows of 5 m, 1 h, 6 h and 3 d, multi-window alerts as JSON log lines, metrics as Prometheus text, acaciadock report burn|share, and one page with plots.

Weighed: counters in the log per request (too many appends), peers only (lost when all entries are replaced), a summary a minute per entry (8 entries: 0.13 appends a second of a budget of 5).

--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -3,6 +3,7 @@
 import { type CommandContext, type GlobalFlags } from './CommandContext.js';
 import { registerConfig } from './commands/config.js';
 import { registerKey } from './commands/key.js';
+import { registerReport } from './commands/report.js';
 import { registerSections } from './commands/sections.js';
 import { EXIT_CODE_HELP } from './ExitCode.js';
 import { OperatorClient } from './OperatorClient.js';
@@ -45,5 +46,6 @@
   registerConfig(program, context);
   registerSections(program, context);
   registerKey(program, context);
+  registerReport(program, context);
   return program;
 }
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -37,12 +37,12 @@
   PoolHomes,
   WorkReporter,
 } from '@acaciadock/scheduling';
-import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { ConfigRoutes } from './ConfigRoutes.js';
 import { CountingTargetClient } from './CountingTargetClient.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
+import { Observability } from './Observability.js';
 import { OperatorServer } from './OperatorServer.js';
 import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
@@ -58,7 +58,7 @@
 export class Entry extends Disposable {
   readonly follower: ConfigFollower;
 
-  readonly outcomes = new LastOutcomes();
+  readonly observability: Observability;
 
   private readonly links: PeerLinks;
 
@@ -97,6 +97,18 @@
       ),
     );
     this.follower.attach(this.links);
+    const { entryId } = settings;
+    this.observability = this.register(
+      new Observability({
+        entryId,
+        incarnation,
+        config: this.follower,
+        log,
+        clock,
+        random,
+        logger,
+      }),
+    );
     this.register(
       new SnapshotPublisher(
         log,
@@ -135,7 +147,7 @@
     const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
     this.callers = this.register(
-      new CallerServer(this.follower, fence, runner, this.outcomes, clock),
+      new CallerServer(this.follower, fence, runner, this.observability.recorder, clock),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
     this.maintenance = this.register(
@@ -156,7 +168,10 @@
       }),
     );
     this.operators = this.register(
-      new OperatorServer([...this.configRoutes(submitter, clock).routes()]),
+      new OperatorServer([
+        ...this.configRoutes(submitter, clock).routes(),
+        ...this.observability.routes(),
+      ]),
     );
   }
 
@@ -187,6 +202,7 @@
     await this.maintenance.stop();
     await this.callers.stop();
     this.dispatcher.stop();
+    await this.observability.burn.flush();
     // The tickets that it gives back leave in the next turns.
     await setTimeout(GIVE_BACK_MS);
     this.dispose();
--- /dev/null
+++ b/packages/daemon/src/Observability.ts
@@ -0,0 +1,70 @@
+/** What one entry tells about itself: request log, metrics, service-level burn and its alerts. */
+import { type Clock, Disposable, type Logger, type Random } from '@acaciadock/core';
+import { type ConfigView } from '@acaciadock/config';
+import { type LogService } from '@acaciadock/platform';
+import {
+  BurnAlerts,
+  BurnRecorder,
+  type BurnRecorderOptions,
+  buildBurnReport,
+  LastOutcomes,
+  Metrics,
+  OutcomeFanOut,
+  RequestLog,
+} from '@acaciadock/telemetry';
+import { type OperatorRoute } from './OperatorRoute.js';
+import { ReportRoutes } from './ReportRoutes.js';
+
+const ALERT_PERIOD_MS = 30_000;
+
+export interface ObservabilityOptions extends BurnRecorderOptions {
+  readonly config: ConfigView;
+  readonly log: LogService;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+}
+
+export class Observability extends Disposable {
+  readonly metrics = new Metrics();
+
+  readonly counts = new LastOutcomes();
+
+  readonly burn: BurnRecorder;
+
+  /** Where the gateway tells how requests ended. */
+  readonly recorder: OutcomeFanOut;
+
+  private readonly alerts = new BurnAlerts();
+
+  constructor(private readonly options: ObservabilityOptions) {
+    super();
+    const { config, log, clock, random, logger } = options;
+    this.burn = this.register(new BurnRecorder(options, config, log, clock, random));
+    this.recorder = new OutcomeFanOut([
+      this.counts,
+      this.metrics,
+      this.burn,
+      new RequestLog(logger),
+    ]);
+    this.register(this.alerts.onAlert((alert) => logger.warn('burn-alert', { ...alert })));
+    this.register(clock.every(ALERT_PERIOD_MS, () => this.evaluateAlerts()));
+    this.metrics.addGauge(
+      'acaciadock_config_version',
+      'Version of the configuration in force at this entry.',
+      () => config.state().version,
+    );
+  }
+
+  routes(): readonly OperatorRoute[] {
+    const { config, clock } = this.options;
+    return new ReportRoutes(config, this.burn, this.metrics, clock).routes();
+  }
+
+  private evaluateAlerts(): void {
+    const { config, clock } = this.options;
+    this.alerts.evaluate(
+      buildBurnReport(config.state().document, this.burn.history, clock.unixMs()),
+    );
+  }
+}
--- a/packages/daemon/src/OperatorRoute.ts
+++ b/packages/daemon/src/OperatorRoute.ts
@@ -6,7 +6,9 @@
 
 export interface OperatorAnswer {
   readonly statusCode: number;
+  /** Sent as JSON; with a `contentType`, a string that is sent as it is. */
   readonly body: unknown;
+  readonly contentType?: string;
 }
 
 export type BodyFailure = { readonly kind: 'body-too-large' } | { readonly kind: 'body-no-json' };
--- a/packages/daemon/src/OperatorServer.ts
+++ b/packages/daemon/src/OperatorServer.ts
@@ -39,10 +39,11 @@
 
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const [path = '', query = ''] = (request.url ?? '').split('?');
-    const { statusCode, body } = await this.dispatch(request, path, new URLSearchParams(query));
-    const bytes = Buffer.from(JSON.stringify(body));
+    const answer = await this.dispatch(request, path, new URLSearchParams(query));
+    const { statusCode, body, contentType } = answer;
+    const bytes = Buffer.from(contentType === undefined ? JSON.stringify(body) : String(body));
     response.writeHead(statusCode, {
-      'content-type': 'application/json',
+      'content-type': contentType ?? 'application/json',
       'content-length': bytes.length,
     });
     response.end(bytes);
--- /dev/null
+++ b/packages/telemetry/src/burn/classifyOutcome.ts
@@ -0,0 +1,28 @@
+/**
+ * What counts against a service's objectives. Faults of the caller (a wrong key, a malformed
+ * request, a hang-up) don't; everything that the service or this system failed to answer does,
+ * refusals under overload included.
+ */
+import { type RequestOutcome } from '@acaciadock/core';
+
+const CALLER_FAULTS: ReadonlySet<string> = new Set([
+  'malformed-request',
+  'request-too-large',
+  'unknown-service',
+  'key-missing',
+  'key-not-valid',
+  'team-limit-zero',
+  'already-accepted',
+  'claim-expired',
+  'claim-mismatch',
+  'cancelled',
+]);
+
+export type OutcomeClass = 'good' | 'slow' | 'bad' | 'not-counted';
+
+/** The class of an outcome under the service's latency objective, in milliseconds. */
+export function classifyOutcome(outcome: RequestOutcome, latencyObjectiveMs: number): OutcomeClass {
+  if (outcome.ok) return outcome.totalMs <= latencyObjectiveMs ? 'good' : 'slow';
+  if (CALLER_FAULTS.has(outcome.problemType ?? '')) return 'not-counted';
+  return 'bad';
+}
