Requests get one state machine, claims, whole answers and typed ends

Cause: the thin runner judged a request by its last attempt, so an idempotent one that was cut and then refused was told not run. Now every verdict is folded by RequestState, the only place that says executed no of an accepted request. undici calls its handler right before the first byte, which is where start-by (both clocks), fence and key are looked at, and what tells a send that may have left from one that has not. Keyed non-idempotent work is claimed in the log.

--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import { type Clock, Disposable, Random, toDisposable } from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TargetClient, TicketDesk } from '@acaciadock/gateway';
+import { Gateway } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
 import { HttpLogService, HttpPlatformClient } from '@acaciadock/platform';
@@ -29,7 +29,7 @@
 
   private readonly links: PeerLinks;
 
-  private readonly callers: CallerServer;
+  private readonly gateway: Gateway;
 
   private readonly operators: OperatorServer;
 
@@ -68,11 +68,18 @@
     const fence = new OpenFence();
     const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
     this.register(new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation));
-    const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new TargetClient(clock));
-    const runner = new RequestRunner(this.follower, desk, targets, clock, random);
-    this.callers = this.register(
-      new CallerServer(this.follower, fence, runner, this.outcomes, clock),
+    this.gateway = this.register(
+      new Gateway({
+        selfEntryId: settings.entryId,
+        config: this.follower,
+        fence,
+        homes,
+        network: this.links,
+        log,
+        recorder: this.outcomes,
+        clock,
+        random,
+      }),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
     this.operators = this.register(new OperatorServer(this.follower, submitter));
@@ -85,7 +92,7 @@
     void this.follower.run();
     return {
       peerAddress: listening.value,
-      callerAddress: await this.callers.listen(this.settings.callerAddress),
+      callerAddress: await this.gateway.listen(this.settings.callerAddress),
       operatorAddress: await this.operators.listen(this.settings.operatorAddress),
     };
   }
@@ -97,7 +104,7 @@
 
   /** Graceful stop: requests in progress are finished first. */
   async stop(): Promise<void> {
-    await this.callers.stop();
+    await this.gateway.stop();
     this.dispose();
   }
 }
--- /dev/null
+++ b/packages/gateway/src/RequestRun.ts
@@ -0,0 +1,255 @@
+/**
+ * Carries one accepted request from claim and ticket to its end: asks for grants, sends, retries
+ * where that is safe. The caller's end comes once: with the answer, with a problem, or at once
+ * when the deadline passes or the caller goes away. A non-idempotent send that has begun is left
+ * to finish even then, so that its credit and its kept answer are right.
+ */
+import { type Executed, type IDisposable, type TargetId, type ZoneId } from '@acaciadock/core';
+import { type Grant, type Ticket } from '@acaciadock/peers';
+import { type AcceptedRequest, type RequestEnd } from './AcceptedRequest.js';
+import { KeyedClaim } from './KeyedClaim.js';
+import { type ReceivedGrant, type TicketEnd } from './OpenTicket.js';
+import { type Problem, type ProblemType } from './Problem.js';
+import { problemOfRefusal } from './refusals.js';
+import { RequestState } from './RequestState.js';
+import { type RunServices } from './RunServices.js';
+import { type TargetCall } from './TargetCall.js';
+import { meaningOf, problemOf, type SendBlock, type TargetEnd } from './TargetEnd.js';
+
+const RETRY_JITTER_MS = 40;
+const RETRY_AFTER_MS = 1_000;
+
+export interface RunTrace {
+  attempts: number;
+  queuedMs: number;
+  targetId: TargetId | undefined;
+  zoneId: ZoneId | undefined;
+}
+
+export class RequestRun {
+  readonly trace: RunTrace = { attempts: 0, queuedMs: 0, targetId: undefined, zoneId: undefined };
+
+  private readonly state: RequestState;
+
+  private readonly claim: KeyedClaim | undefined;
+
+  private readonly avoidTargetIds: string[] = [];
+
+  private readonly avoidRackIds: string[] = [];
+
+  private deadline: IDisposable | undefined;
+
+  private retry: IDisposable | undefined;
+
+  private call: TargetCall | undefined;
+
+  private queuedAtMs = 0;
+
+  private sentAtMs: number | undefined;
+
+  constructor(
+    private readonly request: AcceptedRequest,
+    private readonly services: RunServices,
+    private readonly settle: (end: RequestEnd) => void,
+  ) {
+    const { service, mark } = request;
+    this.state = new RequestState(service.idempotent, service.maxAttempts);
+    if (mark && !service.idempotent) this.claim = new KeyedClaim(request, mark, services);
+  }
+
+  start(): void {
+    const { clock, retries } = this.services;
+    const leftMs = Math.max(0, this.request.deadlineAtMs - clock.unixMs());
+    this.deadline = clock.after(leftMs, () => this.giveUp(this.deadlineProblem()));
+    retries.earn(this.request.serviceId, this.request.service.retryBudgetRatio);
+    if (this.claim) void this.startClaimed(this.claim);
+    else this.queue();
+  }
+
+  /** The caller hung up. */
+  callerGone(): void {
+    this.giveUp({ type: 'cancelled', detail: 'the caller went away' });
+  }
+
+  private get isEnded(): boolean {
+    return this.state.phase === 'ended';
+  }
+
+  private get ticketId(): string {
+    return `${this.request.requestId}:${this.state.attempts}`;
+  }
+
+  private async startClaimed(claim: KeyedClaim): Promise<void> {
+    const result = await claim.run();
+    if (!result || this.isEnded) return;
+    if (result.kind === 'first') this.queue();
+    else if (result.kind === 'replay') {
+      this.finish({ kind: 'answered', answer: result.answer, isReplay: true }, 'yes');
+    } else this.fail(result.problem, result.atLeast);
+  }
+
+  private queue(): void {
+    this.state.queue();
+    this.trace.attempts = this.state.attempts;
+    this.queuedAtMs = this.services.clock.monotonicMs();
+    this.services.desk.submit(this.ticket(), (end) => this.ticketEnded(end));
+  }
+
+  private ticket(): Ticket {
+    const { request } = this;
+    return {
+      kind: 'ticket',
+      ticketId: this.ticketId,
+      serviceId: request.serviceId,
+      teamId: request.teamId,
+      urgency: request.urgency,
+      acceptedAtMs: request.acceptedAtMs,
+      deadlineAtMs: request.deadlineAtMs,
+      idempotent: request.service.idempotent,
+      attempt: this.state.attempts,
+      avoidTargetIds: this.avoidTargetIds,
+      avoidRackIds: this.avoidRackIds,
+    };
+  }
+
+  private ticketEnded(end: TicketEnd): void {
+    this.trace.queuedMs += this.services.clock.monotonicMs() - this.queuedAtMs;
+    if (end.kind === 'refused') {
+      this.fail(problemOfRefusal(end.refusal));
+      return;
+    }
+    this.state.grant();
+    this.send(end);
+  }
+
+  private send(received: ReceivedGrant): void {
+    const { grant } = received;
+    const { request, services } = this;
+    const instance = services.config.state().document.instances[grant.targetId];
+    if (!instance) {
+      this.attemptEnded(received, { kind: 'not-started', block: 'target-left' });
+      return;
+    }
+    this.trace.targetId = grant.targetId;
+    this.trace.zoneId = instance.zoneId;
+    this.sentAtMs = undefined;
+    this.call = services.targets.start({
+      targetId: grant.targetId,
+      address: instance.address,
+      connections: instance.connections,
+      slots: instance.slots,
+      requestId: request.requestId,
+      serviceId: request.serviceId,
+      teamId: request.teamId,
+      leaseExpiresAtMs: grant.leaseExpiresAtMs,
+      endsAtMs: grant.leaseExpiresAtMs,
+      body: request.body,
+      contentType: request.contentType,
+      maxAnswerBytes: request.service.maxAnswerBytes,
+      mayStart: () => this.blockOf(received),
+      onStart: () => this.sendBegins(),
+      onEnd: (end) => this.attemptEnded(received, end),
+    });
+  }
+
+  /** The last look before the first byte: this process may have been paused since the grant. */
+  private blockOf({ grant, startByMonotonicMs }: ReceivedGrant): SendBlock | undefined {
+    const { clock, config, fence } = this.services;
+    if (this.isEnded) return 'request-ended';
+    if (clock.unixMs() >= grant.startByMs) return 'start-by-passed';
+    if (clock.monotonicMs() >= startByMonotonicMs) return 'start-by-passed';
+    if (fence.reason()) return 'fenced';
+    const { teamId, keyId } = this.request;
+    if (keyId === undefined) return undefined;
+    const keys = config.state().document.teams[teamId]?.keys;
+    return keys && Object.hasOwn(keys, keyId) ? undefined : 'key-withdrawn';
+  }
+
+  private sendBegins(): void {
+    this.sentAtMs = this.services.clock.monotonicMs();
+    this.state.send();
+  }
+
+  private attemptEnded({ grant, homeEntryId }: ReceivedGrant, end: TargetEnd): void {
+    const { outcome, verdict } = meaningOf(end);
+    this.services.desk.end(homeEntryId, grant, outcome, this.runMs());
+    if (this.isEnded) {
+      this.keepLate(end);
+      return;
+    }
+    this.state.attemptOver(verdict);
+    if (end.kind === 'answered') {
+      this.finish({ kind: 'answered', answer: end.answer, isReplay: false }, 'yes');
+      return;
+    }
+    this.tryAgain(grant, end);
+  }
+
+  private runMs(): number {
+    return this.sentAtMs === undefined ? 0 : this.services.clock.monotonicMs() - this.sentAtMs;
+  }
+
+  private tryAgain(grant: Grant, end: TargetEnd): void {
+    const { clock, config, random, retries } = this.services;
+    const { serviceId } = this.request;
+    const mayTry = meaningOf(end).retry && this.state.mayTry;
+    if (!mayTry || (end.kind !== 'not-started' && !retries.trySpend(serviceId))) {
+      const isNotRun = this.state.executed() === 'no';
+      this.fail({ ...problemOf(end), ...(isNotRun ? { retryAfterMs: RETRY_AFTER_MS } : {}) });
+      return;
+    }
+    this.avoidTargetIds.push(grant.targetId);
+    const rackId = config.state().document.instances[grant.targetId]?.rackId;
+    if (rackId !== undefined) this.avoidRackIds.push(rackId);
+    const delayMs = random.next() * RETRY_JITTER_MS * this.state.attempts;
+    this.retry = clock.after(delayMs, () => this.queue());
+  }
+
+  private deadlineProblem(): Omit<Problem, 'executed'> {
+    const detail = 'the deadline of the request passed';
+    const type: ProblemType = this.state.phase === 'sent' ? this.silenceType() : 'queue-timeout';
+    return { type, detail };
+  }
+
+  private silenceType(): ProblemType {
+    return this.call?.hasFirstByte ? 'answer-stalled' : 'no-first-byte';
+  }
+
+  /** Ends the request for the caller at once, whatever it is doing. */
+  private giveUp(problem: Omit<Problem, 'executed'>): void {
+    if (this.isEnded) return;
+    const { phase } = this.state;
+    if (phase === 'queued') this.services.desk.cancel(this.ticketId);
+    this.claim?.abandon();
+    this.fail(problem);
+    if (phase === 'granted' || (phase === 'sent' && this.request.service.idempotent)) {
+      this.call?.abort();
+    }
+  }
+
+  private fail(problem: Omit<Problem, 'executed'>, atLeast: Executed = 'no'): void {
+    const isSent = this.state.phase === 'sent';
+    const executed = this.state.end(atLeast);
+    if (executed === 'no') this.claim?.end({ kind: 'not-run' });
+    else if (!isSent) this.claim?.end({ kind: 'no-answer' });
+    this.settleOnce({ kind: 'problem', problem: { ...problem, executed } });
+  }
+
+  private finish(end: RequestEnd & { kind: 'answered' }, atLeast: Executed): void {
+    this.state.end(atLeast);
+    this.claim?.end({ kind: 'answered', answer: end.answer });
+    this.settleOnce(end);
+  }
+
+  /** The caller has its end already; a repeat of a keyed request may still get the answer. */
+  private keepLate(end: TargetEnd): void {
+    if (end.kind === 'answered') this.claim?.end({ kind: 'answered', answer: end.answer });
+    else this.claim?.end({ kind: 'no-answer' });
+  }
+
+  private settleOnce(end: RequestEnd): void {
+    this.deadline?.dispose();
+    this.retry?.dispose();
+    this.settle(end);
+  }
+}
--- a/packages/gateway/src/TargetClient.ts
+++ b/packages/gateway/src/TargetClient.ts
@@ -1,131 +1,59 @@
-/**
- * Sends one run to one target and takes its whole answer. Every way it can end is a type that
- * says whether the work can have run.
- */
-import { type Clock, Disposable, type TargetId, toDisposable } from '@acaciadock/core';
-import { type Dispatcher, Pool } from 'undici';
+/** Sends one run to one target. Every way it can end is a `TargetEnd`. */
+import { type Clock, Disposable, type HomeMap } from '@acaciadock/core';
+import { type ConfigView } from '@acaciadock/config';
+import { type AnswerCounts, noAnswerCounts } from './AnswerCounts.js';
+import { TargetCall } from './TargetCall.js';
+import { TargetPools } from './TargetPools.js';
+import { type TargetRun } from './TargetRun.js';
 
-const CONNECT_TIMEOUT_MS = 1_000;
-const NOT_SENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+const RUN_PATH = '/run';
 
-export interface TargetRun {
-  readonly targetId: TargetId;
-  readonly address: string;
-  readonly connections: number;
-  readonly requestId: string;
-  readonly serviceId: string;
-  readonly teamId: string;
-  readonly startByMs: number;
-  readonly leaseExpiresAtMs: number;
-  readonly body: Buffer;
-  readonly contentType: string;
-  readonly maxAnswerBytes: number;
-}
-
-export type TargetEnd =
-  /** The start-by instant had passed: nothing was sent. */
-  | { readonly kind: 'not-started' }
-  /** No connection: nothing was sent. */
-  | { readonly kind: 'unreachable' }
-  /** The target says that it did not run the work. */
-  | { readonly kind: 'refused' }
-  | { readonly kind: 'answered'; readonly contentType: string; readonly body: Buffer }
-  /** The target says that it ran the work and that it failed. */
-  | { readonly kind: 'failed'; readonly statusCode: number }
-  /** The answer was cut, crossed or late: the work may have run, or may still run. */
-  | { readonly kind: 'incomplete'; readonly detail: string }
-  | { readonly kind: 'too-large' };
-
-function codeOf(cause: unknown): string {
-  return cause instanceof Error && 'code' in cause ? String(cause.code) : '';
-}
+export class TargetClient extends Disposable {
+  /** Answers that were dropped since the start. */
+  readonly dropped: AnswerCounts = noAnswerCounts();
 
-function headerOf(answer: Dispatcher.ResponseData, name: string): string {
-  return String(answer.headers[name] ?? '');
-}
+  private running = 0;
 
-export class TargetClient extends Disposable {
-  private readonly pools = new Map<string, Pool>();
+  private readonly pools: TargetPools;
 
-  constructor(private readonly clock: Clock) {
+  constructor(
+    homes: HomeMap,
+    config: ConfigView,
+    private readonly clock: Clock,
+  ) {
     super();
-    this.register(
-      toDisposable(() => {
-        this.pools.forEach((pool) => {
-          void pool.destroy();
-        });
-      }),
-    );
+    this.pools = this.register(new TargetPools(homes, config));
+  }
+
+  /** Sends that have not ended, those included whose callers went away. */
+  get runningCalls(): number {
+    return this.running;
   }
 
-  async run(run: TargetRun): Promise<TargetEnd> {
-    // Checked last of all before the first byte: this process may have been paused since the grant.
-    const nowMs = this.clock.unixMs();
-    if (nowMs >= run.startByMs) return { kind: 'not-started' };
-    const timeoutMs = run.leaseExpiresAtMs - nowMs;
-    try {
-      const answer = await this.poolOf(run).request({
+  /** Starts a send; the run is told of its start and its end. */
+  start(run: TargetRun): TargetCall {
+    this.running += 1;
+    const call = new TargetCall(run, this.dropped, this.clock, this.callEnded);
+    this.pools.poolFor(run).dispatch(
+      {
         method: 'POST',
-        path: '/run',
+        path: RUN_PATH,
         headers: {
           'content-type': run.contentType,
           'x-request-id': run.requestId,
           'x-service-id': run.serviceId,
           'x-team-id': run.teamId,
+          'x-target-id': run.targetId,
           'x-lease-expires-at-ms': String(run.leaseExpiresAtMs),
         },
         body: run.body,
-        headersTimeout: timeoutMs,
-        bodyTimeout: timeoutMs,
-      });
-      return await TargetClient.take(run, answer);
-    } catch (cause) {
-      if (NOT_SENT_CODES.has(codeOf(cause))) return { kind: 'unreachable' };
-      return { kind: 'incomplete', detail: codeOf(cause) };
-    }
-  }
-
-  private static async take(run: TargetRun, answer: Dispatcher.ResponseData): Promise<TargetEnd> {
-    if (headerOf(answer, 'x-executed') === 'no') {
-      await answer.body.dump();
-      return { kind: 'refused' };
-    }
-    if (headerOf(answer, 'x-request-id') !== run.requestId) {
-      answer.body.destroy();
-      return { kind: 'incomplete', detail: 'the answer names another request' };
-    }
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of answer.body) {
-      chunks.push(chunk as Buffer);
-      bytes += (chunk as Buffer).length;
-      if (bytes <= run.maxAnswerBytes) continue;
-      answer.body.destroy();
-      return { kind: 'too-large' };
-    }
-    if (answer.statusCode >= 400) return { kind: 'failed', statusCode: answer.statusCode };
-    return {
-      kind: 'answered',
-      contentType: headerOf(answer, 'content-type'),
-      body: Buffer.concat(chunks),
-    };
+      },
+      call,
+    );
+    return call;
   }
 
-  private poolOf(run: TargetRun): Pool {
-    const key = `${run.targetId} ${run.address}`;
-    const known = this.pools.get(key);
-    if (known) return known;
-    const pool = new Pool(`http://${run.address}`, {
-      connections: run.connections,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-    });
-    this.pools.set(key, pool);
-    return pool;
-  }
+  private readonly callEnded = (): void => {
+    this.running -= 1;
+  };
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,4 +1,5 @@
 /** Public interface: the messages between entries and the links that carry them. */
+export * from './messages/AnswerMessages.js';
 export * from './messages/ConfigMessages.js';
 export * from './messages/HeartbeatMessages.js';
 export * from './messages/PeerMessage.js';
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -3,6 +3,7 @@
  * what arrives against this schema; what does not fit is dropped and counted.
  */
 import { z } from 'zod';
+import { answerQuerySchema, answerReplySchema } from './AnswerMessages.js';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
 import {
@@ -24,6 +25,8 @@
   ticketRefusedSchema,
   grantEndedSchema,
   grantEndedAckSchema,
+  answerQuerySchema,
+  answerReplySchema,
   configPullSchema,
   configRecordsSchema,
 ]);
--- a/packages/testkit/src/TargetStandIn.ts
+++ b/packages/testkit/src/TargetStandIn.ts
@@ -3,33 +3,21 @@
  * records every run, which is what tests check outcomes against.
  */
 import { type IncomingMessage, type ServerResponse } from 'node:http';
+import { type Socket } from 'node:net';
 import { type Clock, type TargetId } from '@acaciadock/core';
 import { HttpStandIn } from './HttpStandIn.js';
+import { type TargetBehaviour } from './TargetBehaviour.js';
 
 const DEFAULT_SLOTS = 8;
-
-/** What the target does with a request that it was sent. */
-export type TargetBehaviour =
-  /** Runs it and answers in full. */
-  | 'answer'
-  /** Answers at once that the work failed. */
-  | 'fail-fast'
-  /** Cuts the connection before the work begins. */
-  | 'cut-before-run'
-  /** Runs the work, then cuts the connection without an answer. */
-  | 'cut-after-run'
-  /** Sends half of the answer, then cuts. */
-  | 'cut-midway'
-  /** Answers with another request's id. */
-  | 'crossed'
-  /** Runs and never answers. */
-  | 'silent'
-  /** Runs at a tenth of the speed. */
-  | 'slow';
+const JOB_CHARACTERS = 64;
+const OVERSIZE_BYTES = 65 * 1024 * 1024;
+const SLOW_FACTOR = 10;
 
 export interface TargetRun {
   readonly requestId: string;
   readonly teamId: string;
+  /** The beginning of the body, by which a test knows its work again. */
+  readonly job: string;
   readonly startedAtMs: number;
   endedAtMs: number | undefined;
 }
@@ -41,6 +29,10 @@
 
   mostRunning = 0;
 
+  connections = 0;
+
+  mostConnections = 0;
+
   /** A leaving target still finishes its work and refuses new work. */
   leaving = false;
 
@@ -56,6 +48,7 @@
     private readonly slots = DEFAULT_SLOTS,
   ) {
     super();
+    this.server.on('connection', (socket: Socket) => this.countConnection(socket));
   }
 
   protected override async answer(
@@ -73,36 +66,50 @@
       return;
     }
     const body = await HttpStandIn.readBody(request);
-    if (this.refuses(request)) {
+    response.setHeader('x-request-id', requestId);
+    if (behaviour === 'refuse' || behaviour === 'crossed-refusal' || this.refuses(request)) {
+      if (behaviour === 'crossed-refusal') response.setHeader('x-request-id', `${requestId}-other`);
       response.setHeader('x-executed', 'no');
       HttpStandIn.send(response, 503, { reason: 'not run' });
+      if (behaviour === 'crossed-refusal') await this.run(request, requestId, body, behaviour);
       return;
     }
-    if (behaviour === 'fail-fast') {
-      response.setHeader('x-request-id', requestId);
-      HttpStandIn.send(response, 500, { reason: 'failed' });
+    if (behaviour === 'fail-fast' || behaviour === 'reject') {
+      HttpStandIn.send(response, behaviour === 'reject' ? 422 : 500, { reason: behaviour });
       return;
     }
-    await this.run(request, requestId, body, behaviour);
-    this.reply(response, requestId, body, behaviour);
+    const isDone = await this.run(request, requestId, body, behaviour);
+    if (isDone) this.reply(response, requestId, body, behaviour);
+    else HttpStandIn.send(response, 500, { reason: 'the lease lapsed' });
+  }
+
+  private countConnection(socket: Socket): void {
+    this.connections += 1;
+    this.mostConnections = Math.max(this.mostConnections, this.connections);
+    socket.once('close', () => {
+      this.connections -= 1;
+    });
   }
 
   private refuses(request: IncomingMessage): boolean {
+    const meantFor = request.headers['x-target-id'];
+    if (meantFor !== undefined && meantFor !== this.targetId) return true;
     const leaseExpiresAtMs = Number(request.headers['x-lease-expires-at-ms']);
     if (leaseExpiresAtMs <= this.clock.unixMs()) return true;
     return this.leaving || this.running >= this.slots;
   }
 
+  /** Runs the work for its time; false if its lease lapsed first and stopped it. */
   private async run(
     request: IncomingMessage,
     requestId: string,
     body: Buffer,
     behaviour: TargetBehaviour,
-  ): Promise<void> {
-    const teamId = String(request.headers['x-team-id']);
+  ): Promise<boolean> {
     const run: TargetRun = {
       requestId,
-      teamId,
+      teamId: String(request.headers['x-team-id']),
+      job: body.toString('utf8', 0, JOB_CHARACTERS),
       startedAtMs: this.clock.unixMs(),
       endedAtMs: undefined,
     };
@@ -110,10 +117,12 @@
     this.running += 1;
     this.mostRunning = Math.max(this.mostRunning, this.running);
     const leaseMs = Number(request.headers['x-lease-expires-at-ms']) - this.clock.unixMs();
-    const wantedMs = this.runMs(body) * (behaviour === 'slow' ? 10 : 1);
-    await this.clock.sleep(Math.min(wantedMs, leaseMs));
+    const wantedMs = this.runMs(body) * (behaviour === 'slow' ? SLOW_FACTOR : 1);
+    const runMs = Math.min(wantedMs, leaseMs);
+    if (runMs > 0) await this.clock.sleep(runMs);
     this.running -= 1;
     run.endedAtMs = this.clock.unixMs();
+    return wantedMs <= leaseMs;
   }
 
   private reply(
@@ -127,18 +136,38 @@
       response.destroy();
       return;
     }
-    const answer = Buffer.from(
-      JSON.stringify({ requestId, targetId: this.targetId, bytes: body.length }),
-    );
-    response.writeHead(200, {
+    const answer = this.answerBytes(requestId, body, behaviour);
+    const half = answer.subarray(0, answer.length / 2);
+    response.writeHead(200, TargetStandIn.answerHeaders(requestId, answer, behaviour));
+    if (behaviour === 'cut-midway') response.write(half, () => response.destroy());
+    else if (behaviour === 'cut-chunks') response.write(half, () => response.socket?.end());
+    else if (behaviour === 'stall') response.write(half);
+    else response.end(answer);
+  }
+
+  private answerBytes(requestId: string, body: Buffer, behaviour: TargetBehaviour): Buffer {
+    if (behaviour === 'oversize') return Buffer.alloc(OVERSIZE_BYTES);
+    const job = body.toString('utf8', 0, JOB_CHARACTERS);
+    const { targetId } = this;
+    return Buffer.from(JSON.stringify({ requestId, targetId, bytes: body.length, job }));
+  }
+
+  private static answerHeaders(
+    requestId: string,
+    answer: Buffer,
+    behaviour: TargetBehaviour,
+  ): Record<string, string | number> {
+    const headers: Record<string, string | number> = {
       'content-type': 'application/json',
-      'content-length': answer.length,
       'x-request-id': behaviour === 'crossed' ? `${requestId}-other` : requestId,
-    });
-    if (behaviour !== 'cut-midway') {
-      response.end(answer);
-      return;
+    };
+    if (behaviour === 'answer-chunked') return headers;
+    if (behaviour === 'cut-chunks') {
+      return { ...headers, 'transfer-encoding': 'chunked', connection: 'close' };
+    }
+    if (behaviour === 'no-length') {
+      return { ...headers, 'transfer-encoding': 'identity', connection: 'close' };
     }
-    response.write(answer.subarray(0, answer.length / 2), () => response.destroy());
+    return { ...headers, 'content-length': answer.length };
   }
 }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -3,5 +3,6 @@
 export * from './LogStandIn.js';
 export * from './DirectoryStandIn.js';
 export * from './ControlStandIn.js';
+export * from './TargetBehaviour.js';
 export * from './TargetStandIn.js';
 export * from './exampleDocument.js';
