--- a/packages/gateway/src/RequestParser.ts
+++ b/packages/gateway/src/RequestParser.ts
@@ -57,10 +57,7 @@
   return Array.isArray(value) ? value.join(', ') : value;
 }
 
-function parseService(
-  head: RequestHead,
-  document: ConfigDocument,
-): Parsed<[string, ServiceConfig]> {
+function parseService(head: RequestHead, document: ConfigDocument): Parsed<FoundService> {
   const [path = ''] = head.url.split('?', 1);
   const serviceId = REQUEST_PATH.exec(path)?.[1];
   if (serviceId === undefined || !Object.hasOwn(document.services, serviceId)) {
--- /dev/null
+++ b/packages/scenarios/src/EntryFleet.ts
@@ -0,0 +1,237 @@
+/**
+ * Real entries, the stand-ins of the platform and stand-in targets in one process over loopback
+ * sockets: what the tests of the promises and the benches of outcomes try to break.
+ */
+import {
+  type ConfigDocument,
+  EMPTY_DOCUMENT,
+  type ServiceConfig,
+  TeamKey,
+} from '@acaciadock/config';
+import { type Clock, SystemClock } from '@acaciadock/core';
+import { Entry, type EntryAddresses, settingsSchema } from '@acaciadock/daemon';
+import { CONFIG_STREAM } from '@acaciadock/platform';
+import {
+  ControlStandIn,
+  DirectoryStandIn,
+  exampleDocument,
+  LogStandIn,
+  TargetStandIn,
+} from '@acaciadock/testkit';
+import { Pool } from 'undici';
+import { type CallerAnswer, type CallerRequest, readAnswer } from './CallerAnswer.js';
+
+const ANY_PORT = '127.0.0.1:0';
+const POLL_MS = 10;
+const TEAM_ID = 'bench-desk';
+const DEFAULT_TEAM_LIMIT = 1_000;
+const CALLER_CONNECTIONS = 256;
+
+export interface EntryFleetOptions {
+  readonly seed: number;
+  readonly entries?: number;
+  readonly targets?: number;
+  readonly slots?: number;
+  readonly teamLimit?: number;
+  readonly services?: Readonly<Record<string, Partial<ServiceConfig> & { idempotent: boolean }>>;
+}
+
+export class EntryFleet {
+  readonly log: LogStandIn;
+
+  readonly directory: DirectoryStandIn;
+
+  readonly control: ControlStandIn;
+
+  readonly targets: TargetStandIn[] = [];
+
+  readonly entries: Entry[] = [];
+
+  readonly addresses: EntryAddresses[] = [];
+
+  readonly teamId = TEAM_ID;
+
+  teamKey = '';
+
+  private readonly callers: Pool[] = [];
+
+  private version = 0;
+
+  constructor(
+    private readonly options: EntryFleetOptions,
+    readonly clock: Clock = new SystemClock(),
+  ) {
+    this.log = new LogStandIn(clock);
+    this.directory = new DirectoryStandIn(clock);
+    this.control = new ControlStandIn(clock);
+  }
+
+  async start(): Promise<void> {
+    await Promise.all([this.log.listen(), this.directory.listen(), this.control.listen()]);
+    await this.startTargets();
+    this.publishDocument();
+    await this.startEntries();
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.callers.map((caller) => caller.destroy()));
+    await Promise.all(this.entries.map((entry) => (entry.isDisposed ? undefined : entry.stop())));
+    await Promise.all(this.targets.map((target) => target.close()));
+    await Promise.all([this.log.close(), this.directory.close(), this.control.close()]);
+  }
+
+  /** Ends an entry without warning: its sockets are cut. */
+  kill(index: number): void {
+    this.entries[index]?.dispose();
+  }
+
+  /** Puts an entry in the place of one that ended. */
+  async replace(index: number): Promise<void> {
+    await this.callers[index]?.destroy();
+    const entry = this.createEntry(`e${index}`, index);
+    this.entries[index] = entry;
+    this.addresses[index] = await entry.start();
+    this.callers[index] = this.callerPool(index);
+    this.connectEntries();
+    await this.untilVersion(this.version);
+  }
+
+  /** Appends a patch of the configuration and waits until every live entry has it. */
+  async patch(operations: readonly unknown[]): Promise<void> {
+    this.appendPatch(operations);
+    await this.untilVersion(this.version);
+  }
+
+  /** Sends a request to an entry and reads its answer to the end. */
+  async send(index: number, request: CallerRequest): Promise<CallerAnswer> {
+    const { serviceId = 'advice', headers = {}, body = '', signal } = request;
+    const caller = this.callers[index];
+    if (!caller) throw new RangeError(`no entry ${index}`);
+    return readAnswer(() =>
+      caller.request({
+        method: 'POST',
+        path: `/v1/services/${serviceId}/requests`,
+        headers: { authorization: `Bearer ${this.teamKey}`, ...headers },
+        body,
+        ...(signal ? { signal } : {}),
+      }),
+    );
+  }
+
+  /** All runs of a job, whichever target recorded them. */
+  runsOf(job: string): number {
+    return this.targets.reduce(
+      (sum, { runs }) => sum + runs.filter((run) => run.job === job).length,
+      0,
+    );
+  }
+
+  private async startTargets(): Promise<void> {
+    const { targets = 4, slots } = this.options;
+    for (let index = 0; index < targets; index += 1) {
+      const target = new TargetStandIn(`t${index}`, this.clock, slots);
+      await target.listen();
+      this.targets.push(target);
+      this.directory.set({ instanceId: target.targetId, role: 'target', state: 'live' });
+    }
+  }
+
+  private publishDocument(): void {
+    const { teamLimit = DEFAULT_TEAM_LIMIT, slots = 8 } = this.options;
+    const services = this.options.services ?? { advice: { idempotent: true } };
+    const document = exampleDocument({
+      targets: this.targets.map(({ targetId, address }) => ({ instanceId: targetId, address })),
+      teams: { [TEAM_ID]: { share: 1, limit: teamLimit } },
+      services,
+    });
+    Object.values(document.instances).forEach((instance) => Object.assign(instance, { slots }));
+    Object.entries(services).forEach(([serviceId, changes]) => {
+      Object.assign(document.services[serviceId] ?? {}, changes);
+    });
+    this.grantKey(document);
+    this.appendPatch(
+      Object.keys(EMPTY_DOCUMENT).map((field) => ({
+        op: 'replace',
+        path: `/${field}`,
+        value: document[field as keyof typeof document],
+      })),
+    );
+  }
+
+  private grantKey(document: ConfigDocument): void {
+    const { keyId, key, sha256 } = TeamKey.create(TEAM_ID);
+    this.teamKey = key;
+    const team = document.teams[TEAM_ID];
+    if (team) team.keys[keyId] = { sha256, grantedAtMs: this.clock.unixMs(), note: '' };
+  }
+
+  private appendPatch(operations: readonly unknown[]): void {
+    this.log.append(CONFIG_STREAM, [
+      {
+        kind: 'patch',
+        schemaVersion: 1,
+        patchId: `patch-${this.version}`,
+        baseVersion: this.version,
+        author: 'test',
+        submittedAtMs: this.clock.unixMs(),
+        operations,
+      },
+    ]);
+    this.version += 1;
+  }
+
+  private async startEntries(): Promise<void> {
+    for (let index = 0; index < this.entryCount; index += 1) {
+      const entry = this.createEntry(`e${index}`, index);
+      this.entries.push(entry);
+      this.addresses.push(await entry.start());
+      this.callers.push(this.callerPool(index));
+    }
+    this.connectEntries();
+    await this.untilVersion(this.version);
+  }
+
+  private get entryCount(): number {
+    return this.options.entries ?? 1;
+  }
+
+  private createEntry(entryId: string, index: number): Entry {
+    const entryIds = Array.from({ length: this.entryCount }, (_, place) => `e${place}`);
+    const settings = settingsSchema.parse({
+      schemaVersion: 1,
+      entryId,
+      zoneId: 'zone-a',
+      callerAddress: ANY_PORT,
+      operatorAddress: ANY_PORT,
+      peerAddress: ANY_PORT,
+      platform: {
+        logUrl: `http://${this.log.address}`,
+        directoryUrl: `http://${this.directory.address}`,
+        controlUrl: `http://${this.control.address}`,
+      },
+      peers: entryIds.map((peerId) => ({ entryId: peerId, address: ANY_PORT })),
+    });
+    return new Entry(settings, this.clock, this.options.seed + index);
+  }
+
+  private callerPool(index: number): Pool {
+    const address = this.addresses[index]?.callerAddress;
+    return new Pool(`http://${address}`, { connections: CALLER_CONNECTIONS });
+  }
+
+  private connectEntries(): void {
+    const peers = this.addresses.map(({ peerAddress }, index) => ({
+      entryId: `e${index}`,
+      address: peerAddress,
+    }));
+    this.entries.forEach((entry) => {
+      if (!entry.isDisposed) entry.setPeers(peers);
+    });
+  }
+
+  private async untilVersion(version: number): Promise<void> {
+    const isBehind = (entry: Entry): boolean =>
+      !entry.isDisposed && entry.follower.state().version < version;
+    while (this.entries.some(isBehind)) await this.clock.sleep(POLL_MS);
+  }
+}
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,2 +1,3 @@
-/** Scenarios and promise tests run from here; there is no interface to import. */
-export {};
+/** Public interface: a fleet of real entries for tests and benches. */
+export * from './CallerAnswer.js';
+export * from './EntryFleet.js';
--- /dev/null
+++ b/packages/scenarios/src/promises/graceful-stop.test.ts
@@ -0,0 +1,70 @@
+import { describe, it } from '@acaciadock/core/testing';
+import { type CallerAnswer } from '../CallerAnswer.js';
+import { EntryFleet } from '../EntryFleet.js';
+
+const SEED = 6_004;
+const REQUESTS = 40;
+const RUN_MS = 150;
+
+async function withFleet(use: (fleet: EntryFleet) => Promise<void>): Promise<void> {
+  const services = { advice: { idempotent: true }, filing: { idempotent: false } };
+  const fleet = new EntryFleet({ seed: SEED, entries: 2, targets: 3, services });
+  await fleet.start();
+  fleet.targets.forEach((target) => Object.assign(target, { runMs: () => RUN_MS }));
+  await use(fleet);
+  await fleet.stop();
+}
+
+function sendMany(fleet: EntryFleet, entryIndex: number): Promise<CallerAnswer>[] {
+  return Array.from({ length: REQUESTS }, (_, index) =>
+    fleet.send(entryIndex, {
+      serviceId: index % 2 === 0 ? 'advice' : 'filing',
+      body: `job-${index}`,
+    }),
+  );
+}
+
+describe('A planned stop cuts no request in progress', () => {
+  it('when an entry stops with requests queued and running', async (t) => {
+    await withFleet(async (fleet) => {
+      const sent = sendMany(fleet, 0);
+      await fleet.clock.sleep(RUN_MS / 2);
+      const stopped = fleet.entries[0]?.stop();
+      const answers = await Promise.all(sent);
+      await stopped;
+      const lost = answers.filter(({ statusCode }) => statusCode !== 200);
+      t.same(lost, []);
+      t.ok(answers.every((_, index) => fleet.runsOf(`job-${index}`) === 1));
+    });
+  });
+
+  it('when a caller is gone: its non-idempotent work still ends before the entry does', async (t) => {
+    await withFleet(async (fleet) => {
+      const hangUp = new AbortController();
+      const { signal } = hangUp;
+      const sent = fleet.send(0, { serviceId: 'filing', body: 'job', signal });
+      await fleet.clock.sleep(RUN_MS / 2);
+      hangUp.abort();
+      t.equal((await sent).statusCode, 0);
+      await fleet.entries[0]?.stop();
+      const runs = fleet.targets.flatMap((target) => target.runs);
+      t.equal(runs.length, 1);
+      t.ok(runs[0]?.endedAtMs !== undefined, 'the run had ended when the entry had');
+    });
+  });
+
+  it('when a target leaves: what runs there ends, what is refused there runs elsewhere', async (t) => {
+    await withFleet(async (fleet) => {
+      const sent = sendMany(fleet, 1);
+      await fleet.clock.sleep(RUN_MS / 2);
+      Object.assign(fleet.targets[0] ?? {}, { leaving: true });
+      await fleet.patch([{ op: 'replace', path: '/instances/t0/intent', value: 'draining' }]);
+      const answers = await Promise.all(sent);
+      t.same(
+        answers.filter(({ statusCode }) => statusCode !== 200),
+        [],
+      );
+      t.ok(answers.every((_, index) => fleet.runsOf(`job-${index}`) === 1));
+    });
+  });
+});
