--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -86,7 +86,12 @@
     this.server = tls ? createHttpsServer({ ...options, ...tls }) : createHttpServer(options);
     this.server.maxConnections = MAX_CONNECTIONS;
     this.listenToServer();
-    this.register(toDisposable(() => this.server.closeAllConnections()));
+    this.register(
+      toDisposable(() => {
+        this.server.close();
+        this.server.closeAllConnections();
+      }),
+    );
   }
 
   /** Requests that have no end yet. */
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -18,6 +18,7 @@
 import { AnswerStore } from './claims/AnswerStore.js';
 import { type ClaimHorizonOptions } from './claims/ClaimHorizon.js';
 import { ClaimLedger } from './claims/ClaimLedger.js';
+import { type OpenRuns } from './OpenRuns.js';
 import { RetryBudget } from './RetryBudget.js';
 import { TargetClient } from './TargetClient.js';
 import { TicketDesk } from './TicketDesk.js';
@@ -84,6 +85,11 @@
     return this.targets.dropped;
   }
 
+  /** Sends that have not ended, by target and by service. */
+  get runs(): OpenRuns {
+    return this.targets.runs;
+  }
+
   /** Requests that have no end yet. */
   get requestsInFlight(): number {
     return this.callers.requestsInFlight;
@@ -113,7 +119,7 @@
   /** Graceful stop: requests and sends in progress end, and their homes are told. */
   async stop(): Promise<void> {
     await this.callers.stop();
-    while (this.targets.runningCalls > 0) await this.clock.sleep(DRAIN_POLL_MS);
+    while (this.targets.runs.total > 0) await this.clock.sleep(DRAIN_POLL_MS);
     await this.desk.drain(MOST_DRAIN_MS);
   }
 }
--- a/packages/gateway/src/TargetCall.ts
+++ b/packages/gateway/src/TargetCall.ts
@@ -8,6 +8,7 @@
 import { type Dispatcher } from 'undici';
 import { type AnswerCounts } from './AnswerCounts.js';
 import { CallEnded } from './CallEnded.js';
+import { type OpenRuns } from './OpenRuns.js';
 import { type SendBlock, type TargetEnd } from './TargetEnd.js';
 import { type TargetRun } from './TargetRun.js';
 
@@ -47,7 +48,7 @@
     private readonly run: TargetRun,
     private readonly counts: AnswerCounts,
     private readonly clock: Clock,
-    private readonly onDone: () => void,
+    private readonly runs: OpenRuns,
   ) {}
 
   /** Whether the target has begun to answer. */
@@ -178,7 +179,7 @@
     this.ended = true;
     this.timer?.dispose();
     this.chunks = [];
-    this.onDone();
+    this.runs.end(this.run);
     this.run.onEnd(end);
   }
 }
--- a/packages/gateway/src/TargetClient.ts
+++ b/packages/gateway/src/TargetClient.ts
@@ -2,6 +2,7 @@
 import { type Clock, Disposable, type HomeMap } from '@acaciadock/core';
 import { type ConfigView } from '@acaciadock/config';
 import { type AnswerCounts, noAnswerCounts } from './AnswerCounts.js';
+import { OpenRuns } from './OpenRuns.js';
 import { TargetCall } from './TargetCall.js';
 import { TargetPools } from './TargetPools.js';
 import { type TargetRun } from './TargetRun.js';
@@ -12,7 +13,7 @@
   /** Answers that were dropped since the start. */
   readonly dropped: AnswerCounts = noAnswerCounts();
 
-  private running = 0;
+  readonly runs = new OpenRuns();
 
   private readonly pools: TargetPools;
 
@@ -25,15 +26,10 @@
     this.pools = this.register(new TargetPools(homes, config));
   }
 
-  /** Sends that have not ended, those included whose callers went away. */
-  get runningCalls(): number {
-    return this.running;
-  }
-
   /** Starts a send; the run is told of its start and its end. */
   start(run: TargetRun): TargetCall {
-    this.running += 1;
-    const call = new TargetCall(run, this.dropped, this.clock, this.callEnded);
+    this.runs.begin(run);
+    const call = new TargetCall(run, this.dropped, this.clock, this.runs);
     this.pools.poolFor(run).dispatch(
       {
         method: 'POST',
@@ -52,8 +48,4 @@
     );
     return call;
   }
-
-  private readonly callEnded = (): void => {
-    this.running -= 1;
-  };
 }
--- a/packages/gateway/src/claims/AnswerDesk.ts
+++ b/packages/gateway/src/claims/AnswerDesk.ts
@@ -1,5 +1,5 @@
 /** Asks the entry that holds a claim for its answer, and answers other entries that ask. */
-import { type Clock, Disposable, type EntryId } from '@acaciadock/core';
+import { type Clock, Disposable, type EntryId, type IDisposable } from '@acaciadock/core';
 import { type AnswerReply, type PeerNetwork, type ReceivedMessage } from '@acaciadock/peers';
 import { type AnswerStore, type KeptEnd } from './AnswerStore.js';
 import { type ClaimHolder } from './ClaimTable.js';
@@ -7,10 +7,17 @@
 /** Larger answers are not sent between entries. */
 const MOST_REPLY_BYTES = 8 * 1024 * 1024;
 
+/** A holder that has not replied at all by then is taken for gone. */
+const FIRST_REPLY_MS = 1_000;
+
 interface OpenQuery {
   readonly settle: (end: KeptEnd) => void;
+  readonly untilMs: number;
+  timer: IDisposable;
 }
 
+const NO_ANSWER: KeptEnd = { kind: 'no-answer' };
+
 function replyOf(queryId: string, end: KeptEnd): AnswerReply {
   if (end.kind !== 'answered' || end.answer.body.length > MOST_REPLY_BYTES) {
     const state = end.kind === 'not-run' ? 'not-run' : 'no-answer';
@@ -20,8 +27,8 @@
 }
 
 function endOf(reply: AnswerReply): KeptEnd {
-  if (reply.state !== 'answered') return { kind: reply.state };
-  if (!reply.answer) return { kind: 'no-answer' };
+  if (reply.state === 'not-run') return { kind: 'not-run' };
+  if (reply.state !== 'answered' || !reply.answer) return NO_ANSWER;
   const { statusCode, contentType, body } = reply.answer;
   const bytes = Buffer.from(body.buffer, body.byteOffset, body.byteLength);
   return { kind: 'answered', answer: { statusCode, contentType, body: bytes } };
@@ -43,36 +50,54 @@
 
   /** How the holder's request ended; `no-answer` if it can't be told by `untilMs` (monotonic). */
   ask(holder: ClaimHolder, untilMs: number): Promise<KeptEnd> {
-    return new Promise((resolve) => {
+    return new Promise((settle) => {
       this.nextQuery += 1;
       const queryId = `${this.network.selfEntryId}:${this.nextQuery}`;
-      const leftMs = Math.max(0, untilMs - this.clock.monotonicMs());
-      const timer = this.clock.after(leftMs, () => this.settle(queryId, { kind: 'no-answer' }));
-      const settle = (end: KeptEnd): void => {
-        timer.dispose();
-        resolve(end);
-      };
-      this.queries.set(queryId, { settle });
+      const firstUntilMs = Math.min(untilMs, this.clock.monotonicMs() + FIRST_REPLY_MS);
+      const timer = this.expireAt(queryId, firstUntilMs);
+      this.queries.set(queryId, { settle, untilMs, timer });
       const { claimId } = holder;
       if (this.network.send(holder.entryId, { kind: 'answer-query', queryId, claimId })) return;
-      this.settle(queryId, { kind: 'no-answer' });
+      this.settle(queryId, NO_ANSWER);
     });
   }
 
+  private expireAt(queryId: string, untilMs: number): IDisposable {
+    const leftMs = Math.max(0, untilMs - this.clock.monotonicMs());
+    return this.clock.after(leftMs, () => this.settle(queryId, NO_ANSWER));
+  }
+
+  /** The holder lives and its request has not ended: its end is waited for. */
+  private extend(queryId: string): void {
+    const query = this.queries.get(queryId);
+    if (!query) return;
+    query.timer.dispose();
+    query.timer = this.expireAt(queryId, query.untilMs);
+  }
+
   private settle(queryId: string, end: KeptEnd): void {
     const query = this.queries.get(queryId);
     if (!query) return;
     this.queries.delete(queryId);
+    query.timer.dispose();
     query.settle(end);
   }
 
   private receive({ fromEntryId, message }: ReceivedMessage): void {
-    if (message.kind === 'answer-reply') this.settle(message.queryId, endOf(message));
+    if (message.kind === 'answer-reply') this.take(message);
     if (message.kind !== 'answer-query') return;
     const { queryId, claimId } = message;
+    if (this.store.isRunning(claimId)) {
+      this.network.send(fromEntryId, { kind: 'answer-reply', queryId, state: 'running' });
+    }
     this.store.whenEnded(claimId, (end) => this.reply(fromEntryId, queryId, end));
   }
 
+  private take(reply: AnswerReply): void {
+    if (reply.state === 'running') this.extend(reply.queryId);
+    else this.settle(reply.queryId, endOf(reply));
+  }
+
   private reply(toEntryId: EntryId, queryId: string, end: KeptEnd): void {
     this.network.send(toEntryId, replyOf(queryId, end));
   }
--- a/packages/gateway/src/claims/AnswerStore.ts
+++ b/packages/gateway/src/claims/AnswerStore.ts
@@ -52,6 +52,10 @@
     waiters.forEach((waiter) => waiter(end));
   }
 
+  isRunning(claimId: string): boolean {
+    return this.running.has(claimId);
+  }
+
   /** Tells the end of a claim, now or when it comes; `no-answer` if it is not known here. */
   whenEnded(claimId: string, waiter: Waiter): void {
     const waiters = this.running.get(claimId);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export * from './claims/ClaimLedger.js';
 export * from './claims/ClaimTable.js';
 export * from './Gateway.js';
+export * from './OpenRuns.js';
 export * from './OpenTicket.js';
 export * from './Problem.js';
 export * from './RequestState.js';
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -2,6 +2,7 @@
 export * from './messages/AnswerMessages.js';
 export * from './messages/ConfigMessages.js';
 export * from './messages/HeartbeatMessages.js';
+export * from './messages/MaintenanceMessages.js';
 export * from './messages/PeerMessage.js';
 export * from './messages/TicketMessages.js';
 export * from './MessageCodec.js';
--- a/packages/peers/src/messages/AnswerMessages.ts
+++ b/packages/peers/src/messages/AnswerMessages.ts
@@ -12,6 +12,8 @@
   kind: z.literal('answer-reply'),
   queryId: idSchema,
   state: z.enum([
+    /** The request has not ended; another reply follows when it has. */
+    'running',
     'answered',
     /** The work was refused and has not run. */
     'not-run',
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -6,6 +6,7 @@
 import { answerQuerySchema, answerReplySchema } from './AnswerMessages.js';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
+import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
 import {
   grantEndedAckSchema,
   grantEndedSchema,
@@ -29,6 +30,8 @@
   answerReplySchema,
   configPullSchema,
   configRecordsSchema,
+  workQuerySchema,
+  workReplySchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
