--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -37,7 +37,7 @@
 
   private readonly links: PeerLinks;
 
-  private readonly gateway: Gateway;
+  readonly gateway: Gateway;
 
   private readonly operators: OperatorServer;
 
--- a/packages/scenarios/src/promises/graceful-stop.test.ts
+++ b/packages/scenarios/src/promises/graceful-stop.test.ts
@@ -24,17 +24,21 @@
   );
 }
 
+function runCounts(fleet: EntryFleet): number[] {
+  return Array.from({ length: REQUESTS }, (_, index) => fleet.runsOf(`job-${index}`));
+}
+
 describe('A planned stop cuts no request in progress', () => {
   it('when an entry stops with requests queued and running', async (t) => {
     await withFleet(async (fleet) => {
       const sent = sendMany(fleet, 0);
-      await fleet.clock.sleep(RUN_MS / 2);
+      while (fleet.entries[0]?.gateway.requestsInFlight !== REQUESTS) await fleet.clock.sleep(5);
       const stopped = fleet.entries[0]?.stop();
       const answers = await Promise.all(sent);
       await stopped;
       const lost = answers.filter(({ statusCode }) => statusCode !== 200);
       t.same(lost, []);
-      t.ok(answers.every((_, index) => fleet.runsOf(`job-${index}`) === 1));
+      t.same(runCounts(fleet), Array(REQUESTS).fill(1));
     });
   });
 
@@ -43,7 +47,7 @@
       const hangUp = new AbortController();
       const { signal } = hangUp;
       const sent = fleet.send(0, { serviceId: 'filing', body: 'job', signal });
-      await fleet.clock.sleep(RUN_MS / 2);
+      while (fleet.runsOf('job') === 0) await fleet.clock.sleep(5);
       hangUp.abort();
       t.equal((await sent).statusCode, 0);
       await fleet.entries[0]?.stop();
@@ -64,7 +68,7 @@
         answers.filter(({ statusCode }) => statusCode !== 200),
         [],
       );
-      t.ok(answers.every((_, index) => fleet.runsOf(`job-${index}`) === 1));
+      t.same(runCounts(fleet), Array(REQUESTS).fill(1));
     });
   });
 });
