--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -19,7 +19,6 @@
 import { type ClaimHorizonOptions } from './claims/ClaimHorizon.js';
 import { ClaimLedger } from './claims/ClaimLedger.js';
 import { type OpenRuns } from './OpenRuns.js';
-import { RetryBudget } from './RetryBudget.js';
 import { TargetClient } from './TargetClient.js';
 import { TicketDesk } from './TicketDesk.js';
 
@@ -71,7 +70,6 @@
       claims: this.claims,
       answers,
       answerDesk: this.register(new AnswerDesk(answers, network, clock)),
-      retries: new RetryBudget(),
       clock,
       random,
     };
--- a/packages/gateway/src/Problem.ts
+++ b/packages/gateway/src/Problem.ts
@@ -38,6 +38,7 @@
   'deadline-unreachable': { statusCode: 503, title: 'The work could not start in time' },
   'no-target-fits': { statusCode: 503, title: 'No target can run this work' },
   'team-limit-zero': { statusCode: 503, title: 'The team may run nothing' },
+  'retry-budget-spent': { statusCode: 503, title: 'The service has no retries left' },
   'log-unavailable': { statusCode: 503, title: 'The claim could not be recorded' },
   'target-busy': { statusCode: 503, title: 'The targets refused the work' },
   'targets-unreachable': { statusCode: 503, title: 'No target could be reached' },
--- a/packages/gateway/src/RequestRun.ts
+++ b/packages/gateway/src/RequestRun.ts
@@ -58,10 +58,9 @@
   }
 
   start(): void {
-    const { clock, retries } = this.services;
+    const { clock } = this.services;
     const leftMs = Math.max(0, this.request.deadlineAtMs - clock.unixMs());
     this.deadline = clock.after(leftMs, () => this.giveUp(this.deadlineProblem()));
-    retries.earn(this.request.serviceId, this.request.service.retryBudgetRatio);
     if (this.claim) void this.startClaimed(this.claim);
     else this.queue();
   }
@@ -190,10 +189,9 @@
   }
 
   private tryAgain(grant: Grant, end: TargetEnd): void {
-    const { clock, config, random, retries } = this.services;
-    const { serviceId } = this.request;
+    const { clock, config, random } = this.services;
     const mayTry = meaningOf(end).retry && this.state.mayTry;
-    if (!mayTry || (end.kind !== 'not-started' && !retries.trySpend(serviceId))) {
+    if (!mayTry) {
       const isNotRun = this.state.executed() === 'no';
       this.fail({ ...problemOf(end), ...(isNotRun ? { retryAfterMs: RETRY_AFTER_MS } : {}) });
       return;
--- a/packages/gateway/src/RunServices.ts
+++ b/packages/gateway/src/RunServices.ts
@@ -4,7 +4,6 @@
 import { type AnswerDesk } from './claims/AnswerDesk.js';
 import { type AnswerStore } from './claims/AnswerStore.js';
 import { type ClaimBook } from './claims/ClaimBook.js';
-import { type RetryBudget } from './RetryBudget.js';
 import { type TargetClient } from './TargetClient.js';
 import { type TicketDesk } from './TicketDesk.js';
 
@@ -16,7 +15,6 @@
   readonly claims: ClaimBook;
   readonly answers: AnswerStore;
   readonly answerDesk: AnswerDesk;
-  readonly retries: RetryBudget;
   readonly clock: Clock;
   readonly random: Random;
 }
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -7,6 +7,7 @@
   'deadline-unreachable': 'deadline-unreachable',
   'no-target-fits': 'no-target-fits',
   'team-limit-zero': 'team-limit-zero',
+  'retry-budget-spent': 'retry-budget-spent',
   fenced: 'not-ready',
   stopping: 'not-ready',
 };
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -16,6 +16,12 @@
   ticketsCancelledSchema,
   ticketsReturnedSchema,
 } from './TicketMessages.js';
+import {
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
+  workReportSchema,
+} from './WorkMessages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
@@ -30,6 +36,10 @@
   answerReplySchema,
   configPullSchema,
   configRecordsSchema,
+  workReportSchema,
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
   workQuerySchema,
   workReplySchema,
 ]);
--- a/packages/scenarios/src/promises/graceful-stop.test.ts
+++ b/packages/scenarios/src/promises/graceful-stop.test.ts
@@ -5,6 +5,7 @@
 const SEED = 6_004;
 const REQUESTS = 40;
 const RUN_MS = 150;
+const SERVICES = ['advice', 'filing'];
 
 async function withFleet(use: (fleet: EntryFleet) => Promise<void>): Promise<void> {
   const services = { advice: { idempotent: true }, filing: { idempotent: false } };
@@ -24,6 +25,17 @@
   );
 }
 
+/** Requests that an entry has taken on so far, ended ones included. */
+function acceptedBy(fleet: EntryFleet, index: number): number {
+  const entry = fleet.entries[index];
+  if (!entry) return 0;
+  const ended = SERVICES.map((serviceId) => entry.outcomes.countsOf(serviceId));
+  return ended.reduce(
+    (sum, { answered, refused }) => sum + answered + refused,
+    entry.gateway.requestsInFlight,
+  );
+}
+
 function runCounts(fleet: EntryFleet): number[] {
   return Array.from({ length: REQUESTS }, (_, index) => fleet.runsOf(`job-${index}`));
 }
@@ -32,7 +44,7 @@
   it('when an entry stops with requests queued and running', async (t) => {
     await withFleet(async (fleet) => {
       const sent = sendMany(fleet, 0);
-      while (fleet.entries[0]?.gateway.requestsInFlight !== REQUESTS) await fleet.clock.sleep(5);
+      while (acceptedBy(fleet, 0) < REQUESTS) await fleet.clock.sleep(5);
       const stopped = fleet.entries[0]?.stop();
       const answers = await Promise.all(sent);
       await stopped;
