--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -6,7 +6,7 @@
 import { setTimeout } from 'node:timers/promises';
 import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
-import { Gateway } from '@acaciadock/gateway';
+import { DEFAULT_CLAIM_HORIZON, Gateway } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
 import {
@@ -15,7 +15,13 @@
   HttpLogService,
   HttpPlatformClient,
 } from '@acaciadock/platform';
-import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
+import {
+  AlarmLog,
+  ConfigFollower,
+  PatchSubmitter,
+  SnapshotPublisher,
+  snapshotScheduleFor,
+} from '@acaciadock/replication';
 import {
   Dispatcher,
   FleetWork,
@@ -25,6 +31,7 @@
 } from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { ConfigRoutes } from './ConfigRoutes.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
 import { OperatorServer } from './OperatorServer.js';
@@ -79,6 +86,16 @@
         random,
       ),
     );
+    this.follower.attach(this.links);
+    this.register(
+      new SnapshotPublisher(
+        log,
+        this.follower,
+        clock,
+        random,
+        snapshotScheduleFor(settings.platform.logRetentionMs),
+      ),
+    );
     const entryIds = settings.peers.map((peer) => peer.entryId);
     const homes = new PoolHomes(new FixedMembership(entryIds), this.follower);
     const fence = new OpenFence();
@@ -112,6 +129,7 @@
         recorder: this.outcomes,
         clock,
         random,
+        claimHorizon: { ...DEFAULT_CLAIM_HORIZON, retentionMs: settings.platform.logRetentionMs },
       }),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
@@ -132,7 +150,9 @@
         random,
       }),
     );
-    this.operators = this.register(new OperatorServer(this.follower, submitter));
+    this.operators = this.register(
+      new OperatorServer([...this.configRoutes(submitter, clock).routes()]),
+    );
   }
 
   get entryId(): string {
@@ -167,6 +187,11 @@
     this.dispose();
   }
 
+  private configRoutes(submitter: PatchSubmitter, clock: Clock): ConfigRoutes {
+    const alarms = this.register(new AlarmLog(this.follower, clock));
+    return new ConfigRoutes(this.settings.entryId, this.follower, submitter, alarms, clock);
+  }
+
   private platformCall(url: string): HttpPlatformClient {
     const client = new HttpPlatformClient(url);
     this.register(
