--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -4,9 +4,17 @@
  */
 import { randomUUID } from 'node:crypto';
 import { setTimeout } from 'node:timers/promises';
-import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
+import {
+  type Clock,
+  Disposable,
+  type Logger,
+  Random,
+  SilentLogger,
+  toDisposable,
+  type WorkView,
+} from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
-import { DEFAULT_CLAIM_HORIZON, Gateway } from '@acaciadock/gateway';
+import { claimHorizonFor, Gateway } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
 import {
@@ -68,6 +76,7 @@
     private readonly settings: Settings,
     clock: Clock,
     seed: number,
+    logger: Logger = new SilentLogger(),
   ) {
     super();
     const random = new Random(seed);
@@ -118,6 +127,9 @@
     );
     this.register(new WorkReporter(homes, this.links, clock));
     this.work = this.register(new FleetWork(homes, this.links, clock));
+    this.register(
+      this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
+    );
     this.gateway = this.register(
       new Gateway({
         selfEntryId: settings.entryId,
@@ -129,7 +141,7 @@
         recorder: this.outcomes,
         clock,
         random,
-        claimHorizon: { ...DEFAULT_CLAIM_HORIZON, retentionMs: settings.platform.logRetentionMs },
+        claimHorizon: claimHorizonFor(settings.platform.logRetentionMs),
       }),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,4 +3,5 @@
 export * from './OperatorRoute.js';
 export * from './OperatorServer.js';
 export * from './Settings.js';
+export * from './loadSettings.js';
 export * from './Maintenance.js';
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -37,7 +37,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly limits?: CallerLimits;
-  readonly claimHorizon?: ClaimHorizonOptions;
+  readonly claimHorizon: ClaimHorizonOptions;
   readonly tls?: SecureContextOptions;
 }
 
--- a/packages/gateway/src/claims/ClaimHorizon.ts
+++ b/packages/gateway/src/claims/ClaimHorizon.ts
@@ -14,6 +14,19 @@
   readonly mostAheadMs: number;
 }
 
+const MOST_RETENTION_MS = 60 * 60 * 1_000;
+const MARGIN_MS = 30 * 1_000;
+const MOST_AHEAD_MS = 15 * 1_000;
+
+/**
+ * The horizon over a log that keeps records for `logRetentionMs`. Claims are remembered in
+ * memory, so that they are used for an hour at most however long the log keeps them.
+ */
+export function claimHorizonFor(logRetentionMs: number): ClaimHorizonOptions {
+  const retentionMs = Math.min(logRetentionMs, MOST_RETENTION_MS);
+  return { retentionMs, marginMs: MARGIN_MS, mostAheadMs: MOST_AHEAD_MS };
+}
+
 export type StampVerdict = 'within' | 'too-old' | 'too-far-ahead';
 
 export class ClaimHorizon {
--- a/packages/gateway/src/claims/ClaimLedger.ts
+++ b/packages/gateway/src/claims/ClaimLedger.ts
@@ -32,12 +32,6 @@
 const RETRY = { firstMs: 50, mostMs: 1_000 };
 const SECOND_MS = 1_000;
 
-export const DEFAULT_CLAIM_HORIZON: ClaimHorizonOptions = {
-  retentionMs: 60 * 60 * 1_000,
-  marginMs: 60 * 1_000,
-  mostAheadMs: 30 * 1_000,
-};
-
 interface WaitingClaim {
   readonly claim: Claim;
   readonly settle: (end: ClaimEnd) => void;
@@ -73,7 +67,7 @@
     private readonly log: LogService,
     private readonly clock: Clock,
     random: Random,
-    options: ClaimHorizonOptions = DEFAULT_CLAIM_HORIZON,
+    options: ClaimHorizonOptions,
   ) {
     super();
     this.horizon = new ClaimHorizon(options, clock);
