--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -14,7 +14,7 @@
   type WorkView,
 } from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
+import { claimHorizonFor, Gateway } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
 import {
@@ -39,7 +39,6 @@
 } from '@acaciadock/scheduling';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { ConfigRoutes } from './ConfigRoutes.js';
-import { CountingTargetClient } from './CountingTargetClient.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
 import { Observability } from './Observability.js';
@@ -62,7 +61,7 @@
 
   private readonly links: PeerLinks;
 
-  private readonly callers: CallerServer;
+  readonly gateway: Gateway;
 
   private readonly operators: OperatorServer;
 
@@ -143,11 +142,19 @@
     this.register(
       this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
     );
-    const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new CountingTargetClient(clock));
-    const runner = new RequestRunner(this.follower, desk, targets, clock, random);
-    this.callers = this.register(
-      new CallerServer(this.follower, fence, runner, this.observability.recorder, clock),
+    this.gateway = this.register(
+      new Gateway({
+        selfEntryId: settings.entryId,
+        config: this.follower,
+        fence,
+        homes,
+        network: this.links,
+        log,
+        recorder: this.observability.recorder,
+        clock,
+        random,
+        claimHorizon: claimHorizonFor(settings.platform.logRetentionMs),
+      }),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
     this.maintenance = this.register(
@@ -160,7 +167,7 @@
         control,
         directory,
         probe: this.register(new HttpInstanceProbe()),
-        runs: targets,
+        runs: this.gateway.runs,
         homes,
         network: this.links,
         clock,
@@ -187,7 +194,7 @@
     this.maintenance.start();
     return {
       peerAddress: listening.value,
-      callerAddress: await this.callers.listen(this.settings.callerAddress),
+      callerAddress: await this.gateway.listen(this.settings.callerAddress),
       operatorAddress: await this.operators.listen(this.settings.operatorAddress),
     };
   }
@@ -200,7 +207,7 @@
   /** Graceful stop: requests in progress are finished first. */
   async stop(): Promise<void> {
     await this.maintenance.stop();
-    await this.callers.stop();
+    await this.gateway.stop();
     this.dispatcher.stop();
     await this.observability.burn.flush();
     // The tickets that it gives back leave in the next turns.
