--- a/packages/scenarios/src/promises/graceful-stop.test.ts
+++ b/packages/scenarios/src/promises/graceful-stop.test.ts
@@ -29,7 +29,7 @@
 function acceptedBy(fleet: EntryFleet, index: number): number {
   const entry = fleet.entries[index];
   if (!entry) return 0;
-  const ended = SERVICES.map((serviceId) => entry.outcomes.countsOf(serviceId));
+  const ended = SERVICES.map((serviceId) => entry.observability.counts.countsOf(serviceId));
   return ended.reduce(
     (sum, { answered, refused }) => sum + answered + refused,
     entry.gateway.requestsInFlight,
--- a/packages/telemetry/src/burn/classifyOutcome.ts
+++ b/packages/telemetry/src/burn/classifyOutcome.ts
@@ -7,14 +7,21 @@
 
 const CALLER_FAULTS: ReadonlySet<string> = new Set([
   'malformed-request',
-  'request-too-large',
-  'unknown-service',
+  'idempotency-time-missing',
+  'idempotency-time-ahead',
   'key-missing',
   'key-not-valid',
-  'team-limit-zero',
+  'unknown-service',
+  'method-not-allowed',
+  'request-timeout',
   'already-accepted',
   'claim-expired',
-  'claim-mismatch',
+  'request-too-large',
+  'expectation-failed',
+  'idempotency-key-reused',
+  'target-rejected',
+  'headers-too-large',
+  'team-limit-zero',
   'cancelled',
 ]);
 
