--- a/eslint.config.js
+++ b/eslint.config.js
@@ -65,7 +65,7 @@
     },
   },
   {
-    files: ['tools/**', 'packages/cli/**', 'packages/bench/**', 'packages/demo/**'],
+    files: ['tools/**', 'packages/{cli,bench,demo,testkit,scenarios}/**'],
     rules: { 'no-console': 'off', 'n/no-process-exit': 'off', 'n/no-sync': 'off' },
   },
   {
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -8,3 +8,4 @@
 export * from './TargetBehaviour.js';
 export * from './TargetStandIn.js';
 export * from './exampleDocument.js';
+export * from './TestCertificates.js';
