The mailbox's test waits for the messages, not for 40 ms of wall time

Cause: on a machine with a load of 18 the three messages took more than 40 ms, and the check on their order failed.

--- a/packages/core/src/Task.test.ts
+++ b/packages/core/src/Task.test.ts
@@ -1,33 +1,44 @@
 import { describe, it } from './testing/describe.js';
 import { Task, type TaskFailure } from './Task.js';
 
+/** Handles a message in as many event-loop turns as it says; a negative one fails. */
 class Collector extends Task<number> {
   readonly seen: number[] = [];
 
+  private settled: () => void = () => undefined;
+
   constructor(mostMessages?: number) {
     super('collector', mostMessages);
   }
 
+  /** Resolves when `count` messages have been handled well. */
+  untilSeen(count: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.settled = () => {
+        if (this.seen.length >= count) resolve();
+      };
+    });
+  }
+
   protected override async handle(message: number): Promise<void> {
     if (message < 0) throw new RangeError('negative');
-    await new Promise((resolve) => {
-      setTimeout(resolve, message);
-    });
+    for (let turn = 0; turn < message; turn += 1) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
     this.seen.push(message);
+    this.settled();
   }
 }
 
-const settle = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 describe('Task', () => {
   describe('post', () => {
     it('handles messages one at a time, in order', async (t) => {
       const task = new Collector();
+      const done = task.untilSeen(3);
       [5, 1, 0].forEach((message) => task.post(message));
-      await settle(40);
+      await done;
       t.same(task.seen, [5, 1, 0]);
     });
 
@@ -43,10 +54,11 @@
     it('reports a failure and goes on', async (t) => {
       const failures: TaskFailure[] = [];
       const task = new Collector();
+      const done = task.untilSeen(1);
       task.onFailure((failure) => failures.push(failure));
       task.post(-1);
       task.post(1);
-      await settle(20);
+      await done;
       t.equal(failures[0]?.kind, 'task-failed');
       t.same(task.seen, [1]);
     });
