Members by roster records, support leases and evictions; team credits by an escrow ledger

The static split let a busy team at one entry reach only its part, and fixed peers knew nothing of a dead or paused entry.

StalenessSource in core is the contract by which the configuration's age closes the fence.

--- a/packages/core/src/contracts/CreditSource.ts
+++ b/packages/core/src/contracts/CreditSource.ts
@@ -12,6 +12,11 @@
   readonly teamId: TeamId;
   readonly holderEntryId: EntryId;
   readonly epoch: number;
+  /**
+   * Wall clock read before the fence was checked. A grant's start-by instant counts from here, so
+   * that a pause between the check and the grant cannot extend it.
+   */
+  readonly acquiredAtMs: number;
 }
 
 export abstract class CreditSource {
--- a/packages/core/src/contracts/Fence.ts
+++ b/packages/core/src/contracts/Fence.ts
@@ -2,7 +2,12 @@
 import { type Event } from '../EventEmitter.js';
 
 export type FenceReason =
-  'isolated' | 'minority-without-log' | 'missing-from-list' | 'paused' | 'stale-configuration';
+  | 'not-a-member'
+  | 'isolated'
+  | 'minority-without-log'
+  | 'missing-from-list'
+  | 'paused'
+  | 'stale-configuration';
 
 export abstract class Fence {
   /** Fires when the fence opens (undefined) or closes (the reason). */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,3 +12,4 @@
 export * from './contracts/HomeMap.js';
 export * from './contracts/Fence.js';
 export * from './contracts/OutcomeRecorder.js';
+export * from './contracts/StalenessSource.js';
--- /dev/null
+++ b/packages/credits/src/CreditBook.ts
@@ -0,0 +1,214 @@
+/**
+ * The credits of all teams as reduced from the control stream. It reads no clock: readers of the
+ * same records hold the same book.
+ *
+ * A member that the roster has closed still has its grants in the book. Each active member writes
+ * its final balance with the closed one, after it has waited until no work on the closed member's
+ * credits can run. With the last balance what the closed members hold is known, and is shared out.
+ */
+import { type TeamId } from '@acaciadock/core';
+import { type MemberId, type RosterChange, RosterState } from '@acaciadock/membership';
+import { type LogRecord } from '@acaciadock/platform';
+import {
+  type BalanceRecord,
+  type BurnRecord,
+  creditRecordSchema,
+  type CreditSnapshot,
+  type LimitsRecord,
+} from './CreditRecords.js';
+import { TeamBook } from './TeamBook.js';
+
+interface ClosingMember {
+  readonly memberId: MemberId;
+  readonly closedOffset: number;
+  readonly balancedBy: Set<MemberId>;
+}
+
+export type BookChange =
+  | { readonly kind: 'roster'; readonly change: RosterChange }
+  | { readonly kind: 'limits'; readonly record: LimitsRecord }
+  | { readonly kind: 'burnt'; readonly record: BurnRecord }
+  | { readonly kind: 'balanced'; readonly record: BalanceRecord };
+
+export class CreditBook {
+  readonly roster = new RosterState();
+
+  private readonly books = new Map<TeamId, TeamBook>();
+
+  private readonly closing = new Map<MemberId, ClosingMember>();
+
+  private readonly burnSequences = new Map<MemberId, number>();
+
+  private offset = -1;
+
+  /** Offset of the last record that was reduced. */
+  get lastOffset(): number {
+    return this.offset;
+  }
+
+  team(teamId: TeamId): TeamBook | undefined {
+    return this.books.get(teamId);
+  }
+
+  teams(): ReadonlyMap<TeamId, TeamBook> {
+    return this.books;
+  }
+
+  closingMembers(): readonly MemberId[] {
+    return [...this.closing.keys()];
+  }
+
+  hasBalanced(memberId: MemberId, closedMemberId: MemberId): boolean {
+    return this.closing.get(closedMemberId)?.balancedBy.has(memberId) ?? true;
+  }
+
+  burnSequenceOf(memberId: MemberId): number {
+    return this.burnSequences.get(memberId) ?? 0;
+  }
+
+  /** Credits that closed members hold and nobody can use yet. Transfers in flight show late. */
+  stranded(teamId: TeamId): number {
+    const book = this.books.get(teamId);
+    if (!book) return 0;
+    return [...this.closing.keys()].reduce((sum, id) => sum + book.grantedTo(id), 0);
+  }
+
+  reduce(record: LogRecord): BookChange | undefined {
+    this.offset = record.offset;
+    const change = this.roster.reduce(record);
+    if (change) return this.followRoster(change);
+    const parsed = creditRecordSchema.safeParse(record.payload);
+    if (!parsed.success) return undefined;
+    const { data } = parsed;
+    if (data.kind === 'credit-limits') return this.setLimits(data);
+    if (data.kind === 'credit-burn') return this.burn(data);
+    return this.balance(data);
+  }
+
+  toSnapshot(): CreditSnapshot {
+    return {
+      teams: [...this.books].map(([teamId, book]) => ({
+        teamId,
+        limit: book.limit,
+        limitVersion: book.limitVersion,
+        debt: book.debt,
+        unassigned: book.unassigned,
+        granted: [...book.granted].map(([memberId, credits]) => ({ memberId, credits })),
+      })),
+      closing: [...this.closing.values()].map(({ memberId, closedOffset, balancedBy }) => ({
+        memberId,
+        closedOffset,
+        balancedBy: [...balancedBy],
+      })),
+      burnSequences: [...this.burnSequences].map(([memberId, sequence]) => ({
+        memberId,
+        sequence,
+      })),
+      roster: this.roster.toSnapshot(),
+    };
+  }
+
+  load(includedOffset: number, snapshot: CreditSnapshot): void {
+    this.offset = includedOffset;
+    this.roster.load(snapshot.roster);
+    this.books.clear();
+    this.closing.clear();
+    this.burnSequences.clear();
+    snapshot.teams.forEach(({ teamId, granted, ...rest }) => {
+      const book = Object.assign(new TeamBook(), rest);
+      granted.forEach(({ memberId, credits }) => book.add(memberId, credits));
+      this.books.set(teamId, book);
+    });
+    snapshot.closing.forEach(({ memberId, closedOffset, balancedBy }) => {
+      const closing = { memberId, closedOffset, balancedBy: new Set(balancedBy) };
+      this.closing.set(memberId, closing);
+    });
+    snapshot.burnSequences.forEach(({ memberId, sequence }) => {
+      this.burnSequences.set(memberId, sequence);
+    });
+  }
+
+  private followRoster(change: RosterChange): BookChange {
+    if (change.kind === 'closed') this.beginClosing(change.member.memberId);
+    else change.superseded.forEach(({ memberId }) => this.beginClosing(memberId));
+    const active = this.activeIds();
+    this.books.forEach((book) => book.assign(active));
+    this.settle();
+    return { kind: 'roster', change };
+  }
+
+  private beginClosing(memberId: MemberId): void {
+    const closedOffset = this.offset;
+    this.closing.set(memberId, { memberId, closedOffset, balancedBy: new Set() });
+  }
+
+  private setLimits(record: LimitsRecord): BookChange {
+    const active = this.activeIds();
+    record.limits.forEach(({ teamId, limit }) => {
+      const book = this.books.get(teamId) ?? new TeamBook();
+      this.books.set(teamId, book);
+      book.setLimit(limit, record.configVersion, active);
+    });
+    return { kind: 'limits', record };
+  }
+
+  private burn(record: BurnRecord): BookChange | undefined {
+    const { memberId, sequence, burns } = record;
+    if (!this.roster.isActive(memberId) && !this.closing.has(memberId)) return undefined;
+    if (sequence !== this.burnSequenceOf(memberId) + 1) return undefined;
+    this.burnSequences.set(memberId, sequence);
+    burns.forEach(({ teamId, credits }) => this.books.get(teamId)?.burn(memberId, credits));
+    return { kind: 'burnt', record };
+  }
+
+  private balance(record: BalanceRecord): BookChange | undefined {
+    const { memberId, closedMemberId, balances } = record;
+    const closing = this.closing.get(closedMemberId);
+    if (!closing || !this.roster.isActive(memberId)) return undefined;
+    if (closing.balancedBy.has(memberId)) return undefined;
+    closing.balancedBy.add(memberId);
+    balances.forEach(({ teamId, net }) => {
+      const book = this.books.get(teamId);
+      book?.add(memberId, net);
+      book?.add(closedMemberId, -net);
+    });
+    this.settle();
+    return { kind: 'balanced', record };
+  }
+
+  /** Shares out what the closed members hold, once every balance with them is in the log. */
+  private settle(): void {
+    const closed = [...this.closing.values()];
+    if (closed.length === 0 || !closed.every((member) => this.isBalanced(member))) return;
+    const active = this.activeIds();
+    this.books.forEach((book) => {
+      const credits = closed.reduce((sum, { memberId }) => sum + book.grantedTo(memberId), 0);
+      closed.forEach(({ memberId }) => book.granted.delete(memberId));
+      book.release(credits, active);
+    });
+    closed.forEach(({ memberId }) => this.burnSequences.delete(memberId));
+    this.closing.clear();
+  }
+
+  /**
+   * Every member that may have had dealings with the closed one has balanced, and somebody has
+   * waited for its work to end.
+   */
+  private isBalanced({ closedOffset, balancedBy }: ClosingMember): boolean {
+    const active = this.roster.active();
+    const waited = active.some(({ memberId }) => balancedBy.has(memberId));
+    return (
+      waited &&
+      active
+        .filter(({ joinOffset }) => joinOffset < closedOffset)
+        .every(({ memberId }) => balancedBy.has(memberId))
+    );
+  }
+
+  private activeIds(): readonly MemberId[] {
+    return this.roster
+      .active()
+      .map(({ memberId }) => memberId)
+      .sort();
+  }
+}
--- /dev/null
+++ b/packages/credits/src/CreditLedgerTask.ts
@@ -0,0 +1,194 @@
+/**
+ * The task around the ledger: feeds it records, messages and limits, sends what it wants sent, and
+ * is the source of credits for the dispatcher. Nothing starts while the fence is closed.
+ */
+import {
+  type Clock,
+  type CreditSource,
+  type CreditUse,
+  Disposable,
+  type EntryId,
+  EventEmitter,
+  type Fence,
+  type TeamId,
+} from '@acaciadock/core';
+import { type ConfigState, type ConfigView } from '@acaciadock/config';
+import {
+  type ControlSnapshot,
+  type ControlStreamReader,
+  type ControlStreamWriter,
+  type Membership,
+} from '@acaciadock/membership';
+import { type PeerNetwork, type ReceivedMessage } from '@acaciadock/peers';
+import { type LogRecord } from '@acaciadock/platform';
+import { CreditLedger } from './CreditLedger.js';
+import { creditSnapshotSchema } from './CreditRecords.js';
+import { type TeamCredits, teamCreditsOf } from './TeamCredits.js';
+
+const FLUSH_PERIOD_MS = 50;
+const SNAPSHOT_PERIOD_MS = 10 * 60 * 1_000;
+const SNAPSHOT_STAGGER_MS = 15_000;
+const SNAPSHOT_CHECK_MS = 5_000;
+const HAND_OVER_POLL_MS = 20;
+
+export interface CreditLedgerServices {
+  readonly config: ConfigView;
+  readonly network: PeerNetwork;
+  readonly reader: ControlStreamReader;
+  readonly writer: ControlStreamWriter;
+  readonly membership: Membership;
+  readonly fence: Fence;
+}
+
+export class CreditLedgerTask extends Disposable implements CreditSource {
+  private readonly availableEmitter = this.register(new EventEmitter<TeamId>());
+
+  readonly onAvailable = this.availableEmitter.event;
+
+  private ledger: CreditLedger;
+
+  private flushing = false;
+
+  private snapshotSeenAtMs: number;
+
+  constructor(
+    private readonly entryId: EntryId,
+    private readonly services: CreditLedgerServices,
+    private readonly clock: Clock,
+  ) {
+    super();
+    const { config, network, reader, membership } = services;
+    this.ledger = new CreditLedger(entryId, membership.memberId);
+    this.snapshotSeenAtMs = clock.monotonicMs();
+    this.setLimits(config.state());
+    this.register(config.onChange((state) => this.setLimits(state)));
+    this.register(network.onMessage((received) => this.receive(received)));
+    this.register(reader.onRecord((record) => this.takeRecord(record)));
+    this.register(reader.onSnapshot((snapshot) => this.load(snapshot)));
+    this.register(membership.onIdentity(() => this.becomeAnother()));
+    this.register(clock.every(FLUSH_PERIOD_MS, () => this.flush()));
+    this.register(clock.every(SNAPSHOT_CHECK_MS, () => this.publishSnapshot()));
+  }
+
+  tryAcquire(teamId: TeamId): CreditUse | undefined {
+    // Read before the fence, so that a pause after it cannot make the start-by instant later.
+    const acquiredAtMs = this.clock.unixMs();
+    if (this.services.fence.reason()) return undefined;
+    return this.ledger.tryAcquire(teamId, acquiredAtMs);
+  }
+
+  release(useId: string): void {
+    this.ledger.release(useId, this.clock.monotonicMs());
+    this.flushSoon();
+  }
+
+  want(teamId: TeamId, count: number): void {
+    this.ledger.want(teamId, count, this.clock.monotonicMs());
+    this.flushSoon();
+  }
+
+  /** Each team's credits as this entry sees them. */
+  credits(): readonly TeamCredits[] {
+    return teamCreditsOf(this.ledger);
+  }
+
+  /**
+   * Gives all free credits to the others and waits until no work runs on a credit of this entry
+   * and the others have confirmed. False if that took longer than `patienceMs`.
+   */
+  async handOver(patienceMs: number): Promise<boolean> {
+    const untilMs = this.clock.monotonicMs() + patienceMs;
+    this.ledger.handOver();
+    this.flush();
+    while (!this.ledger.isHandedOver && this.clock.monotonicMs() < untilMs) {
+      await this.clock.sleep(HAND_OVER_POLL_MS);
+    }
+    return !this.ledger.hasRunning;
+  }
+
+  private setLimits({ version, document }: ConfigState): void {
+    const limits = Object.entries(document.teams).map(([id, { limit }]) => [id, limit] as const);
+    const leasesMs = Object.values(document.services).map(({ taskLeaseMs }) => taskLeaseMs);
+    this.ledger.setLimits({
+      configVersion: version,
+      limits: new Map(limits),
+      longestLeaseMs: Math.max(0, ...leasesMs),
+    });
+  }
+
+  private receive({ fromEntryId, message }: ReceivedMessage): void {
+    const nowMs = this.clock.monotonicMs();
+    if (message.kind === 'credit-demand') this.ledger.takeDemand(fromEntryId, message, nowMs);
+    else if (message.kind === 'credit-transfer') {
+      this.ledger.takeTransfer(fromEntryId, message, nowMs);
+    } else if (message.kind === 'credit-receipt') this.ledger.takeReceipt(fromEntryId, message);
+    else return;
+    this.flushSoon();
+  }
+
+  private takeRecord(record: LogRecord): void {
+    if (this.isSnapshot(record)) this.snapshotSeenAtMs = this.clock.monotonicMs();
+    this.ledger.takeRecord(record, this.clock.monotonicMs());
+    this.flushSoon();
+  }
+
+  private load({ includedOffset, credits }: ControlSnapshot): void {
+    const snapshot = creditSnapshotSchema.safeParse(credits);
+    if (!snapshot.success) return;
+    this.ledger.load(includedOffset, snapshot.data, this.clock.monotonicMs());
+  }
+
+  /** This entry was evicted and joins anew: as another member, who holds nothing yet. */
+  private becomeAnother(): void {
+    const before = this.ledger;
+    this.ledger = new CreditLedger(this.entryId, this.services.membership.memberId);
+    this.ledger.load(before.book.lastOffset, before.book.toSnapshot(), this.clock.monotonicMs());
+    this.setLimits(this.services.config.state());
+  }
+
+  /** Gathers all that one turn of the event loop brings into one flush. */
+  private flushSoon(): void {
+    if (this.flushing) return;
+    this.flushing = true;
+    setImmediate(() => {
+      this.flushing = false;
+      if (!this.isDisposed) this.flush();
+    });
+  }
+
+  private flush(): void {
+    const { network, writer, membership } = this.services;
+    const live = new Set(membership.liveEntries());
+    const { messages, records } = this.ledger.flush(live, this.clock.monotonicMs());
+    messages.forEach(({ toEntryId, message }) => network.send(toEntryId, message));
+    records.forEach((record) => writer.append(record));
+    this.ledger.takeAvailable().forEach((teamId) => this.availableEmitter.fire(teamId));
+  }
+
+  private isSnapshot({ payload }: LogRecord): boolean {
+    return (
+      typeof payload === 'object' &&
+      payload !== null &&
+      'kind' in payload &&
+      payload.kind === 'control-snapshot'
+    );
+  }
+
+  /** One member is enough: the others see its snapshot before their own turn comes. */
+  private publishSnapshot(): void {
+    const { membership, writer } = this.services;
+    const rank = [...membership.liveEntries()].sort().indexOf(this.entryId);
+    if (rank < 0 || !membership.isActive) return;
+    const dueMs = this.snapshotSeenAtMs + SNAPSHOT_PERIOD_MS + rank * SNAPSHOT_STAGGER_MS;
+    if (this.clock.monotonicMs() < dueMs) return;
+    this.snapshotSeenAtMs = this.clock.monotonicMs();
+    const { book } = this.ledger;
+    const credits = book.toSnapshot();
+    writer.append({
+      kind: 'control-snapshot',
+      includedOffset: book.lastOffset,
+      roster: credits.roster,
+      credits,
+    });
+  }
+}
--- a/packages/credits/src/StaticSplit.ts
+++ b/packages/credits/src/StaticSplit.ts
@@ -4,6 +4,7 @@
  * reaches only its part; the baseline that the ledger is measured against.
  */
 import {
+  type Clock,
   CreditSource,
   type CreditUse,
   type EntryId,
@@ -27,6 +28,7 @@
     private readonly selfEntryId: EntryId,
     private readonly entryIds: readonly EntryId[],
     private readonly config: ConfigView,
+    private readonly clock: Clock,
   ) {
     super();
   }
@@ -47,7 +49,13 @@
     this.nextUse += 1;
     const useId = `${this.selfEntryId}:${this.nextUse}`;
     this.inUse.set(useId, teamId);
-    return { useId, teamId, holderEntryId: this.selfEntryId, epoch: 0 };
+    return {
+      useId,
+      teamId,
+      holderEntryId: this.selfEntryId,
+      epoch: 0,
+      acquiredAtMs: this.clock.unixMs(),
+    };
   }
 
   override release(useId: string): void {
--- /dev/null
+++ b/packages/credits/src/TeamCredits.ts
@@ -0,0 +1,27 @@
+/** What operators see of a team's credits, as known at one entry. */
+import { type TeamId } from '@acaciadock/core';
+import { type CreditLedger } from './CreditLedger.js';
+
+export interface TeamCredits {
+  readonly teamId: TeamId;
+  readonly limit: number;
+  /** Credits that this entry may use, in use or free. */
+  readonly holding: number;
+  /** Requests that run on credits of this entry. */
+  readonly running: number;
+  /** Credits still to be burnt after the limit was lowered. */
+  readonly debt: number;
+  /** Credits of members that are gone, not shared out yet. */
+  readonly stranded: number;
+}
+
+export function teamCreditsOf(ledger: CreditLedger): readonly TeamCredits[] {
+  return [...ledger.book.teams()].map(([teamId, book]) => ({
+    teamId,
+    limit: book.limit,
+    holding: ledger.holding(teamId),
+    running: ledger.running(teamId),
+    debt: book.debt,
+    stranded: ledger.book.stranded(teamId),
+  }));
+}
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -3,10 +3,9 @@
 import { addressSchema } from '@acaciadock/config';
 import { z } from 'zod';
 
-const peerSchema = z.strictObject({ entryId: entryIdSchema, address: addressSchema });
-
 export const settingsSchema = z.strictObject({
   schemaVersion: z.literal(1),
+  /** The instance's id in the platform's list. */
   entryId: entryIdSchema,
   zoneId: zoneIdSchema,
   /** Where callers reach this entry; port 0 takes a free one. */
@@ -16,8 +15,6 @@
   /** Where other entries reach this entry. */
   peerAddress: addressSchema,
   platform: z.strictObject({ logUrl: z.url(), directoryUrl: z.url(), controlUrl: z.url() }),
-  /** The entries of the deployment, this one included. */
-  peers: z.array(peerSchema).default([]),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
--- a/packages/demo/src/DemoFleet.ts
+++ b/packages/demo/src/DemoFleet.ts
@@ -109,23 +109,23 @@
           directoryUrl: `http://${this.directory.address}`,
           controlUrl: `http://${this.control.address}`,
         },
-        peers: entryIds.map((peerId) => ({ entryId: peerId, address: ANY_PORT })),
       });
+      this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
       const entry = new Entry(settings, this.clock, seed + index);
       this.entries.push(entry);
       this.addresses.push(await entry.start());
     }
-    const peers = entryIds.map((entryId, index) => ({
-      entryId,
-      address: this.addresses[index]?.peerAddress ?? ANY_PORT,
-    }));
-    this.entries.forEach((entry) => entry.setPeers(peers));
     await this.untilConfigured();
   }
 
   private async untilConfigured(): Promise<void> {
-    while (this.entries.some((entry) => entry.follower.state().version === 0)) {
+    while (this.entries.some((entry) => !DemoFleet.isReady(entry))) {
       await this.clock.sleep(CONFIG_POLL_MS);
     }
   }
+
+  private static isReady({ follower, fence, membership }: Entry): boolean {
+    if (follower.state().version === 0 || fence.reason()) return false;
+    return membership.liveEntries().length === ENTRY_COUNT;
+  }
 }
--- /dev/null
+++ b/packages/membership/src/Liveness.ts
@@ -0,0 +1,109 @@
+/**
+ * What heartbeats say of the other members. Support is a lease (after the leader leases of Gray
+ * and Cheriton, 1989): a peer that echoes one of our heartbeats stands by us, and it counts from
+ * when we sent that heartbeat, by our own monotonic clock. No two clocks are ever compared.
+ */
+import { type Heartbeat } from '@acaciadock/peers';
+import { type MemberId } from './MembershipRecords.js';
+import { type MembershipTiming } from './MembershipTiming.js';
+
+interface PeerState {
+  heardAtMs: number;
+  /** The peer's own clock at its latest heartbeat; -1 before the first. */
+  sentAtMs: number;
+  controlOffset: number;
+  /** Our heartbeat that it echoed last, by our clock. */
+  echoedAtMs: number;
+  suspects: ReadonlySet<MemberId>;
+  stopping: boolean;
+}
+
+const NEVER_MS = Number.NEGATIVE_INFINITY;
+
+export class Liveness {
+  private readonly peers = new Map<MemberId, PeerState>();
+
+  private readonly votedOutAtMs = new Map<MemberId, number>();
+
+  constructor(private readonly timing: MembershipTiming) {}
+
+  /** Begins to watch a member as if it had been heard now. */
+  watch(memberId: MemberId, nowMs: number): void {
+    if (this.peers.has(memberId)) return;
+    this.peers.set(memberId, {
+      heardAtMs: nowMs,
+      sentAtMs: -1,
+      controlOffset: -1,
+      echoedAtMs: NEVER_MS,
+      suspects: new Set(),
+      stopping: false,
+    });
+  }
+
+  forget(memberId: MemberId): void {
+    this.peers.delete(memberId);
+  }
+
+  /** This process was paused: silence in that time says nothing of the others. */
+  restartSilence(nowMs: number): void {
+    this.peers.forEach((peer) => Object.assign(peer, { heardAtMs: nowMs }));
+  }
+
+  hear(memberId: MemberId, heartbeat: Heartbeat, nowMs: number): void {
+    const peer = this.peers.get(memberId);
+    if (!peer || heartbeat.sentAtMs <= peer.sentAtMs) return;
+    peer.heardAtMs = nowMs;
+    peer.sentAtMs = heartbeat.sentAtMs;
+    peer.controlOffset = Math.max(peer.controlOffset, heartbeat.controlOffset);
+    peer.echoedAtMs = Math.max(peer.echoedAtMs, heartbeat.echoSentAtMs ?? NEVER_MS);
+    peer.suspects = new Set(heartbeat.suspects);
+    peer.stopping = heartbeat.stopping;
+  }
+
+  /** How long the member has been silent; 0 if it is not watched. */
+  silentMs(memberId: MemberId, nowMs: number): number {
+    const peer = this.peers.get(memberId);
+    return peer ? nowMs - peer.heardAtMs : 0;
+  }
+
+  isLive(memberId: MemberId, liveMs: number, nowMs: number): boolean {
+    const peer = this.peers.get(memberId);
+    return peer !== undefined && peer.sentAtMs >= 0 && nowMs - peer.heardAtMs <= liveMs;
+  }
+
+  isStopping(memberId: MemberId): boolean {
+    return this.peers.get(memberId)?.stopping ?? false;
+  }
+
+  /** Whether the member stands by us: its echo is younger than the fence time. */
+  supportsUs(memberId: MemberId, nowMs: number): boolean {
+    const peer = this.peers.get(memberId);
+    return peer !== undefined && nowMs - peer.echoedAtMs <= this.timing.fenceMs;
+  }
+
+  /** Whether the member has said, lately enough to count, that it holds the other for gone. */
+  votesOut(voterId: MemberId, memberId: MemberId, nowMs: number): boolean {
+    const voter = this.peers.get(voterId);
+    if (!voter?.suspects.has(memberId)) return false;
+    return nowMs - voter.echoedAtMs <= this.timing.voteFreshMs;
+  }
+
+  controlOffsetOf(memberId: MemberId): number {
+    return this.peers.get(memberId)?.controlOffset ?? -1;
+  }
+
+  /** Notes that a heartbeat of ours votes this member out. */
+  voteOut(memberId: MemberId, nowMs: number): void {
+    this.votedOutAtMs.set(memberId, nowMs);
+  }
+
+  /** What to echo to the member; undefined while we do not stand by it. */
+  echoFor(memberId: MemberId, nowMs: number): number | undefined {
+    const peer = this.peers.get(memberId);
+    if (!peer || peer.sentAtMs < 0) return undefined;
+    if (nowMs - peer.heardAtMs >= this.timing.silenceMs) return undefined;
+    const votedAtMs = this.votedOutAtMs.get(memberId) ?? NEVER_MS;
+    if (nowMs - votedAtMs <= this.timing.voteBindsMs) return undefined;
+    return peer.sentAtMs;
+  }
+}
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,5 +1,6 @@
 /** Public interface: the messages between entries and the links that carry them. */
 export * from './messages/ConfigMessages.js';
+export * from './messages/CreditMessages.js';
 export * from './messages/HeartbeatMessages.js';
 export * from './messages/PeerMessage.js';
 export * from './messages/TicketMessages.js';
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -4,6 +4,11 @@
  */
 import { z } from 'zod';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
+import {
+  creditDemandSchema,
+  creditReceiptSchema,
+  creditTransferSchema,
+} from './CreditMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
 import {
   grantEndedAckSchema,
@@ -26,6 +31,9 @@
   grantEndedAckSchema,
   configPullSchema,
   configRecordsSchema,
+  creditDemandSchema,
+  creditTransferSchema,
+  creditReceiptSchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
