--- a/packages/credits/src/CreditBook.ts
+++ b/packages/credits/src/CreditBook.ts
@@ -7,7 +7,7 @@
  * credits can run. With the last balance what the closed members hold is known, and is shared out.
  */
 import { type TeamId } from '@acaciadock/core';
-import { type MemberId, type RosterChange, RosterState } from '@acaciadock/membership';
+import { kindOf, type MemberId, type RosterChange, RosterState } from '@acaciadock/membership';
 import { type LogRecord } from '@acaciadock/platform';
 import {
   type BalanceRecord,
@@ -18,6 +18,8 @@
 } from './CreditRecords.js';
 import { TeamBook } from './TeamBook.js';
 
+const KINDS: ReadonlySet<string> = new Set(['credit-limits', 'credit-burn', 'credit-balance']);
+
 interface ClosingMember {
   readonly memberId: MemberId;
   readonly closedOffset: number;
@@ -77,6 +79,7 @@
     this.offset = record.offset;
     const change = this.roster.reduce(record);
     if (change) return this.followRoster(change);
+    if (!KINDS.has(kindOf(record.payload))) return undefined;
     const parsed = creditRecordSchema.safeParse(record.payload);
     if (!parsed.success) return undefined;
     const { data } = parsed;
@@ -206,9 +209,6 @@
   }
 
   private activeIds(): readonly MemberId[] {
-    return this.roster
-      .active()
-      .map(({ memberId }) => memberId)
-      .sort();
+    return this.roster.active().map(({ memberId }) => memberId);
   }
 }
--- a/packages/credits/src/CreditChannel.ts
+++ b/packages/credits/src/CreditChannel.ts
@@ -59,6 +59,7 @@
   }
 
   takeConfirmations(): readonly CreditTotal[] {
+    if (this.toConfirm.size === 0) return [];
     const totals = [...this.toConfirm].map((teamId) => ({
       teamId,
       total: this.received.get(teamId) ?? 0,
--- a/packages/credits/src/CreditLedger.ts
+++ b/packages/credits/src/CreditLedger.ts
@@ -359,6 +359,7 @@
     const toEntryId = this.entryOf(toMemberId);
     const due = [...channel.dueTotals(nowMs)];
     const confirmed = [...channel.takeConfirmations()];
+    if (due.length + confirmed.length === 0) return [];
     const messages: AddressedMessage[] = [];
     if (due.length > 0) {
       const message = { kind: 'credit-transfer' as const, memberId, toMemberId, totals: due };
--- a/packages/credits/src/CreditLedgerTask.ts
+++ b/packages/credits/src/CreditLedgerTask.ts
@@ -17,6 +17,7 @@
   type ControlSnapshot,
   type ControlStreamReader,
   type ControlStreamWriter,
+  kindOf,
   type Membership,
 } from '@acaciadock/membership';
 import { type PeerNetwork, type ReceivedMessage } from '@acaciadock/peers';
@@ -127,7 +128,8 @@
   }
 
   private takeRecord(record: LogRecord): void {
-    if (this.isSnapshot(record)) this.snapshotSeenAtMs = this.clock.monotonicMs();
+    if (kindOf(record.payload) === 'control-snapshot')
+      this.snapshotSeenAtMs = this.clock.monotonicMs();
     this.ledger.takeRecord(record, this.clock.monotonicMs());
     this.flushSoon();
   }
@@ -165,15 +167,6 @@
     this.ledger.takeAvailable().forEach((teamId) => this.availableEmitter.fire(teamId));
   }
 
-  private isSnapshot({ payload }: LogRecord): boolean {
-    return (
-      typeof payload === 'object' &&
-      payload !== null &&
-      'kind' in payload &&
-      payload.kind === 'control-snapshot'
-    );
-  }
-
   /** One member is enough: the others see its snapshot before their own turn comes. */
   private publishSnapshot(): void {
     const { membership, writer } = this.services;
--- /dev/null
+++ b/packages/credits/src/testing/FaultPlan.ts
@@ -0,0 +1,138 @@
+/** What goes wrong in one simulated run, drawn from a seed. All instants are virtual. */
+import { Random } from '@acaciadock/core';
+
+export type Fault =
+  /** The process ends. It may start again under the same entry id. */
+  | { readonly kind: 'crash'; readonly node: number; readonly restartAfterMs: number | undefined }
+  /** The process stands still; what arrives waits. */
+  | { readonly kind: 'pause'; readonly node: number; readonly forMs: number }
+  | { readonly kind: 'join' }
+  /** A graceful stop. */
+  | { readonly kind: 'stop'; readonly node: number }
+  /** These nodes hear only each other, and may or may not reach the log. */
+  | {
+      readonly kind: 'partition';
+      readonly nodes: readonly number[];
+      readonly logReachable: boolean;
+      readonly forMs: number;
+    }
+  | { readonly kind: 'log-outage'; readonly forMs: number }
+  | { readonly kind: 'limit'; readonly team: number; readonly limit: number }
+  /** Partition, log outage and short list at once: what a lost zone looks like from outside. */
+  | { readonly kind: 'paused-out-of-sight'; readonly node: number; readonly forMs: number }
+  | { readonly kind: 'out-of-sight'; readonly nodes: readonly number[]; readonly forMs: number }
+  /** The platform's list leaves these nodes out although they live. */
+  | { readonly kind: 'short-list'; readonly nodes: readonly number[]; readonly forMs: number };
+
+export interface TimedFault {
+  readonly atMs: number;
+  readonly fault: Fault;
+}
+
+export interface FaultPlan {
+  readonly seed: number;
+  readonly nodes: number;
+  readonly limits: readonly number[];
+  readonly faults: readonly TimedFault[];
+  /** Chances and delays of the peer network while faults last. */
+  readonly lossRatio: number;
+  readonly doubleRatio: number;
+  readonly mostDelayMs: number;
+  /** Chance that an append is lost, and the longest that one is held up. */
+  readonly appendLossRatio: number;
+  readonly mostAppendDelayMs: number;
+  /** Durations shortened, so that more happens in the same time. */
+  readonly shortTiming: boolean;
+  /** Part of the time for which each queue is full. */
+  readonly busyRatio: number;
+  /** Faults begin after this and end at `faultsEndMs`. */
+  readonly faultsBeginMs: number;
+  readonly faultsEndMs: number;
+}
+
+export interface PlanSize {
+  readonly fewestNodes: number;
+  readonly mostNodes: number;
+  readonly mostFaults: number;
+  readonly faultsLastMs: number;
+}
+
+export const DEFAULT_PLAN_SIZE: PlanSize = {
+  fewestNodes: 3,
+  mostNodes: 6,
+  mostFaults: 6,
+  faultsLastMs: 12_000,
+};
+
+const FAULTS_BEGIN_MS = 2_500;
+const TEAMS = 2;
+const MOST_LIMIT = 24;
+const MOST_SPELL_MS = 10_000;
+const SHORT_RESTART_MS = 3_000;
+
+export class FaultPlanner {
+  private readonly random: Random;
+
+  constructor(
+    private readonly seed: number,
+    private readonly size: PlanSize = DEFAULT_PLAN_SIZE,
+  ) {
+    this.random = new Random(seed);
+  }
+
+  plan(): FaultPlan {
+    const { random, size } = this;
+    const nodes = random.integer(size.fewestNodes, size.mostNodes);
+    const count = random.integer(1, size.mostFaults);
+    const faults = Array.from({ length: count }, () => ({
+      atMs: FAULTS_BEGIN_MS + random.integer(0, size.faultsLastMs),
+      fault: this.fault(nodes),
+    }));
+    return {
+      seed: this.seed,
+      nodes,
+      limits: Array.from({ length: TEAMS }, () => this.limit()),
+      faults: faults.sort((a, b) => a.atMs - b.atMs),
+      lossRatio: random.pick([0, 0.02, 0.2, 0.5]) ?? 0,
+      doubleRatio: random.pick([0, 0.1, 0.3]) ?? 0,
+      mostDelayMs: random.pick([5, 50, 1_500]) ?? 0,
+      appendLossRatio: random.pick([0, 0, 0.3]) ?? 0,
+      mostAppendDelayMs: random.pick([20, 200, 4_000]) ?? 0,
+      shortTiming: random.chance(0.5),
+      busyRatio: random.pick([0.3, 0.8, 1]) ?? 1,
+      faultsBeginMs: FAULTS_BEGIN_MS,
+      faultsEndMs: FAULTS_BEGIN_MS + size.faultsLastMs,
+    };
+  }
+
+  private fault(nodes: number): Fault {
+    const { random } = this;
+    const node = random.integer(0, nodes - 1);
+    const forMs = random.integer(500, MOST_SPELL_MS);
+    const some = random
+      .shuffle(Array.from({ length: nodes }, (_, index) => index))
+      .slice(0, random.integer(1, Math.max(1, nodes - 1)));
+    const kinds: Fault[] = [
+      { kind: 'crash', node, restartAfterMs: undefined },
+      { kind: 'crash', node, restartAfterMs: random.integer(0, SHORT_RESTART_MS) },
+      { kind: 'pause', node, forMs },
+      { kind: 'pause', node, forMs },
+      { kind: 'join' },
+      { kind: 'stop', node },
+      { kind: 'partition', nodes: some, logReachable: random.chance(0.5), forMs },
+      { kind: 'partition', nodes: some, logReachable: false, forMs },
+      { kind: 'log-outage', forMs },
+      { kind: 'limit', team: random.integer(0, TEAMS - 1), limit: this.limit() },
+      { kind: 'limit', team: random.integer(0, TEAMS - 1), limit: this.limit() },
+      { kind: 'short-list', nodes: some, forMs },
+      { kind: 'out-of-sight', nodes: some, forMs: forMs + MOST_SPELL_MS / 2 },
+      { kind: 'out-of-sight', nodes: [node], forMs: forMs + MOST_SPELL_MS / 2 },
+      { kind: 'paused-out-of-sight', node, forMs: forMs + MOST_SPELL_MS / 2 },
+    ];
+    return random.pick(kinds) ?? { kind: 'join' };
+  }
+
+  private limit(): number {
+    return this.random.integer(0, MOST_LIMIT);
+  }
+}
--- /dev/null
+++ b/packages/credits/src/testing/SimulatedNode.ts
@@ -0,0 +1,293 @@
+/**
+ * One entry in virtual time: the real decisions of membership and credits, a clock with its own
+ * rate and skew, and a process that can crash or stand still.
+ */
+import { type Random, type TeamId } from '@acaciadock/core';
+import { type MemberId, MembershipCore } from '@acaciadock/membership';
+import { type PeerMessage } from '@acaciadock/peers';
+import { type LogRecord } from '@acaciadock/platform';
+import { CreditLedger } from '../CreditLedger.js';
+import { type LimitsInForce } from '../LedgerRecords.js';
+import { type EventQueue } from './EventQueue.js';
+import { type FleetTiming } from './FleetTiming.js';
+import { type SimulatedPlatform } from './SimulatedPlatform.js';
+
+const FLUSH_MS = 100;
+const READ_MS = 150;
+const JOIN_REPEAT_MS = 1_000;
+const LIST_MS = 1_000;
+const READ_ROUND_TRIP_MS = 4;
+const MOST_SKEW_MS = 240;
+const MOST_DRIFT_RATIO = 0.004;
+
+export interface NodeNetwork {
+  send(fromEntryId: string, toEntryId: string, message: PeerMessage): void;
+  /** Whether this entry can reach the log now. */
+  reachesLog(entryId: string): boolean;
+}
+
+export interface NodeWorkload {
+  /** Called where the node may have credits: it starts what is queued. */
+  serve(node: SimulatedNode): void;
+}
+
+export class SimulatedNode {
+  core: MembershipCore;
+
+  ledger: CreditLedger;
+
+  crashed = false;
+
+  stopping = false;
+
+  private pausedUntilMs = 0;
+
+  private waiting: (() => void)[] = [];
+
+  private readonly skewMs: number;
+
+  private readonly rate: number;
+
+  private readonly startedAtMs: number;
+
+  private nextOffset = 0;
+
+  private joinAskedAtMs = Number.NEGATIVE_INFINITY;
+
+  private limits: LimitsInForce;
+
+  private incarnation = 0;
+
+  private readsUnderWay = 0;
+
+  private caughtUp = false;
+
+  private handedOver = false;
+
+  private live: ReadonlySet<string> = new Set();
+
+  constructor(
+    readonly entryId: string,
+    private readonly generation: number,
+    private readonly queue: EventQueue,
+    private readonly platform: SimulatedPlatform,
+    private readonly network: NodeNetwork,
+    private readonly workload: NodeWorkload,
+    private readonly timing: FleetTiming,
+    limits: LimitsInForce,
+    random: Random,
+  ) {
+    this.skewMs = (random.next() * 2 - 1) * MOST_SKEW_MS;
+    this.rate = 1 + (random.next() * 2 - 1) * MOST_DRIFT_RATIO;
+    this.startedAtMs = queue.nowMs;
+    this.limits = limits;
+    [this.core, this.ledger] = this.newMember();
+    this.every(timing.membership.heartbeatMs, random.next(), () => this.beat());
+    this.every(FLUSH_MS, random.next(), () => this.flush());
+    this.every(READ_MS, random.next(), () => this.read());
+    this.every(LIST_MS, random.next(), () => this.readList());
+  }
+
+  get memberId(): MemberId {
+    return this.core.memberId;
+  }
+
+  monotonicMs(): number {
+    return (this.queue.nowMs - this.startedAtMs) * this.rate;
+  }
+
+  unixMs(): number {
+    return this.platform.unixMs() + this.skewMs;
+  }
+
+  get isFenced(): boolean {
+    return this.core.fenceReason(this.monotonicMs()) !== undefined;
+  }
+
+  get isPaused(): boolean {
+    return this.queue.nowMs < this.pausedUntilMs;
+  }
+
+  crash(): void {
+    this.crashed = true;
+  }
+
+  pause(forMs: number): void {
+    this.pausedUntilMs = Math.max(this.pausedUntilMs, this.queue.nowMs + forMs);
+    this.queue.after(forMs, () => this.wake());
+  }
+
+  resume(): void {
+    this.pausedUntilMs = 0;
+    this.wake();
+  }
+
+  /** Begins a graceful stop. */
+  stop(): void {
+    this.act(() => {
+      this.stopping = true;
+      this.ledger.handOver();
+    });
+  }
+
+  setLimits(limits: LimitsInForce): void {
+    this.limits = limits;
+    this.act(() => this.ledger.setLimits(limits));
+  }
+
+  receive(fromEntryId: string, message: PeerMessage): void {
+    this.act(() => this.take(fromEntryId, message));
+  }
+
+  release(useId: string): void {
+    this.act(() => {
+      this.ledger.release(useId, this.monotonicMs());
+      this.workload.serve(this);
+    });
+  }
+
+  /** Takes a credit if this node may start work now. */
+  tryStart(teamId: TeamId): { readonly useId: string; readonly acquiredAtMs: number } | undefined {
+    const unixMs = this.unixMs();
+    if (this.crashed || this.isPaused || this.isFenced) return undefined;
+    return this.ledger.tryAcquire(teamId, unixMs);
+  }
+
+  /** Runs an action of the process: never after a crash, and only after a pause has ended. */
+  act(action: () => void): void {
+    if (this.crashed) return;
+    if (this.isPaused) this.waiting.push(action);
+    else action();
+  }
+
+  private newMember(): [MembershipCore, CreditLedger] {
+    this.incarnation += 1;
+    const incarnation = `${this.generation}.${this.incarnation}`;
+    const { membership, credits } = this.timing;
+    const core = new MembershipCore({ entryId: this.entryId, incarnation, timing: membership });
+    const ledger = new CreditLedger(this.entryId, core.memberId, credits);
+    ledger.setLimits(this.limits);
+    return [core, ledger];
+  }
+
+  private every(periodMs: number, phase: number, action: () => void): void {
+    const next = (): void => {
+      if (this.crashed) return;
+      if (!this.isPaused) action();
+      this.queue.after(periodMs / this.rate, next);
+    };
+    this.queue.after(periodMs * phase, next);
+  }
+
+  private wake(): void {
+    if (this.crashed || this.isPaused) return;
+    const { waiting } = this;
+    this.waiting = [];
+    waiting.forEach((action) => action());
+  }
+
+  private take(fromEntryId: string, message: PeerMessage): void {
+    const nowMs = this.monotonicMs();
+    if (message.kind === 'heartbeat') this.core.takeHeartbeat(fromEntryId, message, nowMs);
+    if (message.kind === 'credit-demand') this.ledger.takeDemand(fromEntryId, message, nowMs);
+    if (message.kind === 'credit-receipt') this.ledger.takeReceipt(fromEntryId, message);
+    if (message.kind !== 'credit-transfer') return;
+    this.ledger.takeTransfer(fromEntryId, message, nowMs);
+    this.workload.serve(this);
+  }
+
+  private beat(): void {
+    const nowMs = this.monotonicMs();
+    this.core.fence.tick(nowMs);
+    const facts = {
+      configVersion: 1,
+      configOffset: 0,
+      logReachable: true,
+      stopping: this.stopping,
+    };
+    this.core
+      .heartbeats(nowMs, facts)
+      .forEach(({ toEntryId, heartbeat }) => this.network.send(this.entryId, toEntryId, heartbeat));
+    const live = this.core.liveMembers(nowMs, this.stopping).map(({ entryId }) => entryId);
+    this.live = new Set(live);
+    const eviction = this.core.proposeEviction(nowMs, this.unixMs());
+    if (eviction) this.append([eviction]);
+  }
+
+  private flush(): void {
+    const nowMs = this.monotonicMs();
+    this.workload.serve(this);
+    const { messages, records } = this.ledger.flush(this.live, nowMs);
+    messages.forEach(({ toEntryId, message }) =>
+      this.network.send(this.entryId, toEntryId, message),
+    );
+    if (records.length > 0) this.append(records);
+    if (this.stopping) this.finishStop();
+  }
+
+  private finishStop(): void {
+    if (!this.ledger.isHandedOver || this.handedOver) return;
+    this.handedOver = true;
+    this.append([{ kind: 'leave', memberId: this.memberId }]);
+    this.queue.after(JOIN_REPEAT_MS, () => {
+      this.handedOver = false;
+    });
+  }
+
+  private append(records: readonly object[]): void {
+    if (this.network.reachesLog(this.entryId)) this.platform.append(records);
+  }
+
+  private read(): void {
+    if (this.readsUnderWay > 0 || !this.network.reachesLog(this.entryId)) return;
+    const sentAtMs = this.monotonicMs();
+    this.readsUnderWay += 1;
+    this.queue.after(READ_ROUND_TRIP_MS / 2, () => {
+      const records = this.platform.read(this.nextOffset);
+      this.queue.after(READ_ROUND_TRIP_MS / 2, () => {
+        this.act(() => this.takePage(records, sentAtMs));
+      });
+    });
+  }
+
+  private takePage(records: readonly LogRecord[], sentAtMs: number): void {
+    this.readsUnderWay -= 1;
+    records.forEach((record) => this.takeRecord(record));
+    this.core.fence.confirmByLog(sentAtMs);
+    this.caughtUp = true;
+    this.askToJoin();
+    if (records.length > 0) this.workload.serve(this);
+  }
+
+  private takeRecord(record: LogRecord): void {
+    const nowMs = this.monotonicMs();
+    this.nextOffset = record.offset + 1;
+    this.core.takeRecord(record, nowMs);
+    this.ledger.takeRecord(record, nowMs);
+    if (!this.core.isClosed) return;
+    if (this.core.roster.get(this.memberId)?.status !== 'evicted' || this.stopping) {
+      this.crash();
+      return;
+    }
+    const { roster } = this.core;
+    const { book } = this.ledger;
+    [this.core, this.ledger] = this.newMember();
+    this.core.load(record.offset, roster.toSnapshot(), nowMs);
+    this.ledger.load(record.offset, book.toSnapshot(), nowMs);
+  }
+
+  private askToJoin(): void {
+    const nowMs = this.monotonicMs();
+    if (this.core.isActive || this.stopping || !this.caughtUp) return;
+    if (nowMs - this.joinAskedAtMs < JOIN_REPEAT_MS) return;
+    this.joinAskedAtMs = nowMs;
+    const incarnation = this.memberId.slice(this.entryId.length + 1);
+    const address = '127.0.0.1:1';
+    const record = { kind: 'join', entryId: this.entryId, incarnation, address, zoneId: 'a' };
+    this.append([record]);
+  }
+
+  private readList(): void {
+    this.core.takeList(this.platform.list(), this.monotonicMs());
+  }
+}
--- /dev/null
+++ b/packages/credits/src/testing/SimulatedWork.ts
@@ -0,0 +1,143 @@
+/**
+ * Work in virtual time: queues at the nodes, grants that take their time to the target, leases
+ * that the target ends by its own clock, and ends that are told or not told to the holder of the
+ * credit. It counts what truly runs.
+ */
+import { type Random, type TeamId } from '@acaciadock/core';
+import { type EventQueue } from './EventQueue.js';
+import { type FleetTiming } from './FleetTiming.js';
+import { type NodeWorkload, type SimulatedNode } from './SimulatedNode.js';
+import { type SimulatedPlatform } from './SimulatedPlatform.js';
+
+const QUEUED_PER_HOME = 40;
+const SPELL_MS = 2_500;
+const SHORTEST_RUN_RATIO = 0.1;
+const LONGEST_RUN_RATIO = 1.3;
+const TARGET_SKEW_MS = 240;
+const LATE_GRANT_RATIO = 0.02;
+const LOST_END_RATIO = 0.02;
+const MOST_GRANT_DELAY_MS = 5;
+
+/** A moment at which more ran than the log allows. */
+export interface Violation {
+  readonly atMs: number;
+  readonly teamId: TeamId;
+  readonly running: number;
+  readonly allowed: number;
+  readonly startedBy: string;
+}
+
+export class SimulatedWork implements NodeWorkload {
+  readonly violations: Violation[] = [];
+
+  starts = 0;
+
+  private readonly running = new Map<TeamId, number>();
+
+  /** Queued requests by node and team. */
+  private readonly queued = new Map<string, number>();
+
+  constructor(
+    private readonly queue: EventQueue,
+    private readonly platform: SimulatedPlatform,
+    private readonly random: Random,
+    private readonly teamIds: readonly TeamId[],
+    private readonly timing: FleetTiming,
+    private readonly busyRatio: number,
+  ) {}
+
+  /** Requests that run, or whose grant may still be used. */
+  runningOf(teamId: TeamId): number {
+    return this.running.get(teamId) ?? 0;
+  }
+
+  /** Gives a node a queue that fills and empties at random for as long as it lives. */
+  attach(node: SimulatedNode): void {
+    this.teamIds.forEach((teamId) => this.nextSpell(node, teamId));
+  }
+
+  /** Sets the queue of a team at a node. */
+  setQueue(node: SimulatedNode, teamId: TeamId, requests: number): void {
+    this.queued.set(`${node.entryId} ${teamId}`, requests);
+    node.act(() => this.serve(node));
+  }
+
+  serve(node: SimulatedNode): void {
+    this.teamIds.forEach((teamId) => this.serveTeam(node, teamId));
+  }
+
+  private nextSpell(node: SimulatedNode, teamId: TeamId): void {
+    if (node.crashed) return;
+    const busy = this.random.chance(this.busyRatio);
+    this.setQueue(node, teamId, busy ? this.random.integer(1, QUEUED_PER_HOME) : 0);
+    this.queue.after(this.random.next() * SPELL_MS, () => this.nextSpell(node, teamId));
+  }
+
+  private serveTeam(node: SimulatedNode, teamId: TeamId): void {
+    const key = `${node.entryId} ${teamId}`;
+    let left = this.queued.get(key) ?? 0;
+    while (left > 0) {
+      const use = node.tryStart(teamId);
+      if (!use) break;
+      left -= 1;
+      this.grant(node, teamId, use.useId, use.acquiredAtMs);
+    }
+    this.queued.set(key, left);
+    if (left > 0) node.ledger.want(teamId, left, node.monotonicMs());
+  }
+
+  /** The grant is on its way; the gateway sends only before the start-by instant by its clock. */
+  private grant(node: SimulatedNode, teamId: TeamId, useId: string, acquiredAtMs: number): void {
+    const { startWindowMs, clockSkewMs } = this.timing.credits;
+    const startByMs = acquiredAtMs + startWindowMs;
+    const leaseExpiresAtMs = startByMs + this.timing.leaseMs;
+    const late = this.random.chance(LATE_GRANT_RATIO);
+    const delayMs = this.random.next() * (late ? 2 * startWindowMs : MOST_GRANT_DELAY_MS);
+    const gatewaySkewMs = this.skew();
+    const lapseMs = leaseExpiresAtMs + clockSkewMs - node.unixMs();
+    this.queue.after(lapseMs, () => node.release(useId));
+    this.promise(node, teamId);
+    this.queue.after(delayMs, () => {
+      if (this.platform.unixMs() + gatewaySkewMs >= startByMs) {
+        this.end(teamId);
+        return;
+      }
+      this.run(node, teamId, useId, leaseExpiresAtMs);
+    });
+  }
+
+  private run(node: SimulatedNode, teamId: TeamId, useId: string, leaseExpiresAtMs: number): void {
+    const targetNowMs = this.platform.unixMs() + this.skew();
+    if (targetNowMs >= leaseExpiresAtMs) {
+      this.end(teamId);
+      return;
+    }
+    this.starts += 1;
+    const wantedRatio = SHORTEST_RUN_RATIO + this.random.next() * LONGEST_RUN_RATIO;
+    const runMs = Math.min(wantedRatio * this.timing.leaseMs, leaseExpiresAtMs - targetNowMs);
+    this.queue.after(runMs, () => {
+      this.end(teamId);
+      if (this.random.chance(LOST_END_RATIO)) return;
+      this.queue.after(2, () => node.release(useId));
+    });
+  }
+
+  /** A grant that is out counts as running: it may start at any moment. */
+  private promise(node: SimulatedNode, teamId: TeamId): void {
+    const running = this.runningOf(teamId) + 1;
+    this.running.set(teamId, running);
+    const book = this.platform.truth.team(teamId);
+    const allowed = (book?.limit ?? 0) + (book?.debt ?? 0);
+    if (running <= allowed) return;
+    const atMs = this.queue.nowMs;
+    this.violations.push({ atMs, teamId, running, allowed, startedBy: node.memberId });
+  }
+
+  private end(teamId: TeamId): void {
+    this.running.set(teamId, this.runningOf(teamId) - 1);
+  }
+
+  private skew(): number {
+    return (this.random.next() * 2 - 1) * TARGET_SKEW_MS;
+  }
+}
--- /dev/null
+++ b/packages/credits/src/testing/index.ts
@@ -0,0 +1,9 @@
+/** The fleet in virtual time, for property tests and benches. */
+export * from './EventQueue.js';
+export * from './FaultPlan.js';
+export * from './FleetSimulation.js';
+export * from './FleetTiming.js';
+export * from './LedgerGroup.js';
+export * from './SimulatedNode.js';
+export * from './SimulatedPlatform.js';
+export * from './SimulatedWork.js';
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -99,7 +99,9 @@
         clock,
       ),
     );
-    this.fence = this.register(new EntryFence((nowMs) => this.membership.fenceReason(nowMs), clock));
+    this.fence = this.register(
+      new EntryFence((nowMs) => this.membership.fenceReason(nowMs), clock),
+    );
     this.credits = this.register(
       new CreditLedgerTask(
         settings.entryId,
--- a/packages/membership/src/EntryFence.ts
+++ b/packages/membership/src/EntryFence.ts
@@ -1,5 +1,11 @@
 /** The fence of this entry: the membership's rules, read on the monotonic clock at each question. */
-import { type Clock, Disposable, EventEmitter, type Fence, type FenceReason } from '@acaciadock/core';
+import {
+  type Clock,
+  Disposable,
+  EventEmitter,
+  type Fence,
+  type FenceReason,
+} from '@acaciadock/core';
 
 const WATCH_PERIOD_MS = 100;
 
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -111,7 +111,11 @@
       reader.onConfirmed((confirmation) => this.post({ kind: 'confirmed', confirmation })),
     );
     this.register(clock.every(this.timing.heartbeatMs, () => this.post({ kind: 'tick' })));
-    this.register(clock.every(LIST_PERIOD_MS, () => void this.readList()));
+    this.register(
+      clock.every(LIST_PERIOD_MS, () => {
+        void this.readList();
+      }),
+    );
   }
 
   /** The member that this entry is now. */
--- a/packages/membership/src/MembershipCore.ts
+++ b/packages/membership/src/MembershipCore.ts
@@ -137,13 +137,10 @@
   /** Live members by name: this one too, while it is a member and its fence is open. */
   liveMembers(nowMs: number, stopping: boolean): readonly Member[] {
     const selfServes = !stopping && this.fenceReason(nowMs) === undefined;
-    return this.roster
-      .active()
-      .filter(({ memberId }) => {
-        if (memberId === this.memberId) return selfServes;
-        return this.isLive(memberId, nowMs) && !this.liveness.isStopping(memberId);
-      })
-      .sort((a, b) => (a.memberId < b.memberId ? -1 : 1));
+    return this.roster.active().filter(({ memberId }) => {
+      if (memberId === this.memberId) return selfServes;
+      return this.isLive(memberId, nowMs) && !this.liveness.isStopping(memberId);
+    });
   }
 
   fenceReason(nowMs: number): FenceReason | undefined {
@@ -207,11 +204,12 @@
 
   /** Rounds in which every peer gets one heartbeat. */
   private rounds(): number {
-    return Math.max(1, Math.ceil(this.peers().length / this.timing.fanOut));
+    const peers = Math.max(1, this.roster.active().length - 1);
+    return Math.ceil(peers / this.timing.fanOut);
   }
 
   private round(): readonly Member[] {
-    const peers = [...this.peers()].sort((a, b) => (a.memberId < b.memberId ? -1 : 1));
+    const peers = this.peers();
     if (peers.length <= this.timing.fanOut) return peers;
     const from = this.nextPeer % peers.length;
     this.nextPeer = from + this.timing.fanOut;
@@ -232,11 +230,7 @@
     return recent.length < Math.max(1, Math.floor(members * MOST_EVICTED_RATIO));
   }
 
-  private proposalFor(
-    memberId: MemberId,
-    nowMs: number,
-    unixMs: number,
-  ): EvictRecord | undefined {
+  private proposalFor(memberId: MemberId, nowMs: number, unixMs: number): EvictRecord | undefined {
     this.liveness.voteOut(memberId, nowMs);
     const voterIds = this.votersAgainst(memberId, nowMs);
     const rank = voterIds.filter((voterId) => voterId < this.memberId).length;
--- a/packages/membership/src/RosterState.ts
+++ b/packages/membership/src/RosterState.ts
@@ -4,6 +4,7 @@
  */
 import { type EntryId } from '@acaciadock/core';
 import { type LogRecord } from '@acaciadock/platform';
+import { kindOf } from './kindOf.js';
 import {
   type EvictRecord,
   type JoinRecord,
@@ -15,6 +16,7 @@
   type RosterSnapshot,
 } from './MembershipRecords.js';
 
+const KINDS: ReadonlySet<string> = new Set(['join', 'leave', 'evict']);
 const MOST_CHANGES = 64;
 const MOST_CLOSED_MEMBERS = 128;
 
@@ -30,6 +32,9 @@
 export class RosterState {
   private members = new Map<MemberId, Member>();
 
+  /** Active members by name, kept beside the map because every decision asks for them. */
+  private activeMembers: readonly Member[] = [];
+
   /** The active members after each of the latest changes, oldest first. */
   private changes: ActiveSet[] = [];
 
@@ -38,8 +43,9 @@
     return this.changes.at(-1)?.offset ?? -1;
   }
 
+  /** Active members, by name. */
   active(): readonly Member[] {
-    return [...this.members.values()].filter(({ status }) => status === 'active');
+    return this.activeMembers;
   }
 
   get(memberId: MemberId): Member | undefined {
@@ -56,6 +62,7 @@
 
   /** Takes the next record of the stream; tells what it changed, if anything. */
   reduce(record: LogRecord): RosterChange | undefined {
+    if (!KINDS.has(kindOf(record.payload))) return undefined;
     const parsed = membershipRecordSchema.safeParse(record.payload);
     if (!parsed.success) return undefined;
     const { data } = parsed;
@@ -99,6 +106,7 @@
   load(snapshot: RosterSnapshot): void {
     this.members = new Map(snapshot.members.map((member) => [member.memberId, member]));
     this.changes = [...snapshot.changes];
+    this.sortActive();
   }
 
   private join({ offset, appendedAtMs }: LogRecord, join: JoinRecord): RosterChange | undefined {
@@ -138,7 +146,14 @@
     return { kind: 'closed', member };
   }
 
+  private sortActive(): void {
+    this.activeMembers = [...this.members.values()]
+      .filter(({ status }) => status === 'active')
+      .sort((a, b) => (a.memberId < b.memberId ? -1 : 1));
+  }
+
   private noteChange(offset: number): void {
+    this.sortActive();
     const memberIds = this.active().map(({ memberId }) => memberId);
     this.changes = [...this.changes, { offset, memberIds }].slice(-MOST_CHANGES);
     const closed = [...this.members.values()].filter(({ status }) => status !== 'active');
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -2,6 +2,7 @@
 export * from './ControlStreamReader.js';
 export * from './ControlStreamWriter.js';
 export * from './EntryFence.js';
+export * from './kindOf.js';
 export * from './Membership.js';
 export * from './MembershipCore.js';
 export * from './MembershipRecords.js';
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -4,11 +4,7 @@
  */
 import { z } from 'zod';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
-import {
-  creditDemandSchema,
-  creditReceiptSchema,
-  creditTransferSchema,
-} from './CreditMessages.js';
+import { creditDemandSchema, creditReceiptSchema, creditTransferSchema } from './CreditMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
 import {
   grantEndedAckSchema,
