--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,3 +13,4 @@
 export * from './contracts/Fence.js';
 export * from './contracts/OutcomeRecorder.js';
 export * from './contracts/StalenessSource.js';
+export * from './contracts/WorkView.js';
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -3,27 +3,37 @@
  * decides nothing itself.
  */
 import { randomUUID } from 'node:crypto';
-import { type Clock, Disposable, Random, toDisposable } from '@acaciadock/core';
-import { CreditLedgerTask } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TargetClient, TicketDesk } from '@acaciadock/gateway';
-import {
-  ControlStreamReader,
-  ControlStreamWriter,
-  EntryFence,
-  Membership,
-} from '@acaciadock/membership';
+import { setTimeout } from 'node:timers/promises';
+import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
+import { type CreditLedgerTask } from '@acaciadock/credits';
+import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
+import { type EntryFence, type Membership } from '@acaciadock/membership';
 import { PeerLinks } from '@acaciadock/peers';
-import { HttpInstanceDirectory, HttpLogService, HttpPlatformClient } from '@acaciadock/platform';
+import {
+  HttpInstanceControl,
+  HttpInstanceDirectory,
+  HttpLogService,
+  HttpPlatformClient,
+} from '@acaciadock/platform';
 import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
-import { Dispatcher } from '@acaciadock/scheduling';
+import {
+  Dispatcher,
+  FleetWork,
+  LeavingWatch,
+  PoolHomes,
+  WorkReporter,
+} from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { CountingTargetClient } from './CountingTargetClient.js';
+import { FleetMember } from './FleetMember.js';
+import { HttpInstanceProbe } from './HttpInstanceProbe.js';
+import { Maintenance } from './Maintenance.js';
 import { OperatorServer } from './OperatorServer.js';
+import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
 
-const HAND_OVER_PATIENCE_MS = 15_000;
-const LEAVE_PATIENCE_MS = 2_000;
-const LEAVE_POLL_MS = 20;
+const GIVE_BACK_MS = 50;
 
 export interface EntryAddresses {
   readonly callerAddress: string;
@@ -36,13 +46,7 @@
 
   readonly outcomes = new LastOutcomes();
 
-  readonly membership: Membership;
-
-  readonly credits: CreditLedgerTask;
-
-  readonly fence: EntryFence;
-
-  private readonly reader: ControlStreamReader;
+  private readonly member: FleetMember;
 
   private readonly links: PeerLinks;
 
@@ -50,27 +54,22 @@
 
   private readonly operators: OperatorServer;
 
-  private readonly platformClient: HttpPlatformClient;
+  private readonly dispatcher: Dispatcher;
+
+  /** The work on leaving instances, for maintenance. */
+  readonly work: WorkView;
 
-  private readonly directoryClient: HttpPlatformClient;
+  readonly maintenance: Maintenance;
 
   constructor(
     private readonly settings: Settings,
-    private readonly clock: Clock,
+    clock: Clock,
     seed: number,
   ) {
     super();
     const random = new Random(seed);
     const incarnation = randomUUID();
-    this.platformClient = new HttpPlatformClient(settings.platform.logUrl);
-    this.directoryClient = new HttpPlatformClient(settings.platform.directoryUrl);
-    this.register(
-      toDisposable(() => {
-        void this.platformClient.close();
-        void this.directoryClient.close();
-      }),
-    );
-    const log = new HttpLogService(this.platformClient);
+    const log = new HttpLogService(this.platformCall(settings.platform.logUrl));
     this.follower = this.register(new ConfigFollower(log, clock, random));
     this.links = this.register(
       new PeerLinks(
@@ -84,57 +83,79 @@
         random,
       ),
     );
-    const writer = this.register(new ControlStreamWriter(log, clock));
-    this.reader = this.register(new ControlStreamReader(log, clock, random));
-    this.membership = this.register(
-      new Membership(
-        { entryId: settings.entryId, zoneId: settings.zoneId },
-        {
-          network: this.links,
-          reader: this.reader,
-          writer,
-          directory: new HttpInstanceDirectory(this.directoryClient),
-          config: this.follower,
-        },
-        clock,
-      ),
-    );
-    this.fence = this.register(
-      new EntryFence((nowMs) => this.membership.fenceReason(nowMs), clock),
-    );
-    this.credits = this.register(
-      new CreditLedgerTask(
-        settings.entryId,
-        {
-          config: this.follower,
-          network: this.links,
-          reader: this.reader,
-          writer,
-          membership: this.membership,
-          fence: this.fence,
-        },
+    const directory = new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl));
+    const services = { log, directory, config: this.follower, network: this.links };
+    this.member = this.register(new FleetMember(settings, services, clock, random));
+    const { fence, credits } = this.member;
+    const homes = new PoolHomes(this.member.membership, this.follower);
+    const control = new HttpInstanceControl(this.platformCall(settings.platform.controlUrl));
+    this.dispatcher = this.register(
+      new Dispatcher({
+        config: this.follower,
+        credits,
+        fence,
+        homes,
+        network: this.links,
+        leaving: this.register(new LeavingWatch(directory, clock)),
+        control,
         clock,
-      ),
+        random,
+        incarnation,
+      }),
     );
-    const { fence, credits, membership: homes } = this;
-    this.register(new Dispatcher(this.follower, credits, fence, this.links, clock, incarnation));
+    this.register(new WorkReporter(homes, this.links, clock));
+    this.work = this.register(new FleetWork(homes, this.links, clock));
     const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new TargetClient(clock));
+    const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
     this.callers = this.register(
       new CallerServer(this.follower, fence, runner, this.outcomes, clock),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
+    this.maintenance = this.register(
+      new Maintenance({
+        settings,
+        incarnation,
+        config: this.follower,
+        writer: new PatchConfigWriter(submitter, clock),
+        log,
+        control,
+        directory,
+        probe: this.register(new HttpInstanceProbe()),
+        runs: targets,
+        homes,
+        memberEntryIds: () => this.membership.members().map((member) => member.entryId),
+        network: this.links,
+        clock,
+        random,
+      }),
+    );
     this.operators = this.register(new OperatorServer(this.follower, submitter));
   }
 
+  get entryId(): string {
+    return this.settings.entryId;
+  }
+
+  get membership(): Membership {
+    return this.member.membership;
+  }
+
+  get fence(): EntryFence {
+    return this.member.fence;
+  }
+
+  get credits(): CreditLedgerTask {
+    return this.member.credits;
+  }
+
   /** Opens the ports and begins to follow the configuration. */
   async start(): Promise<EntryAddresses> {
     const listening = await this.links.listen();
     if (listening.isErr()) throw new Error(listening.error.kind, { cause: listening.error });
     void this.follower.run();
-    void this.reader.run();
-    this.membership.start(listening.value);
+    this.member.start(listening.value);
+    this.maintenance.start();
     return {
       peerAddress: listening.value,
       callerAddress: await this.callers.listen(this.settings.callerAddress),
@@ -148,18 +169,24 @@
    * whose work has not ended in time writes no such record; it is evicted later.
    */
   async stop(): Promise<void> {
-    this.membership.beginStop();
+    await this.maintenance.stop();
+    this.member.beginStop();
+    if (this.membership.liveEntries().length > 0) this.dispatcher.stop();
     await this.callers.stop();
-    const ended = await this.credits.handOver(HAND_OVER_PATIENCE_MS);
-    if (ended) await this.leave();
+    this.dispatcher.stop();
+    await this.member.leave();
+    // The tickets that it gives back leave in the next turns.
+    await setTimeout(GIVE_BACK_MS);
     this.dispose();
   }
 
-  private async leave(): Promise<void> {
-    const untilMs = this.clock.monotonicMs() + LEAVE_PATIENCE_MS;
-    this.membership.leave();
-    while (this.membership.isActive && this.clock.monotonicMs() < untilMs) {
-      await this.clock.sleep(LEAVE_POLL_MS);
-    }
+  private platformCall(url: string): HttpPlatformClient {
+    const client = new HttpPlatformClient(url);
+    this.register(
+      toDisposable(() => {
+        void client.close();
+      }),
+    );
+    return client;
   }
 }
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -6,6 +6,7 @@
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
 import { creditDemandSchema, creditReceiptSchema, creditTransferSchema } from './CreditMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
+import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
 import {
   grantEndedAckSchema,
   grantEndedSchema,
@@ -15,6 +16,12 @@
   ticketsCancelledSchema,
   ticketsReturnedSchema,
 } from './TicketMessages.js';
+import {
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
+  workReportSchema,
+} from './WorkMessages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
@@ -30,6 +37,12 @@
   creditDemandSchema,
   creditTransferSchema,
   creditReceiptSchema,
+  workReportSchema,
+  drainStatusSchema,
+  targetsClosedSchema,
+  teamUsageSchema,
+  workQuerySchema,
+  workReplySchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
