--- a/packages/credits/src/CreditLedgerTask.ts
+++ b/packages/credits/src/CreditLedgerTask.ts
@@ -27,7 +27,6 @@
 import { type TeamCredits, teamCreditsOf } from './TeamCredits.js';
 
 const FLUSH_PERIOD_MS = 50;
-const SNAPSHOT_PERIOD_MS = 10 * 60 * 1_000;
 const SNAPSHOT_STAGGER_MS = 15_000;
 const SNAPSHOT_CHECK_MS = 5_000;
 const HAND_OVER_POLL_MS = 20;
@@ -56,6 +55,8 @@
     private readonly entryId: EntryId,
     private readonly services: CreditLedgerServices,
     private readonly clock: Clock,
+    /** A snapshot is written when none was seen for so long. Far less than the log's retention. */
+    private readonly snapshotPeriodMs: number,
   ) {
     super();
     const { config, network, reader, membership } = services;
@@ -172,7 +173,7 @@
     const { membership, writer } = this.services;
     const rank = [...membership.liveEntries()].sort().indexOf(this.entryId);
     if (rank < 0 || !membership.isActive) return;
-    const dueMs = this.snapshotSeenAtMs + SNAPSHOT_PERIOD_MS + rank * SNAPSHOT_STAGGER_MS;
+    const dueMs = this.snapshotSeenAtMs + this.snapshotPeriodMs + rank * SNAPSHOT_STAGGER_MS;
     if (this.clock.monotonicMs() < dueMs) return;
     this.snapshotSeenAtMs = this.clock.monotonicMs();
     const { book } = this.ledger;
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -15,7 +15,13 @@
   HttpLogService,
   HttpPlatformClient,
 } from '@acaciadock/platform';
-import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
+import {
+  AlarmLog,
+  ConfigFollower,
+  PatchSubmitter,
+  SnapshotPublisher,
+  snapshotScheduleFor,
+} from '@acaciadock/replication';
 import {
   Dispatcher,
   FleetWork,
@@ -25,8 +31,10 @@
 } from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { ConfigRoutes } from './ConfigRoutes.js';
 import { CountingTargetClient } from './CountingTargetClient.js';
 import { FleetMember } from './FleetMember.js';
+import { FleetRoutes } from './FleetRoutes.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
 import { OperatorServer } from './OperatorServer.js';
@@ -83,9 +91,20 @@
         random,
       ),
     );
+    this.follower.attach(this.links);
+    this.register(
+      new SnapshotPublisher(
+        log,
+        this.follower,
+        clock,
+        random,
+        snapshotScheduleFor(settings.platform.logRetentionMs),
+      ),
+    );
     const directory = new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl));
     const services = { log, directory, config: this.follower, network: this.links };
     this.member = this.register(new FleetMember(settings, services, clock, random));
+    this.member.membership.watchFreshness(this.follower);
     const { fence, credits } = this.member;
     const homes = new PoolHomes(this.member.membership, this.follower);
     const control = new HttpInstanceControl(this.platformCall(settings.platform.controlUrl));
@@ -130,7 +149,12 @@
         random,
       }),
     );
-    this.operators = this.register(new OperatorServer(this.follower, submitter));
+    this.operators = this.register(
+      new OperatorServer([
+        ...this.configRoutes(submitter, clock).routes(),
+        ...new FleetRoutes(this.member).routes(),
+      ]),
+    );
   }
 
   get entryId(): string {
@@ -180,6 +204,11 @@
     this.dispose();
   }
 
+  private configRoutes(submitter: PatchSubmitter, clock: Clock): ConfigRoutes {
+    const alarms = this.register(new AlarmLog(this.follower, clock));
+    return new ConfigRoutes(this.settings.entryId, this.follower, submitter, alarms, clock);
+  }
+
   private platformCall(url: string): HttpPlatformClient {
     const client = new HttpPlatformClient(url);
     this.register(
--- a/packages/daemon/src/FleetMember.ts
+++ b/packages/daemon/src/FleetMember.ts
@@ -12,6 +12,7 @@
 import { type InstanceDirectory, type LogService } from '@acaciadock/platform';
 import { type Settings } from './Settings.js';
 
+const SNAPSHOTS_PER_RETENTION = 24;
 const HAND_OVER_PATIENCE_MS = 15_000;
 const LEAVE_PATIENCE_MS = 3_000;
 const LEAVE_REPEAT_MS = 500;
@@ -48,8 +49,9 @@
       new Membership({ entryId, zoneId }, { network, reader, writer, directory, config }, clock),
     );
     const fence = this.register(new EntryFence((nowMs) => membership.fenceReason(nowMs), clock));
+    const snapshotPeriodMs = settings.platform.logRetentionMs / SNAPSHOTS_PER_RETENTION;
     const ledger = { config, network, reader, writer, membership, fence };
-    this.credits = this.register(new CreditLedgerTask(entryId, ledger, clock));
+    this.credits = this.register(new CreditLedgerTask(entryId, ledger, clock, snapshotPeriodMs));
     this.membership = membership;
     this.fence = fence;
     this.reader = reader;
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -35,7 +35,13 @@
   operatorAddress: addressSchema,
   /** Where other entries reach this entry. */
   peerAddress: addressSchema,
-  platform: z.strictObject({ logUrl: z.url(), directoryUrl: z.url(), controlUrl: z.url() }),
+  platform: z.strictObject({
+    logUrl: z.url(),
+    directoryUrl: z.url(),
+    controlUrl: z.url(),
+    /** How long the log keeps a record. Snapshots are published well before it ends. */
+    logRetentionMs: z.int().min(60_000).default(86_400_000),
+  }),
   maintenance: maintenanceSettingsSchema.prefault({}),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
--- a/packages/membership/src/FenceRules.ts
+++ b/packages/membership/src/FenceRules.ts
@@ -4,7 +4,7 @@
  * of the roster stands by it, without which no eviction is valid. Both proofs count from when the
  * question was sent, by the monotonic clock, so that a pause of any length can only age them.
  */
-import { type FenceReason, type StalenessSource } from '@acaciadock/core';
+import { type ConfigFreshness, type FenceReason } from '@acaciadock/core';
 import { type ListWatch } from './ListWatch.js';
 import { type Liveness } from './Liveness.js';
 import { type MemberId } from './MembershipRecords.js';
@@ -16,7 +16,7 @@
 
   private tickedAtMs: number | undefined;
 
-  private staleness: StalenessSource | undefined;
+  private freshness: ConfigFreshness | undefined;
 
   constructor(
     private readonly memberId: MemberId,
@@ -27,8 +27,8 @@
   ) {}
 
   /** Lets the configuration's age close the fence too. */
-  watchStaleness(staleness: StalenessSource): void {
-    this.staleness = staleness;
+  watchFreshness(freshness: ConfigFreshness): void {
+    this.freshness = freshness;
   }
 
   /** The control stream was read to its end by a read sent at this instant. */
@@ -52,7 +52,13 @@
     if (self && this.list.absentMs(self.entryId, nowMs) >= this.timing.absenceMs) {
       return 'missing-from-list';
     }
-    return this.staleness?.isStale() === true ? 'stale-configuration' : undefined;
+    return this.isStale() ? 'stale-configuration' : undefined;
+  }
+
+  private isStale(): boolean {
+    if (!this.freshness) return false;
+    const behindMs = this.freshness.behindForMs() ?? 0;
+    return !this.freshness.isReady() || behindMs > this.timing.staleMs;
   }
 
   private cutOff(nowMs: number): FenceReason | undefined {
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -6,12 +6,12 @@
 import { randomBytes } from 'node:crypto';
 import {
   type Clock,
+  type ConfigFreshness,
   type EntryId,
   EventEmitter,
   type FenceReason,
   type HomeMap,
   type ServiceId,
-  type StalenessSource,
   Task,
   type ZoneId,
 } from '@acaciadock/core';
@@ -80,7 +80,7 @@
 
   private readonly timing: MembershipTiming;
 
-  private staleness: StalenessSource | undefined;
+  private freshness: ConfigFreshness | undefined;
 
   private live: readonly Member[] = [];
 
@@ -154,9 +154,10 @@
     return this.core.fenceReason(nowMs);
   }
 
-  watchStaleness(staleness: StalenessSource): void {
-    this.staleness = staleness;
-    this.core.fence.watchStaleness(staleness);
+  /** Lets the configuration's age close the fence too. */
+  watchFreshness(freshness: ConfigFreshness): void {
+    this.freshness = freshness;
+    this.core.fence.watchFreshness(freshness);
   }
 
   /** Tells the others that this entry takes no new tickets and is no home. */
@@ -185,7 +186,7 @@
     const { entryId } = this.options;
     const incarnation = newIncarnation();
     const core = new MembershipCore({ entryId, incarnation, timing: this.timing });
-    if (this.staleness) core.fence.watchStaleness(this.staleness);
+    if (this.freshness) core.fence.watchFreshness(this.freshness);
     return core;
   }
 
--- a/packages/membership/src/MembershipCore.test.ts
+++ b/packages/membership/src/MembershipCore.test.ts
@@ -1,10 +1,12 @@
+import { EventEmitter } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { type LogRecord } from '@acaciadock/platform';
 import { MembershipCore } from './MembershipCore.js';
 import { DEFAULT_MEMBERSHIP_TIMING } from './MembershipTiming.js';
 
 const UNIX_MS = 1_800_000_000_000;
-const { heartbeatMs, fenceMs, silenceMs, absenceMs, massLossMs } = DEFAULT_MEMBERSHIP_TIMING;
+const { heartbeatMs, fenceMs, silenceMs, absenceMs, massLossMs, staleMs } =
+  DEFAULT_MEMBERSHIP_TIMING;
 const FACTS = { configVersion: 1, configOffset: 0, logReachable: true, stopping: false };
 
 /** Members that exchange heartbeats in lockstep, with what cuts them off set by the test. */
@@ -130,7 +132,15 @@
   it('closes for stale configuration and for a process that is no member', (t) => {
     const group = new Group(['e0', 'e1', 'e2']);
     group.run(fenceMs);
-    group.core('e0').fence.watchStaleness({ isStale: () => true });
+    const { fence } = group.core('e0');
+    const { event } = new EventEmitter<void>();
+    const freshness = { onFreshness: event, isReady: () => true, behindForMs: () => behindMs };
+    let behindMs = staleMs;
+    fence.watchFreshness(freshness);
+    t.equal(group.core('e0').fenceReason(group.nowMs), undefined);
+    behindMs = staleMs + 1;
+    t.equal(group.core('e0').fenceReason(group.nowMs), 'stale-configuration');
+    fence.watchFreshness({ ...freshness, isReady: () => false, behindForMs: () => undefined });
     t.equal(group.core('e0').fenceReason(group.nowMs), 'stale-configuration');
     group.join('e1', '2');
     t.equal(group.core('e1').fenceReason(group.nowMs), 'not-a-member');
--- a/packages/membership/src/MembershipTiming.ts
+++ b/packages/membership/src/MembershipTiming.ts
@@ -20,6 +20,8 @@
   readonly voteBindsMs: number;
   /** How long most of the roster must be silent and off the list before it may go without votes. */
   readonly massLossMs: number;
+  /** An entry that has known of a newer configuration for this long starts nothing. */
+  readonly staleMs: number;
 }
 
 /** `voteBindsMs` exceeds `voteFreshMs`, `evictionExpiryMs` and the clock skew together. */
@@ -34,4 +36,5 @@
   evictionExpiryMs: 2_000,
   voteBindsMs: 10_000,
   massLossMs: 60_000,
+  staleMs: 3_000,
 };
