--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -4,7 +4,15 @@
  */
 import { randomUUID } from 'node:crypto';
 import { setTimeout } from 'node:timers/promises';
-import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
+import {
+  type Clock,
+  Disposable,
+  type Logger,
+  Random,
+  SilentLogger,
+  toDisposable,
+  type WorkView,
+} from '@acaciadock/core';
 import { type CreditLedgerTask } from '@acaciadock/credits';
 import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
 import { type EntryFence, type Membership } from '@acaciadock/membership';
@@ -73,6 +81,7 @@
     private readonly settings: Settings,
     clock: Clock,
     seed: number,
+    logger: Logger = new SilentLogger(),
   ) {
     super();
     const random = new Random(seed);
@@ -124,6 +133,9 @@
     );
     this.register(new WorkReporter(homes, this.links, clock));
     this.work = this.register(new FleetWork(homes, this.links, clock));
+    this.register(
+      this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
+    );
     const desk = this.register(new TicketDesk(homes, this.links, clock));
     const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
@@ -178,6 +190,7 @@
     const listening = await this.links.listen();
     if (listening.isErr()) throw new Error(listening.error.kind, { cause: listening.error });
     void this.follower.run();
+    this.links.setPeers(this.settings.peers);
     this.member.start(listening.value);
     this.maintenance.start();
     return {
--- a/packages/membership/src/MembershipCore.test.ts
+++ b/packages/membership/src/MembershipCore.test.ts
@@ -134,8 +134,8 @@
     group.run(fenceMs);
     const { fence } = group.core('e0');
     const { event } = new EventEmitter<void>();
-    const freshness = { onFreshness: event, isReady: () => true, behindForMs: () => behindMs };
     let behindMs = staleMs;
+    const freshness = { onFreshness: event, isReady: () => true, behindForMs: () => behindMs };
     fence.watchFreshness(freshness);
     t.equal(group.core('e0').fenceReason(group.nowMs), undefined);
     behindMs = staleMs + 1;
