--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -79,7 +79,6 @@
   STOP_SIGNALS.forEach((signal) => process.once(signal, () => stop(signal)));
   try {
     const addresses = await entry.start();
-    entry.setPeers(settings.peers);
     logger.info('listening', { ...addresses });
   } catch (cause) {
     logger.error('start-failed', { cause });
