--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -14,7 +14,7 @@
   type WorkView,
 } from '@acaciadock/core';
 import { type CreditLedgerTask } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
+import { claimHorizonFor, Gateway } from '@acaciadock/gateway';
 import { type EntryFence, type Membership } from '@acaciadock/membership';
 import { PeerLinks } from '@acaciadock/peers';
 import {
@@ -40,7 +40,6 @@
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { ConfigRoutes } from './ConfigRoutes.js';
-import { CountingTargetClient } from './CountingTargetClient.js';
 import { FleetMember } from './FleetMember.js';
 import { FleetRoutes } from './FleetRoutes.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
@@ -66,7 +65,7 @@
 
   private readonly links: PeerLinks;
 
-  private readonly callers: CallerServer;
+  readonly gateway: Gateway;
 
   private readonly operators: OperatorServer;
 
@@ -136,11 +135,19 @@
     this.register(
       this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
     );
-    const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new CountingTargetClient(clock));
-    const runner = new RequestRunner(this.follower, desk, targets, clock, random);
-    this.callers = this.register(
-      new CallerServer(this.follower, fence, runner, this.outcomes, clock),
+    this.gateway = this.register(
+      new Gateway({
+        selfEntryId: settings.entryId,
+        config: this.follower,
+        fence,
+        homes,
+        network: this.links,
+        log,
+        recorder: this.outcomes,
+        clock,
+        random,
+        claimHorizon: claimHorizonFor(settings.platform.logRetentionMs),
+      }),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
     this.maintenance = this.register(
@@ -153,7 +160,7 @@
         control,
         directory,
         probe: this.register(new HttpInstanceProbe()),
-        runs: targets,
+        runs: this.gateway.runs,
         homes,
         memberEntryIds: () => this.membership.members().map((member) => member.entryId),
         network: this.links,
@@ -195,7 +202,7 @@
     this.maintenance.start();
     return {
       peerAddress: listening.value,
-      callerAddress: await this.callers.listen(this.settings.callerAddress),
+      callerAddress: await this.gateway.listen(this.settings.callerAddress),
       operatorAddress: await this.operators.listen(this.settings.operatorAddress),
     };
   }
@@ -208,8 +215,10 @@
   async stop(): Promise<void> {
     await this.maintenance.stop();
     this.member.beginStop();
-    if (this.membership.liveEntries().length > 0) this.dispatcher.stop();
-    await this.callers.stop();
+    // Others take over as homes; where there are none, this one serves its own last requests.
+    const others = this.membership.liveEntries().filter((entryId) => entryId !== this.entryId);
+    if (others.length > 0) this.dispatcher.stop();
+    await this.gateway.stop();
     this.dispatcher.stop();
     await this.member.leave();
     // The tickets that it gives back leave in the next turns.
