A leaving entry waits a second, not for its longest lease

Waiting for every unknown end held a stop for up to 15 s and made the suite of at-most-once run past its time.

--- a/packages/credits/src/CreditLedgerTask.ts
+++ b/packages/credits/src/CreditLedgerTask.ts
@@ -95,8 +95,8 @@
   }
 
   /**
-   * Gives all free credits to the others and waits until no work runs on a credit of this entry
-   * and the others have confirmed. False if that took longer than `patienceMs`.
+   * Gives all free credits to the others, and waits up to `patienceMs` until no work runs on a
+   * credit of this entry and the others have confirmed. Tells whether no such work runs.
    */
   async handOver(patienceMs: number): Promise<boolean> {
     const untilMs = this.clock.monotonicMs() + patienceMs;
--- a/packages/credits/src/testing/SimulatedNode.ts
+++ b/packages/credits/src/testing/SimulatedNode.ts
@@ -15,6 +15,7 @@
 const FLUSH_MS = 100;
 const READ_MS = 150;
 const JOIN_REPEAT_MS = 1_000;
+const HAND_OVER_PATIENCE_MS = 1_000;
 const LIST_MS = 1_000;
 const READ_ROUND_TRIP_MS = 4;
 const MOST_SKEW_MS = 240;
@@ -64,6 +65,8 @@
 
   private handedOver = false;
 
+  private stopBeganAtMs = 0;
+
   private live: ReadonlySet<string> = new Set();
 
   constructor(
@@ -126,6 +129,7 @@
   stop(): void {
     this.act(() => {
       this.stopping = true;
+      this.stopBeganAtMs = this.monotonicMs();
       this.ledger.handOver();
     });
   }
@@ -226,9 +230,11 @@
   }
 
   private finishStop(): void {
-    if (!this.ledger.isHandedOver || this.handedOver) return;
+    const patient = this.monotonicMs() - this.stopBeganAtMs < HAND_OVER_PATIENCE_MS;
+    if ((patient && !this.ledger.isHandedOver) || this.handedOver) return;
     this.handedOver = true;
-    this.append([{ kind: 'leave', memberId: this.memberId }]);
+    const idle = !this.ledger.hasRunning;
+    this.append([{ kind: 'leave', memberId: this.memberId, idle }]);
     this.queue.after(JOIN_REPEAT_MS, () => {
       this.handedOver = false;
     });
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -209,8 +209,7 @@
 
   /**
    * Graceful stop: readiness falls and this entry is no home any more, requests in progress are
-   * finished, credits go to the other entries, and the leave record frees what is left. An entry
-   * whose work has not ended in time writes no such record; it is evicted later.
+   * finished, credits go to the other entries, and the leave record frees what is left.
    */
   async stop(): Promise<void> {
     await this.maintenance.stop();
--- a/packages/daemon/src/FleetMember.ts
+++ b/packages/daemon/src/FleetMember.ts
@@ -13,8 +13,8 @@
 import { type Settings } from './Settings.js';
 
 const SNAPSHOTS_PER_RETENTION = 24;
-const HAND_OVER_PATIENCE_MS = 15_000;
-const LEAVE_PATIENCE_MS = 3_000;
+const HAND_OVER_PATIENCE_MS = 1_000;
+const LEAVE_PATIENCE_MS = 2_000;
 const LEAVE_REPEAT_MS = 500;
 const LEAVE_POLL_MS = 20;
 
@@ -69,17 +69,17 @@
   }
 
   /**
-   * Gives the credits to the others and leaves the roster. An entry whose work has not ended in
-   * time writes no leave record: it is evicted later, after its leases have lapsed.
+   * Gives the credits to the others and leaves the roster. Credits of work whose end is not known
+   * by then are shared out by the others after its leases have lapsed. With the log down there is
+   * no leave record: the entry is evicted later.
    */
   async leave(): Promise<void> {
-    const ended = await this.credits.handOver(HAND_OVER_PATIENCE_MS);
-    if (!ended || !this.membership.isActive) return;
+    const idle = await this.credits.handOver(HAND_OVER_PATIENCE_MS);
     const untilMs = this.clock.monotonicMs() + LEAVE_PATIENCE_MS;
     let nextMs = this.clock.monotonicMs();
     while (this.membership.isActive && this.clock.monotonicMs() < untilMs) {
       if (this.clock.monotonicMs() >= nextMs) {
-        this.membership.leave();
+        this.membership.leave(idle);
         nextMs += LEAVE_REPEAT_MS;
       }
       await this.clock.sleep(LEAVE_POLL_MS);
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -166,9 +166,9 @@
     this.post({ kind: 'tick' });
   }
 
-  /** Appends the leave record: call it only once no work of this entry's credits can run. */
-  leave(): void {
-    const record: LeaveRecord = { kind: 'leave', memberId: this.memberId };
+  /** Appends the leave record; `idle` if no work of this entry's credits can run any more. */
+  leave(idle: boolean): void {
+    const record: LeaveRecord = { kind: 'leave', memberId: this.memberId, idle };
     this.services.writer.append(record);
   }
 
--- a/packages/membership/src/MembershipRecords.ts
+++ b/packages/membership/src/MembershipRecords.ts
@@ -23,8 +23,13 @@
   zoneId: zoneIdSchema,
 });
 
-/** The member has no work running, and starts none from here on. */
-export const leaveRecordSchema = z.object({ kind: z.literal('leave'), memberId: idSchema });
+/** The member starts no work from here on. */
+export const leaveRecordSchema = z.object({
+  kind: z.literal('leave'),
+  memberId: idSchema,
+  /** No work runs on its credits either, so that they are free at once. */
+  idle: z.boolean(),
+});
 
 export const evictRecordSchema = z.object({
   kind: z.literal('evict'),
@@ -45,7 +50,7 @@
   evictRecordSchema,
 ]);
 
-export const memberStatusSchema = z.enum(['active', 'left', 'evicted', 'superseded']);
+export const memberStatusSchema = z.enum(['active', 'left', 'left-busy', 'evicted', 'superseded']);
 
 export const memberSchema = z.object({
   memberId: idSchema,
--- a/packages/membership/src/RosterState.ts
+++ b/packages/membership/src/RosterState.ts
@@ -67,7 +67,8 @@
     if (!parsed.success) return undefined;
     const { data } = parsed;
     if (data.kind === 'join') return this.join(record, data);
-    if (data.kind === 'leave') return this.close(record, data.memberId, 'left');
+    if (data.kind === 'leave')
+      return this.close(record, data.memberId, data.idle ? 'left' : 'left-busy');
     if (!this.isValidEviction(record, data)) return undefined;
     return this.close(record, data.memberId, 'evicted');
   }
@@ -173,6 +174,6 @@
   /** Whether the member's process is over. One that was evicted may still run and not know it. */
   private hasStopped(memberId: MemberId): boolean {
     const status = this.members.get(memberId)?.status;
-    return status === 'left' || status === 'superseded';
+    return status === 'left' || status === 'left-busy' || status === 'superseded';
   }
 }
