--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -37,13 +37,13 @@
   PoolHomes,
   WorkReporter,
 } from '@acaciadock/scheduling';
-import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { ConfigRoutes } from './ConfigRoutes.js';
 import { FleetMember } from './FleetMember.js';
 import { FleetRoutes } from './FleetRoutes.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
+import { Observability } from './Observability.js';
 import { OperatorServer } from './OperatorServer.js';
 import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
@@ -59,7 +59,7 @@
 export class Entry extends Disposable {
   readonly follower: ConfigFollower;
 
-  readonly outcomes = new LastOutcomes();
+  readonly observability: Observability;
 
   private readonly member: FleetMember;
 
@@ -100,6 +100,18 @@
       ),
     );
     this.follower.attach(this.links);
+    const { entryId } = settings;
+    this.observability = this.register(
+      new Observability({
+        entryId,
+        incarnation,
+        config: this.follower,
+        log,
+        clock,
+        random,
+        logger,
+      }),
+    );
     this.register(
       new SnapshotPublisher(
         log,
@@ -143,7 +155,7 @@
         homes,
         network: this.links,
         log,
-        recorder: this.outcomes,
+        recorder: this.observability.recorder,
         clock,
         random,
         claimHorizon: claimHorizonFor(settings.platform.logRetentionMs),
@@ -172,6 +184,7 @@
       new OperatorServer([
         ...this.configRoutes(submitter, clock).routes(),
         ...new FleetRoutes(this.member).routes(),
+        ...this.observability.routes(),
       ]),
     );
   }
@@ -220,6 +233,7 @@
     await this.gateway.stop();
     this.dispatcher.stop();
     await this.member.leave();
+    await this.observability.burn.flush();
     // The tickets that it gives back leave in the next turns.
     await setTimeout(GIVE_BACK_MS);
     this.dispose();
