acaciadock status, operators' tokens, TLS of an entry from its settings; entries as processes

Cause: an operator had to ask entry after entry, and the operators' port took anyone. Any entry now asks all others over the links and names the silent ones.

--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -5,6 +5,7 @@
 import { registerKey } from './commands/key.js';
 import { registerReport } from './commands/report.js';
 import { registerSections } from './commands/sections.js';
+import { registerStatus } from './commands/status.js';
 import { EXIT_CODE_HELP } from './ExitCode.js';
 import { OperatorClient } from './OperatorClient.js';
 
@@ -47,5 +48,6 @@
   registerSections(program, context);
   registerKey(program, context);
   registerReport(program, context);
+  registerStatus(program, context);
   return program;
 }
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import { setTimeout } from 'node:timers/promises';
+import { type SecureContextOptions } from 'node:tls';
 import {
   type Clock,
   Disposable,
@@ -16,7 +17,7 @@
 import { type CreditLedgerTask } from '@acaciadock/credits';
 import { claimHorizonFor, Gateway } from '@acaciadock/gateway';
 import { type EntryFence, type Membership } from '@acaciadock/membership';
-import { PeerLinks } from '@acaciadock/peers';
+import { type EntryStatus, PeerLinks } from '@acaciadock/peers';
 import {
   HttpInstanceControl,
   HttpInstanceDirectory,
@@ -37,16 +38,19 @@
   PoolHomes,
   WorkReporter,
 } from '@acaciadock/scheduling';
-import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { ConfigRoutes } from './ConfigRoutes.js';
+import { EntryTls } from './EntryTls.js';
 import { FleetMember } from './FleetMember.js';
 import { FleetRoutes } from './FleetRoutes.js';
+import { FleetStatus } from './FleetStatus.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
 import { Observability } from './Observability.js';
+import { OperatorAccess } from './OperatorAccess.js';
 import { OperatorServer } from './OperatorServer.js';
 import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
+import { StatusRoutes } from './StatusRoutes.js';
 
 const GIVE_BACK_MS = 50;
 
@@ -81,8 +85,10 @@
     clock: Clock,
     seed: number,
     logger: Logger = new SilentLogger(),
+    tls: EntryTls = EntryTls.none(),
   ) {
     super();
+    this.register(tls);
     const random = new Random(seed);
     const incarnation = randomUUID();
     const log = new HttpLogService(this.platformCall(settings.platform.logUrl));
@@ -92,8 +98,7 @@
         {
           selfEntryId: settings.entryId,
           listenAddress: settings.peerAddress,
-          serverCredentials: ServerCredentials.createInsecure(),
-          channelCredentials: ChannelCredentials.createInsecure(),
+          ...tls.peers,
         },
         clock,
         random,
@@ -159,6 +164,7 @@
         clock,
         random,
         claimHorizon: claimHorizonFor(settings.platform.logRetentionMs),
+        ...(tls.servers ? { tls: tls.servers.options } : {}),
       }),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
@@ -180,13 +186,20 @@
         random,
       }),
     );
+    const status = this.register(new FleetStatus(homes, this.links, clock, () => this.ownStatus()));
     this.operators = this.register(
-      new OperatorServer([
-        ...this.configRoutes(submitter, clock).routes(),
-        ...new FleetRoutes(this.member).routes(),
-        ...this.observability.routes(),
-      ]),
+      new OperatorServer(
+        [
+          ...this.configRoutes(submitter, clock).routes(),
+          ...new FleetRoutes(this.member).routes(),
+          ...new StatusRoutes(status).routes(),
+          ...this.observability.routes(),
+        ],
+        new OperatorAccess(settings.operatorTokenSha256s),
+        tls.servers?.options,
+      ),
     );
+    if (tls.servers) this.register(tls.servers.onChange((options) => this.replaceTls(options)));
   }
 
   get entryId(): string {
@@ -239,6 +252,32 @@
     this.dispose();
   }
 
+  private ownStatus(): EntryStatus {
+    const { entryId, zoneId } = this.settings;
+    return {
+      entryId,
+      zoneId,
+      configVersion: this.follower.state().version,
+      logReachable: this.follower.logReachable,
+      fenced: this.fence.reason() ?? '',
+      waitingTickets: this.dispatcher.waitingTickets,
+      openGrants: this.dispatcher.openGrants,
+      requestsInFlight: this.gateway.requestsInFlight,
+      residentBytes: process.memoryUsage.rss(),
+      teams: this.credits.credits().map(({ teamId, holding, running, stranded }) => ({
+        teamId,
+        holding,
+        running,
+        stranded,
+      })),
+    };
+  }
+
+  private replaceTls(options: SecureContextOptions): void {
+    this.gateway.replaceTls(options);
+    this.operators.replaceTls(options);
+  }
+
   private configRoutes(submitter: PatchSubmitter, clock: Clock): ConfigRoutes {
     const alarms = this.register(new AlarmLog(this.follower, clock));
     return new ConfigRoutes(this.settings.entryId, this.follower, submitter, alarms, clock);
--- a/packages/daemon/src/OperatorServer.ts
+++ b/packages/daemon/src/OperatorServer.ts
@@ -1,7 +1,15 @@
 /** The operators' HTTP interface of an entry. What can be called is told by its routes. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  createServer as createHttpServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import { createServer as createHttpsServer } from 'node:https';
 import { type AddressInfo } from 'node:net';
+import { type SecureContextOptions } from 'node:tls';
 import { Disposable, toDisposable } from '@acaciadock/core';
+import { type OperatorAccess } from './OperatorAccess.js';
 import {
   matchPath,
   type OperatorAnswer,
@@ -12,11 +20,16 @@
 export class OperatorServer extends Disposable {
   private readonly server: Server;
 
-  constructor(private readonly routes: readonly OperatorRoute[]) {
+  constructor(
+    private readonly routes: readonly OperatorRoute[],
+    private readonly access: OperatorAccess,
+    tls?: SecureContextOptions,
+  ) {
     super();
-    this.server = createServer((request, response) => {
+    const listener = (request: IncomingMessage, response: ServerResponse): void => {
       this.answer(request, response).catch(() => response.destroy());
-    });
+    };
+    this.server = tls ? createHttpsServer(tls, listener) : createHttpServer(listener);
     this.register(
       toDisposable(() => {
         this.server.close();
@@ -37,6 +50,13 @@
     });
   }
 
+  /** Takes new certificates for connections that are made from now on. */
+  replaceTls(tls: SecureContextOptions): void {
+    if ('setSecureContext' in this.server) {
+      (this.server as ReturnType<typeof createHttpsServer>).setSecureContext(tls);
+    }
+  }
+
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const [path = '', query = ''] = (request.url ?? '').split('?');
     const answer = await this.dispatch(request, path, new URLSearchParams(query));
@@ -54,6 +74,9 @@
     path: string,
     query: URLSearchParams,
   ): OperatorAnswer | Promise<OperatorAnswer> {
+    if (!this.access.allows(request.headers.authorization)) {
+      return { statusCode: 401, body: { kind: 'token-not-valid' } };
+    }
     let pathKnown = false;
     for (const route of this.routes) {
       const parameters = matchPath(route.path, path);
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -7,6 +7,7 @@
 import { BunyanLogger } from '@acaciadock/telemetry';
 import { Command } from 'commander';
 import { Entry } from './Entry.js';
+import { EntryTls } from './EntryTls.js';
 import {
   loadSettings,
   OVERRIDABLE_FIELDS,
@@ -66,7 +67,15 @@
     level: settings.logLevel,
     stream: process.stdout,
   });
-  const entry = new Entry(settings, new SystemClock(), process.pid, logger);
+  const clock = new SystemClock();
+  const tls = (await EntryTls.open(settings, clock, logger)).match(
+    (opened) => opened,
+    (failure) => {
+      logger.error('start-failed', { ...failure });
+      process.exit(EXIT_START_FAILED);
+    },
+  );
+  const entry = new Entry(settings, clock, process.pid, logger, tls);
   const stop = (signal: string): void => {
     logger.info('stopping', { signal });
     void entry.stop().then(() => {
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -5,6 +5,7 @@
 export * from './messages/HeartbeatMessages.js';
 export * from './messages/MaintenanceMessages.js';
 export * from './messages/PeerMessage.js';
+export * from './messages/StatusMessages.js';
 export * from './messages/TicketMessages.js';
 export * from './messages/WorkMessages.js';
 export * from './MessageCodec.js';
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -8,6 +8,7 @@
 import { creditDemandSchema, creditReceiptSchema, creditTransferSchema } from './CreditMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
 import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
+import { statusQuerySchema, statusReplySchema } from './StatusMessages.js';
 import {
   grantEndedAckSchema,
   grantEndedSchema,
@@ -46,6 +47,8 @@
   teamUsageSchema,
   workQuerySchema,
   workReplySchema,
+  statusQuerySchema,
+  statusReplySchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
