--- /dev/null
+++ b/packages/bench/src/capacity/ProcessUsage.ts
@@ -0,0 +1,25 @@
+/** Processor time and memory of a process, as the kernel tells them. */
+import { readFileSync } from 'node:fs';
+
+/** Clock ticks a second in /proc, fixed for user space on Linux. */
+const TICKS_PER_SECOND = 100;
+const UTIME_FIELD = 11;
+const STIME_FIELD = 12;
+const BYTES_PER_KIB = 1024;
+
+export interface ProcessUsage {
+  readonly cpuSeconds: number;
+  readonly residentBytes: number;
+}
+
+export function usageOf(pid: number): ProcessUsage {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  // The name in parentheses may hold blanks; fields are counted behind it.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[UTIME_FIELD]) + Number(fields[STIME_FIELD]);
+  const resident = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1];
+  return {
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    residentBytes: Number(resident) * BYTES_PER_KIB,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/capacity/bareForwarder.ts
@@ -0,0 +1,20 @@
+/** A process that only forwards, with no decision: the floor that control is measured against. */
+import { createServer } from 'node:http';
+import { Pool } from 'undici';
+
+const IDLE_MS = 600_000;
+const [targetUrl = 'http://127.0.0.1:9'] = process.argv.slice(2);
+const pool = new Pool(targetUrl, { connections: 64 });
+
+const server = createServer((request, response) => {
+  pool
+    .request({ method: 'POST', path: request.url ?? '/', body: request })
+    .then(async (answer) => {
+      response.writeHead(answer.statusCode);
+      response.end(Buffer.from(await answer.body.arrayBuffer()));
+    })
+    .catch(() => response.destroy());
+});
+
+server.listen(0, '127.0.0.1', () => process.stdout.write('listening\n'));
+setTimeout(() => process.exit(), IDLE_MS);
--- /dev/null
+++ b/packages/bench/src/capacity/largeDocument.ts
@@ -0,0 +1,53 @@
+/** Configuration documents of any size, in the proportions of the stated target. */
+import { type ConfigDocument, configDocumentSchema } from '@acaciadock/config';
+
+const TARGET_INSTANCES = 16_000;
+const TARGET_POOLS = 240;
+const TARGET_TEAMS = 720;
+const ZONES = 11;
+const INSTANCES_PER_RACK = 20;
+
+/** `instances` instances, with pools, services and teams in proportion. */
+export function largeDocument(instances: number): ConfigDocument {
+  const part = instances / TARGET_INSTANCES;
+  const pools = Math.max(1, Math.round(TARGET_POOLS * part));
+  const teams = Math.max(1, Math.round(TARGET_TEAMS * part));
+  const numbered = <T>(count: number, make: (index: number) => [string, T]): Record<string, T> =>
+    Object.fromEntries(Array.from({ length: count }, (_, index) => make(index)));
+  return configDocumentSchema.parse({
+    schemaVersion: 1,
+    deploymentName: 'capacity',
+    regionId: 'region-1',
+    zones: numbered(ZONES, (index) => [`zone-${index}`, {}]),
+    pools: numbered(pools, (index) => [`pool-${index}`, { role: 'service' }]),
+    instances: numbered(instances, (index) => [
+      `i${index}`,
+      {
+        poolId: `pool-${index % pools}`,
+        zoneId: `zone-${index % ZONES}`,
+        rackId: `rack-${Math.floor(index / INSTANCES_PER_RACK)}`,
+        address: `10.${Math.floor(index / 65_536)}.${Math.floor(index / 256) % 256}.${index % 256}:80`,
+        cores: 16,
+        memoryBytes: 32 * 1024 ** 3,
+      },
+    ]),
+    services: numbered(pools, (index) => [
+      `service-${index}`,
+      {
+        poolId: `pool-${index}`,
+        idempotent: true,
+        availabilityTarget: 0.999,
+        latencyObjectiveMs: 2_000,
+        defaultDeadlineMs: 10_000,
+        maxDeadlineMs: 60_000,
+        declaredRunMs: 100,
+        taskLeaseMs: 10_000,
+      },
+    ]),
+    teams: numbered(teams, (index) => [
+      `team-${index}`,
+      { share: 1, limit: 200, keys: { k1: { sha256: 'a'.repeat(64), grantedAtMs: 0 } } },
+    ]),
+    policy: { weights: { bufferCost: 1, rollOutTime: 1, moves: 1, shareError: 1 } },
+  });
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,5 +4,6 @@
 type BenchLoader = () => Promise<Bench>;
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
+  capacity: async () => new (await import('./CapacityBench.js')).CapacityBench(),
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
 };
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -23,6 +23,7 @@
   HttpInstanceDirectory,
   HttpLogService,
   HttpPlatformClient,
+  SharedInstanceDirectory,
 } from '@acaciadock/platform';
 import {
   AlarmLog,
@@ -53,6 +54,8 @@
 import { StatusRoutes } from './StatusRoutes.js';
 
 const GIVE_BACK_MS = 50;
+/** Well under the few seconds in which a leaving target must be known. */
+const LIST_REUSE_MS = 700;
 
 export interface EntryAddresses {
   readonly callerAddress: string;
@@ -126,7 +129,11 @@
         snapshotScheduleFor(settings.platform.logRetentionMs),
       ),
     );
-    const directory = new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl));
+    const directory = new SharedInstanceDirectory(
+      new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl)),
+      clock,
+      LIST_REUSE_MS,
+    );
     const services = { log, directory, config: this.follower, network: this.links };
     this.member = this.register(new FleetMember(settings, services, clock, random));
     this.member.membership.watchFreshness(this.follower);
--- a/packages/gateway/src/claims/ClaimReader.ts
+++ b/packages/gateway/src/claims/ClaimReader.ts
@@ -13,7 +13,7 @@
 import { type ClaimTable, type ClaimVerdict } from './ClaimTable.js';
 
 const PAGE_RECORDS = 500;
-const HOLD_MS = 1_000;
+const HOLD_MS = 3_000;
 const RETRY = { firstMs: 50, mostMs: 1_000 };
 
 export class ClaimReader extends Disposable {
--- a/packages/membership/src/ControlStreamReader.ts
+++ b/packages/membership/src/ControlStreamReader.ts
@@ -14,7 +14,8 @@
 import { z } from 'zod';
 
 const PAGE_RECORDS = 1_000;
-const READ_WAIT_MS = 500;
+/** A third of the fence time: two reads may fail before the entry must fence itself. */
+const READ_WAIT_MS = 1_000;
 const RETRY = { firstMs: 50, mostMs: 500 };
 
 const snapshotSchema = z.object({
--- a/packages/platform/src/HttpPlatformClient.ts
+++ b/packages/platform/src/HttpPlatformClient.ts
@@ -14,6 +14,8 @@
 
 export interface CallAnswer {
   readonly statusCode: number;
+  readonly headers: Readonly<Record<string, string | undefined>>;
+  /** The parsed body; undefined where the answer has none. */
   readonly body: unknown;
 }
 
@@ -21,6 +23,7 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMs: number;
 }
 
@@ -52,11 +55,18 @@
         path: call.path,
         headersTimeout: call.timeoutMs,
         bodyTimeout: call.timeoutMs,
-        ...(call.body === undefined
-          ? {}
-          : { body: JSON.stringify(call.body), headers: { 'content-type': 'application/json' } }),
+        headers: {
+          ...call.headers,
+          ...(call.body === undefined ? {} : { 'content-type': 'application/json' }),
+        },
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+      });
+      const text = await answer.body.text();
+      return ok({
+        statusCode: answer.statusCode,
+        headers: HttpPlatformClient.headersOf(answer.headers),
+        body: text === '' ? undefined : (JSON.parse(text) as unknown),
       });
-      return ok({ statusCode: answer.statusCode, body: await answer.body.json() });
     } catch (cause) {
       if (NOT_SENT_CODES.has(codeOf(cause))) return err({ kind: 'unreachable' });
       if (cause instanceof SyntaxError) return err({ kind: 'malformed', detail: cause.message });
@@ -65,6 +75,17 @@
     }
   }
 
+  private static headersOf(
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): CallAnswer['headers'] {
+    return Object.fromEntries(
+      Object.entries(headers).map(([name, value]) => [
+        name,
+        value === undefined ? value : String(value),
+      ]),
+    );
+  }
+
   /** Ends all connections. Calls under way fail. */
   close(): Promise<void> {
     return this.pool.destroy();
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,3 +8,4 @@
 export * from './HttpLogService.js';
 export * from './HttpInstanceDirectory.js';
 export * from './HttpInstanceControl.js';
+export * from './SharedInstanceDirectory.js';
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -5,3 +5,5 @@
 export * from './fleet/FleetLoad.js';
 export * from './fleet/FleetObserver.js';
 export * from './fleet/MaintenanceFleet.js';
+export * from './processes/EntryProcess.js';
+export { ProcessFleet } from './processes/ProcessFleet.js';
--- a/packages/scenarios/src/processes/EntryProcess.ts
+++ b/packages/scenarios/src/processes/EntryProcess.ts
@@ -71,6 +71,10 @@
     }
   }
 
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
   /** Kills the process at once, as a machine that loses power. */
   kill(): Promise<ProcessExit> {
     return this.signal('SIGKILL');
--- a/packages/testkit/src/DirectoryStandIn.ts
+++ b/packages/testkit/src/DirectoryStandIn.ts
@@ -15,6 +15,9 @@
 
   private changes: Change[] = [];
 
+  /** Changes with what the list shows; the list's tag. */
+  private generation = 0;
+
   private readonly shown = new Map<InstanceId, ListedInstance>();
 
   constructor(
@@ -35,22 +38,30 @@
     this.changes.push({ atMs: this.clock.monotonicMs(), instanceId, listed: undefined });
   }
 
-  protected override async answer(_: IncomingMessage, response: ServerResponse): Promise<void> {
+  protected override async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     if (this.down) {
       response.destroy();
       return;
     }
     this.showUntil(this.clock.monotonicMs() - this.lagMs);
-    HttpStandIn.send(response, 200, {
-      observedAtMs: this.clock.unixMs() - this.lagMs,
-      instances: [...this.shown.values()],
-    });
+    const observedAtMs = this.clock.unixMs() - this.lagMs;
+    response.setHeader('x-observed-at-ms', observedAtMs);
+    response.setHeader('etag', `"${this.generation}"`);
+    if (request.headers['if-none-match'] === `"${this.generation}"`) {
+      response.writeHead(304).end();
+      return;
+    }
+    HttpStandIn.send(response, 200, { observedAtMs, instances: [...this.shown.values()] });
   }
 
   private showUntil(untilMs: number): void {
     this.changes
       .filter((change) => change.atMs <= untilMs)
       .forEach((change) => {
+        this.generation += 1;
         if (change.listed) this.shown.set(change.instanceId, change.listed);
         else this.shown.delete(change.instanceId);
       });
--- a/packages/testkit/src/HttpStandIn.ts
+++ b/packages/testkit/src/HttpStandIn.ts
@@ -1,16 +1,21 @@
 /** Base of the stand-ins: a small HTTP server with JSON answers, on a loopback port. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { type AddressInfo } from 'node:net';
+import { type AddressInfo, type Socket } from 'node:net';
 
 const LOOPBACK = '127.0.0.1';
 
 export abstract class HttpStandIn {
   protected readonly server: Server;
 
+  private readonly sockets = new Set<Socket>();
+
+  private closedBytes = 0;
+
   constructor() {
     this.server = createServer((request, response) => {
       this.answer(request, response).catch(() => response.destroy());
     });
+    this.server.on('connection', (socket) => this.follow(socket));
   }
 
   /** Starts to listen; port 0 takes a free one. Returns `host:port`. */
@@ -37,6 +42,26 @@
     });
   }
 
+  /** Bytes received and sent over all connections so far. */
+  get trafficBytes(): number {
+    return [...this.sockets].reduce(
+      (sum, socket) => sum + HttpStandIn.bytesOf(socket),
+      this.closedBytes,
+    );
+  }
+
+  private follow(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => {
+      this.sockets.delete(socket);
+      this.closedBytes += HttpStandIn.bytesOf(socket);
+    });
+  }
+
+  private static bytesOf(socket: Socket): number {
+    return socket.bytesRead + socket.bytesWritten;
+  }
+
   protected abstract answer(request: IncomingMessage, response: ServerResponse): Promise<void>;
 
   protected static async readBody(request: IncomingMessage): Promise<Buffer> {
