Benches of bursts, overload, sick targets and the cost of decisions in virtual time

Cause: admission by the team's portion alone refused urgent work in bursts that would have started in time (10 % of it at 80 % urgent), and took work at the edge of its deadline that then ran in vain.

A ticket past its deadline is never started.

--- /dev/null
+++ b/packages/bench/src/BurstBench.ts
@@ -0,0 +1,90 @@
+/**
+ * Bursts in virtual time: each queue in turn asks five times its mean for some seconds, more than
+ * its pool holds, and a twentieth of it in between. How soon urgent work starts, whether refusals
+ * are early and true, and how near each team stays to its share, against first come first served
+ * and strict priority.
+ */
+import { type PoolSchedulerParts } from '@acaciadock/scheduling';
+import { Bench, type BenchOptions, type BenchResult, type Bound, checkBound } from './Bench.js';
+import { burstShareError, refusalsOf, startsOf, truePartOf } from './scheduling/BurstFigures.js';
+import { type BurstRun, runBursts } from './scheduling/BurstLoad.js';
+import { FcfsQueue } from './scheduling/FcfsQueue.js';
+import { StrictPriorityQueue } from './scheduling/StrictPriorityQueue.js';
+
+const URGENT_START_MS = 5_600;
+const MIN_TRUE_PART = 0.95;
+const LOADS = [
+  { urgentPart: 0.4, load: 0.75, capacityAllows: true },
+  { urgentPart: 0.8, load: 0.75, capacityAllows: true },
+  // Far more urgent work in a burst than can start in time: most of it must be refused.
+  { urgentPart: 1, load: 0.9, capacityAllows: false },
+];
+
+const BASELINES: Readonly<Record<string, PoolSchedulerParts['queueOf']>> = {
+  'first come first served': () => new FcfsQueue(),
+  'strict priority': () => new StrictPriorityQueue(),
+};
+
+export class BurstBench extends Bench {
+  readonly name = 'burst';
+
+  readonly summary = 'urgent start, refusals and share through bursts of five times the mean';
+
+  async run({ seed }: BenchOptions): Promise<BenchResult> {
+    const bounds = LOADS.flatMap((load) => {
+      const name = `${load.urgentPart * 100} % urgent at load ${load.load}`;
+      const found = this.measure(name, runBursts({ ...load, seed }), load.capacityAllows);
+      Object.entries(BASELINES).forEach(([baseline, queueOf]) => {
+        this.print(`${name}, ${baseline}`, runBursts({ ...load, seed, queueOf }));
+      });
+      return found;
+    });
+    return { bounds };
+  }
+
+  private measure(
+    name: string,
+    runs: readonly BurstRun[],
+    capacityAllows: boolean,
+  ): readonly Bound[] {
+    this.print(name, runs);
+    const urgent = startsOf(runs, 'urgent');
+    const refused = refusalsOf(runs, 'urgent');
+    const half = URGENT_START_MS / 2;
+    const bounds = [
+      checkBound(`${name}: urgent start p99`, urgent.p99Ms, 'ms', 'at-most', URGENT_START_MS),
+      checkBound(`${name}: refusals after a wait`, refused.late, 'requests', 'exactly', 0),
+      checkBound(
+        `${name}: refused that would have waited over ${half} ms`,
+        truePartOf(refused, half),
+        'part',
+        'at-least',
+        MIN_TRUE_PART,
+      ),
+    ];
+    if (!capacityAllows) return bounds;
+    const max = checkBound(
+      `${name}: urgent start max`,
+      urgent.maxMs,
+      'ms',
+      'at-most',
+      URGENT_START_MS,
+    );
+    return [...bounds, max];
+  }
+
+  private print(name: string, runs: readonly BurstRun[]): void {
+    const urgent = startsOf(runs, 'urgent');
+    const background = startsOf(runs, 'background');
+    const refused = refusalsOf(runs, 'urgent');
+    const refusedBackground = refusalsOf(runs, 'background');
+    this.note(
+      `${name}: urgent starts ${urgent.count}, p99 ${urgent.p99Ms} ms, max ${Math.round(urgent.maxMs)} ms; ` +
+        `background p99 ${background.p99Ms} ms; refused urgent ${refused.count} ` +
+        `(after a wait ${refused.late}; of ${refused.probeWaitsMs.length} queued all the same ` +
+        `${truePartOf(refused, URGENT_START_MS).toFixed(3)} would have started after ${URGENT_START_MS} ms, ` +
+        `the first after ${Math.round(refused.probeWaitsMs[0] ?? 0)} ms), background ${refusedBackground.count}; ` +
+        `share error in bursts ${(100 * burstShareError(runs)).toFixed(1)} %`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/bench/src/HealthBench.ts
@@ -0,0 +1,133 @@
+/**
+ * One of eight targets fails everything at once, in virtual time: which share of the requests it
+ * still gets, what callers of idempotent work see, and how long it takes to eject the target and to
+ * take it back. The baseline is least-loaded choice without ejection.
+ */
+import { Random, type TargetId } from '@acaciadock/core';
+import { type HealthPolicy, OutlierEjection } from '@acaciadock/scheduling';
+import { Bench, type BenchOptions, type BenchResult, checkBound } from './Bench.js';
+import { NoEjection } from './scheduling/NoEjection.js';
+import { PoolModel } from './scheduling/PoolModel.js';
+import { VirtualClock } from './scheduling/VirtualClock.js';
+
+const TARGETS = 8;
+const SLOTS = 8;
+const LOAD = 0.7;
+const RUN_MS = 200;
+const FAIL_MS = 2;
+const SICK_FROM_MS = 10_000;
+const SICK_UNTIL_MS = 70_000;
+const END_MS = 130_000;
+const SICK = 't0';
+const MIN_SUCCESS = 0.999;
+const SAMPLE_MS = 10;
+const DEADLINE_MS = 10_000;
+const POLICY = { weights: { bufferCost: 1, rollOutTime: 2, moves: 1, shareError: 2 } };
+
+interface Figures {
+  readonly sickShare: number;
+  readonly success: number;
+  readonly attemptsPerRequest: number;
+  readonly ejectMs: number;
+  readonly returnMs: number;
+  readonly mostEjected: number;
+}
+
+function run(seed: number, health: HealthPolicy, sick: readonly TargetId[]): Figures {
+  const clock = new VirtualClock();
+  const random = new Random(seed);
+  const model = new PoolModel(
+    clock,
+    {
+      targets: TARGETS,
+      slotsPerTarget: SLOTS,
+      shares: { a: 1, b: 1 },
+      declaredRunMs: RUN_MS,
+      health,
+      policy: POLICY,
+    },
+    seed,
+  );
+  const meanGapMs = RUN_MS / (TARGETS * SLOTS * LOAD);
+  const next = (): void => {
+    if (clock.monotonicMs() >= END_MS) return;
+    model.arrive({
+      teamId: random.chance(0.5) ? 'a' : 'b',
+      urgency: random.chance(0.5) ? 'urgent' : 'background',
+      runMs: RUN_MS * (0.5 + random.next()),
+      deadlineMs: DEADLINE_MS,
+    });
+    clock.after(random.exponential(meanGapMs), next);
+  };
+  next();
+  const sent = (): number => [...model.sentTo.values()].reduce((sum, count) => sum + count, 0);
+  let ejectedAtMs = Number.POSITIVE_INFINITY;
+  let returnedAtMs = Number.POSITIVE_INFINITY;
+  let mostEjected = 0;
+  clock.runUntil(SICK_FROM_MS);
+  const sentBefore = sent();
+  const sickBefore = model.sentTo.get(SICK) ?? 0;
+  sick.forEach((targetId) => model.failing.set(targetId, FAIL_MS));
+  for (let nowMs = SICK_FROM_MS; nowMs < SICK_UNTIL_MS; nowMs += SAMPLE_MS) {
+    clock.runUntil(nowMs);
+    if (health.isEjected(SICK)) ejectedAtMs = Math.min(ejectedAtMs, nowMs);
+    mostEjected = Math.max(mostEjected, health.ejectedCount);
+  }
+  const sickShare = ((model.sentTo.get(SICK) ?? 0) - sickBefore) / (sent() - sentBefore);
+  model.failing.clear();
+  for (let nowMs = SICK_UNTIL_MS; nowMs < END_MS; nowMs += SAMPLE_MS) {
+    clock.runUntil(nowMs);
+    if (!health.isEjected(SICK)) returnedAtMs = Math.min(returnedAtMs, nowMs);
+  }
+  clock.runUntil(END_MS + DEADLINE_MS);
+  const during = model.ends.filter(
+    ({ arrivedAtMs }) => arrivedAtMs >= SICK_FROM_MS && arrivedAtMs < SICK_UNTIL_MS,
+  );
+  return {
+    sickShare,
+    success: during.filter(({ succeeded }) => succeeded).length / during.length,
+    attemptsPerRequest: sent() / model.ends.length,
+    ejectMs: ejectedAtMs - SICK_FROM_MS,
+    returnMs: returnedAtMs - SICK_UNTIL_MS,
+    mostEjected,
+  };
+}
+
+export class HealthBench extends Bench {
+  readonly name = 'health';
+
+  readonly summary =
+    'a target that fails everything at once: its share of work, and what callers see';
+
+  async run({ seed }: BenchOptions): Promise<BenchResult> {
+    const figures = run(seed, new OutlierEjection(new Random(seed)), [SICK]);
+    this.print('outlier ejection', figures);
+    this.print('least loaded without ejection', run(seed, new NoEjection(), [SICK]));
+    const all = Array.from({ length: TARGETS }, (_, index) => `t${index}`);
+    const outage = run(seed, new OutlierEjection(new Random(seed)), all);
+    this.print('all targets fail', outage);
+    return {
+      bounds: [
+        checkBound('success seen by callers', figures.success, 'part', 'at-least', MIN_SUCCESS),
+        checkBound('share of the sick target', figures.sickShare, 'part', 'at-most', 1 / TARGETS),
+        checkBound('ejected when all fail', outage.mostEjected, 'targets', 'at-most', TARGETS / 2),
+        checkBound(
+          'attempts for each request when all fail',
+          outage.attemptsPerRequest,
+          'ratio',
+          'at-most',
+          1.1,
+        ),
+      ],
+    };
+  }
+
+  private print(name: string, figures: Figures): void {
+    this.note(
+      `${name}: the sick target gets ${(100 * figures.sickShare).toFixed(3)} % of attempts, ` +
+        `callers see ${(100 * figures.success).toFixed(3)} % succeed, ejected after ` +
+        `${figures.ejectMs} ms, back ${figures.returnMs} ms after it was well, ` +
+        `${figures.attemptsPerRequest.toFixed(3)} attempts a request, most ejected ${figures.mostEjected}`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/bench/src/OverloadBench.ts
@@ -0,0 +1,163 @@
+/**
+ * Five times the capacity for a minute, in virtual time: how much still ends in time, against the
+ * same pool at its capacity; whether refusals are true where the load goes on; and how much memory
+ * the waiting tickets take.
+ */
+import { Random } from '@acaciadock/core';
+import { type PoolSchedulerParts } from '@acaciadock/scheduling';
+import { Bench, type BenchOptions, type BenchResult, checkBound } from './Bench.js';
+import { heapBytes } from './heapBytes.js';
+import { FcfsQueue } from './scheduling/FcfsQueue.js';
+import { type ModelEnd, PoolModel } from './scheduling/PoolModel.js';
+import { VirtualClock } from './scheduling/VirtualClock.js';
+
+const TARGETS = 7;
+const SLOTS = 8;
+const RUN_MS = 300;
+const DEADLINE_MS = 5_000;
+const DURATION_MS = 60_000;
+const OVERLOAD = 5;
+const PROBE_EVERY = 500;
+const MIN_GOODPUT_RATIO = 0.95;
+const MIN_TRUE_PART = 0.95;
+const MIN_EARLY_PART = 0.99;
+/** Bytes that a waiting ticket may take with all that refers to it, and tickets that may wait. */
+const MAX_HEAP_GROWTH_BYTES = 16 * 1024 * 1024;
+const SHARES = { a: 8, b: 5, c: 2, d: 1, e: 1, f: 1 };
+
+interface Load {
+  /** Requested work over the capacity. */
+  readonly factor: number;
+  readonly seed: number;
+  readonly queueOf?: PoolSchedulerParts['queueOf'];
+}
+
+interface Overload {
+  readonly ends: readonly ModelEnd[];
+  readonly mostWaiting: number;
+}
+
+function run({ factor, seed, queueOf }: Load): Overload {
+  const clock = new VirtualClock();
+  const random = new Random(seed);
+  const model = new PoolModel(
+    clock,
+    {
+      targets: TARGETS,
+      slotsPerTarget: SLOTS,
+      shares: SHARES,
+      declaredRunMs: RUN_MS,
+      probeEvery: PROBE_EVERY,
+      ...(queueOf ? { queueOf } : {}),
+    },
+    seed,
+  );
+  const meanGapMs = RUN_MS / (TARGETS * SLOTS * factor);
+  let mostWaiting = 0;
+  const next = (): void => {
+    if (clock.monotonicMs() >= DURATION_MS) return;
+    model.arrive({
+      teamId: random.pick(Object.keys(SHARES)) ?? '',
+      urgency: 'background',
+      runMs: RUN_MS * (0.25 + random.next() * 1.5),
+      deadlineMs: DEADLINE_MS,
+    });
+    mostWaiting = Math.max(mostWaiting, model.scheduler.size);
+    clock.after(random.exponential(meanGapMs), next);
+  };
+  next();
+  clock.runUntil(DURATION_MS + DEADLINE_MS);
+  return { ends: model.ends, mostWaiting };
+}
+
+/** Requests a second that were answered within their deadline. */
+function goodputOf({ ends }: Overload): number {
+  const inTime = ends.filter(
+    ({ succeeded, endedAtMs, arrivedAtMs, request }) =>
+      succeeded && endedAtMs - arrivedAtMs <= request.deadlineMs,
+  );
+  return inTime.length / (DURATION_MS / 1_000);
+}
+
+export class OverloadBench extends Bench {
+  readonly name = 'overload';
+
+  readonly summary = 'goodput, refusals and memory at five times the capacity';
+
+  async run({ seed }: BenchOptions): Promise<BenchResult> {
+    const capacity = run({ factor: 1, seed });
+    const overload = run({ factor: OVERLOAD, seed });
+    const fcfs = run({ factor: OVERLOAD, seed, queueOf: () => new FcfsQueue() });
+    const ratio = goodputOf(overload) / goodputOf(capacity);
+    const refused = overload.ends.filter(({ refusal, probe }) => refusal && !probe);
+    const late = refused.filter(({ endedAtMs, arrivedAtMs }) => endedAtMs > arrivedAtMs);
+    const earlyPart = 1 - late.length / refused.length;
+    const probes = overload.ends.filter(({ probe }) => probe);
+    const waits = probes.map(
+      ({ startedAtMs, endedAtMs, arrivedAtMs }) => (startedAtMs ?? endedAtMs) - arrivedAtMs,
+    );
+    const truePart = waits.filter((ms) => ms > DEADLINE_MS / 2).length / waits.length;
+    this.note(
+      `at capacity ${goodputOf(capacity).toFixed(0)}/s; at ${OVERLOAD} times ` +
+        `${goodputOf(overload).toFixed(0)}/s, refused ${refused.length} of ${overload.ends.length} ` +
+        `(${late.length} after a wait), most waiting ${overload.mostWaiting}; first come first ` +
+        `served ${goodputOf(fcfs).toFixed(0)}/s, most waiting ${fcfs.mostWaiting}`,
+    );
+    this.note(
+      `of ${probes.length} refused that were queued all the same ` +
+        `${OverloadBench.missedPart(probes).toFixed(3)} missed their deadline; ` +
+        `they waited ${Math.round(Math.min(...waits))} to ${Math.round(Math.max(...waits))} ms`,
+    );
+    const growth = this.heapGrowth(seed);
+    return {
+      bounds: [
+        checkBound('goodput over that at capacity', ratio, 'ratio', 'at-least', MIN_GOODPUT_RATIO),
+        checkBound(
+          `refused that would have waited over ${DEADLINE_MS / 2} ms`,
+          truePart,
+          'part',
+          'at-least',
+          MIN_TRUE_PART,
+        ),
+        checkBound('refusals that came at once', earlyPart, 'part', 'at-least', MIN_EARLY_PART),
+        checkBound('heap of a full scheduler', growth, 'bytes', 'at-most', MAX_HEAP_GROWTH_BYTES),
+      ],
+    };
+  }
+
+  private static missedPart(probes: readonly ModelEnd[]): number {
+    if (probes.length === 0) return 1;
+    const missed = probes.filter(
+      ({ succeeded, endedAtMs, arrivedAtMs, request }) =>
+        !succeeded || endedAtMs - arrivedAtMs > request.deadlineMs,
+    );
+    return missed.length / probes.length;
+  }
+
+  /** Heap of one scheduler after many arrivals at which nothing ever runs. */
+  private heapGrowth(seed: number): number {
+    const before = heapBytes();
+    const clock = new VirtualClock();
+    const model = new PoolModel(
+      clock,
+      {
+        targets: 1,
+        slotsPerTarget: 1,
+        shares: SHARES,
+        declaredRunMs: 1,
+        maxQueuedPerTeam: 1_000,
+        keepEnds: false,
+      },
+      seed,
+    );
+    const random = new Random(seed);
+    const arrivals = 200_000;
+    for (let arrival = 0; arrival < arrivals; arrival += 1) {
+      const teamId = random.pick(Object.keys(SHARES)) ?? '';
+      model.arrive({ teamId, urgency: 'background', runMs: 1e9, deadlineMs: 1e9 });
+    }
+    const growth = heapBytes() - before;
+    this.note(`${arrivals} arrivals at a stuck pool: ${model.scheduler.size} wait`);
+    return growth;
+  }
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -3,4 +3,9 @@
 
 type BenchLoader = () => Promise<Bench>;
 
-export const BENCHES: Readonly<Record<string, BenchLoader>> = {};
+export const BENCHES: Readonly<Record<string, BenchLoader>> = {
+  burst: async () => new (await import('./BurstBench.js')).BurstBench(),
+  overload: async () => new (await import('./OverloadBench.js')).OverloadBench(),
+  health: async () => new (await import('./HealthBench.js')).HealthBench(),
+  scheduling: async () => new (await import('./SchedulingBench.js')).SchedulingBench(),
+};
--- /dev/null
+++ b/packages/bench/src/scheduling/BurstLoad.ts
@@ -0,0 +1,85 @@
+/**
+ * The load of the burst bench on one service's pool: five times the mean while it is the service's
+ * turn, a twentieth in between. Every team asks the same, so that in a burst each one asks for more
+ * than its portion.
+ */
+import { Random, type TeamId, type Urgency } from '@acaciadock/core';
+import { type PoolSchedulerParts } from '@acaciadock/scheduling';
+import { type ModelEnd, PoolModel } from './PoolModel.js';
+import { VirtualClock } from './VirtualClock.js';
+
+export const BURST_MS = 4_000;
+export const CYCLE_MS = 20_800;
+const TARGETS = 7;
+const SLOTS = 8;
+const SERVICES = 5;
+const CYCLES = 12;
+const BURST_FACTOR = 5;
+const QUIET_FACTOR = 0.05;
+/** One refusal of this many is queued all the same, to see whether it was true. */
+const PROBE_EVERY = 200;
+const DECLARED_RUN_MS = 3_000;
+const RUN_MS: Readonly<Record<Urgency, number>> = { urgent: 300, background: 2_000 };
+const DEADLINE_MS: Readonly<Record<Urgency, number>> = { urgent: 10_000, background: 120_000 };
+
+export const SHARES: Readonly<Record<TeamId, number>> = { a: 8, b: 5, c: 2, d: 1, e: 1, f: 1 };
+
+export interface BurstOptions {
+  /** Part of the requests that is urgent. */
+  readonly urgentPart: number;
+  /** Mean load over the pool's capacity. */
+  readonly load: number;
+  readonly seed: number;
+  readonly queueOf?: PoolSchedulerParts['queueOf'];
+}
+
+export interface BurstRun {
+  /** When the first burst began. */
+  readonly firstBurstAtMs: number;
+  readonly ends: readonly ModelEnd[];
+}
+
+function runService(service: number, options: BurstOptions): BurstRun {
+  const { urgentPart, load, seed, queueOf } = options;
+  const clock = new VirtualClock();
+  const random = new Random(seed + service);
+  const pool = {
+    targets: TARGETS,
+    slotsPerTarget: SLOTS,
+    shares: SHARES,
+    declaredRunMs: DECLARED_RUN_MS,
+    probeEvery: PROBE_EVERY,
+    ...(queueOf ? { queueOf } : {}),
+  };
+  const model = new PoolModel(clock, pool, seed);
+  const meanRunMs = urgentPart * RUN_MS.urgent + (1 - urgentPart) * RUN_MS.background;
+  const meanGapMs = meanRunMs / (load * TARGETS * SLOTS);
+  const firstBurstAtMs = (service * CYCLE_MS) / SERVICES;
+  const endMs = CYCLE_MS * CYCLES;
+  const arrive = (): void => {
+    const urgency = random.chance(urgentPart) ? 'urgent' : 'background';
+    model.arrive({
+      teamId: random.pick(Object.keys(SHARES)) ?? '',
+      urgency,
+      runMs: RUN_MS[urgency] * (0.25 + random.next() * 1.5),
+      deadlineMs: DEADLINE_MS[urgency],
+    });
+  };
+  const next = (): void => {
+    const nowMs = clock.monotonicMs();
+    if (nowMs >= endMs) return;
+    const inCycleMs = (nowMs - firstBurstAtMs + CYCLE_MS) % CYCLE_MS;
+    const factor = inCycleMs < BURST_MS ? BURST_FACTOR : QUIET_FACTOR;
+    // Thinning: candidates come at the rate of a burst, and between bursts most are dropped.
+    if (random.chance(factor / BURST_FACTOR)) arrive();
+    clock.after(random.exponential(meanGapMs / BURST_FACTOR), next);
+  };
+  next();
+  clock.runUntil(endMs + DEADLINE_MS.background);
+  return { firstBurstAtMs, ends: model.ends };
+}
+
+/** All services of a deployment, each with its own pool. */
+export function runBursts(options: BurstOptions): readonly BurstRun[] {
+  return Array.from({ length: SERVICES }, (_, service) => runService(service, options));
+}
--- /dev/null
+++ b/packages/bench/src/scheduling/FreeCredits.ts
@@ -0,0 +1,18 @@
+/** Credits without a bound, for benches of what else decides. */
+import { CreditSource, type CreditUse, EventEmitter, type TeamId } from '@acaciadock/core';
+
+export class FreeCredits extends CreditSource {
+  override readonly onAvailable = new EventEmitter<TeamId>().event;
+
+  override tryAcquire(teamId: TeamId): CreditUse {
+    return { useId: 'free', teamId, holderEntryId: 'e0', epoch: 0 };
+  }
+
+  override release(): void {
+    // Nothing is counted.
+  }
+
+  override want(): void {
+    // There is always enough.
+  }
+}
--- /dev/null
+++ b/packages/bench/src/scheduling/VirtualClock.ts
@@ -0,0 +1,74 @@
+/** Virtual time for many timers: a heap in place of the scan of `ManualClock`. */
+import { Clock, type IDisposable, toDisposable } from '@acaciadock/core';
+import { IndexedHeap } from '@acaciadock/scheduling';
+
+interface Timer {
+  readonly sequence: number;
+  dueMs: number;
+  readonly action: () => void;
+}
+
+/** Makes timers that fall due at the same instant run in the order in which they were set. */
+const SEQUENCE_PART = 1e-9;
+const START_UNIX_MS = 1_800_000_000_000;
+
+export class VirtualClock extends Clock {
+  private nowMs = 0;
+
+  private nextSequence = 0;
+
+  private readonly timers = new IndexedHeap<Timer>(
+    ({ dueMs, sequence }) => dueMs + sequence * SEQUENCE_PART,
+  );
+
+  override unixMs(): number {
+    return START_UNIX_MS + this.nowMs;
+  }
+
+  override monotonicMs(): number {
+    return this.nowMs;
+  }
+
+  override after(delayMs: number, action: () => void): IDisposable {
+    const timer = { sequence: this.nextSequence, dueMs: this.nowMs + Math.max(0, delayMs), action };
+    this.nextSequence += 1;
+    this.timers.update(timer);
+    return toDisposable(() => this.timers.remove(timer));
+  }
+
+  override every(periodMs: number, action: () => void): IDisposable {
+    let next = this.after(periodMs, () => undefined);
+    let ended = false;
+    const again = (): void => {
+      next.dispose();
+      next = this.after(periodMs, () => {
+        action();
+        if (!ended) again();
+      });
+    };
+    again();
+    return toDisposable(() => {
+      ended = true;
+      next.dispose();
+    });
+  }
+
+  /** Runs the next timer that is due by `untilMs`; false if there is none, and then it is `untilMs`. */
+  step(untilMs: number): boolean {
+    const timer = this.timers.top();
+    if (!timer || timer.dueMs > untilMs) {
+      this.nowMs = Math.max(this.nowMs, untilMs);
+      return false;
+    }
+    this.timers.remove(timer);
+    this.nowMs = Math.max(this.nowMs, timer.dueMs);
+    timer.action();
+    return true;
+  }
+
+  runUntil(untilMs: number): void {
+    while (this.step(untilMs)) {
+      // The step did the work.
+    }
+  }
+}
--- a/packages/scheduling/src/FairQueue.ts
+++ b/packages/scheduling/src/FairQueue.ts
@@ -15,10 +15,12 @@
 import {
   type Backlog,
   type EstimateOf,
+  type OwnTurn,
   QueueDiscipline,
   type QueueItem,
   type QueueSettings,
 } from './QueueDiscipline.js';
+import { type RunKind } from './RunTimeEstimator.js';
 import { TeamQueue } from './TeamQueue.js';
 
 const CATCH_UP_MS = 1_000;
@@ -38,9 +40,6 @@
   /** Sum of the shares of the teams that wait or run. */
   private activeShare = 0;
 
-  /** Sum of the shares of the teams with urgent tickets waiting. */
-  private urgentShare = 0;
-
   private urgentCount = 0;
 
   private settings: QueueSettings = {
@@ -141,19 +140,39 @@
     const team = this.teams.get(teamId);
     const share = this.shareOf(teamId);
     const active = team && FairQueue.isActive(team);
-    const urgent = team && team.urgentSize > 0;
     const tag = Math.max(team?.tag ?? 0, this.virtualTime);
     const least = Math.min(this.byTag.top()?.tag ?? tag, tag);
+    const rivals = urgency === 'urgent' ? this.urgentByTag : this.byTag;
     const leadLeft = this.toVirtual(this.settings.urgentLeadMs) - (tag - least);
     return {
       tickets: team?.size ?? 0,
       aheadMs: team?.aheadMs(urgency, this.estimateOf) ?? 0,
       portion: share / (this.activeShare + (active ? 0 : share)),
-      urgentPortion: share / (this.urgentShare + (urgent ? 0 : share)),
+      debtMs: (tag - Math.min(tag, rivals.top()?.tag ?? tag)) * share,
       leadMs: Math.max(0, leadLeft * share),
     };
   }
 
+  override arrive(kind: RunKind, nowMs: number): void {
+    this.teamOf(kind.teamId).arrive(kind.urgency, this.estimateOf(kind), nowMs);
+  }
+
+  override competingMs(teamId: TeamId, own: OwnTurn, nowMs: number): number {
+    const { leadMs, turnMs, horizonMs } = own;
+    const share = this.shareOf(teamId);
+    let sumMs = leadMs + turnMs;
+    this.teams.forEach((team) => {
+      if (team.teamId === teamId || !FairQueue.isActive(team)) return;
+      const part = team.share / share;
+      const aheadMs = (urgency: Urgency): number =>
+        team.aheadMs(urgency, this.estimateOf) + team.expectedMs(urgency, nowMs, horizonMs);
+      const urgentMs = Math.min(aheadMs('urgent'), leadMs * part);
+      const inTurnMs = Math.min(aheadMs('background'), turnMs * part);
+      sumMs += Math.max(urgentMs, inTurnMs);
+    });
+    return sumMs;
+  }
+
   override oldestUrgent(): Item | undefined {
     return this.urgentByTag.top()?.firstUrgent();
   }
@@ -200,9 +219,6 @@
     if (wasActive !== FairQueue.isActive(team)) {
       this.activeShare = Math.max(0, this.activeShare + (wasActive ? -team.share : team.share));
     }
-    if (hadUrgent > 0 !== team.urgentSize > 0) {
-      this.urgentShare = Math.max(0, this.urgentShare + (hadUrgent ? -team.share : team.share));
-    }
     this.urgentCount += team.urgentSize - hadUrgent;
     FairQueue.place(this.byTag, team, team.size > 0 && !team.parked);
     FairQueue.place(this.urgentByTag, team, team.urgentSize > 0 && !team.parked);
@@ -225,10 +241,8 @@
 
   private sumShares(): void {
     this.activeShare = 0;
-    this.urgentShare = 0;
     this.teams.forEach((team) => {
       if (FairQueue.isActive(team)) this.activeShare += team.share;
-      if (team.urgentSize > 0) this.urgentShare += team.share;
     });
   }
 
--- a/packages/scheduling/src/IndexedHeap.ts
+++ b/packages/scheduling/src/IndexedHeap.ts
@@ -22,6 +22,11 @@
     return this.places.has(member);
   }
 
+  /** Visits all members, in no order. */
+  forEach(visit: (member: T) => void): void {
+    this.members.forEach(visit);
+  }
+
   /** Adds a member, or moves it to where its rank now belongs. */
   update(member: T): void {
     const place = this.places.get(member);
--- a/packages/scheduling/src/PoolScheduler.ts
+++ b/packages/scheduling/src/PoolScheduler.ts
@@ -13,7 +13,14 @@
 } from '@acaciadock/core';
 import { type ServiceConfig } from '@acaciadock/config';
 import { type GrantOutcome, type Ticket } from '@acaciadock/peers';
-import { admit, predictedWaitMs } from './Admission.js';
+import {
+  admit,
+  type AdmissionDecision,
+  type Capacity,
+  highestWaitMs,
+  mayWaitMsOf,
+  predictedWaitMs,
+} from './Admission.js';
 import { DeadlineIndex } from './DeadlineIndex.js';
 import { type HealthPolicy } from './HealthPolicy.js';
 import { PoolTargets } from './PoolTargets.js';
@@ -30,8 +37,8 @@
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 /** A ticket older than this on arrival was taken by an earlier home already. */
 const RESENT_AGE_MS = 1_000;
-/** Part of the urgent start time that a prediction may use up. */
-const START_MARGIN = 0.8;
+/** For how long work is expected to go on to arrive as of late. */
+const ARRIVALS_HORIZON_MS = 2_500;
 type RunEnd = GrantOutcome | 'lapsed';
 const FAILURES: ReadonlySet<RunEnd> = new Set(['failed', 'unreachable', 'unknown']);
 const NO_START: ReadonlySet<RunEnd> = new Set(['target-refused', 'unreachable']);
@@ -73,6 +80,9 @@
   /** Teams left out till they may have credits again. */
   private readonly limited = new Set<TeamId>();
 
+  /** Tickets whose deadline passed while they waited, till they are told. */
+  private readonly expired: WaitingTicket[] = [];
+
   private policy: SchedulingPolicy;
 
   constructor(
@@ -122,13 +132,19 @@
     }
     const limit = this.view.teams.get(ticket.teamId)?.limit ?? 0;
     if (limit === 0) return { reason: 'team-limit-zero', retryAfterMs: DEFAULT_RETRY_AFTER_MS };
-    const waiting = PoolScheduler.waitingOf(ticket, gatewayEntryId);
-    const refusal = this.refusalOf(waiting, service, limit);
-    if (refusal) return refusal;
+    const item = PoolScheduler.waitingOf(ticket, gatewayEntryId);
+    this.queue.arrive(item, this.clock.unixMs());
+    if (this.counts.of(item) >= service.maxQueuedPerTeam) {
+      return { reason: 'queue-full', retryAfterMs: DEFAULT_RETRY_AFTER_MS };
+    }
+    const admission = this.admissionOf(item, service, limit);
+    if (admission.kind === 'late') {
+      return { reason: 'deadline-unreachable', retryAfterMs: admission.retryAfterMs };
+    }
     if (!this.budgets.admit(ticket.serviceId, ticket.attempt, service.retryBudgetRatio)) {
       return { reason: 'retry-budget-spent', retryAfterMs: DEFAULT_RETRY_AFTER_MS };
     }
-    this.enqueue(waiting);
+    this.enqueue(item);
     return undefined;
   }
 
@@ -159,10 +175,11 @@
 
   /** Takes out the waiting tickets whose deadline has passed. */
   takeExpired(): WaitingTicket[] {
-    return this.deadlines
-      .takePast(this.clock.unixMs())
-      .map((ticketId) => this.cancel(ticketId))
-      .filter((waiting) => waiting !== undefined);
+    this.deadlines.takePast(this.clock.unixMs()).forEach((ticketId) => {
+      const waiting = this.queue.get(ticketId);
+      if (waiting) this.expire(waiting);
+    });
+    return this.expired.splice(0);
   }
 
   waitingTickets(): WaitingTicket[] {
@@ -175,6 +192,10 @@
     while (this.targets.hasRoom) {
       const waiting = this.queue.peek(nowMs, this.backgroundMayStart());
       if (!waiting) return undefined;
+      if (waiting.ticket.deadlineAtMs <= nowMs) {
+        this.expire(waiting);
+        continue;
+      }
       const targetId = this.pickTarget(waiting);
       if (targetId === undefined) this.defer(waiting.teamId);
       else {
@@ -239,42 +260,50 @@
   runsToPreempt(): Placement[] {
     const oldest = this.queue.oldestUrgent();
     if (!oldest || this.targets.freeSlots > 0) return [];
-    const waitedMs = this.clock.unixMs() - oldest.acceptedAtMs;
-    if (waitedMs < this.policy.preemptAfterMs) return [];
+    const sinceMs = this.clock.unixMs() - oldest.acceptedAtMs;
+    if (sinceMs < this.policy.preemptAfterMs) return [];
     return this.preemption.choose(this.queue.urgentSize);
   }
 
-  private refusalOf(
-    waiting: WaitingTicket,
+  /** Whether the ticket may still start in time, by the fluid prediction of its wait. */
+  private admissionOf(
+    item: WaitingTicket,
     service: ServiceConfig,
     teamLimit: number,
-  ): Refusal | undefined {
-    if (this.counts.of(waiting) >= service.maxQueuedPerTeam) {
-      return { reason: 'queue-full', retryAfterMs: DEFAULT_RETRY_AFTER_MS };
-    }
-    const { urgency, teamId, acceptedAtMs, ticket } = waiting;
+  ): AdmissionDecision {
+    const { urgency, teamId, acceptedAtMs, ticket } = item;
     const nowMs = this.clock.unixMs();
     const isFresh = ticket.attempt === 1 && nowMs - acceptedAtMs < RESENT_AGE_MS;
-    const waitMs = predictedWaitMs(urgency, this.queue.backlog(teamId, urgency), {
+    const arrival = {
+      urgency,
+      nowMs,
+      deadlineAtMs: ticket.deadlineAtMs,
+      estimateMs: Math.min(this.estimateOf(item), service.taskLeaseMs),
+      startByMs: isFresh ? acceptedAtMs + this.policy.urgentStartMs : Number.POSITIVE_INFINITY,
+    };
+    const backlog = this.queue.backlog(teamId, urgency);
+    const capacity = this.capacityFor(urgency, teamLimit);
+    const highest = admit(arrival, highestWaitMs(backlog, capacity));
+    if (highest.kind === 'admitted') return highest;
+    const horizonMs = Math.max(0, Math.min(ARRIVALS_HORIZON_MS, mayWaitMsOf(arrival)));
+    const competingMs = (leadMs: number, turnMs: number): number =>
+      this.queue.competingMs(teamId, { leadMs, turnMs, horizonMs }, nowMs);
+    return admit(arrival, predictedWaitMs(urgency, backlog, capacity, competingMs));
+  }
+
+  private expire(waiting: WaitingTicket): void {
+    this.cancel(waiting.ticketId);
+    this.expired.push(waiting);
+  }
+
+  private capacityFor(urgency: Urgency, teamLimit: number): Capacity {
+    const isUrgent = urgency === 'urgent';
+    return {
       slots: this.slotsFor(urgency),
-      freeSlots: urgency === 'urgent' ? this.targets.freeSlots : this.freeForBackground(),
+      freeSlots: isUrgent ? this.targets.freeSlots : this.freeForBackground(),
       teamLimit,
-      heldSlots: urgency === 'urgent' ? this.preemption.heldSlots : 0,
-    });
-    const decision = admit(
-      {
-        urgency,
-        nowMs,
-        deadlineAtMs: ticket.deadlineAtMs,
-        estimateMs: Math.min(this.estimateOf(waiting), service.taskLeaseMs),
-        startByMs: isFresh
-          ? acceptedAtMs + this.policy.urgentStartMs * START_MARGIN
-          : Number.POSITIVE_INFINITY,
-      },
-      waitMs,
-    );
-    if (decision.kind === 'admitted') return undefined;
-    return { reason: 'deadline-unreachable', retryAfterMs: decision.retryAfterMs };
+      heldSlots: isUrgent ? this.preemption.heldSlots : 0,
+    };
   }
 
   private enqueue(waiting: WaitingTicket): void {
--- a/packages/scheduling/src/QueueDiscipline.ts
+++ b/packages/scheduling/src/QueueDiscipline.ts
@@ -22,12 +22,22 @@
   readonly aheadMs: number;
   /** The team's part of the slots against all teams that compete now, in (0, 1]. */
   readonly portion: number;
-  /** The team's part of the slots while only urgent work competes, in (0, 1]. */
-  readonly urgentPortion: number;
+  /** Slot time that the others are given before the team's turn comes, as its own. */
+  readonly debtMs: number;
   /** Slot time that the team may still take ahead of its turn for urgent work. */
   readonly leadMs: number;
 }
 
+/** The slot time that goes before a ticket of a team. */
+export interface OwnTurn {
+  /** What the team is given ahead of its turn, competing with urgent work only. */
+  readonly leadMs: number;
+  /** What it is given in its turn. */
+  readonly turnMs: number;
+  /** For how long others' work that arrives is counted. */
+  readonly horizonMs: number;
+}
+
 export interface QueueSettings {
   /** Weight of each team's portion. */
   readonly shares: ReadonlyMap<TeamId, number>;
@@ -79,6 +89,16 @@
 
   abstract backlog(teamId: TeamId, urgency: Urgency): Backlog;
 
+  /** Counts work of a team that arrives, whether or not it is taken. */
+  abstract arrive(kind: RunKind, nowMs: number): void;
+
+  /**
+   * Slot time that all teams together are given while this team is given its own, if work goes on
+   * to arrive as of late: generalized processor sharing, where a team that has no more to run
+   * leaves its part to the others. Costs time in proportion to the teams that wait.
+   */
+  abstract competingMs(teamId: TeamId, own: OwnTurn, nowMs: number): number;
+
   /** The urgent ticket that has waited longest among the teams' first ones. */
   abstract oldestUrgent(): Item | undefined;
 
--- a/packages/scheduling/src/SchedulingPolicy.ts
+++ b/packages/scheduling/src/SchedulingPolicy.ts
@@ -5,7 +5,7 @@
  */
 import { type PolicyConfig } from '@acaciadock/config';
 
-const LEAD_STARTS = 2;
+const LEAD_AGEING_PART = 0.5;
 const PREEMPT_AFTER_PART = 0.4;
 const MOST_HEADROOM_RATIO = 0.5;
 
@@ -28,7 +28,7 @@
   const weighed = shareError + bufferCost;
   const headroomFactor = weighed > 0 ? (2 * shareError) / weighed : 1;
   return {
-    urgentLeadMs: policy.urgentStartMs * LEAD_STARTS * (1 - sharePart),
+    urgentLeadMs: policy.backgroundAgeingMs * LEAD_AGEING_PART * (1 - sharePart),
     urgentStartMs: policy.urgentStartMs,
     headroomRatio: Math.min(MOST_HEADROOM_RATIO, policy.urgentHeadroomRatio * headroomFactor),
     ageingMs: policy.backgroundAgeingMs,
--- a/packages/scheduling/src/TeamQueue.ts
+++ b/packages/scheduling/src/TeamQueue.ts
@@ -1,5 +1,6 @@
 /** The waiting tickets of one team, urgent and background, and the team's place in virtual time. */
 import { type ServiceId, type TeamId, type Urgency } from '@acaciadock/core';
+import { ArrivalRate } from './ArrivalRate.js';
 import { LinkedQueue } from './LinkedQueue.js';
 import { type EstimateOf, type QueueItem } from './QueueDiscipline.js';
 
@@ -13,6 +14,9 @@
   /** Left out of the turn, for want of credits or of a fitting slot. */
   parked = false;
 
+  /** Work that arrives, by urgency. */
+  private readonly rates = { urgent: new ArrivalRate(), background: new ArrivalRate() };
+
   private readonly urgent = new LinkedQueue<Item>();
 
   private readonly background = new LinkedQueue<Item>();
@@ -70,6 +74,18 @@
     return urgentMs + this.waitingMs('background', estimateOf);
   }
 
+  /** Work that arrives by `nowMs + horizonMs` if it goes on as of late. */
+  expectedMs(urgency: Urgency, nowMs: number, horizonMs: number): number {
+    const urgentRate = this.rates.urgent.at(nowMs);
+    const rate = urgency === 'urgent' ? urgentRate : urgentRate + this.rates.background.at(nowMs);
+    return rate * horizonMs;
+  }
+
+  /** Counts work that arrives, queued or not. */
+  arrive(urgency: Urgency, slotMs: number, nowMs: number): void {
+    this.rates[urgency].add(slotMs, nowMs);
+  }
+
   items(): Item[] {
     return [...this.urgent.values(), ...this.background.values()];
   }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,6 +5,7 @@
 export * from './FleetUsage.js';
 export * from './FleetWork.js';
 export * from './HealthPolicy.js';
+export * from './IndexedHeap.js';
 export * from './LeavingWatch.js';
 export * from './OutlierEjection.js';
 export * from './PoolHomes.js';
