--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -8,4 +8,5 @@
   overload: async () => new (await import('./OverloadBench.js')).OverloadBench(),
   health: async () => new (await import('./HealthBench.js')).HealthBench(),
   scheduling: async () => new (await import('./SchedulingBench.js')).SchedulingBench(),
+  rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
 };
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -4,7 +4,15 @@
  */
 import { randomUUID } from 'node:crypto';
 import { setTimeout } from 'node:timers/promises';
-import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
+import {
+  type Clock,
+  Disposable,
+  type Logger,
+  Random,
+  SilentLogger,
+  toDisposable,
+  type WorkView,
+} from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
 import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
@@ -15,7 +23,13 @@
   HttpLogService,
   HttpPlatformClient,
 } from '@acaciadock/platform';
-import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
+import {
+  AlarmLog,
+  ConfigFollower,
+  PatchSubmitter,
+  SnapshotPublisher,
+  snapshotScheduleFor,
+} from '@acaciadock/replication';
 import {
   Dispatcher,
   FleetWork,
@@ -25,6 +39,7 @@
 } from '@acaciadock/scheduling';
 import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { ConfigRoutes } from './ConfigRoutes.js';
 import { CountingTargetClient } from './CountingTargetClient.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
@@ -62,6 +77,7 @@
     private readonly settings: Settings,
     clock: Clock,
     seed: number,
+    logger: Logger = new SilentLogger(),
   ) {
     super();
     const random = new Random(seed);
@@ -80,6 +96,16 @@
         random,
       ),
     );
+    this.follower.attach(this.links);
+    this.register(
+      new SnapshotPublisher(
+        log,
+        this.follower,
+        clock,
+        random,
+        snapshotScheduleFor(settings.platform.logRetentionMs),
+      ),
+    );
     const entryIds = settings.peers.map((peer) => peer.entryId);
     const homes = new PoolHomes(new FixedMembership(entryIds), this.follower);
     const fence = new OpenFence();
@@ -102,6 +128,9 @@
     );
     this.register(new WorkReporter(homes, this.links, clock));
     this.work = this.register(new FleetWork(homes, this.links, clock));
+    this.register(
+      this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
+    );
     const desk = this.register(new TicketDesk(homes, this.links, clock));
     const targets = this.register(new CountingTargetClient(clock));
     const runner = new RequestRunner(this.follower, desk, targets, clock, random);
@@ -126,7 +155,9 @@
         random,
       }),
     );
-    this.operators = this.register(new OperatorServer(this.follower, submitter));
+    this.operators = this.register(
+      new OperatorServer([...this.configRoutes(submitter, clock).routes()]),
+    );
   }
 
   get entryId(): string {
@@ -161,6 +192,11 @@
     this.dispose();
   }
 
+  private configRoutes(submitter: PatchSubmitter, clock: Clock): ConfigRoutes {
+    const alarms = this.register(new AlarmLog(this.follower, clock));
+    return new ConfigRoutes(this.settings.entryId, this.follower, submitter, alarms, clock);
+  }
+
   private platformCall(url: string): HttpPlatformClient {
     const client = new HttpPlatformClient(url);
     this.register(
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,7 @@
 /** Public interface: an entry that can be run inside another process (demo, tests, benches). */
 export * from './Entry.js';
+export * from './OperatorRoute.js';
 export * from './OperatorServer.js';
 export * from './Settings.js';
+export * from './loadSettings.js';
 export * from './Maintenance.js';
