Shares over eight entries: full queues, two entries killed, services on several homes

A gateway now tells at once that it took its grants, and gets few more until it is heard; tickets of dead gateways are dropped; a new home gathers tickets for 150 ms and charges teams for work that earlier homes started; a lapsed lease costs its team only the estimate. Urgent work's lead is no longer spent on aged background work.

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,6 +4,7 @@
 type BenchLoader = () => Promise<Bench>;
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
+  share: async () => new (await import('./ShareBench.js')).ShareBench(),
   burst: async () => new (await import('./BurstBench.js')).BurstBench(),
   overload: async () => new (await import('./OverloadBench.js')).OverloadBench(),
   health: async () => new (await import('./HealthBench.js')).HealthBench(),
--- /dev/null
+++ b/packages/bench/src/scheduling/FleetSwitch.ts
@@ -0,0 +1,19 @@
+/** The links of the fleet model: a millisecond each way, and nothing arrives at a killed entry. */
+import { type EntryId } from '@acaciadock/core';
+import { type PeerMessage } from '@acaciadock/peers';
+import { type FleetNetwork } from './FleetNetwork.js';
+import { type VirtualClock } from './VirtualClock.js';
+
+const HOP_MS = 1;
+
+export class FleetSwitch {
+  readonly alive = new Map<EntryId, FleetNetwork>();
+
+  constructor(readonly clock: VirtualClock) {}
+
+  deliver(fromEntryId: EntryId, toEntryId: EntryId, message: PeerMessage): void {
+    this.clock.after(HOP_MS, () => {
+      this.alive.get(toEntryId)?.receive({ fromEntryId, message });
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/scheduling/IdleControl.ts
@@ -0,0 +1,17 @@
+/** The platform's control in the fleet model: it is never reached. */
+import { InstanceControl } from '@acaciadock/platform';
+import { err } from 'neverthrow';
+
+export class IdleControl extends InstanceControl {
+  override async reboot() {
+    return err({ kind: 'control-unreachable' as const });
+  }
+
+  override async operation() {
+    return err({ kind: 'control-unreachable' as const });
+  }
+
+  override async checkpoint() {
+    return err({ kind: 'control-unreachable' as const });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/scheduling/ModelTargets.ts
@@ -0,0 +1,67 @@
+/** The targets of the fleet model: they hold their slots, refuse beyond them, and count by team. */
+import { type TargetId, type TeamId } from '@acaciadock/core';
+import { type VirtualClock } from './VirtualClock.js';
+
+export interface TargetWork {
+  readonly targetId: TargetId;
+  readonly teamId: TeamId;
+  readonly runMs: number;
+}
+
+export class ModelTargets {
+  private readonly endedMs = new Map<TeamId, number>();
+
+  private readonly underWay = new Map<TargetWork, number>();
+
+  private readonly running = new Map<TargetId, number>();
+
+  private resetAtMs = 0;
+
+  refused = 0;
+
+  mostRunning = 0;
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly slots: number,
+  ) {}
+
+  reset(): void {
+    this.endedMs.clear();
+    this.resetAtMs = this.clock.monotonicMs();
+  }
+
+  /** Slot time by team since `reset`, of runs under way too. */
+  heldMs(): ReadonlyMap<TeamId, number> {
+    const heldMs = new Map(this.endedMs);
+    this.underWay.forEach((startedAtMs, { teamId }) => {
+      heldMs.set(teamId, (heldMs.get(teamId) ?? 0) + this.sinceResetMs(startedAtMs));
+    });
+    return heldMs;
+  }
+
+  /** Runs the work, whatever becomes of who sent it; false if all slots are taken. */
+  run(work: TargetWork, onEnd: () => void): boolean {
+    const running = this.running.get(work.targetId) ?? 0;
+    if (running >= this.slots) {
+      this.refused += 1;
+      return false;
+    }
+    this.running.set(work.targetId, running + 1);
+    this.mostRunning = Math.max(this.mostRunning, running + 1);
+    const startedAtMs = this.clock.monotonicMs();
+    this.underWay.set(work, startedAtMs);
+    this.clock.after(work.runMs, () => {
+      this.underWay.delete(work);
+      this.running.set(work.targetId, (this.running.get(work.targetId) ?? 1) - 1);
+      const heldMs = this.sinceResetMs(startedAtMs);
+      this.endedMs.set(work.teamId, (this.endedMs.get(work.teamId) ?? 0) + heldMs);
+      onEnd();
+    });
+    return true;
+  }
+
+  private sinceResetMs(startedAtMs: number): number {
+    return this.clock.monotonicMs() - Math.max(startedAtMs, this.resetAtMs);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/scheduling/OneConfig.ts
@@ -0,0 +1,14 @@
+/** A configuration that never changes. */
+import { type ConfigState, ConfigView } from '@acaciadock/config';
+
+export class OneConfig extends ConfigView {
+  override readonly onChange = () => ({ dispose: () => undefined });
+
+  constructor(private readonly current: ConfigState) {
+    super();
+  }
+
+  override state(): ConfigState {
+    return this.current;
+  }
+}
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -17,6 +17,7 @@
 } from './TicketMessages.js';
 import {
   drainStatusSchema,
+  grantsTakenSchema,
   targetsClosedSchema,
   teamUsageSchema,
   workReportSchema,
@@ -35,6 +36,7 @@
   configRecordsSchema,
   workReportSchema,
   drainStatusSchema,
+  grantsTakenSchema,
   targetsClosedSchema,
   teamUsageSchema,
   workQuerySchema,
--- a/packages/peers/src/messages/WorkMessages.ts
+++ b/packages/peers/src/messages/WorkMessages.ts
@@ -1,5 +1,5 @@
 /** Messages on work that runs: between gateways, homes and the maintenance controller. */
-import { instanceIdSchema, teamIdSchema } from '@acaciadock/core';
+import { idSchema, instanceIdSchema, teamIdSchema } from '@acaciadock/core';
 import { z } from 'zod';
 import { grantSchema } from './TicketMessages.js';
 
@@ -12,6 +12,12 @@
   grants: z.array(grantSchema),
 });
 
+/** The gateway took these grants. Says that it is alive; a grant is open whether or not it comes. */
+export const grantsTakenSchema = z.object({
+  kind: z.literal('grants-taken'),
+  grantIds: z.array(idSchema),
+});
+
 /** Open grants on the leaving instances of the pools that the sender is home of. */
 export const drainStatusSchema = z.object({
   kind: z.literal('drain-status'),
@@ -33,6 +39,7 @@
 });
 
 export type WorkReport = z.infer<typeof workReportSchema>;
+export type GrantsTaken = z.infer<typeof grantsTakenSchema>;
 export type DrainStatus = z.infer<typeof drainStatusSchema>;
 export type TargetsClosed = z.infer<typeof targetsClosedSchema>;
 export type TeamUsage = z.infer<typeof teamUsageSchema>;
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -12,22 +12,24 @@
   type Ticket,
 } from '@acaciadock/peers';
 import { AckBatches } from './AckBatches.js';
+import { Broadcasts } from './Broadcasts.js';
 import { ClosedTargets } from './ClosedTargets.js';
 import { type DispatcherMessage, type DispatcherParts } from './DispatcherMessage.js';
 import { DrainReporter } from './DrainReporter.js';
 import { FleetUsage } from './FleetUsage.js';
 import { ForeignWork } from './ForeignWork.js';
+import { GatewayPulse } from './GatewayPulse.js';
 import { GrantBook, type OpenGrant } from './GrantBook.js';
 import { GrantMaker } from './GrantMaker.js';
 import { PoolBoard } from './PoolBoard.js';
 import { type PoolScheduler } from './PoolScheduler.js';
+import { Takeover } from './Takeover.js';
 import { TicketTable } from './TicketTable.js';
 import { type Placement, type Refusal, type WaitingTicket } from './WaitingTicket.js';
 
 const TICK_MS = 250;
 const STATUS_TICKS = 2;
 const USAGE_TICKS = 20;
-const MOST_TEAMS_TOLD = 32;
 const MOST_WAITING_TICKETS = 100_000;
 const FENCED_RETRY_AFTER_MS = 1_000;
 
@@ -42,11 +44,15 @@
 
   private readonly closed = new ClosedTargets();
 
+  private readonly takeover: Takeover;
+
+  private readonly pulse = new GatewayPulse();
+
   private readonly usage = new FleetUsage();
 
   private readonly acks: AckBatches;
 
-  private readonly drains: DrainReporter;
+  private readonly broadcasts: Broadcasts;
 
   private readonly maker: GrantMaker;
 
@@ -62,13 +68,10 @@
     super('dispatcher');
     const { config, credits, fence, homes, network, leaving, clock, random } = parts;
     this.board = new PoolBoard(clock, random);
-    this.foreign = new ForeignWork({
-      take: (serviceId, targetId) => this.poolOfService(serviceId)?.targets.take(targetId),
-      release: (serviceId, targetId) => this.poolOfService(serviceId)?.targets.release(targetId),
-    });
+    this.foreign = new ForeignWork(this.board, clock);
     this.acks = new AckBatches(network);
     this.maker = new GrantMaker(config, clock, parts.incarnation);
-    this.drains = new DrainReporter(
+    const drains = new DrainReporter(
       network.selfEntryId,
       this.board,
       homes,
@@ -76,7 +79,9 @@
       this.foreign,
       clock,
     );
+    this.broadcasts = new Broadcasts(homes, network, drains);
     this.board.configure(config.state().document);
+    this.takeover = new Takeover(network.selfEntryId, homes, clock, this.board.poolIds());
     this.closed.setListed(leaving.leaving);
     this.board.setLeaving(this.closed.all());
     this.register(network.onMessage((received) => this.post({ kind: 'received', received })));
@@ -112,13 +117,16 @@
         this.resume(message.teamId);
         break;
       case 'configured':
-        this.configure();
+        this.board.configure(this.parts.config.state().document);
+        this.markAllDirty();
         break;
       case 'listed':
         this.closed.setListed(message.leaving);
         this.applyClosed();
         break;
       case 'homes-changed':
+        this.takeover.update(this.board.poolIds());
+        this.dropDead();
         this.returnForeign();
         break;
       case 'checkpoint-failed':
@@ -139,6 +147,7 @@
   }
 
   private receive({ fromEntryId, message }: ReceivedMessage): void {
+    if (this.pulse.hear(fromEntryId, message.kind === 'grants-taken')) this.requeueAside();
     if (message.kind === 'ticket') this.takeTicket(message, fromEntryId);
     else if (message.kind === 'tickets-cancelled') this.cancel(message.ticketIds);
     else if (message.kind === 'grant-ended') this.takeEnd(fromEntryId, message);
@@ -162,7 +171,7 @@
     this.parts.network.send(gatewayEntryId, { kind: 'ticket-refused', ticketId, ...refusal });
   }
 
-  /** A ticket that came before: its open grant is sent again, everything else stands. */
+  /** A ticket that came before: its open grant is sent again. */
   private isKnown({ ticketId }: Ticket, gatewayEntryId: EntryId): boolean {
     const open = this.grants.ofTicket(ticketId);
     if (open && open.grant.startByMs > this.parts.clock.unixMs()) {
@@ -193,12 +202,7 @@
   }
 
   private cancel(ticketIds: readonly string[]): void {
-    ticketIds.forEach((ticketId) => {
-      const poolId = this.tickets.poolOf(ticketId);
-      if (poolId === undefined) return;
-      this.tickets.remove(ticketId);
-      this.board.of(poolId)?.cancel(ticketId);
-    });
+    ticketIds.forEach((ticketId) => this.withdraw(ticketId));
   }
 
   private takeEnd(fromEntryId: EntryId, ended: GrantEnded): void {
@@ -222,16 +226,16 @@
   private end(open: OpenGrant, outcome: GrantOutcome | 'lapsed'): void {
     const { grant, placement, poolId } = open;
     const heldMs = this.parts.clock.monotonicMs() - placement.startedAtMs;
+    if (outcome !== 'lapsed') this.usage.addLocal(poolId, grant.teamId, heldMs);
     this.grants.remove(grant.grantId, outcome !== 'lapsed' || open.unknown);
     this.parts.credits.release(grant.creditUseId);
     this.board.of(poolId)?.end(placement, outcome);
-    this.usage.addLocal(poolId, grant.teamId, heldMs);
     this.markDirty(poolId);
   }
 
   private dispatch(poolId: PoolId): void {
     const pool = this.board.of(poolId);
-    if (!pool) return;
+    if (!pool || this.takeover.isGathering(poolId)) return;
     for (;;) {
       if (this.parts.fence.reason()) return;
       const placement = pool.next(this.parts.credits);
@@ -246,7 +250,10 @@
   private grant(poolId: PoolId, pool: PoolScheduler, placement: Placement): void {
     const { waiting, creditUse } = placement;
     const grant = this.maker.make(placement);
-    if (this.parts.network.send(waiting.gatewayEntryId, grant)) {
+    if (
+      this.pulse.mayGrant(waiting.gatewayEntryId) &&
+      this.parts.network.send(waiting.gatewayEntryId, grant)
+    ) {
       this.tickets.remove(waiting.ticketId);
       this.grants.add({ grant, placement, poolId, unknown: false });
       return;
@@ -274,18 +281,25 @@
     });
     this.foreign.lapse(nowMs);
     if (this.closed.lapse(this.parts.clock.monotonicMs())) this.applyClosed();
-    this.tickets.takeAside().forEach((waiting) => this.requeue(waiting, nowMs));
+    this.requeueAside();
     this.expire();
-    if (this.ticks % STATUS_TICKS === 0) this.tellDrains();
+    if (this.ticks % STATUS_TICKS === 0) this.broadcasts.tellDrains();
     if (this.ticks % USAGE_TICKS === 0) this.tellUsage();
     this.markAllDirty();
   }
 
-  private requeue(waiting: WaitingTicket, nowMs: number): void {
-    const poolId = this.tickets.poolOf(waiting.ticketId);
-    if (poolId === undefined) return;
-    if (waiting.ticket.deadlineAtMs <= nowMs) this.tickets.remove(waiting.ticketId);
-    else this.board.of(poolId)?.requeue(waiting);
+  /** Tries again with the gateways that could not be reached or were not heard. */
+  private requeueAside(): void {
+    const nowMs = this.parts.clock.unixMs();
+    this.tickets.takeAside().forEach((waiting) => {
+      const poolId = this.tickets.poolOf(waiting.ticketId);
+      if (poolId === undefined) return;
+      if (waiting.ticket.deadlineAtMs <= nowMs) this.tickets.remove(waiting.ticketId);
+      else {
+        this.board.of(poolId)?.requeue(waiting);
+        this.markDirty(poolId);
+      }
+    });
   }
 
   private expire(): void {
@@ -303,26 +317,10 @@
     }
   }
 
-  private tellDrains(): void {
-    const status = this.drains.status();
-    if (!status) return;
-    const { homes, network } = this.parts;
-    homes.liveEntries().forEach((entryId) => network.send(entryId, status));
-  }
-
   private tellUsage(): void {
     const { charges, local } = this.usage.collect();
-    charges.forEach((teams, poolId) => {
-      const pool = this.board.of(poolId);
-      teams.forEach(({ teamId, slotMs }) => pool?.chargeElsewhere(teamId, slotMs));
-    });
-    const { homes, network } = this.parts;
-    const teams = [...local].sort((a, b) => b.slotMs - a.slotMs).slice(0, MOST_TEAMS_TOLD);
-    if (teams.length === 0) return;
-    homes
-      .liveEntries()
-      .filter((entryId) => entryId !== network.selfEntryId)
-      .forEach((entryId) => network.send(entryId, { kind: 'team-usage', teams }));
+    this.board.charge(charges);
+    this.broadcasts.tellUsage(local);
   }
 
   private resume(teamId: TeamId): void {
@@ -332,16 +330,21 @@
     }
   }
 
-  private configure(): void {
-    this.board.configure(this.parts.config.state().document);
-    this.markAllDirty();
-  }
-
   private applyClosed(): void {
     this.board.setLeaving(this.closed.all());
     this.markAllDirty();
   }
 
+  /** Drops the tickets of gateways that are gone: nobody waits for them any more. */
+  private dropDead(): void {
+    const live = new Set(this.parts.homes.liveEntries());
+    this.pulse.retain([...live]);
+    const isDead = ({ gatewayEntryId }: WaitingTicket): boolean => !live.has(gatewayEntryId);
+    const waiting = [...this.board.all()].flatMap(([, pool]) => pool.waitingTickets());
+    const dead = [...waiting, ...this.tickets.aside()].filter(isDead);
+    this.cancel(dead.map(({ ticketId }) => ticketId));
+  }
+
   /** Gives back the tickets of pools whose home is another entry now. */
   private returnForeign(): void {
     const { homes, network } = this.parts;
@@ -354,10 +357,7 @@
   private returnTickets(ticketIds: readonly string[]): void {
     const byGateway = new Map<EntryId, string[]>();
     ticketIds.forEach((ticketId) => {
-      const poolId = this.tickets.poolOf(ticketId);
-      const waiting = poolId === undefined ? undefined : this.board.of(poolId)?.cancel(ticketId);
-      const aside = this.tickets.remove(ticketId);
-      const gatewayEntryId = (waiting ?? aside)?.gatewayEntryId;
+      const gatewayEntryId = this.withdraw(ticketId)?.gatewayEntryId;
       if (gatewayEntryId === undefined) return;
       byGateway.set(gatewayEntryId, [...(byGateway.get(gatewayEntryId) ?? []), ticketId]);
     });
@@ -366,9 +366,10 @@
     });
   }
 
-  private poolOfService(serviceId: string): PoolScheduler | undefined {
-    const poolId = this.parts.config.state().document.services[serviceId]?.poolId;
-    return poolId === undefined ? undefined : this.board.of(poolId);
+  private withdraw(ticketId: string): WaitingTicket | undefined {
+    const poolId = this.tickets.poolOf(ticketId);
+    if (poolId === undefined) return undefined;
+    return this.tickets.remove(ticketId) ?? this.board.of(poolId)?.cancel(ticketId);
   }
 
   private markAllDirty(): void {
--- a/packages/scheduling/src/FairQueue.ts
+++ b/packages/scheduling/src/FairQueue.ts
@@ -92,8 +92,8 @@
   override peek(nowMs: number, backgroundAllowed: boolean): Item | undefined {
     const next = this.byTag.top()?.first(nowMs, this.settings.ageingMs);
     const urgentTeam = this.urgentByTag.top();
-    const urgent = urgentTeam?.first(nowMs, this.settings.ageingMs);
-    if (!next || next === urgent) return next;
+    const urgent = urgentTeam?.firstUrgent();
+    if (!next || urgentTeam === this.byTag.top()) return next;
     if (!backgroundAllowed && !this.isPressing(next, nowMs)) return urgent;
     if (!urgentTeam) return next;
     const leadsBy = urgentTeam.tag - (this.byTag.top()?.tag ?? 0);
@@ -119,8 +119,7 @@
   }
 
   override chargeElsewhere(teamId: TeamId, slotMs: number): void {
-    const known = this.teams.get(teamId);
-    if (known) this.change(known, (team) => FairQueue.charge(team, slotMs));
+    this.change(this.teamOf(teamId), (team) => FairQueue.charge(team, slotMs));
   }
 
   override park(teamId: TeamId): void {
--- a/packages/scheduling/src/FleetUsage.ts
+++ b/packages/scheduling/src/FleetUsage.ts
@@ -1,12 +1,17 @@
 /**
  * Fairness of a team over pools with different homes, after the distributed start-time fair
  * queueing of Wang and Merchant (2007): a pool charges a team also for slot time that it was given
- * in other pools since the last turn. The charge is at most `MOST_ELSEWHERE` times what the team
- * got in the pool itself, so that it keeps a bounded part of its portion everywhere.
+ * in other pools since the last turn. A part of that time is charged, and at most of `MOST_ELSEWHERE` times what the
+ * team got in the pool itself, so that it keeps a bounded part of its portion everywhere.
  */
 import { type PoolId, type TeamId } from '@acaciadock/core';
 
 const MOST_ELSEWHERE = 3;
+/**
+ * Part of the time elsewhere that a pool charges. Every pool corrects for the same imbalance, by
+ * figures that are seconds old; at the full part they would overshoot in turn.
+ */
+const GAIN = 0.25;
 
 export interface TeamSlotTime {
   readonly teamId: TeamId;
@@ -59,7 +64,7 @@
     return [...pool]
       .map(([teamId, hereMs]) => {
         const elsewhereMs = (local.get(teamId) ?? 0) - hereMs + (this.remote.get(teamId) ?? 0);
-        return { teamId, slotMs: Math.min(elsewhereMs, MOST_ELSEWHERE * hereMs) };
+        return { teamId, slotMs: GAIN * Math.min(elsewhereMs, MOST_ELSEWHERE * hereMs) };
       })
       .filter(({ slotMs }) => slotMs > 0);
   }
--- a/packages/scheduling/src/ForeignWork.ts
+++ b/packages/scheduling/src/ForeignWork.ts
@@ -3,20 +3,31 @@
  * slots, so that a new home does not overfill targets, until the gateway no longer reports it or
  * its lease has lapsed.
  */
-import { type EntryId, type InstanceId, type ServiceId, type TargetId } from '@acaciadock/core';
+import { type Clock, type EntryId, type InstanceId } from '@acaciadock/core';
 import { type Grant, MAX_CLOCK_SKEW_MS } from '@acaciadock/peers';
 
+/** Who holds the slots of a service's pool. */
 export interface SlotHolder {
-  take(serviceId: ServiceId, targetId: TargetId): void;
-  release(serviceId: ServiceId, targetId: TargetId): void;
+  take(grant: Grant): void;
+  /** @param heldMs how long the slot was held since it was reported */
+  release(grant: Grant, heldMs: number): void;
+}
+
+interface ForeignGrant {
+  readonly grant: Grant;
+  /** Monotonic milliseconds. */
+  readonly reportedAtMs: number;
 }
 
 export class ForeignWork {
-  private readonly byGateway = new Map<EntryId, Map<string, Grant>>();
+  private readonly byGateway = new Map<EntryId, Map<string, ForeignGrant>>();
 
   private readonly onInstance = new Map<InstanceId, number>();
 
-  constructor(private readonly slots: SlotHolder) {}
+  constructor(
+    private readonly slots: SlotHolder,
+    private readonly clock: Clock,
+  ) {}
 
   openOn(instanceId: InstanceId): number {
     return this.onInstance.get(instanceId) ?? 0;
@@ -28,40 +39,47 @@
 
   /** Replaces what a gateway reported before. */
   report(gatewayEntryId: EntryId, grants: readonly Grant[]): void {
-    const before = this.byGateway.get(gatewayEntryId) ?? new Map<string, Grant>();
-    const now = new Map(grants.map((grant) => [grant.grantId, grant]));
-    before.forEach((grant, grantId) => {
-      if (!now.has(grantId)) this.count(grant, -1);
+    const before = this.byGateway.get(gatewayEntryId) ?? new Map<string, ForeignGrant>();
+    const reportedAtMs = this.clock.monotonicMs();
+    const now = new Map(
+      grants.map((grant) => [grant.grantId, before.get(grant.grantId) ?? { grant, reportedAtMs }]),
+    );
+    before.forEach((foreign, grantId) => {
+      if (!now.has(grantId)) this.release(foreign);
     });
-    now.forEach((grant, grantId) => {
-      if (!before.has(grantId)) this.count(grant, 1);
+    now.forEach(({ grant }, grantId) => {
+      if (!before.has(grantId)) this.take(grant);
     });
     if (now.size > 0) this.byGateway.set(gatewayEntryId, now);
     else this.byGateway.delete(gatewayEntryId);
   }
 
   end(gatewayEntryId: EntryId, grantId: string): void {
-    const grant = this.byGateway.get(gatewayEntryId)?.get(grantId);
-    if (!grant) return;
+    const foreign = this.byGateway.get(gatewayEntryId)?.get(grantId);
+    if (!foreign) return;
     this.byGateway.get(gatewayEntryId)?.delete(grantId);
-    this.count(grant, -1);
+    this.release(foreign);
   }
 
   /** Ends what has lapsed, whoever reported it. */
   lapse(nowMs: number): void {
     this.byGateway.forEach((grants, gatewayEntryId) => {
-      grants.forEach((grant) => {
+      grants.forEach(({ grant }) => {
         if (grant.leaseExpiresAtMs + MAX_CLOCK_SKEW_MS > nowMs) return;
         this.end(gatewayEntryId, grant.grantId);
       });
     });
   }
 
-  private count({ serviceId, targetId }: Grant, change: 1 | -1): void {
-    const count = this.openOn(targetId) + change;
-    if (count > 0) this.onInstance.set(targetId, count);
-    else this.onInstance.delete(targetId);
-    if (change > 0) this.slots.take(serviceId, targetId);
-    else this.slots.release(serviceId, targetId);
+  private take(grant: Grant): void {
+    this.onInstance.set(grant.targetId, this.openOn(grant.targetId) + 1);
+    this.slots.take(grant);
+  }
+
+  private release({ grant, reportedAtMs }: ForeignGrant): void {
+    const count = this.openOn(grant.targetId) - 1;
+    if (count > 0) this.onInstance.set(grant.targetId, count);
+    else this.onInstance.delete(grant.targetId);
+    this.slots.release(grant, this.clock.monotonicMs() - reportedAtMs);
   }
 }
--- a/packages/scheduling/src/PoolBoard.ts
+++ b/packages/scheduling/src/PoolBoard.ts
@@ -1,17 +1,22 @@
 /** The schedulers of the pools that this entry dispatches, made when the first ticket arrives. */
 import { type Clock, type InstanceId, type PoolId, type Random } from '@acaciadock/core';
 import { type ConfigDocument, type InstanceConfig } from '@acaciadock/config';
+import { type Grant } from '@acaciadock/peers';
 import { FairQueue } from './FairQueue.js';
+import { type TeamSlotTime } from './FleetUsage.js';
+import { type SlotHolder } from './ForeignWork.js';
 import { OutlierEjection } from './OutlierEjection.js';
 import { PoolScheduler } from './PoolScheduler.js';
 import { type PoolView, poolViewsOf } from './PoolView.js';
 import { RunTimeEstimator } from './RunTimeEstimator.js';
 
-export class PoolBoard {
+export class PoolBoard implements SlotHolder {
   private readonly schedulers = new Map<PoolId, PoolScheduler>();
 
   private views: ReadonlyMap<PoolId, PoolView> = new Map();
 
+  private document: ConfigDocument | undefined;
+
   private leaving: ReadonlySet<InstanceId> = new Set();
 
   constructor(
@@ -20,6 +25,7 @@
   ) {}
 
   configure(document: ConfigDocument): void {
+    this.document = document;
     this.views = poolViewsOf(document);
     this.schedulers.forEach((scheduler, poolId) => {
       const view = this.views.get(poolId);
@@ -56,6 +62,24 @@
     return scheduler;
   }
 
+  /** Charges teams for slot time that other pools gave them. */
+  charge(charges: ReadonlyMap<PoolId, readonly TeamSlotTime[]>): void {
+    charges.forEach((teams, poolId) => {
+      const pool = this.of(poolId);
+      teams.forEach(({ teamId, slotMs }) => pool?.chargeElsewhere(teamId, slotMs));
+    });
+  }
+
+  take(grant: Grant): void {
+    this.ofInstance(grant.targetId)?.targets.take(grant.targetId);
+  }
+
+  release(grant: Grant, heldMs: number): void {
+    const pool = this.ofInstance(grant.targetId);
+    pool?.targets.release(grant.targetId);
+    pool?.chargeElsewhere(grant.teamId, heldMs);
+  }
+
   /** Targets of a pool that take no new work, whether or not the pool has a scheduler here. */
   leavingOf(poolId: PoolId): readonly InstanceId[] {
     const instances = this.views.get(poolId)?.instances ?? new Map<InstanceId, InstanceConfig>();
@@ -67,4 +91,9 @@
   all(): Iterable<[PoolId, PoolScheduler]> {
     return this.schedulers;
   }
+
+  private ofInstance(instanceId: InstanceId): PoolScheduler | undefined {
+    const poolId = this.document?.instances[instanceId]?.poolId;
+    return poolId === undefined ? undefined : this.of(poolId);
+  }
 }
--- a/packages/scheduling/src/PoolScheduler.ts
+++ b/packages/scheduling/src/PoolScheduler.ts
@@ -221,7 +221,9 @@
     const nowMs = this.clock.monotonicMs();
     const heldMs = nowMs - placement.startedAtMs;
     const wasPreempted = this.preemption.wasPreempted(placement);
-    this.queue.end(waiting, placement.chargedMs, heldMs);
+    // A slot that waited for a lease to lapse did its team no good: the estimate stands.
+    const usedMs = outcome === 'lapsed' ? placement.chargedMs : heldMs;
+    this.queue.end(waiting, placement.chargedMs, usedMs);
     this.freeSlot(placement);
     if (outcome === 'succeeded') this.estimator.learn(waiting, heldMs);
     if (NO_TRIAL.has(outcome)) this.health.abandonTrial(targetId, nowMs);
--- a/packages/scheduling/src/TeamQueue.ts
+++ b/packages/scheduling/src/TeamQueue.ts
@@ -54,7 +54,10 @@
     this.count(item, -1);
   }
 
-  /** Urgent before background, unless the background ticket has aged and is the older one. */
+  /**
+   * What the team runs in its turn: urgent before background, unless the background ticket has
+   * aged and is the older one.
+   */
   first(nowMs: number, ageingMs: number): Item | undefined {
     const urgent = this.urgent.first();
     const background = this.background.first();
--- a/packages/scheduling/src/TicketTable.ts
+++ b/packages/scheduling/src/TicketTable.ts
@@ -5,7 +5,7 @@
 export class TicketTable {
   private readonly pools = new Map<string, PoolId>();
 
-  private aside = new Map<string, WaitingTicket>();
+  private setApart = new Map<string, WaitingTicket>();
 
   get size(): number {
     return this.pools.size;
@@ -25,9 +25,9 @@
 
   /** Forgets a ticket; returns it if it was set aside. */
   remove(ticketId: string): WaitingTicket | undefined {
-    const aside = this.aside.get(ticketId);
+    const aside = this.setApart.get(ticketId);
     this.pools.delete(ticketId);
-    this.aside.delete(ticketId);
+    this.setApart.delete(ticketId);
     return aside;
   }
 
@@ -37,12 +37,16 @@
 
   /** Keeps a ticket out of its queue till `takeAside`. */
   setAside(waiting: WaitingTicket): void {
-    this.aside.set(waiting.ticketId, waiting);
+    this.setApart.set(waiting.ticketId, waiting);
+  }
+
+  aside(): WaitingTicket[] {
+    return [...this.setApart.values()];
   }
 
   takeAside(): WaitingTicket[] {
-    const taken = [...this.aside.values()];
-    this.aside = new Map();
+    const taken = [...this.setApart.values()];
+    this.setApart = new Map();
     return taken;
   }
 }
--- a/packages/scheduling/src/WorkReporter.ts
+++ b/packages/scheduling/src/WorkReporter.ts
@@ -21,6 +21,8 @@
 export class WorkReporter extends Disposable {
   private readonly held = new Map<string, HeldGrant>();
 
+  private readonly taken = new Map<EntryId, string[]>();
+
   /** Homes that the last report went to: each gets one empty report when there is no more. */
   private told: ReadonlySet<EntryId> = new Set();
 
@@ -38,11 +40,27 @@
   private receive({ fromEntryId, message }: ReceivedMessage): void {
     if (message.kind === 'grant') {
       this.held.set(message.grantId, { grant: message, grantedBy: fromEntryId });
+      this.tellTaken(fromEntryId, message.grantId);
     } else if (message.kind === 'grant-ended-ack') {
       message.grantIds.forEach((grantId) => this.held.delete(grantId));
     }
   }
 
+  /** Tells a home that its grants arrived: once for all that came in this turn. */
+  private tellTaken(homeEntryId: EntryId, grantId: string): void {
+    const pending = this.taken.get(homeEntryId);
+    if (pending) {
+      pending.push(grantId);
+      return;
+    }
+    const grantIds = [grantId];
+    this.taken.set(homeEntryId, grantIds);
+    this.clock.after(0, () => {
+      this.taken.delete(homeEntryId);
+      this.network.send(homeEntryId, { kind: 'grants-taken', grantIds });
+    });
+  }
+
   private report(): void {
     const byHome = new Map<EntryId, Grant[]>();
     const nowMs = this.clock.unixMs();
