--- a/packages/bench/src/scheduling/FreeCredits.ts
+++ b/packages/bench/src/scheduling/FreeCredits.ts
@@ -5,7 +5,7 @@
   override readonly onAvailable = new EventEmitter<TeamId>().event;
 
   override tryAcquire(teamId: TeamId): CreditUse {
-    return { useId: 'free', teamId, holderEntryId: 'e0', epoch: 0 };
+    return { useId: 'free', teamId, holderEntryId: 'e0', epoch: 0, acquiredAtMs: 0 };
   }
 
   override release(): void {
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -13,10 +13,10 @@
   toDisposable,
   type WorkView,
 } from '@acaciadock/core';
-import { StaticSplit } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
-import { FixedMembership, OpenFence } from '@acaciadock/membership';
-import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
+import { type CreditLedgerTask } from '@acaciadock/credits';
+import { claimHorizonFor, Gateway } from '@acaciadock/gateway';
+import { type EntryFence, type Membership } from '@acaciadock/membership';
+import { PeerLinks } from '@acaciadock/peers';
 import {
   HttpInstanceControl,
   HttpInstanceDirectory,
@@ -37,12 +37,13 @@
   PoolHomes,
   WorkReporter,
 } from '@acaciadock/scheduling';
-import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { ConfigRoutes } from './ConfigRoutes.js';
-import { CountingTargetClient } from './CountingTargetClient.js';
+import { FleetMember } from './FleetMember.js';
+import { FleetRoutes } from './FleetRoutes.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
+import { Observability } from './Observability.js';
 import { OperatorServer } from './OperatorServer.js';
 import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
@@ -58,11 +59,13 @@
 export class Entry extends Disposable {
   readonly follower: ConfigFollower;
 
-  readonly outcomes = new LastOutcomes();
+  readonly observability: Observability;
+
+  private readonly member: FleetMember;
 
   private readonly links: PeerLinks;
 
-  private readonly callers: CallerServer;
+  readonly gateway: Gateway;
 
   private readonly operators: OperatorServer;
 
@@ -97,6 +100,18 @@
       ),
     );
     this.follower.attach(this.links);
+    const { entryId } = settings;
+    this.observability = this.register(
+      new Observability({
+        entryId,
+        incarnation,
+        config: this.follower,
+        log,
+        clock,
+        random,
+        logger,
+      }),
+    );
     this.register(
       new SnapshotPublisher(
         log,
@@ -106,11 +121,12 @@
         snapshotScheduleFor(settings.platform.logRetentionMs),
       ),
     );
-    const entryIds = settings.peers.map((peer) => peer.entryId);
-    const homes = new PoolHomes(new FixedMembership(entryIds), this.follower);
-    const fence = new OpenFence();
-    const credits = new StaticSplit(settings.entryId, entryIds, this.follower);
     const directory = new HttpInstanceDirectory(this.platformCall(settings.platform.directoryUrl));
+    const services = { log, directory, config: this.follower, network: this.links };
+    this.member = this.register(new FleetMember(settings, services, clock, random));
+    this.member.membership.watchFreshness(this.follower);
+    const { fence, credits } = this.member;
+    const homes = new PoolHomes(this.member.membership, this.follower);
     const control = new HttpInstanceControl(this.platformCall(settings.platform.controlUrl));
     this.dispatcher = this.register(
       new Dispatcher({
@@ -131,11 +147,19 @@
     this.register(
       this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
     );
-    const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new CountingTargetClient(clock));
-    const runner = new RequestRunner(this.follower, desk, targets, clock, random);
-    this.callers = this.register(
-      new CallerServer(this.follower, fence, runner, this.outcomes, clock),
+    this.gateway = this.register(
+      new Gateway({
+        selfEntryId: settings.entryId,
+        config: this.follower,
+        fence,
+        homes,
+        network: this.links,
+        log,
+        recorder: this.observability.recorder,
+        clock,
+        random,
+        claimHorizon: claimHorizonFor(settings.platform.logRetentionMs),
+      }),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
     this.maintenance = this.register(
@@ -148,15 +172,20 @@
         control,
         directory,
         probe: this.register(new HttpInstanceProbe()),
-        runs: targets,
+        runs: this.gateway.runs,
         homes,
+        memberEntryIds: () => this.membership.members().map((member) => member.entryId),
         network: this.links,
         clock,
         random,
       }),
     );
     this.operators = this.register(
-      new OperatorServer([...this.configRoutes(submitter, clock).routes()]),
+      new OperatorServer([
+        ...this.configRoutes(submitter, clock).routes(),
+        ...new FleetRoutes(this.member).routes(),
+        ...this.observability.routes(),
+      ]),
     );
   }
 
@@ -164,29 +193,47 @@
     return this.settings.entryId;
   }
 
+  get membership(): Membership {
+    return this.member.membership;
+  }
+
+  get fence(): EntryFence {
+    return this.member.fence;
+  }
+
+  get credits(): CreditLedgerTask {
+    return this.member.credits;
+  }
+
   /** Opens the ports and begins to follow the configuration. */
   async start(): Promise<EntryAddresses> {
     const listening = await this.links.listen();
     if (listening.isErr()) throw new Error(listening.error.kind, { cause: listening.error });
     void this.follower.run();
+    this.links.setPeers(this.settings.peers);
+    this.member.start(listening.value);
     this.maintenance.start();
     return {
       peerAddress: listening.value,
-      callerAddress: await this.callers.listen(this.settings.callerAddress),
+      callerAddress: await this.gateway.listen(this.settings.callerAddress),
       operatorAddress: await this.operators.listen(this.settings.operatorAddress),
     };
   }
 
-  /** Connects to the other entries. */
-  setPeers(peers: readonly PeerAddress[]): void {
-    this.links.setPeers(peers);
-  }
-
-  /** Graceful stop: requests in progress are finished first. */
+  /**
+   * Graceful stop: readiness falls and this entry is no home any more, requests in progress are
+   * finished, credits go to the other entries, and the leave record frees what is left.
+   */
   async stop(): Promise<void> {
     await this.maintenance.stop();
-    await this.callers.stop();
+    this.member.beginStop();
+    // Others take over as homes; where there are none, this one serves its own last requests.
+    const others = this.membership.liveEntries().filter((entryId) => entryId !== this.entryId);
+    if (others.length > 0) this.dispatcher.stop();
+    await this.gateway.stop();
     this.dispatcher.stop();
+    await this.member.leave();
+    await this.observability.burn.flush();
     // The tickets that it gives back leave in the next turns.
     await setTimeout(GIVE_BACK_MS);
     this.dispose();
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -3,7 +3,9 @@
  * what arrives against this schema; what does not fit is dropped and counted.
  */
 import { z } from 'zod';
+import { answerQuerySchema, answerReplySchema } from './AnswerMessages.js';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
+import { creditDemandSchema, creditReceiptSchema, creditTransferSchema } from './CreditMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
 import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
 import {
@@ -32,8 +34,13 @@
   ticketRefusedSchema,
   grantEndedSchema,
   grantEndedAckSchema,
+  answerQuerySchema,
+  answerReplySchema,
   configPullSchema,
   configRecordsSchema,
+  creditDemandSchema,
+  creditTransferSchema,
+  creditReceiptSchema,
   workReportSchema,
   drainStatusSchema,
   grantsTakenSchema,
--- a/packages/scenarios/src/fleet/MaintenanceFleet.ts
+++ b/packages/scenarios/src/fleet/MaintenanceFleet.ts
@@ -206,28 +206,22 @@
   private async startEntries(): Promise<void> {
     const entryIds = Array.from({ length: this.options.entries }, (_, index) => `e${index}`);
     for (const [index, entryId] of entryIds.entries()) {
-      const entry = new Entry(
-        this.settingsOf(entryId, entryIds),
-        this.clock,
-        this.options.seed + index,
-      );
+      this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
+      const entry = new Entry(this.settingsOf(entryId), this.clock, this.options.seed + index);
       this.entries.push(entry);
       this.addresses.push(await entry.start());
     }
-    const peers = entryIds.map((entryId, index) => ({
-      entryId,
-      address: this.addresses[index]?.peerAddress ?? ANY_PORT,
-    }));
-    this.entries.forEach((entry) => {
-      this.directory.set({ instanceId: entry.entryId, role: 'entry', state: 'live' });
-      entry.setPeers(peers);
-    });
     const isReady = (): boolean =>
-      this.entries.every(({ follower }) => follower.state().version > 0);
+      this.entries.every(
+        ({ follower, fence, membership }) =>
+          follower.state().version > 0 &&
+          fence.reason() === undefined &&
+          membership.liveEntries().length === entryIds.length,
+      );
     await this.until(isReady, Number.POSITIVE_INFINITY);
   }
 
-  private settingsOf(entryId: string, entryIds: readonly string[]): Settings {
+  private settingsOf(entryId: string): Settings {
     return settingsSchema.parse({
       schemaVersion: 1,
       entryId,
@@ -240,7 +234,6 @@
         directoryUrl: `http://${this.directory.address}`,
         controlUrl: `http://${this.control.address}`,
       },
-      peers: entryIds.map((peerId) => ({ entryId: peerId, address: ANY_PORT })),
       maintenance: MAINTENANCE_TIMING,
     });
   }
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -70,7 +70,7 @@
     this.board = new PoolBoard(clock, random);
     this.foreign = new ForeignWork(this.board, clock);
     this.acks = new AckBatches(network);
-    this.maker = new GrantMaker(config, clock, parts.incarnation);
+    this.maker = new GrantMaker(config, parts.incarnation);
     const drains = new DrainReporter(
       network.selfEntryId,
       this.board,
--- a/packages/scheduling/src/PoolScheduler.ts
+++ b/packages/scheduling/src/PoolScheduler.ts
@@ -32,7 +32,12 @@
 import { RetryBudgets } from './RetryBudgets.js';
 import { type RunTimeEstimator } from './RunTimeEstimator.js';
 import { type SchedulingPolicy, schedulingPolicyOf } from './SchedulingPolicy.js';
-import { type Placement, type Refusal, type WaitingTicket } from './WaitingTicket.js';
+import {
+  type Placement,
+  type Refusal,
+  type WaitingTicket,
+  waitingTicketOf,
+} from './WaitingTicket.js';
 
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 /** A ticket older than this on arrival was taken by an earlier home already. */
@@ -132,7 +137,7 @@
     }
     const limit = this.view.teams.get(ticket.teamId)?.limit ?? 0;
     if (limit === 0) return { reason: 'team-limit-zero', retryAfterMs: DEFAULT_RETRY_AFTER_MS };
-    const item = PoolScheduler.waitingOf(ticket, gatewayEntryId);
+    const item = waitingTicketOf(ticket, gatewayEntryId);
     this.queue.arrive(item, this.clock.unixMs());
     if (this.counts.of(item) >= service.maxQueuedPerTeam) {
       return { reason: 'queue-full', retryAfterMs: DEFAULT_RETRY_AFTER_MS };
@@ -144,7 +149,7 @@
     if (!this.budgets.admit(ticket.serviceId, ticket.attempt, service.retryBudgetRatio)) {
       return { reason: 'retry-budget-spent', retryAfterMs: DEFAULT_RETRY_AFTER_MS };
     }
-    this.enqueue(item);
+    this.requeue(item);
     return undefined;
   }
 
@@ -155,13 +160,11 @@
     this.health.abandonTrial(placement.targetId, this.clock.monotonicMs());
   }
 
-  /** Queues a ticket again that was taken before. */
+  /** Queues a ticket that was taken before, without admission. */
   requeue(waiting: WaitingTicket): void {
-    this.enqueue(waiting);
-  }
-
-  has(ticketId: string): boolean {
-    return this.queue.get(ticketId) !== undefined;
+    this.queue.push(waiting);
+    this.deadlines.add(waiting.ticketId, waiting.ticket.deadlineAtMs);
+    this.counts.add(waiting, 1);
   }
 
   /** Takes a waiting ticket out; undefined if it does not wait here. */
@@ -308,12 +311,6 @@
     };
   }
 
-  private enqueue(waiting: WaitingTicket): void {
-    this.queue.push(waiting);
-    this.deadlines.add(waiting.ticketId, waiting.ticket.deadlineAtMs);
-    this.counts.add(waiting, 1);
-  }
-
   private place(
     waiting: WaitingTicket,
     targetId: TargetId,
@@ -371,11 +368,9 @@
 
   private slotsFor(urgency: Urgency): number {
     const { slots } = this.targets;
-    return urgency === 'urgent' ? slots : Math.max(1, slots - this.headroomSlots());
-  }
-
-  private headroomSlots(): number {
-    return Math.floor(this.targets.slots * this.policy.headroomRatio);
+    return urgency === 'urgent'
+      ? slots
+      : Math.max(1, Math.ceil(slots * (1 - this.policy.headroomRatio)));
   }
 
   private freeForBackground(): number {
@@ -387,19 +382,6 @@
     return this.preemption.backgroundRuns < this.slotsFor('background');
   }
 
-  private static waitingOf(ticket: Ticket, gatewayEntryId: string): WaitingTicket {
-    const { ticketId, serviceId, teamId, urgency, acceptedAtMs } = ticket;
-    return {
-      ticketId,
-      serviceId,
-      teamId,
-      urgency,
-      acceptedAtMs,
-      ticket,
-      gatewayEntryId,
-    };
-  }
-
   private isKnown(serviceId: ServiceId, teamId: TeamId | undefined): boolean {
     if (!this.view.services.has(serviceId)) return false;
     return teamId === undefined || this.view.teams.has(teamId);
--- a/packages/scheduling/src/testing/CountedCredits.ts
+++ b/packages/scheduling/src/testing/CountedCredits.ts
@@ -1,5 +1,11 @@
 /** Credits of which each team has the same number, counted. */
-import { CreditSource, type CreditUse, EventEmitter, type TeamId } from '@acaciadock/core';
+import {
+  type Clock,
+  CreditSource,
+  type CreditUse,
+  EventEmitter,
+  type TeamId,
+} from '@acaciadock/core';
 
 const DEFAULT_LIMIT = 1_000;
 
@@ -14,6 +20,10 @@
 
   private next = 0;
 
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
   override tryAcquire(teamId: TeamId): CreditUse | undefined {
     if ([...this.inUse.values()].filter((used) => used === teamId).length >= this.limit) {
       return undefined;
@@ -21,7 +31,7 @@
     this.next += 1;
     const useId = `u${this.next}`;
     this.inUse.set(useId, teamId);
-    return { useId, teamId, holderEntryId: 'e0', epoch: 0 };
+    return { useId, teamId, holderEntryId: 'e0', epoch: 0, acquiredAtMs: this.clock.unixMs() };
   }
 
   override release(useId: string): void {
