--- a/packages/bench/src/capacity/measureEntries.ts
+++ b/packages/bench/src/capacity/measureEntries.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import { fileURLToPath } from 'node:url';
 import { ProcessFleet } from '@acaciadock/scenarios';
+import { request } from 'undici';
 import { usageOf } from './ProcessUsage.js';
 
 const ENTRY_COUNT = 8;
@@ -39,8 +40,8 @@
 async function peerBytes(fleet: ProcessFleet): Promise<number> {
   const counts = await Promise.all(
     fleet.entries.map(async ({ settings }) => {
-      const answer = await fetch(`http://${settings.operatorAddress}/metrics`);
-      const text = await answer.text();
+      const answer = await request(`http://${settings.operatorAddress}/metrics`);
+      const text = await answer.body.text();
       const sent = /^acaciadock_peer_sent_bytes (\d+)/m.exec(text)?.[1] ?? '0';
       const received = /^acaciadock_peer_received_bytes (\d+)/m.exec(text)?.[1] ?? '0';
       return Number(sent) + Number(received);
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -20,6 +20,7 @@
 } from './TicketMessages.js';
 import {
   drainStatusSchema,
+  grantsTakenSchema,
   targetsClosedSchema,
   teamUsageSchema,
   workReportSchema,
@@ -43,6 +44,7 @@
   creditReceiptSchema,
   workReportSchema,
   drainStatusSchema,
+  grantsTakenSchema,
   targetsClosedSchema,
   teamUsageSchema,
   workQuerySchema,
