--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,5 +4,6 @@
 type BenchLoader = () => Promise<Bench>;
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
+  plan: async () => new (await import('./PlanBench.js')).PlanBench(),
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
 };
--- /dev/null
+++ b/packages/maintenance/src/FleetShape.ts
@@ -0,0 +1,97 @@
+/** The fleet as the spare planner counts it: pools by size and need, racks by what they hold. */
+import { type InstanceId, type PoolId, type RackId, type ZoneId } from '@acaciadock/core';
+import { type ConfigDocument } from '@acaciadock/config';
+import { AvailabilityBudget, type Demand } from './AvailabilityBudget.js';
+
+export interface PoolShape {
+  readonly poolId: PoolId;
+  readonly instances: number;
+  /** Fewest instances that must serve. */
+  readonly neededInstances: number;
+  /** Most instances of the pool in one rack. */
+  readonly mostInRack: number;
+}
+
+export interface RackShape {
+  readonly zoneId: ZoneId;
+  readonly rackId: RackId;
+  /** Instances by index of the pool. */
+  readonly members: readonly {
+    readonly pool: number;
+    readonly instanceIds: readonly InstanceId[];
+  }[];
+}
+
+export interface FleetShape {
+  readonly totalInstances: number;
+  /** Instances in spare pools. */
+  readonly spareInstances: number;
+  readonly pools: readonly PoolShape[];
+  /** In the order of a roll-out: by zone, then by rack. */
+  readonly racks: readonly RackShape[];
+}
+
+interface PoolCount {
+  readonly index: number;
+  instances: number;
+  slots: number;
+  mostInRack: number;
+}
+
+function rackKey(zoneId: ZoneId, rackId: RackId): string {
+  return `${zoneId}\n${rackId}`;
+}
+
+function racksOf(
+  document: ConfigDocument,
+  counts: ReadonlyMap<PoolId, PoolCount>,
+): readonly RackShape[] {
+  const racks = new Map<
+    string,
+    { zoneId: ZoneId; rackId: RackId; by: Map<number, InstanceId[]> }
+  >();
+  Object.entries(document.instances).forEach(([instanceId, { zoneId, rackId, poolId }]) => {
+    const key = rackKey(zoneId, rackId);
+    const rack = racks.get(key) ?? { zoneId, rackId, by: new Map<number, InstanceId[]>() };
+    const count = counts.get(poolId);
+    racks.set(key, rack);
+    if (!count) return;
+    const members = rack.by.get(count.index) ?? [];
+    members.push(instanceId);
+    rack.by.set(count.index, members);
+    count.mostInRack = Math.max(count.mostInRack, members.length);
+  });
+  return [...racks.entries()]
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([, { zoneId, rackId, by }]) => ({
+      zoneId,
+      rackId,
+      members: [...by].map(([pool, instanceIds]) => ({ pool, instanceIds })),
+    }));
+}
+
+/** Counts the fleet under a smoothed demand. Spare pools need nothing. */
+export function fleetShape(document: ConfigDocument, demand: Demand): FleetShape {
+  const counts = new Map<PoolId, PoolCount>();
+  Object.keys(document.pools).forEach((poolId, index) => {
+    counts.set(poolId, { index, instances: 0, slots: 0, mostInRack: 0 });
+  });
+  let spareInstances = 0;
+  Object.values(document.instances).forEach(({ poolId, slots }) => {
+    const count = counts.get(poolId);
+    if (!count) return;
+    count.instances += 1;
+    count.slots += slots;
+    if (document.pools[poolId]?.role === 'spare') spareInstances += 1;
+  });
+  const racks = racksOf(document, counts);
+  const budget = new AvailabilityBudget(document, new Set(), demand);
+  const pools = [...counts].map(([poolId, { instances, slots, mostInRack }]) => {
+    const need = budget.needOf(poolId);
+    const slotsEach = instances > 0 ? slots / instances : 1;
+    const neededInstances = Math.max(need.instances, Math.ceil(need.slots / slotsEach));
+    return { poolId, instances, neededInstances, mostInRack };
+  });
+  const totalInstances = Object.keys(document.instances).length;
+  return { totalInstances, spareInstances, pools, racks };
+}
--- a/packages/maintenance/src/index.ts
+++ b/packages/maintenance/src/index.ts
@@ -22,3 +22,6 @@
 export * from './WorkResponder.js';
 export * from './WorkSurvey.js';
 export * from './MaintenanceController.js';
+export * from './FleetShape.js';
+export * from './WaveSchedule.js';
+export * from './SparePlanner.js';
