--- a/packages/bench/src/PlanBench.ts
+++ b/packages/bench/src/PlanBench.ts
@@ -38,7 +38,7 @@
 
   override async run({ seed }: BenchOptions): Promise<BenchResult> {
     const profiles = PROFILES.flatMap((name) => this.profile(name));
-    const bursts = PROFILES.map((name) => this.bursts(name));
+    const bursts = PROFILES.map((name) => PlanBench.bursts(name));
     return { bounds: [...profiles, ...bursts, ...this.large(seed)] };
   }
 
@@ -75,7 +75,7 @@
   }
 
   /** Five times the mean for some seconds, a twentieth in between, for an hour. */
-  private bursts(name: DeploymentName): Bound {
+  private static bursts(name: DeploymentName): Bound {
     const document = PlanBench.document(name);
     const clock = new ManualClock();
     const smoother = new DemandSmoother(clock);
--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -2,7 +2,10 @@
 import { Command } from 'commander';
 import { type CommandContext, type GlobalFlags } from './CommandContext.js';
 import { registerConfig } from './commands/config.js';
+import { registerInstance } from './commands/instance.js';
 import { registerKey } from './commands/key.js';
+import { registerPlan } from './commands/plan.js';
+import { registerRollOut } from './commands/rollout.js';
 import { registerSections } from './commands/sections.js';
 import { EXIT_CODE_HELP } from './ExitCode.js';
 import { OperatorClient } from './OperatorClient.js';
@@ -45,5 +48,8 @@
   registerConfig(program, context);
   registerSections(program, context);
   registerKey(program, context);
+  registerInstance(program, context);
+  registerRollOut(program, context);
+  registerPlan(program, context);
   return program;
 }
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -43,6 +43,7 @@
 import { CountingTargetClient } from './CountingTargetClient.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
+import { MaintenanceRoutes } from './MaintenanceRoutes.js';
 import { OperatorServer } from './OperatorServer.js';
 import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
@@ -156,7 +157,10 @@
       }),
     );
     this.operators = this.register(
-      new OperatorServer([...this.configRoutes(submitter, clock).routes()]),
+      new OperatorServer([
+        ...this.configRoutes(submitter, clock).routes(),
+        ...new MaintenanceRoutes(this.follower, this.maintenance, clock).routes(),
+      ]),
     );
   }
 
--- /dev/null
+++ b/packages/daemon/src/MaintenanceRoutes.ts
@@ -0,0 +1,144 @@
+/** The operators' calls about maintenance: instances by state, roll-outs, moves and the plan. */
+import { randomUUID } from 'node:crypto';
+import { type Clock, idSchema } from '@acaciadock/core';
+import { type ConfigDocument, type ConfigView } from '@acaciadock/config';
+import {
+  type CommandOutcome,
+  commandSchema,
+  estimateRollOut,
+  instanceStates,
+  type SparePlan,
+  SparePlanner,
+} from '@acaciadock/maintenance';
+import { z } from 'zod';
+import { type Maintenance } from './Maintenance.js';
+import { type OperatorAnswer, type OperatorRequest, type OperatorRoute } from './OperatorRoute.js';
+
+const BODY_STATUS = { 'body-too-large': 413, 'body-no-json': 400 } as const;
+const OUTCOME_STATUS: Readonly<Record<CommandOutcome['kind'], number>> = {
+  accepted: 200,
+  'not-applicable': 409,
+  'not-appended': 503,
+  unknown: 504,
+};
+
+const wholeFleetSchema = z.strictObject({
+  action: z.literal('start-roll-out'),
+  rollOutId: idSchema,
+  /** Pools to take; all if left out. */
+  poolIds: z.array(idSchema).optional(),
+  /** As the plan says if left out. */
+  racksAtOnce: z.int().min(1).optional(),
+});
+
+const bodySchema = z.strictObject({
+  /** Made once by the caller: a repeat under the same id is the same command. */
+  commandId: idSchema.default(() => randomUUID()),
+  author: z.string().min(1).max(200).default('operator'),
+  command: z.union([commandSchema, wholeFleetSchema]),
+});
+
+/** A plan as told to operators: the schedule by its figures, not by every instance. */
+function describe(plan: SparePlan): unknown {
+  const { waves, ...figures } = plan.schedule;
+  return { ...plan, schedule: { ...figures, waves: waves.length } };
+}
+
+export class MaintenanceRoutes {
+  constructor(
+    private readonly config: ConfigView,
+    private readonly maintenance: Maintenance,
+    private readonly clock: Clock,
+  ) {}
+
+  routes(): readonly OperatorRoute[] {
+    return [
+      { method: 'GET', path: '/v1/maintenance', answer: () => this.status() },
+      { method: 'GET', path: '/v1/maintenance/plan', answer: () => this.plan() },
+      {
+        method: 'POST',
+        path: '/v1/maintenance/commands',
+        answer: (request) => this.command(request),
+      },
+      { method: 'GET', path: '/v1/instances', answer: () => this.instances() },
+    ];
+  }
+
+  private status(): OperatorAnswer {
+    const { reader, role, controller } = this.maintenance;
+    const { state } = reader;
+    const { rollOut } = state;
+    const body = {
+      caughtUp: reader.isCaughtUp,
+      controllerEntryId: state.lease?.entryId,
+      /** Only the controller knows what a drain or the roll-out waits for. */
+      isController: role.epoch !== undefined,
+      rollOut: rollOut && { ...rollOut, ...estimateRollOut(rollOut, this.clock.unixMs()) },
+      waitsFor: controller.wait,
+      jobs: Object.values(state.jobs).map((job) => ({
+        ...job,
+        waitsFor: role.epoch === undefined ? undefined : controller.blockers(job.instanceId),
+      })),
+      wantedMoves: state.wantedMoves,
+    };
+    return { statusCode: 200, body };
+  }
+
+  private instances(): OperatorAnswer {
+    const { document } = this.config.state();
+    return { statusCode: 200, body: instanceStates(document, this.maintenance.reader.state) };
+  }
+
+  private plan(): OperatorAnswer {
+    const { document } = this.config.state();
+    if (Object.keys(document.instances).length === 0) {
+      return { statusCode: 409, body: { kind: 'no-instances' } };
+    }
+    const { chosen, baselines, reasons } = this.planner(document).choose();
+    const compared = Object.entries(baselines).map(([name, plan]) => [name, describe(plan)]);
+    return {
+      statusCode: 200,
+      body: {
+        weights: document.policy.weights,
+        chosen: describe(chosen),
+        baselines: Object.fromEntries(compared) as unknown,
+        reasons,
+      },
+    };
+  }
+
+  private async command(request: OperatorRequest): Promise<OperatorAnswer> {
+    const read = await request.json();
+    if (read.isErr()) return { statusCode: BODY_STATUS[read.error.kind], body: read.error };
+    const body = bodySchema.safeParse(read.value);
+    if (!body.success) {
+      return { statusCode: 400, body: { kind: 'command-malformed', detail: body.error.message } };
+    }
+    const { commandId, author, command } = body.data;
+    const whole = wholeFleetSchema.safeParse(command);
+    const filled = commandSchema.safeParse(whole.success ? this.fill(whole.data) : command);
+    if (!filled.success) return { statusCode: 409, body: { kind: 'no-instances' } };
+    const outcome = await this.maintenance.commands.submit(commandId, author, filled.data);
+    return { statusCode: OUTCOME_STATUS[outcome.kind], body: outcome };
+  }
+
+  private fill({
+    action,
+    rollOutId,
+    poolIds,
+    racksAtOnce,
+  }: z.infer<typeof wholeFleetSchema>): unknown {
+    const { document } = this.config.state();
+    const wanted = poolIds && new Set(poolIds);
+    const instanceIds = Object.entries(document.instances)
+      .filter(([, { poolId }]) => wanted?.has(poolId) ?? true)
+      .map(([instanceId]) => instanceId);
+    if (instanceIds.length === 0) return undefined;
+    const planned = this.planner(document).choose().chosen.use.racksAtOnce;
+    return { action, rollOutId, instanceIds, racksAtOnce: racksAtOnce ?? planned };
+  }
+
+  private planner(document: ConfigDocument): SparePlanner {
+    return new SparePlanner(document, this.maintenance.demand.demand());
+  }
+}
--- /dev/null
+++ b/packages/demo/src/maintenanceCommands.test.ts
@@ -0,0 +1,103 @@
+/** The maintenance commands against real entries: plan, roll-out, moves and instances by state. */
+import { describe, it } from '@acaciadock/core/testing';
+import { ExitCode, type ExitCodeValue, runCommand } from '@acaciadock/cli';
+import { DemoFleet } from './DemoFleet.js';
+
+const SEED = 8;
+const POLL_MS = 100;
+const TIMEOUT_MS = 60_000;
+
+interface CommandRun {
+  readonly exitCode: ExitCodeValue;
+  readonly output: string;
+  readonly errors: string;
+}
+
+async function run(url: string, words: readonly string[]): Promise<CommandRun> {
+  const output: string[] = [];
+  const errors: string[] = [];
+  const exitCode = await runCommand(['--url', url, ...words], {
+    environment: { USER: 'tester' },
+    print: (text) => output.push(text),
+    printError: (text) => errors.push(text),
+    nowMs: () => Date.now(),
+  });
+  return { exitCode, output: output.join('\n'), errors: errors.join('\n') };
+}
+
+async function runUntil(
+  url: string,
+  words: readonly string[],
+  isDone: (output: string) => boolean,
+): Promise<CommandRun> {
+  const untilMs = Date.now() + TIMEOUT_MS;
+  let last = await run(url, words);
+  while (!isDone(last.output) && Date.now() < untilMs) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+    last = await run(url, words);
+  }
+  return last;
+}
+
+async function withFleet(body: (url: string) => Promise<void>): Promise<void> {
+  const fleet = new DemoFleet();
+  await fleet.start(SEED);
+  try {
+    await body(`http://${fleet.addresses[0]?.operatorAddress}`);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+describe('acaciadock plan, rollout and instance', () => {
+  it('shows a plan beside the baselines and carries nothing out', async (t) => {
+    await withFleet(async (url) => {
+      const plan = await run(url, ['plan']);
+      t.equal(plan.exitCode, ExitCode.done, plan.errors);
+      t.match(plan.output, /fixed-20-percent/);
+      const listed = await run(url, ['--json', 'instance', 'list', '--state', 'serving']);
+      t.equal((JSON.parse(listed.output) as unknown[]).length, 8);
+    });
+  });
+
+  it('reboots the spares, pauses, refuses a second roll-out, and ends', async (t) => {
+    await withFleet(async (url) => {
+      const started = await run(url, ['rollout', 'start', '--id', 'r1', '--pool', 'spare']);
+      t.equal(started.exitCode, ExitCode.done, started.errors);
+      const second = await run(url, ['rollout', 'start', '--id', 'r2']);
+      t.equal(second.exitCode, ExitCode.refused);
+      t.equal((await run(url, ['rollout', 'pause'])).exitCode, ExitCode.done);
+      t.match((await run(url, ['rollout', 'status'])).output, /r1 paused \[\.+\] 0\/2/);
+      t.equal((await run(url, ['rollout', 'resume'])).exitCode, ExitCode.done);
+      const done = await runUntil(url, ['rollout', 'status'], (text) => /r1 done/.test(text));
+      t.match(done.output, /r1 done \[#+\] 2\/2/);
+    });
+  });
+
+  it('moves an instance to the pool that it is told', async (t) => {
+    await withFleet(async (url) => {
+      t.equal((await run(url, ['instance', 'move', 't8', 'main'])).exitCode, ExitCode.done);
+      const words = ['--json', 'instance', 'list', '--pool', 'main', '--state', 'serving'];
+      const listed = await runUntil(url, words, (text) => /"t8"/.test(text));
+      t.equal((JSON.parse(listed.output) as unknown[]).length, 9);
+    });
+  });
+
+  it('drains an instance by hand and lets it serve again', async (t) => {
+    await withFleet(async (url) => {
+      await run(url, ['instance', 'drain', 't0']);
+      t.match((await run(url, ['instance', 'list', '--state', 'draining'])).output, /t0/);
+      await run(url, ['instance', 'serve', 't0']);
+      t.match((await run(url, ['instance', 'list', '--state', 'serving'])).output, /t0/);
+    });
+  });
+
+  it('tells an operator that nothing was steered where there is no roll-out', async (t) => {
+    await withFleet(async (url) => {
+      t.equal((await run(url, ['rollout', 'abort'])).exitCode, ExitCode.refused);
+      t.equal((await run(url, ['instance', 'readmit', 't0'])).exitCode, ExitCode.refused);
+    });
+  });
+});
--- a/packages/maintenance/src/SparePlanner.ts
+++ b/packages/maintenance/src/SparePlanner.ts
@@ -69,13 +69,14 @@
 
   /** The cheapest feasible plan, beside the baselines. */
   choose(): PlanChoice {
-    const plans = this.candidates().map((use) => this.evaluate(use));
+    const baselines = this.baselines();
+    const candidates = this.candidates().map((use) => this.evaluate(use));
+    const plans = [...candidates, ...Object.values(baselines)];
     const feasible = plans.filter(({ isFeasible }) => isFeasible);
     const [first, ...others] = feasible.length > 0 ? feasible : plans;
     if (!first) throw new RangeError('there are no candidates');
     const chosen = others.reduce((best, plan) => (plan.cost < best.cost ? plan : best), first);
-    const baselines = this.baselines();
-    return { chosen, baselines, reasons: this.reasons(chosen, feasible) };
+    return { chosen, baselines, reasons: SparePlanner.reasons(chosen, feasible) };
   }
 
   /** What one way to use the spare capacity costs. */
@@ -146,7 +147,7 @@
     };
   }
 
-  private reasons(chosen: SparePlan, feasible: readonly SparePlan[]): readonly string[] {
+  private static reasons(chosen: SparePlan, feasible: readonly SparePlan[]): readonly string[] {
     const { use, schedule } = chosen;
     const kept = use.kept.reduce((sum, count) => sum + count, 0);
     const reasons = [
--- a/packages/maintenance/src/index.ts
+++ b/packages/maintenance/src/index.ts
@@ -25,3 +25,5 @@
 export * from './FleetShape.js';
 export * from './WaveSchedule.js';
 export * from './SparePlanner.js';
+export * from './RollOutEstimate.js';
+export * from './instanceStates.js';
--- /dev/null
+++ b/packages/scenarios/src/promises/availability-budget.test.ts
@@ -0,0 +1,59 @@
+/** Promise: each service's availability budget holds through drains, reboots and moves. */
+import { SystemClock } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { MaintenanceFleet } from '../fleet/MaintenanceFleet.js';
+
+const SEED = 31;
+const TIMEOUT_MS = 60_000;
+const RACK_LOST_MS = 2_000;
+const OPTIONS = { deployment: 'bondwright', entries: 3, rebootMs: 200, seed: SEED } as const;
+
+async function startedFleet(): Promise<MaintenanceFleet> {
+  const fleet = new MaintenanceFleet(OPTIONS, new SystemClock());
+  await fleet.start();
+  await fleet.until(() => fleet.holder !== undefined, TIMEOUT_MS);
+  return fleet;
+}
+
+function isAtRest(fleet: MaintenanceFleet): boolean {
+  const { rollOut, jobs, wantedMoves } = fleet.state;
+  if (rollOut && (rollOut.status !== 'done' || rollOut.lent.length > 0)) return false;
+  return Object.keys(jobs).length === 0 && wantedMoves.length === 0;
+}
+
+describe(`the availability budget (seed ${SEED})`, () => {
+  it('holds while the controller is killed and a rack is lost in the same wave', async (t) => {
+    const fleet = await startedFleet();
+    const instanceIds = ['t00', 't09', 't18', 't01', 't10', 't19'];
+    const command = { action: 'start-roll-out', rollOutId: 'r', racksAtOnce: 1 } as const;
+    await fleet.command({ ...command, instanceIds });
+    const isRebooting = (): boolean =>
+      Object.values(fleet.state.jobs).some(({ state }) => state === 'rebooting');
+    t.ok(await fleet.until(isRebooting, TIMEOUT_MS));
+    fleet.holder?.maintenance.controller.dispose();
+    fleet.setRackLost('zone-c-r0', true);
+    await new SystemClock().sleep(RACK_LOST_MS);
+    fleet.setRackLost('zone-c-r0', false);
+    t.ok(await fleet.until(() => isAtRest(fleet), TIMEOUT_MS));
+    t.same([...new Set(fleet.observer.rebooted)].sort(), [...instanceIds].sort());
+    t.equal(fleet.observer.budgetBreaches, 0);
+    await fleet.stop();
+  });
+
+  it('holds when operators ask for more moves out of a pool than it can spare', async (t) => {
+    const fleet = await startedFleet();
+    const { instances } = fleet.deployment.document;
+    const pool = Object.keys(instances).filter(
+      (id) => instances[id]?.poolId === 'pool-adhesive-advice',
+    );
+    for (const instanceId of pool) {
+      await fleet.command({ action: 'move', instanceId, toPoolId: 'spare' });
+    }
+    await fleet.until(() => fleet.state.wantedMoves.length < pool.length, TIMEOUT_MS);
+    const isSettled = (): boolean => Object.keys(fleet.state.jobs).length === 0;
+    t.ok(await fleet.until(isSettled, TIMEOUT_MS));
+    t.equal(fleet.observer.budgetBreaches, 0);
+    t.ok(fleet.state.wantedMoves.length > 0, 'the others wait');
+    await fleet.stop();
+  });
+});
--- /dev/null
+++ b/packages/scenarios/src/promises/planned-reboot.test.ts
@@ -0,0 +1,47 @@
+/** Promise: a planned stop is graceful, it cuts no request in progress. */
+import { SystemClock } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { MaintenanceFleet } from '../fleet/MaintenanceFleet.js';
+
+const SEED = 32;
+const TIMEOUT_MS = 60_000;
+const RUN_MS = 800;
+const MEAN_GAP_MS = 60;
+const INSTANCES = ['t00', 't09', 't18', 't27', 't03', 't12'];
+const OPTIONS = { deployment: 'nha-an', entries: 3, rebootMs: 200, seed: SEED } as const;
+
+describe(`a planned reboot (seed ${SEED})`, () => {
+  const faults: readonly [string, (fleet: MaintenanceFleet) => void][] = [
+    ['nothing fails', () => undefined],
+    [
+      'the platform and the log lose answers and the controller dies',
+      (fleet) => {
+        Object.assign(fleet.control.faults, { loseAnswers: 4 });
+        Object.assign(fleet.log.faults, { loseAppendAnswers: 4 });
+        fleet.holder?.maintenance.controller.dispose();
+      },
+    ],
+  ];
+  faults.forEach(([name, cause]) => {
+    it(`cuts no request in progress when ${name}`, async (t) => {
+      const fleet = new MaintenanceFleet(OPTIONS, new SystemClock());
+      await fleet.start();
+      await fleet.until(() => fleet.holder !== undefined, TIMEOUT_MS);
+      const load = fleet.load(MEAN_GAP_MS, RUN_MS);
+      load.start();
+      const command = { action: 'start-roll-out', rollOutId: 'r', racksAtOnce: 1 } as const;
+      await fleet.command({ ...command, instanceIds: INSTANCES });
+      await fleet.until(() => Object.keys(fleet.state.jobs).length > 0, TIMEOUT_MS);
+      cause(fleet);
+      t.ok(await fleet.until(() => fleet.state.rollOut?.status === 'done', TIMEOUT_MS));
+      await load.stop();
+      fleet.observer.finish();
+      t.same([...fleet.observer.rebooted].sort(), [...INSTANCES].sort(), 'each one once');
+      t.equal(fleet.observer.cutRuns, 0);
+      t.equal(load.cut, 0);
+      t.equal(fleet.observer.lateRuns, 0);
+      t.ok(load.answered > 0);
+      await fleet.stop();
+    });
+  });
+});
