--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -6,6 +6,7 @@
 import { registerKey } from './commands/key.js';
 import { registerPlan } from './commands/plan.js';
 import { registerRollOut } from './commands/rollout.js';
+import { registerReport } from './commands/report.js';
 import { registerSections } from './commands/sections.js';
 import { EXIT_CODE_HELP } from './ExitCode.js';
 import { OperatorClient } from './OperatorClient.js';
@@ -51,5 +52,6 @@
   registerInstance(program, context);
   registerRollOut(program, context);
   registerPlan(program, context);
+  registerReport(program, context);
   return program;
 }
