--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { answerQuerySchema, answerReplySchema } from './AnswerMessages.js';
 import { configPullSchema, configRecordsSchema } from './ConfigMessages.js';
+import { creditDemandSchema, creditReceiptSchema, creditTransferSchema } from './CreditMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
 import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
 import {
@@ -36,6 +37,9 @@
   answerReplySchema,
   configPullSchema,
   configRecordsSchema,
+  creditDemandSchema,
+  creditTransferSchema,
+  creditReceiptSchema,
   workReportSchema,
   drainStatusSchema,
   targetsClosedSchema,
--- a/packages/replication/src/ConfigFollower.test.ts
+++ b/packages/replication/src/ConfigFollower.test.ts
@@ -162,6 +162,8 @@
         configOffset: 6,
         stopping: false,
         logReachable: true,
+        controlOffset: -1,
+        suspects: [],
       });
       await fleet.advance(2_000);
       t.equal(fleet.entry(1).follower.behindForMs(), 2_000);
@@ -181,6 +183,8 @@
         configOffset: 1,
         stopping: false,
         logReachable: true,
+        controlOffset: -1,
+        suspects: [],
       });
       t.same(alarms, ['peer-diverged']);
     });
--- a/packages/replication/src/testing/ModelEntry.ts
+++ b/packages/replication/src/testing/ModelEntry.ts
@@ -56,6 +56,8 @@
         configOffset: offset,
         stopping: false,
         logReachable: this.follower.logReachable,
+        controlOffset: -1,
+        suspects: [],
       });
     });
   }
--- a/packages/scheduling/src/testing/HomeFixture.ts
+++ b/packages/scheduling/src/testing/HomeFixture.ts
@@ -27,7 +27,7 @@
 
   readonly config: FixedConfig;
 
-  readonly credits = new CountedCredits();
+  readonly credits = new CountedCredits(this.clock);
 
   readonly fence = new SwitchedFence();
 
