--- a/packages/daemon/src/Maintenance.ts
+++ b/packages/daemon/src/Maintenance.ts
@@ -77,12 +77,7 @@
           demand: this.demand,
           decider: new JobDecider(maintenance),
         },
-        {
-          ...maintenance,
-          get knownEntryIds() {
-            return services.memberEntryIds();
-          },
-        },
+        { ...maintenance, knownEntryIds: services.memberEntryIds },
       ),
     );
   }
--- a/packages/maintenance/src/CommandSubmitter.ts
+++ b/packages/maintenance/src/CommandSubmitter.ts
@@ -2,7 +2,7 @@
  * Writes an operator's command to the control stream and waits until it is read back. Any entry
  * takes commands; whichever holds the controller's role carries them out.
  */
-import { type Clock, Disposable } from '@acaciadock/core';
+import { type Clock, Disposable, type IDisposable } from '@acaciadock/core';
 import { type AppendFailure, CONTROL_STREAM, type LogService } from '@acaciadock/platform';
 import { type ControlReader } from './ControlReader.js';
 import { type MaintenanceCommand } from './MaintenanceRecord.js';
@@ -42,17 +42,20 @@
 
   private waitFor(commandId: string): Promise<CommandOutcome> {
     return new Promise((resolve) => {
-      const subscription = this.reader.onRecord(({ verdict }) => {
-        if (verdict.kind === 'foreign' || verdict.record.kind !== 'maintenance-command') return;
-        if (verdict.record.commandId !== commandId) return;
-        subscription.dispose();
-        const kind = verdict.kind === 'accepted' ? 'accepted' : 'not-applicable';
-        resolve({ kind, commandId });
-      });
-      this.clock.after(SETTLE_TIMEOUT_MS, () => {
-        subscription.dispose();
-        resolve({ kind: 'unknown', commandId });
-      });
+      const owned: IDisposable[] = [];
+      const settle = (outcome: CommandOutcome): void => {
+        owned.splice(0).forEach((item) => item.dispose());
+        resolve(outcome);
+      };
+      owned.push(
+        this.reader.onRecord(({ verdict }) => {
+          if (verdict.kind === 'foreign' || verdict.record.kind !== 'maintenance-command') return;
+          if (verdict.record.commandId !== commandId) return;
+          const kind = verdict.kind === 'accepted' ? 'accepted' : 'not-applicable';
+          settle({ kind, commandId });
+        }),
+        this.clock.after(SETTLE_TIMEOUT_MS, () => settle({ kind: 'unknown', commandId })),
+      );
     });
   }
 }
--- a/packages/maintenance/src/testing/HarnessEntry.ts
+++ b/packages/maintenance/src/testing/HarnessEntry.ts
@@ -80,7 +80,7 @@
         tickMs: TICK_MS,
         listPeriodMs: 200,
         surveyPeriodMs: 100,
-        knownEntryIds: harness.entryIds,
+        knownEntryIds: () => harness.entryIds,
       },
     );
     void this.reader.run();
--- /dev/null
+++ b/packages/scenarios/src/promises/availability-budget-moves.test.ts
@@ -0,0 +1,34 @@
+/** Promise: each service's availability budget holds through moves that operators ask for. */
+import { SystemClock } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { MaintenanceFleet } from '../fleet/MaintenanceFleet.js';
+
+const SEED = 34;
+const TIMEOUT_MS = 60_000;
+const OPTIONS = { deployment: 'bondwright', entries: 3, rebootMs: 200, seed: SEED } as const;
+
+async function startedFleet(): Promise<MaintenanceFleet> {
+  const fleet = new MaintenanceFleet(OPTIONS, new SystemClock());
+  await fleet.start();
+  await fleet.until(() => fleet.holder !== undefined, TIMEOUT_MS);
+  return fleet;
+}
+
+describe(`the availability budget (seed ${SEED})`, () => {
+  it('holds when operators ask for more moves out of a pool than it can spare', async (t) => {
+    const fleet = await startedFleet();
+    const { instances } = fleet.deployment.document;
+    const pool = Object.keys(instances).filter(
+      (id) => instances[id]?.poolId === 'pool-adhesive-advice',
+    );
+    for (const instanceId of pool) {
+      await fleet.command({ action: 'move', instanceId, toPoolId: 'spare' });
+    }
+    await fleet.until(() => fleet.state.wantedMoves.length < pool.length, TIMEOUT_MS);
+    const isSettled = (): boolean => Object.keys(fleet.state.jobs).length === 0;
+    t.ok(await fleet.until(isSettled, TIMEOUT_MS));
+    t.equal(fleet.observer.budgetBreaches, 0);
+    t.ok(fleet.state.wantedMoves.length > 0, 'the others wait');
+    await fleet.stop();
+  });
+});
