--- a/packages/maintenance/src/SpareLender.ts
+++ b/packages/maintenance/src/SpareLender.ts
@@ -14,18 +14,15 @@
     private readonly isFree: (instanceId: InstanceId) => boolean,
   ) {}
 
-  /** Moves that would let the roll-out go on, for the first pool that can be helped. */
+  /** Moves that would let the roll-out go on, for each pool that the free spares can help. */
   lend(rollOut: RollOut, shortfalls: readonly Shortfall[]): readonly WantedMove[] {
     const lent = new Set(rollOut.lent.map(({ instanceId }) => instanceId));
-    const free = this.spares().filter((instanceId) => !lent.has(instanceId));
-    for (const shortfall of shortfalls) {
-      const ordered = this.byPreference(free, shortfall.poolId, rollOut);
-      const chosen = this.cover(shortfall, ordered);
-      if (chosen.length > 0) {
-        return chosen.map((instanceId) => this.move(rollOut, instanceId, shortfall.poolId));
-      }
-    }
-    return [];
+    let free = this.spares().filter((instanceId) => !lent.has(instanceId));
+    return shortfalls.flatMap((shortfall) => {
+      const chosen = this.cover(shortfall, this.byPreference(free, shortfall.poolId, rollOut));
+      free = free.filter((instanceId) => !chosen.includes(instanceId));
+      return chosen.map((instanceId) => this.move(rollOut, instanceId, shortfall.poolId));
+    });
   }
 
   /** Moves that give back what is lent to pools with nothing left to do. */
