--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -8,6 +8,7 @@
 import { registerRollOut } from './commands/rollout.js';
 import { registerReport } from './commands/report.js';
 import { registerSections } from './commands/sections.js';
+import { registerStatus } from './commands/status.js';
 import { EXIT_CODE_HELP } from './ExitCode.js';
 import { OperatorClient } from './OperatorClient.js';
 
@@ -53,5 +54,6 @@
   registerRollOut(program, context);
   registerPlan(program, context);
   registerReport(program, context);
+  registerStatus(program, context);
   return program;
 }
