--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -189,15 +189,10 @@
     );
     const status = this.register(new FleetStatus(homes, this.links, clock, () => this.ownStatus()));
     this.operators = this.register(
-      new OperatorServer([
-        ...this.configRoutes(submitter, clock).routes(),
-        ...new MaintenanceRoutes(this.follower, this.maintenance, clock).routes(),
-        ...new FleetRoutes(this.member).routes(),
-        ...this.observability.routes(),
-      ]),
       new OperatorServer(
         [
           ...this.configRoutes(submitter, clock).routes(),
+          ...new MaintenanceRoutes(this.follower, this.maintenance, clock).routes(),
           ...new FleetRoutes(this.member).routes(),
           ...new StatusRoutes(status).routes(),
           ...this.observability.routes(),
