--- a/packages/bench/src/BurstBench.ts
+++ b/packages/bench/src/BurstBench.ts
@@ -14,10 +14,10 @@
 const URGENT_START_MS = 5_600;
 const MIN_TRUE_PART = 0.95;
 const LOADS = [
-  { urgentPart: 0.4, load: 0.75, capacityAllows: true },
-  { urgentPart: 0.8, load: 0.75, capacityAllows: true },
+  { urgentPart: 0.4, load: 0.75, probeEvery: 5, capacityAllows: true },
+  { urgentPart: 0.8, load: 0.75, probeEvery: 5, capacityAllows: true },
   // Far more urgent work in a burst than can start in time: most of it must be refused.
-  { urgentPart: 1, load: 0.9, capacityAllows: false },
+  { urgentPart: 1, load: 0.9, probeEvery: 200, capacityAllows: false },
 ];
 
 const BASELINES: Readonly<Record<string, PoolSchedulerParts['queueOf']>> = {
--- a/packages/bench/src/scheduling/BurstLoad.ts
+++ b/packages/bench/src/scheduling/BurstLoad.ts
@@ -16,8 +16,6 @@
 const CYCLES = 12;
 const BURST_FACTOR = 5;
 const QUIET_FACTOR = 0.05;
-/** One refusal of this many is queued all the same, to see whether it was true. */
-const PROBE_EVERY = 200;
 const DECLARED_RUN_MS = 3_000;
 const RUN_MS: Readonly<Record<Urgency, number>> = { urgent: 300, background: 2_000 };
 const DEADLINE_MS: Readonly<Record<Urgency, number>> = { urgent: 10_000, background: 120_000 };
@@ -29,6 +27,8 @@
   readonly urgentPart: number;
   /** Mean load over the pool's capacity. */
   readonly load: number;
+  /** One refusal of this many is queued all the same, to see whether it was true. */
+  readonly probeEvery: number;
   readonly seed: number;
   readonly queueOf?: PoolSchedulerParts['queueOf'];
 }
@@ -40,7 +40,7 @@
 }
 
 function runService(service: number, options: BurstOptions): BurstRun {
-  const { urgentPart, load, seed, queueOf } = options;
+  const { urgentPart, load, probeEvery, seed, queueOf } = options;
   const clock = new VirtualClock();
   const random = new Random(seed + service);
   const pool = {
@@ -48,7 +48,7 @@
     slotsPerTarget: SLOTS,
     shares: SHARES,
     declaredRunMs: DECLARED_RUN_MS,
-    probeEvery: PROBE_EVERY,
+    probeEvery,
     ...(queueOf ? { queueOf } : {}),
   };
   const model = new PoolModel(clock, pool, seed);
--- a/packages/bench/src/scheduling/FleetModel.ts
+++ b/packages/bench/src/scheduling/FleetModel.ts
@@ -164,7 +164,7 @@
     const homes = new PoolHomes(members, config);
     const dispatcher = new Dispatcher({
       config,
-      credits: new FreeCredits(),
+      credits: new FreeCredits(clock),
       fence: new OpenFence(),
       homes,
       network,
--- a/packages/bench/src/scheduling/FreeCredits.ts
+++ b/packages/bench/src/scheduling/FreeCredits.ts
@@ -1,11 +1,27 @@
 /** Credits without a bound, for benches of what else decides. */
-import { CreditSource, type CreditUse, EventEmitter, type TeamId } from '@acaciadock/core';
+import {
+  type Clock,
+  CreditSource,
+  type CreditUse,
+  EventEmitter,
+  type TeamId,
+} from '@acaciadock/core';
 
 export class FreeCredits extends CreditSource {
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
   override readonly onAvailable = new EventEmitter<TeamId>().event;
 
   override tryAcquire(teamId: TeamId): CreditUse {
-    return { useId: 'free', teamId, holderEntryId: 'e0', epoch: 0, acquiredAtMs: 0 };
+    return {
+      useId: 'free',
+      teamId,
+      holderEntryId: 'e0',
+      epoch: 0,
+      acquiredAtMs: this.clock.unixMs(),
+    };
   }
 
   override release(): void {
--- a/packages/bench/src/scheduling/PoolModel.ts
+++ b/packages/bench/src/scheduling/PoolModel.ts
@@ -128,7 +128,7 @@
 
   private readonly attempts = new Map<string, Attempt>();
 
-  private readonly credits = new FreeCredits();
+  private readonly credits: FreeCredits;
 
   private nextRequest = 0;
 
@@ -142,6 +142,7 @@
     private readonly options: ModelOptions,
     seed: number,
   ) {
+    this.credits = new FreeCredits(clock);
     const view = poolViewsOf(documentOf(options)).get(POOL_ID);
     if (!view) throw new RangeError('the model has no pool');
     this.scheduler = new PoolScheduler(
