--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -5,6 +5,7 @@
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
   capacity: async () => new (await import('./CapacityBench.js')).CapacityBench(),
+  plan: async () => new (await import('./PlanBench.js')).PlanBench(),
   share: async () => new (await import('./ShareBench.js')).ShareBench(),
   burst: async () => new (await import('./BurstBench.js')).BurstBench(),
   overload: async () => new (await import('./OverloadBench.js')).OverloadBench(),
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -46,6 +46,7 @@
 import { FleetStatus } from './FleetStatus.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
+import { MaintenanceRoutes } from './MaintenanceRoutes.js';
 import { Observability } from './Observability.js';
 import { OperatorAccess } from './OperatorAccess.js';
 import { OperatorServer } from './OperatorServer.js';
@@ -198,6 +199,7 @@
       new OperatorServer(
         [
           ...this.configRoutes(submitter, clock).routes(),
+          ...new MaintenanceRoutes(this.follower, this.maintenance, clock).routes(),
           ...new FleetRoutes(this.member).routes(),
           ...new StatusRoutes(status).routes(),
           ...this.observability.routes(),
