A reading of the list is shared for 400 ms, less than any task's period

Cause: with 700 ms every second poll of the watch on leaving targets got the old list. The bound stands; the reuse was wrong.

--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -55,8 +55,8 @@
 import { StatusRoutes } from './StatusRoutes.js';
 
 const GIVE_BACK_MS = 50;
-/** Well under the few seconds in which a leaving target must be known. */
-const LIST_REUSE_MS = 700;
+/** Shorter than the period of any task that reads the list, so each of its readings is new. */
+const LIST_REUSE_MS = 400;
 
 export interface EntryAddresses {
   readonly callerAddress: string;
