--- /dev/null
+++ b/packages/bench/src/CreditsBench.ts
@@ -0,0 +1,106 @@
+/**
+ * Team limits over many entries: random fault plans in virtual time, one busy team on eight
+ * entries in virtual time and for real, what a crash strands in an outage, and costs.
+ */
+import { Bench, type BenchOptions, type BenchResult, checkBound } from './Bench.js';
+import { reachedRatio, strandedRatio } from './credits/BusyTeam.js';
+import { measureLedgerCosts } from './credits/LedgerCosts.js';
+import { RealFleet } from './credits/RealFleet.js';
+import { runSchedules } from './credits/SchedulePool.js';
+
+const SCHEDULES = 10_000;
+const LONG_SCHEDULES = 50_000;
+const MOST_HEALING_MS = 30_000;
+const LEAST_REACHED_RATIO = 0.95;
+const LIMITS = [8, 24, 100, 720];
+const SEEDS_PER_LIMIT = 20;
+const STRANDED_SEEDS = 40;
+const STRANDED_LIMIT = 80;
+const HEARTBEATS_PER_SECOND = 14;
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function percent(ratio: number): string {
+  return `${(100 * ratio).toFixed(1)} %`;
+}
+
+export class CreditsBench extends Bench {
+  override readonly name = 'credits';
+
+  override readonly summary = 'team limits under random faults, and how fast credits move';
+
+  override async run({ seed, long }: BenchOptions): Promise<BenchResult> {
+    const found = await runSchedules(seed, long ? LONG_SCHEDULES : SCHEDULES);
+    this.note(`${found.starts} starts; bad seeds: ${found.badSeeds.slice(0, 20).join(' ') || '-'}`);
+    this.note(
+      `${found.massLosses} schedules lost most of the roster at once; ` +
+        `slowest of those ${found.slowestMassHealingMs} ms`,
+    );
+    const reached = Math.min(
+      ...LIMITS.map((limit) => this.reachedFor(seed, limit, SEEDS_PER_LIMIT)),
+    );
+    this.noteStranded(seed);
+    this.noteCosts();
+    const real = await new RealFleet().measure(seed);
+    return {
+      bounds: [
+        checkBound('schedules', found.schedules, 'count', 'at-least', SCHEDULES),
+        checkBound('moments above a limit', found.violations, 'count', 'exactly', 0),
+        checkBound('never usable again', found.neverHealed, 'count', 'exactly', 0),
+        checkBound(
+          'all usable again, mass loss apart',
+          found.slowestHealingMs,
+          'ms',
+          'at-most',
+          MOST_HEALING_MS,
+        ),
+        checkBound('one busy team within 1 s', reached, 'ratio', 'at-least', LEAST_REACHED_RATIO),
+        checkBound(
+          'one busy team within 1 s, real',
+          real.reachedRatio,
+          'ratio',
+          'at-least',
+          LEAST_REACHED_RATIO,
+        ),
+        checkBound('most running, real', real.mostRunning, 'count', 'at-most', real.limit),
+      ],
+    };
+  }
+
+  private reachedFor(seed: number, limit: number, seeds: number): number {
+    const ratios = Array.from({ length: seeds }, (_, index) => reachedRatio(seed + index, limit));
+    const least = Math.min(...ratios);
+    this.note(`limit ${limit}: least reached within 1 s on 8 entries ${percent(least)}`);
+    return least;
+  }
+
+  private noteStranded(seed: number): void {
+    [1, 2, 8].forEach((busyHomes) => {
+      const ratios = Array.from({ length: STRANDED_SEEDS }, (_, index) =>
+        strandedRatio(seed + index, STRANDED_LIMIT, busyHomes),
+      );
+      const most = Math.max(...ratios);
+      this.note(
+        `crash of 1 of 8 in a log outage, team busy at ${busyHomes}: ` +
+          `stranded ${percent(mean(ratios))} on average, ${percent(most)} at most`,
+      );
+    });
+  }
+
+  private noteCosts(): void {
+    const costs = measureLedgerCosts();
+    this.note(`acquire and release: ${costs.acquireReleaseUs.toFixed(2)} us`);
+    this.note(`a round of 7 heartbeats sent and taken: ${costs.heartbeatRoundUs.toFixed(1)} us`);
+    const bytes = costs.heartbeatBytes;
+    this.note(`heartbeat: ${bytes} bytes, ${bytes * HEARTBEATS_PER_SECOND} bytes/s sent at 8`);
+    costs.heapByTeams.forEach(({ teams, bytesPerEntry }) => {
+      const perTeam = Math.round(bytesPerEntry / teams);
+      this.note(`${teams} teams: ${bytesPerEntry} bytes of heap per entry, ${perTeam} per team`);
+    });
+    costs.idleFlushUs.forEach(({ teams, us }) => {
+      this.note(`${teams} teams: idle flush ${us.toFixed(2)} us`);
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/credits/BusyTeam.ts
@@ -0,0 +1,56 @@
+/** One team that becomes busy at one of eight entries: how much of its limit it reaches, and when. */
+import { type FaultPlan, FleetSimulation } from '@acaciadock/credits/testing';
+
+const ENTRIES = 8;
+const SETTLED_MS = 6_000;
+const WITHIN_MS = 1_000;
+
+export function calmPlan(seed: number, limits: readonly number[]): FaultPlan {
+  return {
+    seed,
+    nodes: ENTRIES,
+    limits,
+    faults: [],
+    lossRatio: 0,
+    doubleRatio: 0,
+    mostDelayMs: 3,
+    appendLossRatio: 0,
+    mostAppendDelayMs: 10,
+    shortTiming: false,
+    busyRatio: 0,
+    faultsBeginMs: 0,
+    faultsEndMs: SETTLED_MS,
+  };
+}
+
+/** The part of its limit that the team reaches within a second, as a ratio. */
+export function reachedRatio(seed: number, limit: number): number {
+  const fleet = new FleetSimulation(calmPlan(seed, [limit]));
+  const teamId = fleet.teamIds[0] ?? '';
+  fleet.queue.runUntil(SETTLED_MS);
+  const home = fleet.nodes[seed % ENTRIES];
+  if (!home) return 0;
+  fleet.work.setQueue(home, teamId, 10 * limit);
+  let most = 0;
+  for (let untilMs = 50; untilMs <= WITHIN_MS; untilMs += 50) {
+    fleet.queue.runUntil(SETTLED_MS + untilMs);
+    most = Math.max(most, fleet.work.runningOf(teamId));
+  }
+  return most / limit;
+}
+
+/** The part of a limit that is out of reach after one crash while the log is down. */
+export function strandedRatio(seed: number, limit: number, busyHomes: number): number {
+  const fleet = new FleetSimulation(calmPlan(seed, [limit]));
+  const teamId = fleet.teamIds[0] ?? '';
+  fleet.queue.runUntil(SETTLED_MS);
+  fleet.nodes.slice(0, busyHomes).forEach((node) => fleet.work.setQueue(node, teamId, 10 * limit));
+  fleet.queue.runUntil(SETTLED_MS + WITHIN_MS);
+  fleet.platform.logDown = true;
+  fleet.nodes[seed % ENTRIES]?.crash();
+  fleet.queue.runUntil(SETTLED_MS + 3 * WITHIN_MS);
+  const held = fleet.nodes
+    .filter((node) => !node.crashed)
+    .reduce((sum, node) => sum + node.ledger.holding(teamId), 0);
+  return 1 - held / limit;
+}
--- /dev/null
+++ b/packages/bench/src/credits/LedgerCosts.ts
@@ -0,0 +1,101 @@
+/** What the ledger and membership cost: time per decision, bytes per heartbeat, heap per team. */
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { MembershipCore } from '@acaciadock/membership';
+import { MessageCodec } from '@acaciadock/peers';
+import { type CreditLedger } from '@acaciadock/credits';
+import { LedgerGroup } from '@acaciadock/credits/testing';
+
+const ENTRY_IDS = ['e0', 'e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'];
+const LIMIT = 64;
+const CYCLES = 200_000;
+const BEATS = 20_000;
+const TEAM_COUNTS = [90, 180, 360, 720];
+
+export interface LedgerCosts {
+  readonly acquireReleaseUs: number;
+  readonly heartbeatRoundUs: number;
+  readonly heartbeatBytes: number;
+  readonly heapByTeams: readonly { readonly teams: number; readonly bytesPerEntry: number }[];
+  readonly idleFlushUs: readonly { readonly teams: number; readonly us: number }[];
+}
+
+function microseconds(times: number, action: () => void): number {
+  const from = process.hrtime.bigint();
+  for (let index = 0; index < times; index += 1) action();
+  return Number(process.hrtime.bigint() - from) / 1_000 / times;
+}
+
+function groupWith(teams: number): LedgerGroup {
+  const group = new LedgerGroup(ENTRY_IDS);
+  for (let index = 0; index < teams; index += 1) group.setLimit(1, `team${index}`, LIMIT);
+  group.catchUp(...group.ledgers);
+  return group;
+}
+
+function firstOf(group: LedgerGroup): CreditLedger {
+  const [ledger] = group.ledgers;
+  if (!ledger) throw new RangeError('the group has no ledger');
+  return ledger;
+}
+
+function heapBytes(collect: () => void): number {
+  collect();
+  return process.memoryUsage().heapUsed;
+}
+
+function membershipCosts(): { readonly us: number; readonly bytes: number } {
+  const core = new MembershipCore({ entryId: 'e0', incarnation: '0a1b2c3d4e5f' });
+  ENTRY_IDS.forEach((entryId, offset) => {
+    const payload = {
+      kind: 'join',
+      entryId,
+      incarnation: '0a1b2c3d4e5f',
+      address: '127.0.0.1:1',
+      zoneId: 'a',
+    };
+    core.takeRecord({ offset, appendedAtMs: 0, payload }, 0);
+  });
+  const facts = { configVersion: 9, configOffset: 99, logReachable: true, stopping: false };
+  let nowMs = 0;
+  let bytes = 0;
+  const us = microseconds(BEATS, () => {
+    nowMs += 500;
+    const sent = core.heartbeats(nowMs, facts);
+    sent.forEach(({ toEntryId, heartbeat }) => core.takeHeartbeat(toEntryId, heartbeat, nowMs));
+    core.liveMembers(nowMs, false);
+    core.proposeEviction(nowMs, nowMs);
+    bytes = sent[0] ? MessageCodec.encode('e0', [sent[0].heartbeat]).length : 0;
+  });
+  return { us, bytes };
+}
+
+export function measureLedgerCosts(): LedgerCosts {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  const ledger = firstOf(groupWith(1));
+  const acquireReleaseUs = microseconds(CYCLES, () => {
+    const use = ledger.tryAcquire('team0', 0);
+    if (use) ledger.release(use.useId, 0);
+  });
+  const heapByTeams = TEAM_COUNTS.map((teams) => {
+    const before = heapBytes(collect);
+    const group = groupWith(teams);
+    const all = heapBytes(collect) - before;
+    // Eight ledgers, the log's own book, and the log.
+    return { teams, bytesPerEntry: Math.round(all / (group.ledgers.length + 1)) };
+  });
+  const idleFlushUs = TEAM_COUNTS.map((teams) => {
+    const idle = firstOf(groupWith(teams));
+    const live = new Set(ENTRY_IDS);
+    return { teams, us: microseconds(BEATS, () => idle.flush(live, 0)) };
+  });
+  const { us, bytes } = membershipCosts();
+  return {
+    acquireReleaseUs,
+    heartbeatRoundUs: us,
+    heartbeatBytes: bytes,
+    heapByTeams,
+    idleFlushUs,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/credits/RealFleet.ts
@@ -0,0 +1,149 @@
+/** Eight real entries in one process on loopback: how fast one busy team reaches its limit. */
+import { type Clock, SystemClock } from '@acaciadock/core';
+import { EMPTY_DOCUMENT, TeamKey } from '@acaciadock/config';
+import { Entry, settingsSchema } from '@acaciadock/daemon';
+import { CONFIG_STREAM } from '@acaciadock/platform';
+import {
+  ControlStandIn,
+  DirectoryStandIn,
+  exampleDocument,
+  LogStandIn,
+  TargetStandIn,
+} from '@acaciadock/testkit';
+import { Pool } from 'undici';
+
+const ENTRIES = 8;
+const TARGETS = 10;
+const LIMIT = 64;
+const REQUESTS = 76;
+const RUN_MS = 4_000;
+const WITHIN_MS = 1_000;
+const POLL_MS = 10;
+const ANY_PORT = '127.0.0.1:0';
+const TEAM_ID = 'bench-desk';
+
+export interface RealFleetFindings {
+  readonly reachedRatio: number;
+  readonly mostRunning: number;
+  readonly limit: number;
+}
+
+export class RealFleet {
+  private readonly clock: Clock = new SystemClock();
+
+  private readonly log = new LogStandIn(this.clock);
+
+  private readonly directory = new DirectoryStandIn(this.clock);
+
+  private readonly control = new ControlStandIn(this.clock);
+
+  private readonly targets: TargetStandIn[] = [];
+
+  private readonly entries: Entry[] = [];
+
+  async measure(seed: number): Promise<RealFleetFindings> {
+    await Promise.all([this.log.listen(), this.directory.listen(), this.control.listen()]);
+    await this.startTargets();
+    const key = this.publish();
+    const callerAddress = await this.startEntries(seed);
+    const findings = await this.burst(callerAddress, key);
+    await Promise.all(this.entries.map((entry) => entry.stop()));
+    await Promise.all(this.targets.map((target) => target.close()));
+    await Promise.all([this.log.close(), this.directory.close(), this.control.close()]);
+    return findings;
+  }
+
+  private async burst(callerAddress: string, key: string): Promise<RealFleetFindings> {
+    const caller = new Pool(`http://${callerAddress}`, { connections: REQUESTS });
+    const sends = Array.from({ length: REQUESTS }, async (_, index) => {
+      const answer = await caller.request({
+        method: 'POST',
+        path: '/v1/services/advice/requests',
+        headers: { authorization: `Bearer ${key}` },
+        body: String(index),
+      });
+      await answer.body.dump();
+    });
+    const untilMs = this.clock.monotonicMs() + WITHIN_MS;
+    let inTime = 0;
+    while (this.clock.monotonicMs() < untilMs) {
+      inTime = Math.max(inTime, this.running());
+      await this.clock.sleep(POLL_MS);
+    }
+    let mostRunning = inTime;
+    const all = Promise.all(sends).then(() => true);
+    while (!(await Promise.race([all, this.clock.sleep(POLL_MS).then(() => false)]))) {
+      mostRunning = Math.max(mostRunning, this.running());
+    }
+    await caller.destroy();
+    return { reachedRatio: inTime / LIMIT, mostRunning, limit: LIMIT };
+  }
+
+  private running(): number {
+    return this.targets.reduce((sum, target) => sum + target.running, 0);
+  }
+
+  private async startTargets(): Promise<void> {
+    for (let index = 0; index < TARGETS; index += 1) {
+      const target = new TargetStandIn(`t${index}`, this.clock);
+      target.runMs = () => RUN_MS;
+      await target.listen();
+      this.targets.push(target);
+      this.directory.set({ instanceId: target.targetId, role: 'target', state: 'live' });
+    }
+  }
+
+  private publish(): string {
+    const targets = this.targets.map(({ targetId, address }) => ({
+      instanceId: targetId,
+      address,
+    }));
+    const document = exampleDocument({ targets, teams: { [TEAM_ID]: { share: 1, limit: LIMIT } } });
+    const { keyId, key, sha256 } = TeamKey.create(TEAM_ID);
+    const team = document.teams[TEAM_ID];
+    if (team) team.keys[keyId] = { sha256, grantedAtMs: this.clock.unixMs(), note: '' };
+    const operations = Object.keys(EMPTY_DOCUMENT).map((field) => ({
+      op: 'replace',
+      path: `/${field}`,
+      value: document[field as keyof typeof document],
+    }));
+    const submittedAtMs = this.clock.unixMs();
+    const base = { kind: 'patch', schemaVersion: 1, patchId: 'first', baseVersion: 0 };
+    this.log.append(CONFIG_STREAM, [{ ...base, author: 'bench', submittedAtMs, operations }]);
+    return key;
+  }
+
+  private async startEntries(seed: number): Promise<string> {
+    let callerAddress = '';
+    for (let index = 0; index < ENTRIES; index += 1) {
+      const entryId = `e${index}`;
+      this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
+      const settings = settingsSchema.parse({
+        schemaVersion: 1,
+        entryId,
+        zoneId: 'zone-a',
+        callerAddress: ANY_PORT,
+        operatorAddress: ANY_PORT,
+        peerAddress: ANY_PORT,
+        platform: {
+          logUrl: `http://${this.log.address}`,
+          directoryUrl: `http://${this.directory.address}`,
+          controlUrl: `http://${this.control.address}`,
+        },
+      });
+      const entry = new Entry(settings, this.clock, seed + index);
+      this.entries.push(entry);
+      callerAddress = (await entry.start()).callerAddress;
+    }
+    while (!this.entries.every((entry) => RealFleet.isReady(entry))) {
+      await this.clock.sleep(POLL_MS);
+    }
+    return callerAddress;
+  }
+
+  private static isReady({ follower, fence, membership, credits }: Entry): boolean {
+    if (follower.state().version === 0 || fence.reason()) return false;
+    const held = credits.credits().find(({ teamId }) => teamId === TEAM_ID);
+    return membership.liveEntries().length === ENTRIES && held !== undefined;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/credits/SchedulePool.ts
@@ -0,0 +1,59 @@
+/** Runs random fault plans on worker threads and gathers what they found. */
+import { availableParallelism } from 'node:os';
+import { Worker } from 'node:worker_threads';
+
+const MOST_WORKERS = 6;
+
+export interface ScheduleRange {
+  readonly firstSeed: number;
+  readonly count: number;
+}
+
+export interface ScheduleFindings {
+  readonly schedules: number;
+  readonly starts: number;
+  readonly violations: number;
+  /** Seeds of schedules with a violation or that never healed. */
+  readonly badSeeds: readonly number[];
+  /** Longest time until all credits were usable again, where votes could settle the losses. */
+  readonly slowestHealingMs: number;
+  readonly neverHealed: number;
+  /** Schedules that lost most of the roster at once, and their longest healing. */
+  readonly massLosses: number;
+  readonly slowestMassHealingMs: number;
+}
+
+function merge(a: ScheduleFindings, b: ScheduleFindings): ScheduleFindings {
+  return {
+    schedules: a.schedules + b.schedules,
+    starts: a.starts + b.starts,
+    violations: a.violations + b.violations,
+    badSeeds: [...a.badSeeds, ...b.badSeeds],
+    slowestHealingMs: Math.max(a.slowestHealingMs, b.slowestHealingMs),
+    neverHealed: a.neverHealed + b.neverHealed,
+    massLosses: a.massLosses + b.massLosses,
+    slowestMassHealingMs: Math.max(a.slowestMassHealingMs, b.slowestMassHealingMs),
+  };
+}
+
+function runRange(range: ScheduleRange): Promise<ScheduleFindings> {
+  return new Promise((resolve, reject) => {
+    const worker = new Worker(new URL('./scheduleWorker.js', import.meta.url), {
+      workerData: range,
+    });
+    worker.once('message', resolve);
+    worker.once('error', reject);
+  });
+}
+
+/** Runs `count` plans with consecutive seeds. */
+export async function runSchedules(firstSeed: number, count: number): Promise<ScheduleFindings> {
+  const workers = Math.max(1, Math.min(MOST_WORKERS, availableParallelism() - 2));
+  const part = Math.ceil(count / workers);
+  const ranges = Array.from({ length: workers }, (_, index) => ({
+    firstSeed: firstSeed + index * part,
+    count: Math.max(0, Math.min(part, count - index * part)),
+  }));
+  const findings = await Promise.all(ranges.map((range) => runRange(range)));
+  return findings.reduce(merge);
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,5 +4,6 @@
 type BenchLoader = () => Promise<Bench>;
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
+  credits: async () => new (await import('./CreditsBench.js')).CreditsBench(),
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
 };
--- a/packages/credits/src/testing/SimulatedWork.ts
+++ b/packages/credits/src/testing/SimulatedWork.ts
@@ -53,6 +53,7 @@
 
   /** Gives a node a queue that fills and empties at random for as long as it lives. */
   attach(node: SimulatedNode): void {
+    if (this.busyRatio === 0) return;
     this.teamIds.forEach((teamId) => this.nextSpell(node, teamId));
   }
 
