--- a/packages/peers/src/PeerLink.ts
+++ b/packages/peers/src/PeerLink.ts
@@ -6,11 +6,13 @@
   Backoff,
   type Clock,
   Disposable,
+  EventEmitter,
   type IDisposable,
   type Random,
   toDisposable,
 } from '@acaciadock/core';
 import { type ChannelCredentials, type ClientWritableStream, Client, status } from '@grpc/grpc-js';
+import { type LinkCounters } from './LinkCounters.js';
 import { MessageCodec } from './MessageCodec.js';
 import { type PeerMessage } from './messages/PeerMessage.js';
 import { deliverMethod, type Empty } from './peerService.js';
@@ -20,6 +22,12 @@
 const KEEPALIVE_MS = 5_000;
 const KEEPALIVE_TIMEOUT_MS = 3_000;
 
+export interface PeerLinkOptions {
+  readonly selfEntryId: string;
+  readonly address: string;
+  readonly credentials: ChannelCredentials;
+}
+
 export class PeerLink extends Disposable {
   private stream: ClientWritableStream<Buffer> | undefined;
 
@@ -35,16 +43,25 @@
 
   private readonly client: Client;
 
+  private readonly changeEmitter = this.register(new EventEmitter<boolean>());
+
+  /** Fires with true when the link is up and with false when it is lost. */
+  readonly onChange = this.changeEmitter.event;
+
+  private up = false;
+
+  readonly address: string;
+
   constructor(
-    private readonly selfEntryId: string,
-    readonly address: string,
-    credentials: ChannelCredentials,
+    private readonly options: PeerLinkOptions,
+    private readonly counters: LinkCounters,
     private readonly clock: Clock,
     random: Random,
   ) {
     super();
     this.backoff = new Backoff(RECONNECT, random);
-    this.client = new Client(address, credentials, {
+    this.address = options.address;
+    this.client = new Client(options.address, options.credentials, {
       'grpc.keepalive_time_ms': KEEPALIVE_MS,
       'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
       'grpc.initial_reconnect_backoff_ms': RECONNECT.firstMs,
@@ -57,7 +74,7 @@
 
   /** Queues a message for this turn's batch; false if the link is down or full. */
   send(message: PeerMessage): boolean {
-    if (!this.stream || this.pending.length >= MOST_PENDING_MESSAGES) return false;
+    if (!this.up || this.pending.length >= MOST_PENDING_MESSAGES) return false;
     this.pending.push(message);
     this.scheduleFlush();
     return true;
@@ -76,9 +93,11 @@
     );
     this.stream = stream;
     this.blocked = false;
+    stream.on('metadata', () => {
+      if (stream === this.stream) this.setUp(true);
+    });
     stream.on('drain', () => {
       this.blocked = false;
-      this.backoff.reset();
       this.scheduleFlush();
     });
     stream.on('error', () => {
@@ -97,17 +116,29 @@
     if (!this.stream || this.pending.length === 0) return;
     const batch = this.pending;
     this.pending = [];
-    this.blocked = !this.stream.write(MessageCodec.encode(this.selfEntryId, batch));
+    const bytes = MessageCodec.encode(this.options.selfEntryId, batch);
+    this.counters.sentMessages += batch.length;
+    this.counters.sentBytes += bytes.length;
+    this.blocked = !this.stream.write(bytes);
   }
 
   private lose(): void {
     this.stream = undefined;
     this.pending = [];
+    this.setUp(false);
     if (this.isDisposed) return;
     this.reconnect = this.clock.after(this.backoff.nextMs(), () => this.open());
   }
 
+  private setUp(up: boolean): void {
+    if (up === this.up) return;
+    this.up = up;
+    if (up) this.backoff.reset();
+    this.changeEmitter.fire(up);
+  }
+
   private close(): void {
+    this.up = false;
     this.reconnect?.dispose();
     const { stream } = this;
     this.stream = undefined;
--- a/packages/peers/src/PeerLinks.ts
+++ b/packages/peers/src/PeerLinks.ts
@@ -11,12 +11,14 @@
 } from '@acaciadock/core';
 import {
   type ChannelCredentials,
+  Metadata,
   Server,
   type ServerCredentials,
   type ServerReadableStream,
   type UntypedHandleCall,
 } from '@grpc/grpc-js';
 import { err, ok, type Result } from 'neverthrow';
+import { LinkCounters } from './LinkCounters.js';
 import { MessageCodec } from './MessageCodec.js';
 import { type PeerMessage } from './messages/PeerMessage.js';
 import { PeerLink } from './PeerLink.js';
@@ -33,12 +35,25 @@
   readonly channelCredentials: ChannelCredentials;
 }
 
+export interface LinkChange {
+  readonly entryId: EntryId;
+  readonly up: boolean;
+}
+
 export interface ListenFailure {
   readonly kind: 'listen-failed';
   readonly address: string;
   readonly detail: string;
 }
 
+/** The common name of the client's certificate; undefined on a link without TLS. */
+function certifiedNameOf(call: ServerReadableStream<Buffer, Empty>): string | undefined {
+  const certificate = call.getAuthContext()?.sslPeerCertificate;
+  if (!certificate) return undefined;
+  const { CN } = certificate.subject;
+  return (Array.isArray(CN) ? CN[0] : CN) ?? '';
+}
+
 export class PeerLinks extends Disposable implements PeerNetwork {
   readonly selfEntryId: EntryId;
 
@@ -52,7 +67,12 @@
     'grpc.max_receive_message_length': MAX_BATCH_BYTES,
   });
 
-  private rejected = 0;
+  private readonly linkEmitter = this.register(new EventEmitter<LinkChange>());
+
+  /** Fires when an outgoing link comes up and when it is lost. */
+  readonly onLink = this.linkEmitter.event;
+
+  readonly counters = new LinkCounters();
 
   constructor(
     private readonly options: PeerLinksOptions,
@@ -65,7 +85,10 @@
       call: ServerReadableStream<Buffer, Empty>,
       done: (error: null, answer: Empty) => void,
     ) => {
-      call.on('data', (bytes: Buffer) => this.receive(bytes));
+      const certifiedName = certifiedNameOf(call);
+      // The answer's metadata tell the other side that its link is up.
+      call.sendMetadata(new Metadata());
+      call.on('data', (bytes: Buffer) => this.receive(bytes, certifiedName));
       call.on('end', () => done(null, {}));
       call.on('error', () => undefined);
     };
@@ -75,7 +98,7 @@
 
   /** Messages that arrived and did not fit the contract. */
   get rejectedMessages(): number {
-    return this.rejected;
+    return this.counters.rejectedMessages;
   }
 
   /** Starts to listen and returns the address that peers may use. */
@@ -115,24 +138,33 @@
     });
     wanted.forEach((address, entryId) => {
       if (this.links.has(entryId)) return;
-      this.links.set(entryId, this.connect(address));
+      this.links.set(entryId, this.connect(entryId, address));
     });
   }
 
-  private connect(address: string): PeerLink {
+  private connect(entryId: EntryId, address: string): PeerLink {
     const { selfEntryId, channelCredentials } = this.options;
-    return new PeerLink(selfEntryId, address, channelCredentials, this.clock, this.random);
+    const options = { selfEntryId, address, credentials: channelCredentials };
+    const link = new PeerLink(options, this.counters, this.clock, this.random);
+    link.onChange((up) => this.linkEmitter.fire({ entryId, up }));
+    return link;
   }
 
-  private receive(bytes: Buffer): void {
+  private receive(bytes: Buffer, certifiedName: string | undefined): void {
+    this.counters.receivedBytes += bytes.length;
     const batch = MessageCodec.decode(bytes);
     if (batch.isErr()) {
-      this.rejected += 1;
+      this.counters.rejectedMessages += 1;
+      return;
+    }
+    const { fromEntryId, rejected, messages } = batch.value;
+    if (certifiedName !== undefined && certifiedName !== fromEntryId) {
+      this.counters.foreignBatches += 1;
       return;
     }
-    this.rejected += batch.value.rejected;
-    const { fromEntryId } = batch.value;
-    batch.value.messages.forEach((message) => this.messageEmitter.fire({ fromEntryId, message }));
+    this.counters.rejectedMessages += rejected;
+    this.counters.receivedMessages += messages.length;
+    messages.forEach((message) => this.messageEmitter.fire({ fromEntryId, message }));
   }
 
   private close(): void {
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -7,6 +7,7 @@
 export * from './messages/PeerMessage.js';
 export * from './messages/TicketMessages.js';
 export * from './messages/WorkMessages.js';
+export * from './LinkCounters.js';
 export * from './MessageCodec.js';
 export * from './PeerLinks.js';
 export * from './PeerNetwork.js';
