--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -5,5 +5,11 @@
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
   credits: async () => new (await import('./CreditsBench.js')).CreditsBench(),
+  plan: async () => new (await import('./PlanBench.js')).PlanBench(),
+  share: async () => new (await import('./ShareBench.js')).ShareBench(),
+  burst: async () => new (await import('./BurstBench.js')).BurstBench(),
+  overload: async () => new (await import('./OverloadBench.js')).OverloadBench(),
+  health: async () => new (await import('./HealthBench.js')).HealthBench(),
+  scheduling: async () => new (await import('./SchedulingBench.js')).SchedulingBench(),
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
 };
--- a/packages/gateway/src/TicketDesk.ts
+++ b/packages/gateway/src/TicketDesk.ts
@@ -207,6 +207,12 @@
     this.reportResends.takeDue(MOST_RESENDS_PER_TICK).forEach((open) => this.resendReport(open));
   }
 
+  /** The home that gave the grant, or the one that took over from it when it died. */
+  private homeFor({ homeEntryId, report }: OpenReport): EntryId {
+    if (this.homes.liveEntries().includes(homeEntryId)) return homeEntryId;
+    return this.homes.rankedHomes(report.serviceId)[0] ?? homeEntryId;
+  }
+
   private resendReport(open: OpenReport): void {
     const { grantId } = open.report;
     if (this.reports.get(grantId) !== open) return;
@@ -216,7 +222,7 @@
       return;
     }
     Object.assign(open, { tries: open.tries + 1 });
-    this.network.send(open.homeEntryId, open.report);
+    this.network.send(this.homeFor(open), open.report);
     this.reportResends.add(open, open.tries);
   }
 }
--- a/packages/peers/src/messages/PeerMessage.ts
+++ b/packages/peers/src/messages/PeerMessage.ts
@@ -8,6 +8,7 @@
 import { creditDemandSchema, creditReceiptSchema, creditTransferSchema } from './CreditMessages.js';
 import { heartbeatSchema } from './HeartbeatMessages.js';
 import { workQuerySchema, workReplySchema } from './MaintenanceMessages.js';
+import { statusQuerySchema, statusReplySchema } from './StatusMessages.js';
 import {
   grantEndedAckSchema,
   grantEndedSchema,
@@ -19,6 +20,7 @@
 } from './TicketMessages.js';
 import {
   drainStatusSchema,
+  grantsTakenSchema,
   targetsClosedSchema,
   teamUsageSchema,
   workReportSchema,
@@ -42,10 +44,13 @@
   creditReceiptSchema,
   workReportSchema,
   drainStatusSchema,
+  grantsTakenSchema,
   targetsClosedSchema,
   teamUsageSchema,
   workQuerySchema,
   workReplySchema,
+  statusQuerySchema,
+  statusReplySchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- a/packages/scheduling/src/Dispatcher.test.ts
+++ b/packages/scheduling/src/Dispatcher.test.ts
@@ -168,6 +168,17 @@
   });
 
   describe('a new home', () => {
+    it('gathers tickets for a moment before its first grant', (t) =>
+      withHome(async (home) => {
+        home.homes.set([GATEWAY, 'e0']);
+        await HomeFixture.settle();
+        home.homes.set(['e0', GATEWAY]);
+        await home.deliver(GATEWAY, home.ticket());
+        t.equal(home.grants().length, 0);
+        await home.advance(500);
+        t.equal(home.grants().length, 1);
+      })());
+
     it('counts what the gateways report to run on its targets', (t) =>
       withHome(async (home) => {
         const before = new HomeFixture(1);
@@ -189,6 +200,31 @@
       }, 1)());
   });
 
+  describe('a gateway that dies', () => {
+    it('gets only a few grants more, once it has shown that it tells of them', (t) =>
+      withHome(async (home) => {
+        await home.deliver(GATEWAY, home.ticket());
+        const { grantId } = home.grants()[0]!;
+        await home.deliver(GATEWAY, { kind: 'grants-taken', grantIds: [grantId] });
+        await home.deliver(GATEWAY, ...Array.from({ length: 40 }, () => home.ticket()));
+        t.equal(home.grants().length, 1 + 16);
+        await home.deliver(GATEWAY, { kind: 'grants-taken', grantIds: [] });
+        t.ok(home.grants().length > 1 + 16);
+      }, 8)());
+
+    it('has its tickets dropped when it is gone from the members', (t) =>
+      withHome(async (home) => {
+        const lost = Array.from({ length: 20 }, () => home.ticket({ urgency: 'urgent' }));
+        await home.deliver('g2', ...lost);
+        home.homes.set(['e0', GATEWAY]);
+        await HomeFixture.settle();
+        t.equal(home.dispatcher.waitingTickets, 0);
+        t.equal(home.credits.inUse.size, SLOTS, 'its grants stay till their leases lapse');
+        await home.advance(LAPSE_MS + 1_000);
+        t.equal(home.credits.inUse.size, 0);
+      })());
+  });
+
   describe('urgent work', () => {
     it('has background work checkpointed when it waits long', (t) =>
       withHome(async (home) => {
