--- /dev/null
+++ b/packages/bench/src/outcomes/CallerLoad.ts
@@ -0,0 +1,112 @@
+/** Callers in a closed loop: each sends a piece of work, follows it to its end, and goes on. */
+import { type Random } from '@acaciadock/core';
+import { type CallerAnswer, type EntryFleet } from '@acaciadock/scenarios';
+import { type Job, type JobKind } from './Job.js';
+
+const CALLERS = 256;
+const MOST_RESENDS = 3;
+const RESEND_PAUSE_MS = 50;
+const DEADLINE_MS = 4_000;
+const SHORT_DEADLINE_MS = 100;
+const HANG_MS = 20_000;
+const HANG_UP_MS = 30;
+const SHORT_DEADLINE_PART = 0.02;
+const HANG_UP_PART = 0.01;
+const TWICE_PART = 0.2;
+
+export interface LoadOptions {
+  readonly mostRequests: number;
+  readonly mostMs: number;
+  readonly entries: number;
+}
+
+export class CallerLoad {
+  readonly jobs: Job[] = [];
+
+  /** Requests that were sent, repeats included. */
+  sentRequests = 0;
+
+  private untilMs = 0;
+
+  private stampMs = 0;
+
+  constructor(
+    private readonly fleet: EntryFleet,
+    private readonly random: Random,
+    private readonly options: LoadOptions,
+  ) {}
+
+  async run(): Promise<void> {
+    this.untilMs = this.fleet.clock.monotonicMs() + this.options.mostMs;
+    this.stampMs = this.fleet.clock.unixMs();
+    await Promise.all(Array.from({ length: CALLERS }, () => this.call()));
+  }
+
+  private async call(): Promise<void> {
+    while (
+      this.sentRequests < this.options.mostRequests &&
+      this.fleet.clock.monotonicMs() < this.untilMs
+    ) {
+      await this.follow(this.newJob());
+    }
+  }
+
+  private newJob(): Job {
+    const kinds: JobKind[] = ['idempotent', 'idempotent', 'idempotent', 'bare', 'keyed'];
+    const kind = this.random.pick(kinds) ?? 'bare';
+    const name = `job-${this.jobs.length}`;
+    const job: Job = { name, kind, answers: [], hungUp: false, hangs: false };
+    this.jobs.push(job);
+    return job;
+  }
+
+  private async follow(job: Job): Promise<void> {
+    const entry = this.random.integer(0, this.options.entries - 1);
+    const twice = job.kind === 'keyed' && this.random.chance(TWICE_PART);
+    const first = this.send(job, entry);
+    const second = twice ? this.send(job, entry + 1) : undefined;
+    let last = await first;
+    await second;
+    for (let resend = 1; resend <= MOST_RESENDS && CallerLoad.mayResend(job, last); resend += 1) {
+      await this.fleet.clock.sleep(RESEND_PAUSE_MS);
+      last = await this.send(job, entry + resend);
+    }
+  }
+
+  /** Only a lost connection, or a work that did not run, is tried again. */
+  private static mayResend(job: Job, last: CallerAnswer): boolean {
+    if (job.hungUp || job.kind === 'bare') return false;
+    return last.statusCode === 0 || last.executed === 'no';
+  }
+
+  private async send(job: Job, entry: number): Promise<CallerAnswer> {
+    this.sentRequests += 1;
+    const { clock } = this.fleet;
+    const hangUp = new AbortController();
+    if (job.kind !== 'keyed' && this.random.chance(HANG_UP_PART)) {
+      Object.assign(job, { hungUp: true });
+      clock.after(this.random.integer(0, HANG_UP_MS), () => hangUp.abort());
+    }
+    const watch = clock.after(HANG_MS, () => {
+      Object.assign(job, { hangs: true });
+      hangUp.abort();
+    });
+    const answer = await this.fleet.send(entry % this.options.entries, {
+      serviceId: job.kind === 'idempotent' ? 'advice' : 'filing',
+      body: job.name,
+      headers: this.headersOf(job),
+      signal: hangUp.signal,
+    });
+    watch.dispose();
+    job.answers.push(answer);
+    return answer;
+  }
+
+  private headersOf(job: Job): Record<string, string> {
+    const short = this.random.chance(SHORT_DEADLINE_PART);
+    const deadlineMs = short ? this.random.integer(1, SHORT_DEADLINE_MS) : DEADLINE_MS;
+    const headers = { 'x-deadline-ms': String(deadlineMs) };
+    if (job.kind !== 'keyed') return headers;
+    return { ...headers, 'idempotency-key': job.name, 'x-idempotency-time': String(this.stampMs) };
+  }
+}
--- /dev/null
+++ b/packages/bench/src/outcomes/FaultSchedule.ts
@@ -0,0 +1,124 @@
+/**
+ * The faults of a run: per request at the targets, and in rounds at the log, the entries and the
+ * fleet, two of them at a time at random.
+ */
+import { type Random } from '@acaciadock/core';
+import { type EntryFleet } from '@acaciadock/scenarios';
+import { type TargetBehaviour } from '@acaciadock/testkit';
+
+const ROUND_MS = 1_500;
+const OUTAGE_MS = 700;
+const DOWN_MS = 400;
+const DRAIN_MS = 700;
+const MOST_RUN_MS = 4;
+
+interface BehaviourPart {
+  readonly behaviour: TargetBehaviour;
+  /** Part of the requests that meet it. */
+  readonly part: number;
+}
+
+const BEHAVIOURS: readonly BehaviourPart[] = [
+  { behaviour: 'cut-before-run', part: 0.005 },
+  { behaviour: 'cut-after-run', part: 0.005 },
+  { behaviour: 'cut-midway', part: 0.005 },
+  { behaviour: 'cut-chunks', part: 0.003 },
+  { behaviour: 'no-length', part: 0.002 },
+  { behaviour: 'crossed', part: 0.004 },
+  { behaviour: 'crossed-refusal', part: 0.004 },
+  { behaviour: 'silent', part: 0.002 },
+  { behaviour: 'stall', part: 0.002 },
+  { behaviour: 'refuse', part: 0.01 },
+  { behaviour: 'fail-fast', part: 0.01 },
+  { behaviour: 'slow', part: 0.01 },
+  { behaviour: 'answer-chunked', part: 0.2 },
+];
+
+export interface FaultCounts {
+  kills: number;
+  outages: number;
+  lostAppends: number;
+  drains: number;
+}
+
+export class FaultSchedule {
+  readonly counts: FaultCounts = { kills: 0, outages: 0, lostAppends: 0, drains: 0 };
+
+  private ended = false;
+
+  constructor(
+    private readonly fleet: EntryFleet,
+    private readonly random: Random,
+  ) {}
+
+  /** Makes the targets misbehave from now on. */
+  spoilTargets(): void {
+    this.fleet.targets.forEach((target) => {
+      Object.assign(target, {
+        behave: () => this.behaviour(),
+        runMs: () => this.random.integer(0, MOST_RUN_MS),
+      });
+    });
+  }
+
+  /** Runs rounds of faults until `end`; resolves when the last one is over. */
+  async run(): Promise<void> {
+    while (!this.ended) {
+      const faults = this.random.shuffle([
+        () => this.killEntry(),
+        () => this.breakLog(),
+        () => this.loseAppends(),
+        () => this.drainTarget(),
+      ]);
+      await Promise.all(faults.slice(0, 2).map((fault) => fault()));
+      await this.fleet.clock.sleep(ROUND_MS);
+    }
+  }
+
+  end(): void {
+    this.ended = true;
+  }
+
+  private behaviour(): TargetBehaviour {
+    let left = this.random.next();
+    for (const { behaviour, part } of BEHAVIOURS) {
+      left -= part;
+      if (left < 0) return behaviour;
+    }
+    return 'answer';
+  }
+
+  private async killEntry(): Promise<void> {
+    const index = this.random.integer(0, this.fleet.entries.length - 1);
+    this.counts.kills += 1;
+    this.fleet.kill(index);
+    await this.fleet.clock.sleep(DOWN_MS);
+    await this.fleet.replace(index);
+  }
+
+  private async breakLog(): Promise<void> {
+    this.counts.outages += 1;
+    Object.assign(this.fleet.log.faults, { down: true });
+    await this.fleet.clock.sleep(OUTAGE_MS);
+    Object.assign(this.fleet.log.faults, { down: false });
+  }
+
+  private loseAppends(): Promise<void> {
+    const lost = this.random.integer(1, 5);
+    this.counts.lostAppends += lost;
+    this.fleet.log.faults.loseAppendAnswers += lost;
+    return Promise.resolve();
+  }
+
+  private async drainTarget(): Promise<void> {
+    const target = this.random.pick(this.fleet.targets);
+    if (!target) return;
+    this.counts.drains += 1;
+    const path = `/instances/${target.targetId}/intent`;
+    target.leaving = true;
+    await this.fleet.patch([{ op: 'replace', path, value: 'draining' }]);
+    await this.fleet.clock.sleep(DRAIN_MS);
+    target.leaving = false;
+    await this.fleet.patch([{ op: 'replace', path, value: 'serving' }]);
+  }
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -5,4 +5,5 @@
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
+  outcomes: async () => new (await import('./OutcomesBench.js')).OutcomesBench(),
 };
