--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -6,4 +6,5 @@
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
   outcomes: async () => new (await import('./OutcomesBench.js')).OutcomesBench(),
+  path: async () => new (await import('./PathBench.js')).PathBench(),
 };
--- a/packages/gateway/src/OpenTicket.ts
+++ b/packages/gateway/src/OpenTicket.ts
@@ -22,4 +22,15 @@
   refusedBy: EntryId[];
   /** How often it was sent to the present home. */
   tries: number;
+  /** How often a resend was planned; only the last plan holds. */
+  plans: number;
+}
+
+/**
+ * When to look at a ticket again. It names the ticket instead of holding it, so that a request
+ * that has ended meanwhile is not kept in memory with its body.
+ */
+export interface ResendPlan {
+  readonly ticketId: string;
+  readonly plan: number;
 }
--- a/packages/gateway/src/TicketDesk.ts
+++ b/packages/gateway/src/TicketDesk.ts
@@ -16,7 +16,7 @@
 } from '@acaciadock/peers';
 import { CancelBatch } from './CancelBatch.js';
 import { OpenTickets } from './OpenTickets.js';
-import { type OpenTicket, type TicketEnd } from './OpenTicket.js';
+import { type OpenTicket, type ResendPlan, type TicketEnd } from './OpenTicket.js';
 import { ResendSchedule } from './ResendSchedule.js';
 
 const TICK_MS = 100;
@@ -38,7 +38,7 @@
 export class TicketDesk extends Disposable {
   private readonly tickets = new OpenTickets();
 
-  private readonly ticketResends: ResendSchedule<OpenTicket>;
+  private readonly ticketResends: ResendSchedule<ResendPlan>;
 
   private readonly reports = new Map<string, OpenReport>();
 
@@ -77,7 +77,14 @@
 
   /** Queues a ticket at its home; `settle` is called once, when it is granted or refused. */
   submit(ticket: Ticket, settle: (end: TicketEnd) => void): void {
-    const open: OpenTicket = { ticket, settle, homeEntryId: undefined, refusedBy: [], tries: 0 };
+    const open: OpenTicket = {
+      ticket,
+      settle,
+      homeEntryId: undefined,
+      refusedBy: [],
+      tries: 0,
+      plans: 0,
+    };
     this.tickets.add(open);
     this.send(open);
   }
@@ -162,7 +169,7 @@
     open.refusedBy.push(homeEntryId);
     if (this.homeOf(open) === undefined) {
       open.refusedBy.length = 0;
-      this.ticketResends.add(open, 1);
+      this.planResend(open, 1);
       return false;
     }
     this.send(open);
@@ -178,11 +185,14 @@
   private send(open: OpenTicket): void {
     const home = this.homeOf(open);
     const sent = home !== undefined && this.network.send(home, open.ticket);
-    Object.assign(open, {
-      homeEntryId: sent ? home : undefined,
-      tries: sent ? open.tries + 1 : open.tries,
-    });
-    this.ticketResends.add(open, sent ? open.tries : 0);
+    Object.assign(open, { homeEntryId: sent ? home : undefined });
+    if (sent) Object.assign(open, { tries: open.tries + 1 });
+    this.planResend(open, sent ? open.tries : 0);
+  }
+
+  private planResend(open: OpenTicket, tries: number): void {
+    Object.assign(open, { plans: open.plans + 1 });
+    this.ticketResends.add({ ticketId: open.ticket.ticketId, plan: open.plans }, tries);
   }
 
   /** After a change of homes: only the tickets of services that moved are sent again. */
@@ -198,8 +208,9 @@
   }
 
   private resend(): void {
-    this.ticketResends.takeDue(MOST_RESENDS_PER_TICK).forEach((open) => {
-      if (this.tickets.get(open.ticket.ticketId) === open) this.send(open);
+    this.ticketResends.takeDue(MOST_RESENDS_PER_TICK).forEach(({ ticketId, plan }) => {
+      const open = this.tickets.get(ticketId);
+      if (open?.plans === plan) this.send(open);
     });
     this.takenGrantExpiry
       .takeDue(Number.MAX_SAFE_INTEGER)
