--- /dev/null
+++ b/packages/bench/src/ClaimsBench.ts
@@ -0,0 +1,121 @@
+/**
+ * What a claim in the log costs a keyed request, how many appends the claims need, and whether
+ * duplicates that reach all entries at once run once.
+ */
+import { APPEND_BUDGET_PER_SECOND, CLAIMS_STREAM } from '@acaciadock/platform';
+import { EntryFleet } from '@acaciadock/scenarios';
+import { Bench, type BenchOptions, type BenchResult, checkBound } from './Bench.js';
+
+const ENTRIES = 3;
+const TARGETS = 8;
+const IN_FLIGHT = 64;
+const DURATION_MS = 8_000;
+const LONG_FACTOR = 4;
+const DUPLICATED_KEYS = 300;
+const DUPLICATED_AT_ONCE = 20;
+const SECOND_MS = 1_000;
+const KILO = 1_000;
+
+interface LoopFigures {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly answered: number;
+  readonly failed: number;
+}
+
+function percentile(sorted: readonly number[], part: number): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0;
+}
+
+export class ClaimsBench extends Bench {
+  override readonly name = 'claims';
+
+  override readonly summary = 'claims for keyed requests: latency, appends, duplicates';
+
+  private nextKey = 0;
+
+  private stampMs = 0;
+
+  override async run({ seed, long }: BenchOptions): Promise<BenchResult> {
+    const durationMs = long ? DURATION_MS * LONG_FACTOR : DURATION_MS;
+    const fleet = new EntryFleet({
+      seed,
+      entries: ENTRIES,
+      targets: TARGETS,
+      slots: IN_FLIGHT,
+      services: { filing: { idempotent: false } },
+    });
+    await fleet.start();
+    fleet.targets.forEach((target) => Object.assign(target, { runMs: () => 1 }));
+    this.stampMs = fleet.clock.unixMs();
+    await this.loop(fleet, true, SECOND_MS);
+    const bare = await this.loop(fleet, false, durationMs);
+    const appendsBefore = fleet.log.records(CLAIMS_STREAM).length;
+    const keyed = await this.loop(fleet, true, durationMs);
+    const appends = fleet.log.records(CLAIMS_STREAM).length - appendsBefore;
+    const ranTwice = await this.duplicate(fleet);
+    await fleet.stop();
+    const claimsPerSecond = (keyed.answered * SECOND_MS) / durationMs;
+    const appendsPerSecond = (appends * SECOND_MS) / durationMs;
+    this.note(`without key: ${JSON.stringify(bare)}`);
+    this.note(`with key: ${JSON.stringify(keyed)}`);
+    this.note(`added p50 ${(keyed.p50Ms - bare.p50Ms).toFixed(2)} ms`);
+    this.note(`added p99 ${(keyed.p99Ms - bare.p99Ms).toFixed(2)} ms`);
+    this.note(`${claimsPerSecond.toFixed(0)} claims/s by ${appendsPerSecond.toFixed(0)} appends/s`);
+    this.note(`${((appends * KILO) / keyed.answered).toFixed(0)} appends per 1,000 claims`);
+    const budget = APPEND_BUDGET_PER_SECOND[CLAIMS_STREAM];
+    return {
+      bounds: [
+        checkBound('appends of all entries', appendsPerSecond, 'per second', 'at-most', budget),
+        checkBound('failed', keyed.failed, 'requests', 'exactly', 0),
+        checkBound('duplicated work that did not run once', ranTwice, 'keys', 'exactly', 0),
+      ],
+    };
+  }
+
+  private async loop(fleet: EntryFleet, keyed: boolean, durationMs: number): Promise<LoopFigures> {
+    const latenciesMs: number[] = [];
+    let failed = 0;
+    const untilMs = fleet.clock.monotonicMs() + durationMs;
+    const caller = async (_: unknown, index: number): Promise<void> => {
+      while (fleet.clock.monotonicMs() < untilMs) {
+        const startMs = fleet.clock.monotonicMs();
+        const { statusCode } = await this.send(fleet, index % ENTRIES, keyed);
+        latenciesMs.push(fleet.clock.monotonicMs() - startMs);
+        if (statusCode !== 200) failed += 1;
+      }
+    };
+    await Promise.all(Array.from({ length: IN_FLIGHT }, caller));
+    const sorted = latenciesMs.sort((a, b) => a - b);
+    return {
+      p50Ms: percentile(sorted, 0.5),
+      p99Ms: percentile(sorted, 0.99),
+      answered: sorted.length - failed,
+      failed,
+    };
+  }
+
+  private send(fleet: EntryFleet, entry: number, keyed: boolean) {
+    this.nextKey += 1;
+    return this.sendAs(fleet, entry, `job-${this.nextKey}`, keyed);
+  }
+
+  private sendAs(fleet: EntryFleet, entry: number, job: string, keyed: boolean) {
+    const mark = { 'idempotency-key': job, 'x-idempotency-time': String(this.stampMs) };
+    return fleet.send(entry, { serviceId: 'filing', body: job, headers: keyed ? mark : {} });
+  }
+
+  /** Sends each key to all entries at once; returns how many did not run exactly once. */
+  private async duplicate(fleet: EntryFleet): Promise<number> {
+    const jobs = Array.from({ length: DUPLICATED_KEYS }, (_, index) => `twice-${index}`);
+    for (let from = 0; from < jobs.length; from += DUPLICATED_AT_ONCE) {
+      const part = jobs.slice(from, from + DUPLICATED_AT_ONCE);
+      await Promise.all(
+        part.flatMap((job) =>
+          Array.from({ length: ENTRIES }, (_, entry) => this.sendAs(fleet, entry, job, true)),
+        ),
+      );
+    }
+    return jobs.filter((job) => fleet.runsOf(job) !== 1).length;
+  }
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -7,4 +7,5 @@
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
   outcomes: async () => new (await import('./OutcomesBench.js')).OutcomesBench(),
   path: async () => new (await import('./PathBench.js')).PathBench(),
+  claims: async () => new (await import('./ClaimsBench.js')).ClaimsBench(),
 };
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -204,8 +204,19 @@
 
   private accepted(requestId: string, head: ParsedHead, body: Buffer): AcceptedRequest {
     const acceptedAtMs = this.services.clock.unixMs();
-    const deadlineAtMs = acceptedAtMs + head.deadlineMs;
-    return { ...head, requestId, acceptedAtMs, deadlineAtMs, body };
+    return {
+      requestId,
+      serviceId: head.serviceId,
+      service: head.service,
+      teamId: head.teamId,
+      keyId: head.keyId,
+      urgency: head.urgency,
+      acceptedAtMs,
+      deadlineAtMs: acceptedAtMs + head.deadlineMs,
+      contentType: head.contentType,
+      body,
+      mark: head.mark,
+    };
   }
 
   private refuse(
