--- a/packages/bench/src/ClaimsBench.ts
+++ b/packages/bench/src/ClaimsBench.ts
@@ -8,8 +8,11 @@
 
 const ENTRIES = 3;
 const TARGETS = 8;
-const IN_FLIGHT = 64;
-const DURATION_MS = 8_000;
+/** Busy enough for claims to travel together. */
+const BUSY_IN_FLIGHT = 64;
+/** Far from full, so that latency is the path's and not the queue's. */
+const CALM_IN_FLIGHT = 6;
+const DURATION_MS = 7_000;
 const LONG_FACTOR = 4;
 const DUPLICATED_KEYS = 300;
 const DUPLICATED_AT_ONCE = 20;
@@ -42,38 +45,45 @@
       seed,
       entries: ENTRIES,
       targets: TARGETS,
-      slots: IN_FLIGHT,
+      slots: BUSY_IN_FLIGHT,
       services: { filing: { idempotent: false } },
     });
     await fleet.start();
     fleet.targets.forEach((target) => Object.assign(target, { runMs: () => 1 }));
     this.stampMs = fleet.clock.unixMs();
-    await this.loop(fleet, true, SECOND_MS);
-    const bare = await this.loop(fleet, false, durationMs);
+    await this.loop(fleet, true, BUSY_IN_FLIGHT, SECOND_MS);
+    const calmBare = await this.loop(fleet, false, CALM_IN_FLIGHT, durationMs);
+    const calm = await this.loop(fleet, true, CALM_IN_FLIGHT, durationMs);
     const appendsBefore = fleet.log.records(CLAIMS_STREAM).length;
-    const keyed = await this.loop(fleet, true, durationMs);
+    const keyed = await this.loop(fleet, true, BUSY_IN_FLIGHT, durationMs);
     const appends = fleet.log.records(CLAIMS_STREAM).length - appendsBefore;
     const ranTwice = await this.duplicate(fleet);
     await fleet.stop();
     const claimsPerSecond = (keyed.answered * SECOND_MS) / durationMs;
     const appendsPerSecond = (appends * SECOND_MS) / durationMs;
-    this.note(`without key: ${JSON.stringify(bare)}`);
-    this.note(`with key: ${JSON.stringify(keyed)}`);
-    this.note(`added p50 ${(keyed.p50Ms - bare.p50Ms).toFixed(2)} ms`);
-    this.note(`added p99 ${(keyed.p99Ms - bare.p99Ms).toFixed(2)} ms`);
+    this.note(`calm, without key: ${JSON.stringify(calmBare)}`);
+    this.note(`calm, with key: ${JSON.stringify(calm)}`);
+    this.note(`added p50 ${(calm.p50Ms - calmBare.p50Ms).toFixed(2)} ms`);
+    this.note(`added p99 ${(calm.p99Ms - calmBare.p99Ms).toFixed(2)} ms`);
+    this.note(`busy, with key: ${JSON.stringify(keyed)}`);
     this.note(`${claimsPerSecond.toFixed(0)} claims/s by ${appendsPerSecond.toFixed(0)} appends/s`);
     this.note(`${((appends * KILO) / keyed.answered).toFixed(0)} appends per 1,000 claims`);
     const budget = APPEND_BUDGET_PER_SECOND[CLAIMS_STREAM];
     return {
       bounds: [
         checkBound('appends of all entries', appendsPerSecond, 'per second', 'at-most', budget),
-        checkBound('failed', keyed.failed, 'requests', 'exactly', 0),
+        checkBound('failed', calm.failed + keyed.failed, 'requests', 'exactly', 0),
         checkBound('duplicated work that did not run once', ranTwice, 'keys', 'exactly', 0),
       ],
     };
   }
 
-  private async loop(fleet: EntryFleet, keyed: boolean, durationMs: number): Promise<LoopFigures> {
+  private async loop(
+    fleet: EntryFleet,
+    keyed: boolean,
+    inFlight: number,
+    durationMs: number,
+  ): Promise<LoopFigures> {
     const latenciesMs: number[] = [];
     let failed = 0;
     const untilMs = fleet.clock.monotonicMs() + durationMs;
@@ -85,7 +95,7 @@
         if (statusCode !== 200) failed += 1;
       }
     };
-    await Promise.all(Array.from({ length: IN_FLIGHT }, caller));
+    await Promise.all(Array.from({ length: inFlight }, caller));
     const sorted = latenciesMs.sort((a, b) => a - b);
     return {
       p50Ms: percentile(sorted, 0.5),
--- /dev/null
+++ b/packages/gateway/src/Problem.test.ts
@@ -0,0 +1,42 @@
+import { readFileSync } from 'node:fs';
+import { describe, it } from '@acaciadock/core/testing';
+import { PROBLEM_KINDS, PROBLEM_TYPES, problemBody } from './Problem.js';
+
+const PAGE = new URL('../../../docs/operators/errors.md', import.meta.url);
+const ROW = /^\| `([a-z-]+)` \| (\d{3}) \| ([a-z, ]+) \|/;
+
+describe('Problem', () => {
+  describe("the operators' page", () => {
+    const rows = readFileSync(PAGE, 'utf8')
+      .split('\n')
+      .map((line) => ROW.exec(line.replace(/\s+\|/g, ' |').replace(/\|\s+/g, '| ')))
+      .filter((row) => row !== null);
+
+    it('lists every type once and no other', (t) => {
+      t.same(rows.map((row) => row[1]).sort(), [...PROBLEM_TYPES].sort());
+    });
+
+    it('names the status of each and whether it ran', (t) => {
+      rows.forEach(([, type = '', status, ran = '']) => {
+        const kind = Object.entries(PROBLEM_KINDS).find(([name]) => name === type)?.[1];
+        t.equal(String(kind?.statusCode), status, type);
+        t.ok(
+          ran.split(', ').every((value) => ['no', 'yes', 'unknown'].includes(value)),
+          type,
+        );
+      });
+    });
+  });
+
+  it('is written as RFC 9457 asks, with a URN as type', (t) => {
+    const problem = { type: 'queue-full', executed: 'no', detail: 'd' } as const;
+    t.same(problemBody(problem, 'r'), {
+      type: 'urn:acaciadock:problem:queue-full',
+      title: PROBLEM_KINDS['queue-full'].title,
+      status: 503,
+      detail: 'd',
+      executed: 'no',
+      requestId: 'r',
+    });
+  });
+});
