--- /dev/null
+++ b/packages/daemon/src/FleetMember.ts
@@ -0,0 +1,88 @@
+/** This entry's part in the fleet of entries: roster, fence and credits, and how it leaves them. */
+import { type Clock, Disposable, type Random } from '@acaciadock/core';
+import { type ConfigView } from '@acaciadock/config';
+import { CreditLedgerTask } from '@acaciadock/credits';
+import {
+  ControlStreamReader,
+  ControlStreamWriter,
+  EntryFence,
+  Membership,
+} from '@acaciadock/membership';
+import { type PeerNetwork } from '@acaciadock/peers';
+import { type InstanceDirectory, type LogService } from '@acaciadock/platform';
+import { type Settings } from './Settings.js';
+
+const SNAPSHOTS_PER_RETENTION = 24;
+const HAND_OVER_PATIENCE_MS = 1_000;
+const LEAVE_PATIENCE_MS = 2_000;
+const LEAVE_REPEAT_MS = 500;
+const LEAVE_POLL_MS = 20;
+
+export interface FleetMemberServices {
+  readonly log: LogService;
+  readonly directory: InstanceDirectory;
+  readonly config: ConfigView;
+  readonly network: PeerNetwork;
+}
+
+export class FleetMember extends Disposable {
+  readonly membership: Membership;
+
+  readonly fence: EntryFence;
+
+  readonly credits: CreditLedgerTask;
+
+  private readonly reader: ControlStreamReader;
+
+  constructor(
+    settings: Settings,
+    services: FleetMemberServices,
+    private readonly clock: Clock,
+    random: Random,
+  ) {
+    super();
+    const { entryId, zoneId } = settings;
+    const { log, directory, config, network } = services;
+    const writer = this.register(new ControlStreamWriter(log, clock));
+    const reader = this.register(new ControlStreamReader(log, clock, random));
+    const membership = this.register(
+      new Membership({ entryId, zoneId }, { network, reader, writer, directory, config }, clock),
+    );
+    const fence = this.register(new EntryFence((nowMs) => membership.fenceReason(nowMs), clock));
+    const snapshotPeriodMs = settings.platform.logRetentionMs / SNAPSHOTS_PER_RETENTION;
+    const ledger = { config, network, reader, writer, membership, fence };
+    this.credits = this.register(new CreditLedgerTask(entryId, ledger, clock, snapshotPeriodMs));
+    this.membership = membership;
+    this.fence = fence;
+    this.reader = reader;
+  }
+
+  /** Joins the roster, to be reached by peers at this address. */
+  start(address: string): void {
+    void this.reader.run();
+    this.membership.start(address);
+  }
+
+  /** From here on this entry is no home; what it runs goes on. */
+  beginStop(): void {
+    this.membership.beginStop();
+  }
+
+  /**
+   * Gives the credits to the others and leaves the roster. Credits of work whose end is not known
+   * by then are shared out by the others after its leases have lapsed. With the log down there is
+   * no leave record: the entry is evicted later.
+   */
+  async leave(): Promise<void> {
+    const idle = await this.credits.handOver(HAND_OVER_PATIENCE_MS);
+    const untilMs = this.clock.monotonicMs() + LEAVE_PATIENCE_MS;
+    let nextMs = this.clock.monotonicMs();
+    while (this.membership.isActive && this.clock.monotonicMs() < untilMs) {
+      if (this.clock.monotonicMs() >= nextMs) {
+        this.membership.leave(idle);
+        nextMs += LEAVE_REPEAT_MS;
+      }
+      await this.clock.sleep(LEAVE_POLL_MS);
+    }
+  }
+}
--- a/packages/daemon/src/Maintenance.ts
+++ b/packages/daemon/src/Maintenance.ts
@@ -1,5 +1,5 @@
 /** The maintenance part of an entry: builds its tasks and hands each what it needs. */
-import { type Clock, Disposable, type HomeMap, type Random } from '@acaciadock/core';
+import { type Clock, Disposable, type EntryId, type HomeMap, type Random } from '@acaciadock/core';
 import { type ConfigView } from '@acaciadock/config';
 import {
   CommandSubmitter,
@@ -34,6 +34,8 @@
   readonly probe: InstanceProbe;
   readonly runs: RunCounter;
   readonly homes: HomeMap;
+  /** Entries in the roster, live or not. */
+  readonly memberEntryIds: () => readonly EntryId[];
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: Random;
@@ -64,7 +66,6 @@
     const survey = this.register(
       new WorkSurvey(incarnation, services.homes, network, tracker, this.demand, clock),
     );
-    const knownEntryIds = settings.peers.map((peer) => peer.entryId);
     this.controller = this.register(
       new MaintenanceController(
         {
@@ -76,7 +77,12 @@
           demand: this.demand,
           decider: new JobDecider(maintenance),
         },
-        { ...maintenance, knownEntryIds },
+        {
+          ...maintenance,
+          get knownEntryIds() {
+            return services.memberEntryIds();
+          },
+        },
       ),
     );
   }
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -39,6 +39,7 @@
 
 export const settingsSchema = z.strictObject({
   schemaVersion: z.literal(1),
+  /** The instance's id in the platform's list. */
   entryId: entryIdSchema,
   /** The availability zone that this entry runs in. */
   zoneId: zoneIdSchema,
--- a/packages/scheduling/src/GrantMaker.ts
+++ b/packages/scheduling/src/GrantMaker.ts
@@ -1,5 +1,4 @@
 /** Makes grants: a fresh id, the time to start by, and the lease of the task. */
-import { type Clock } from '@acaciadock/core';
 import { type ConfigView } from '@acaciadock/config';
 import { type Grant } from '@acaciadock/peers';
 import { type Placement } from './WaitingTicket.js';
@@ -12,13 +11,12 @@
 
   constructor(
     private readonly config: ConfigView,
-    private readonly clock: Clock,
     private readonly incarnation: string,
   ) {}
 
   make({ waiting, targetId, creditUse }: Placement): Grant {
     const { ticketId, serviceId, teamId } = waiting;
-    const startByMs = this.clock.unixMs() + START_WINDOW_MS;
+    const startByMs = creditUse.acquiredAtMs + START_WINDOW_MS;
     const leaseMs = this.config.state().document.services[serviceId]?.taskLeaseMs ?? 0;
     this.nextGrant += 1;
     return {
