--- a/packages/bench/src/path/PathRig.ts
+++ b/packages/bench/src/path/PathRig.ts
@@ -62,7 +62,7 @@
       peers.map(({ entryId, address }, index) =>
         this.fork('./entryRole.js', {
           settings: this.settings(entryId, address, peers),
-          peers,
+          entryCount: count,
           seed: this.seed + index,
         }),
       ),
--- a/packages/bench/src/path/entryRole.ts
+++ b/packages/bench/src/path/entryRole.ts
@@ -8,14 +8,18 @@
 
 const optionsSchema = z.object({
   settings: settingsSchema,
-  peers: z.array(z.object({ entryId: z.string(), address: z.string() })),
+  /** Entries that must have found each other before the load begins. */
+  entryCount: z.number(),
   seed: z.number(),
 });
 
-const { settings, peers, seed } = optionsSchema.parse(JSON.parse(process.argv[2] ?? '{}'));
+const { settings, entryCount, seed } = optionsSchema.parse(JSON.parse(process.argv[2] ?? '{}'));
 const clock = new SystemClock();
 const entry = new Entry(settings, clock, seed);
 const { callerAddress, peerAddress } = await entry.start();
-entry.setPeers(peers);
-while (entry.follower.state().version === 0) await clock.sleep(POLL_MS);
+const isReady = (): boolean =>
+  entry.follower.state().version > 0 &&
+  entry.fence.reason() === undefined &&
+  entry.membership.liveEntries().length === entryCount;
+while (!isReady()) await clock.sleep(POLL_MS);
 serveRole([callerAddress, peerAddress]);
--- a/packages/gateway/src/Problem.test.ts
+++ b/packages/gateway/src/Problem.test.ts
@@ -1,13 +1,14 @@
-import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
 import { describe, it } from '@acaciadock/core/testing';
 import { PROBLEM_KINDS, PROBLEM_TYPES, problemBody } from './Problem.js';
 
 const PAGE = new URL('../../../docs/operators/errors.md', import.meta.url);
+const page = await readFile(PAGE, 'utf8');
 const ROW = /^\| `([a-z-]+)` \| (\d{3}) \| ([a-z, ]+) \|/;
 
 describe('Problem', () => {
   describe("the operators' page", () => {
-    const rows = readFileSync(PAGE, 'utf8')
+    const rows = page
       .split('\n')
       .map((line) => ROW.exec(line.replace(/\s+\|/g, ' |').replace(/\|\s+/g, '| ')))
       .filter((row) => row !== null);
