--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -178,7 +178,8 @@
 
   private readHead(request: IncomingMessage): Result<ParsedHead, Problem> {
     const { method = '', url = '', headers } = request;
-    const { document } = this.services.config.state();
+    const { document, version } = this.services.config.state();
+    if (version === 0) return err(CallerServer.unconfigured());
     const head = parseHead({ method, url, headers }, document);
     if (head.isErr()) return head;
     const problem = this.refusalNow() ?? this.markRefusal(head.value);
@@ -187,11 +188,17 @@
 
   private refusalNow(): Problem | undefined {
     if (this.stopping) return refusal('not-ready', 'this entry is stopping', RETRY_AFTER_MS);
+    if (this.services.config.state().version === 0) return CallerServer.unconfigured();
     const reason = this.services.fence.reason();
     if (reason === undefined) return undefined;
     return refusal('not-ready', `this entry is fenced: ${reason}`, RETRY_AFTER_MS);
   }
 
+  /** An entry that has just started can't tell an unknown service from one it has not read yet. */
+  private static unconfigured(): Problem {
+    return refusal('not-ready', 'this entry has read no configuration yet', RETRY_AFTER_MS);
+  }
+
   private markRefusal({ mark }: ParsedHead): Problem | undefined {
     if (!mark) return undefined;
     const verdict = this.services.claims.judge(mark.stampMs);
