--- a/packages/gateway/src/TicketDesk.test.ts
+++ b/packages/gateway/src/TicketDesk.test.ts
@@ -205,6 +205,19 @@
       t.equal(network.outcomes().length, 2);
     });
 
+    it('is told to the next home when the home that granted it died', (t) => {
+      const { clock, network, homes, desk } = rig();
+      desk.end('e1', grantOf('r:1', 'g1', clock), 'succeeded', 5);
+      homes.live = ['e2'];
+      homes.ranked = { a: ['e2'], b: ['e2'] };
+      clock.advance(700);
+      const told = network.sent.filter(({ message }) => message.kind === 'grant-ended');
+      t.same(
+        told.map(({ to }) => to),
+        ['e1', 'e2'],
+      );
+    });
+
     it('is not told for ever to a home that is gone', (t) => {
       const { clock, desk } = rig();
       desk.end('e1', grantOf('r:1', 'g1', clock), 'succeeded', 5);
--- a/packages/scheduling/src/WaitingTicket.ts
+++ b/packages/scheduling/src/WaitingTicket.ts
@@ -23,3 +23,8 @@
   readonly reason: TicketRefusalReason;
   readonly retryAfterMs: number;
 }
+
+export function waitingTicketOf(ticket: Ticket, gatewayEntryId: EntryId): WaitingTicket {
+  const { ticketId, serviceId, teamId, urgency, acceptedAtMs } = ticket;
+  return { ticketId, serviceId, teamId, urgency, acceptedAtMs, ticket, gatewayEntryId };
+}
