--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,6 +4,7 @@
 type BenchLoader = () => Promise<Bench>;
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
+  credits: async () => new (await import('./CreditsBench.js')).CreditsBench(),
   plan: async () => new (await import('./PlanBench.js')).PlanBench(),
   share: async () => new (await import('./ShareBench.js')).ShareBench(),
   burst: async () => new (await import('./BurstBench.js')).BurstBench(),
