--- /dev/null
+++ b/packages/bench/src/OutcomesBench.ts
@@ -0,0 +1,62 @@
+/**
+ * Whether every outcome is told truly: real entries, loopback sockets, callers that repeat, and
+ * faults at targets, log, entries and fleet together; checked against the targets' own records.
+ * Several fleets run side by side in threads, each with its own seed.
+ */
+import { Worker } from 'node:worker_threads';
+import { Bench, type BenchOptions, type BenchResult, checkBound } from './Bench.js';
+import { type ShardOptions, type ShardResult } from './outcomes/OutcomeShard.js';
+import { type OutcomeFigures } from './outcomes/OutcomeTally.js';
+
+const SHARDS = 6;
+const WANTED_REQUESTS = 100_000;
+const DEFAULT_MOST_MS = 38_000;
+const LONG_MOST_MS = 600_000;
+/** Seeds of the shards are this far apart. */
+const SEED_STEP = 1_000;
+
+function startShard(options: ShardOptions): Promise<ShardResult> {
+  const worker = new Worker(new URL('./outcomes/shardWorker.js', import.meta.url), {
+    workerData: options,
+  });
+  return new Promise((resolve, reject) => {
+    worker.once('message', (result: ShardResult) => {
+      resolve(result);
+      void worker.terminate();
+    });
+    worker.once('error', reject);
+  });
+}
+
+export class OutcomesBench extends Bench {
+  override readonly name = 'outcomes';
+
+  override readonly summary = 'requests under faults: lost, doubled, crossed, falsely not run';
+
+  override async run({ seed, long }: BenchOptions): Promise<BenchResult> {
+    const shards = await Promise.all(
+      Array.from({ length: SHARDS }, (_, index) =>
+        startShard({
+          seed: seed + index * SEED_STEP,
+          mostRequests: Math.ceil(WANTED_REQUESTS / SHARDS),
+          mostMs: long ? LONG_MOST_MS : DEFAULT_MOST_MS,
+        }),
+      ),
+    );
+    shards.forEach((shard) => this.note(JSON.stringify(shard)));
+    const sum = (pick: (figures: OutcomeFigures) => number): number =>
+      shards.reduce((total, { figures }) => total + pick(figures), 0);
+    const none = (name: string, pick: (figures: OutcomeFigures) => number) =>
+      checkBound(name, sum(pick), 'requests', 'exactly', 0);
+    const sent = shards.reduce((total, { sentRequests }) => total + sentRequests, 0);
+    const bounds = [
+      checkBound('requests sent', sent, 'requests', 'at-least', WANTED_REQUESTS),
+      none('lost', ({ lost }) => lost),
+      none('doubled', ({ doubled }) => doubled),
+      none('crossed', ({ crossed }) => crossed),
+      none('false not run', ({ falseNotRun }) => falseNotRun),
+      none('non-idempotent runs > 1', ({ ranTwice }) => ranTwice),
+    ];
+    return { bounds };
+  }
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -13,4 +13,7 @@
   health: async () => new (await import('./HealthBench.js')).HealthBench(),
   scheduling: async () => new (await import('./SchedulingBench.js')).SchedulingBench(),
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
+  outcomes: async () => new (await import('./OutcomesBench.js')).OutcomesBench(),
+  path: async () => new (await import('./PathBench.js')).PathBench(),
+  claims: async () => new (await import('./ClaimsBench.js')).ClaimsBench(),
 };
