--- a/packages/maintenance/src/index.ts
+++ b/packages/maintenance/src/index.ts
@@ -22,3 +22,8 @@
 export * from './WorkResponder.js';
 export * from './WorkSurvey.js';
 export * from './MaintenanceController.js';
+export * from './FleetShape.js';
+export * from './WaveSchedule.js';
+export * from './SparePlanner.js';
+export * from './RollOutEstimate.js';
+export * from './instanceStates.js';
