--- a/packages/cli/src/commands/instance.ts
+++ b/packages/cli/src/commands/instance.ts
@@ -76,6 +76,6 @@
       printResult(context, result, () => 'taken; it returns once its health checks pass');
     });
 
-  setIntent('drain', 'draining', 'give an instance no new work until it is told to serve');
-  setIntent('serve', 'serving', 'let a drained instance take work again');
+  setIntent('drain', 'draining', 'give an instance no new work until it is returned');
+  setIntent('return', 'serving', 'let a drained instance take work again');
 }
--- a/packages/demo/src/maintenanceCommands.test.ts
+++ b/packages/demo/src/maintenanceCommands.test.ts
@@ -63,7 +63,7 @@
       t.equal((await run(url, ['instance', 'readmit', 't0'])).exitCode, ExitCode.refused);
       await run(url, ['instance', 'drain', 't0']);
       t.match((await run(url, ['instance', 'list', '--state', 'draining'])).output, /t0/);
-      await run(url, ['instance', 'serve', 't0']);
+      await run(url, ['instance', 'return', 't0']);
       t.match((await run(url, ['instance', 'list', '--state', 'serving'])).output, /t0/);
     });
   });
