--- /dev/null
+++ b/packages/bench/src/ConfigBench.ts
@@ -0,0 +1,130 @@
+/**
+ * Configuration: how fast a change and a withdrawn key are in force at eight entries that read a
+ * log over HTTP, how fast an entry starts, whether anything ever reverts under faults, and what a
+ * patch costs at the stated size.
+ */
+import { FaultSchedule } from '@acaciadock/replication/testing';
+import { checkBound, Bench, type BenchOptions, type BenchResult, type Bound } from './Bench.js';
+import { LiveFleet } from './config/LiveFleet.js';
+import { measureReduction } from './config/reductionCost.js';
+import { measureStart } from './config/startCost.js';
+import { percentiles } from './config/percentiles.js';
+
+const IN_FORCE_BOUND_MS = 8_000;
+/** What "in practice" is held to with a healthy log. */
+const HEALTHY_BOUND_MS = 1_000;
+const URGENT_START_MS = 5_600;
+const SCHEDULES = 1_000;
+const LONG_SCHEDULES = 10_000;
+const CHANGES_A_DAY = 44_000;
+const DAY_SECONDS = 86_400;
+/** Part of a core that control may take, in all. */
+const CONTROL_CORE_PART = 0.013;
+
+export class ConfigBench extends Bench {
+  override readonly name = 'config';
+
+  override readonly summary = 'configuration: time to in force, starts, reverts, cost of a patch';
+
+  override async run(options: BenchOptions): Promise<BenchResult> {
+    const bounds = [
+      ...(await this.inForce(options)),
+      ...(await this.starts()),
+      ...(await this.reverts(options)),
+      ...this.reduction(),
+    ];
+    return { bounds };
+  }
+
+  private async inForce({ long }: BenchOptions): Promise<Bound[]> {
+    const fleet = await LiveFleet.start();
+    const slow = await fleet.changes({ perSecond: 0.5, changes: long ? 60 : 5 });
+    const fast = await fleet.changes({ perSecond: 20, changes: long ? 1_200 : 100 });
+    const keys = await fleet.withdrawals({ perSecond: 20, changes: long ? 400 : 40 });
+    await fleet.stop();
+    return [
+      ...this.timeBounds('in force everywhere, 0.5 changes a second', slow),
+      ...this.timeBounds('in force everywhere, 20 changes a second', fast),
+      ...this.timeBounds('key withdrawn everywhere, 20 changes a second', keys),
+    ];
+  }
+
+  private timeBounds(name: string, durationsMs: readonly number[]): Bound[] {
+    const { p50, p99, max } = percentiles(durationsMs);
+    this.note(`${name}: ${durationsMs.length} changes, p50 ${p50.toFixed(1)} ms`);
+    return [
+      checkBound(`${name}, p50`, p50, 'ms', 'at-most', HEALTHY_BOUND_MS),
+      checkBound(`${name}, p99`, p99, 'ms', 'at-most', HEALTHY_BOUND_MS),
+      checkBound(`${name}, maximum`, max, 'ms', 'at-most', IN_FORCE_BOUND_MS),
+    ];
+  }
+
+  private async starts(): Promise<Bound[]> {
+    const { bridgedMs, wholeMs } = await measureStart(CHANGES_A_DAY);
+    this.note(`start from a snapshot ${bridgedMs.toFixed(0)} ms, without ${wholeMs.toFixed(0)} ms`);
+    return [
+      checkBound(
+        `start from a snapshot with ${CHANGES_A_DAY} changes behind it`,
+        bridgedMs,
+        'ms',
+        'at-most',
+        URGENT_START_MS,
+      ),
+      checkBound(
+        `start by reading ${CHANGES_A_DAY} changes without a snapshot`,
+        wholeMs,
+        'ms',
+        'at-most',
+        2 * IN_FORCE_BOUND_MS,
+      ),
+    ];
+  }
+
+  private async reverts({ seed, long }: BenchOptions): Promise<Bound[]> {
+    const count = long ? LONG_SCHEDULES : SCHEDULES;
+    const totals = {
+      reverts: 0,
+      divergences: 0,
+      falseAnswers: 0,
+      apart: 0,
+      versions: 0,
+      starts: 0,
+    };
+    for (let index = 0; index < count; index += 1) {
+      const verdict = await new FaultSchedule(seed + index).run();
+      totals.reverts += verdict.reverts;
+      totals.divergences += verdict.divergences;
+      totals.falseAnswers += verdict.falseAnswers;
+      totals.apart += verdict.converged ? 0 : 1;
+      totals.versions += verdict.versions;
+      totals.starts += verdict.restarts;
+    }
+    this.note(`${count} schedules: ${totals.versions} versions, ${totals.starts} restarts`);
+    const name = `in ${count} schedules of faults`;
+    return [
+      checkBound(`schedules of faults`, count, 'schedules', 'at-least', SCHEDULES),
+      checkBound(`reverts ${name}`, totals.reverts, 'reverts', 'exactly', 0),
+      checkBound(`different documents ${name}`, totals.divergences, 'versions', 'exactly', 0),
+      checkBound(`false answers ${name}`, totals.falseAnswers, 'answers', 'exactly', 0),
+      checkBound(`not converged ${name}`, totals.apart, 'schedules', 'exactly', 0),
+    ];
+  }
+
+  private reduction(): Bound[] {
+    const { teamMs, instanceMs, wholeCheckMs } = measureReduction();
+    this.note(`check of the whole document ${wholeCheckMs.toFixed(1)} ms`);
+    this.note(
+      `patch to a team ${teamMs.toFixed(3)} ms, to an instance ${instanceMs.toFixed(3)} ms`,
+    );
+    const corePart = (instanceMs / 1_000) * (CHANGES_A_DAY / DAY_SECONDS);
+    return [
+      checkBound(
+        'core taken by reducing 44,000 patches a day, all to instances',
+        corePart,
+        'core',
+        'at-most',
+        CONTROL_CORE_PART,
+      ),
+    ];
+  }
+}
--- /dev/null
+++ b/packages/bench/src/config/LiveFleet.ts
@@ -0,0 +1,139 @@
+/**
+ * Eight followers in one process that read one log over HTTP, as entries do, and an operator who
+ * submits changes at a given rate. Measures from the submission to the moment when the last of
+ * the eight has the version in force.
+ */
+import { performance } from 'node:perf_hooks';
+import { type Clock, Random, SystemClock } from '@acaciadock/core';
+import { type PatchOperation, TeamKey } from '@acaciadock/config';
+import { patchRecord, smallDocument } from '@acaciadock/config/testing';
+import { HttpLogService, HttpPlatformClient } from '@acaciadock/platform';
+import { ConfigFollower, PatchSubmitter } from '@acaciadock/replication';
+import { LogStandIn } from '@acaciadock/testkit';
+
+const ENTRIES = 8;
+const SEED = 1;
+const MS_PER_SECOND = 1_000;
+const TEAM_ID = 'desk';
+
+export interface ChangeRate {
+  readonly perSecond: number;
+  readonly changes: number;
+}
+
+export class LiveFleet {
+  private readonly log: LogStandIn;
+
+  private readonly clients: HttpPlatformClient[] = [];
+
+  private readonly followers: ConfigFollower[] = [];
+
+  private readonly submitters: PatchSubmitter[] = [];
+
+  private nextPatch = 0;
+
+  private constructor(private readonly clock: Clock) {
+    this.log = new LogStandIn(clock);
+  }
+
+  static async start(): Promise<LiveFleet> {
+    const fleet = new LiveFleet(new SystemClock());
+    await fleet.log.listen();
+    for (let index = 0; index < ENTRIES; index += 1) fleet.addEntry(index);
+    while (fleet.followers.some((follower) => !follower.isCaughtUp)) await fleet.clock.sleep(1);
+    return fleet;
+  }
+
+  async stop(): Promise<void> {
+    [...this.submitters, ...this.followers].forEach((part) => part.dispose());
+    await Promise.all(this.clients.map((client) => client.close()));
+    await this.log.close();
+  }
+
+  /** Milliseconds from the submission of each change to its being in force at all entries. */
+  changes(rate: ChangeRate): Promise<number[]> {
+    return this.atRate(rate, (index) => {
+      const operation = { op: 'replace', path: `/teams/${TEAM_ID}/limit`, value: index } as const;
+      return this.change(operation, () => true);
+    });
+  }
+
+  /** Milliseconds from the withdrawal of each key to its being refused at all entries. */
+  async withdrawals(rate: ChangeRate): Promise<number[]> {
+    const keys = Array.from({ length: rate.changes }, () => TeamKey.create(TEAM_ID));
+    for (const { keyId, sha256 } of keys) {
+      const path = `/teams/${TEAM_ID}/keys/${keyId}`;
+      const value = { sha256, grantedAtMs: 0 };
+      await this.change({ op: 'add', path, value }, () => true);
+    }
+    return this.atRate(rate, (index) => {
+      const { keyId = '', key = '' } = keys[index] ?? {};
+      const operation = { op: 'remove', path: `/teams/${TEAM_ID}/keys/${keyId}` } as const;
+      return this.change(
+        operation,
+        (follower) => TeamKey.holder(follower.state().document, key) === undefined,
+      );
+    });
+  }
+
+  private addEntry(index: number): void {
+    const client = new HttpPlatformClient(`http://${this.log.address}`);
+    const service = new HttpLogService(client);
+    const random = new Random(SEED + index);
+    const follower = new ConfigFollower(service, this.clock, random, smallDocument());
+    this.clients.push(client);
+    this.followers.push(follower);
+    this.submitters.push(new PatchSubmitter(service, follower, this.clock));
+    void follower.run();
+  }
+
+  private async atRate(
+    { perSecond, changes }: ChangeRate,
+    change: (index: number) => Promise<number>,
+  ): Promise<number[]> {
+    const durationsMs: number[] = [];
+    const startMs = performance.now();
+    for (let index = 0; index < changes; index += 1) {
+      const dueMs = startMs + (index * MS_PER_SECOND) / perSecond;
+      await this.clock.sleep(Math.max(0, dueMs - performance.now()));
+      durationsMs.push(await change(index));
+    }
+    return durationsMs;
+  }
+
+  /** Submits one change through the entries in turn and waits until all hold it. */
+  private async change(
+    operation: PatchOperation,
+    holds: (follower: ConfigFollower) => boolean,
+  ): Promise<number> {
+    const index = this.nextPatch % ENTRIES;
+    this.nextPatch += 1;
+    const submitter = this.submitters[index];
+    const base = this.followers[index]?.state().version ?? 0;
+    const startMs = performance.now();
+    const inForce = Promise.all(
+      this.followers.map((follower) => LiveFleet.reached(follower, base + 1, holds)),
+    );
+    const record = patchRecord(`p${this.nextPatch}`, base, [operation]);
+    const outcome = await submitter?.submit(record);
+    if (outcome?.kind !== 'settled' || outcome.verdict.kind !== 'applied') {
+      throw new Error('the change was not applied', { cause: outcome });
+    }
+    const reachedAtMs = await inForce;
+    return Math.max(...reachedAtMs) - startMs;
+  }
+
+  private static reached(
+    follower: ConfigFollower,
+    version: number,
+    holds: (follower: ConfigFollower) => boolean,
+  ): Promise<number> {
+    return new Promise((resolve) => {
+      const subscription = follower.onChange((state) => {
+        if (state.version < version || !holds(follower)) return;
+        subscription.dispose();
+        resolve(performance.now());
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/config/reductionCost.ts
@@ -0,0 +1,45 @@
+/** What one patch costs a reader of a document of the stated size. */
+import { performance } from 'node:perf_hooks';
+import { checkDocument, ConfigReducer, type PatchOperation } from '@acaciadock/config';
+import { patchRecord } from '@acaciadock/config/testing';
+import { percentiles } from './percentiles.js';
+import { targetDocument } from './targetDocument.js';
+
+const PATCHES = 200;
+
+export interface ReductionCost {
+  /** Medians, in milliseconds. */
+  readonly teamMs: number;
+  readonly instanceMs: number;
+  readonly wholeCheckMs: number;
+}
+
+export function measureReduction(): ReductionCost {
+  const document = targetDocument();
+  const reducer = new ConfigReducer(document);
+  const median = (operation: (index: number) => PatchOperation): number => {
+    const durationsMs = Array.from({ length: PATCHES }, (_, index) => {
+      const { version, offset } = reducer.state;
+      const record = patchRecord(`p${version}`, version, [operation(index)]);
+      const startMs = performance.now();
+      const verdict = reducer.reduce(offset + 1, record);
+      const durationMs = performance.now() - startMs;
+      if (verdict.kind !== 'applied') throw new Error(verdict.kind, { cause: verdict });
+      return durationMs;
+    });
+    return percentiles(durationsMs).p50;
+  };
+  const teamMs = median((index) => ({
+    op: 'replace',
+    path: `/teams/t${index}/limit`,
+    value: index,
+  }));
+  const instanceMs = median((index) => ({
+    op: 'replace',
+    path: `/instances/i${index}/poolId`,
+    value: 'p7',
+  }));
+  const startMs = performance.now();
+  checkDocument(document);
+  return { teamMs, instanceMs, wholeCheckMs: performance.now() - startMs };
+}
--- /dev/null
+++ b/packages/bench/src/config/startCost.ts
@@ -0,0 +1,50 @@
+/** How long a fresh entry takes to the end of a log that it reads over HTTP. */
+import { performance } from 'node:perf_hooks';
+import { Random, SystemClock } from '@acaciadock/core';
+import { type ConfigDocument, ConfigReducer } from '@acaciadock/config';
+import { limitPatch, smallDocument } from '@acaciadock/config/testing';
+import { CONFIG_STREAM, HttpLogService, HttpPlatformClient } from '@acaciadock/platform';
+import { ConfigFollower } from '@acaciadock/replication';
+import { LogStandIn } from '@acaciadock/testkit';
+
+const SEED = 1;
+/** Changes after the snapshot: as many as may come before the next is due. */
+const CHANGES_AFTER = 2_000;
+
+export interface StartCost {
+  readonly bridgedMs: number;
+  readonly wholeMs: number;
+}
+
+async function timeToCaughtUp(log: LogStandIn, initial: ConfigDocument): Promise<number> {
+  const client = new HttpPlatformClient(`http://${log.address}`);
+  const clock = new SystemClock();
+  const startMs = performance.now();
+  const follower = new ConfigFollower(new HttpLogService(client), clock, new Random(SEED), initial);
+  void follower.run();
+  while (!follower.isCaughtUp) await clock.sleep(1);
+  const durationMs = performance.now() - startMs;
+  follower.dispose();
+  await client.close();
+  return durationMs;
+}
+
+/** Starts behind a snapshot, with `changes` records before it and more after; and without. */
+export async function measureStart(changes: number): Promise<StartCost> {
+  const initial = smallDocument();
+  const log = new LogStandIn(new SystemClock());
+  await log.listen();
+  const writer = new ConfigReducer(initial);
+  const write = (version: number): void => {
+    const record = limitPatch(`p${version}`, version, version % 100);
+    writer.reduce(log.append(CONFIG_STREAM, [record]), record);
+  };
+  for (let version = 0; version < changes; version += 1) write(version);
+  const wholeMs = await timeToCaughtUp(log, initial);
+  const snapshot = writer.snapshot();
+  writer.reduce(log.append(CONFIG_STREAM, [snapshot]), snapshot);
+  for (let index = 0; index < CHANGES_AFTER; index += 1) write(writer.state.version);
+  const bridgedMs = await timeToCaughtUp(log, initial);
+  await log.close();
+  return { bridgedMs, wholeMs };
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -3,4 +3,6 @@
 
 type BenchLoader = () => Promise<Bench>;
 
-export const BENCHES: Readonly<Record<string, BenchLoader>> = {};
+export const BENCHES: Readonly<Record<string, BenchLoader>> = {
+  config: async () => new (await import('./ConfigBench.js')).ConfigBench(),
+};
--- /dev/null
+++ b/packages/replication/src/testing/FaultSchedule.ts
@@ -0,0 +1,176 @@
+/**
+ * One random schedule of faults over a model fleet in virtual time: outages and delays of each
+ * entry's way to the log, cut links, restarts, lost answers, expiry, and operators that race. At
+ * the end all faults are healed, and what the entries hold is compared with the log.
+ */
+import { Random } from '@acaciadock/core';
+import { canonicalJson, ConfigReducer, type PatchRecord } from '@acaciadock/config';
+import { limitPatch, patchRecord, smallDocument } from '@acaciadock/config/testing';
+import { CONFIG_STREAM } from '@acaciadock/platform';
+import { type SubmitOutcome } from '../PatchSubmitter.js';
+import { ModelFleet } from './ModelFleet.js';
+
+const ENTRIES = 4;
+const STEPS = 60;
+const STEP_MS = 100;
+const HEAL_MS = 9_000;
+const MOST_DELAY_MS = 1_500;
+
+export interface ScheduleVerdict {
+  /** Times that an entry served an older version after a newer one was in force everywhere. */
+  readonly reverts: number;
+  /** Times that two entries held different documents under the same version. */
+  readonly divergences: number;
+  /** Answers to operators that the log contradicts. */
+  readonly falseAnswers: number;
+  /** Whether every entry ended at the version that the log tells. */
+  readonly converged: boolean;
+  readonly versions: number;
+  readonly restarts: number;
+}
+
+interface Submission {
+  readonly patchId: string;
+  readonly outcome: SubmitOutcome;
+}
+
+export class FaultSchedule {
+  private readonly random: Random;
+
+  private readonly fleet: ModelFleet;
+
+  private readonly submissions: Promise<Submission>[] = [];
+
+  /** Every record that was ever appended; the store itself forgets by retention. */
+  private readonly written: unknown[] = [];
+
+  private restarts = 0;
+
+  private nextPatch = 0;
+
+  constructor(seed: number) {
+    this.random = new Random(seed);
+    this.fleet = new ModelFleet({ entries: ENTRIES, initial: smallDocument() }, seed);
+  }
+
+  async run(): Promise<ScheduleVerdict> {
+    const { fleet } = this;
+    fleet.store.onAppend(() => this.keepWritten());
+    await fleet.advance(STEP_MS);
+    for (let step = 0; step < STEPS; step += 1) {
+      this.disturb();
+      this.submit();
+      await fleet.advance(STEP_MS);
+    }
+    this.heal();
+    await fleet.advance(HEAL_MS);
+    const verdict = await this.verdict();
+    fleet.dispose();
+    return verdict;
+  }
+
+  private keepWritten(): void {
+    this.fleet.store.records(CONFIG_STREAM).forEach(({ offset, payload }) => {
+      if (offset >= this.written.length) this.written.push(payload);
+    });
+  }
+
+  private disturb(): void {
+    const index = this.random.integer(0, ENTRIES - 1);
+    const { faults } = this.fleet.entry(index).way;
+    const actions = [
+      () => Object.assign(faults, { down: true }),
+      () => Object.assign(faults, { down: false }),
+      () => Object.assign(faults, { delayMs: this.random.integer(0, MOST_DELAY_MS) }),
+      () => Object.assign(faults, { delayMs: 0 }),
+      () => Object.assign(faults, { loseAppendAnswers: 1 }),
+      () => this.fleet.hub.cut(`e${index}`, true),
+      () => this.fleet.hub.cut(`e${index}`, false),
+      () => this.restart(index),
+      () => this.expire(),
+      () => this.outage(),
+    ];
+    if (this.random.chance(0.5)) this.random.pick(actions)?.();
+  }
+
+  private restart(index: number): void {
+    this.restarts += 1;
+    const { faults } = this.fleet.entry(index).way;
+    Object.assign(this.fleet.restart(index).way.faults, faults);
+  }
+
+  /** Expires records before the last snapshot, as retention does when snapshots are in time. */
+  private expire(): void {
+    const records = this.fleet.store.records(CONFIG_STREAM);
+    const snapshot = records.findLast(
+      ({ payload }) => (payload as { kind: string }).kind === 'snapshot',
+    );
+    if (!snapshot) return;
+    const { includedOffset } = snapshot.payload as { includedOffset: number };
+    this.fleet.store.expireBefore(CONFIG_STREAM, includedOffset + 1);
+  }
+
+  private outage(): void {
+    const down = this.random.chance(0.3);
+    this.fleet.entries.forEach((entry) => Object.assign(entry.way.faults, { down }));
+  }
+
+  private submit(): void {
+    if (!this.random.chance(0.4)) return;
+    const entry = this.fleet.entry(this.random.integer(0, ENTRIES - 1));
+    const record = this.patch(entry.follower.state().version);
+    const submit = async (): Promise<Submission> => ({
+      patchId: record.patchId,
+      outcome: await entry.submitter.submit(record),
+    });
+    this.submissions.push(submit());
+    // The same patch sent twice at the same time.
+    if (this.random.chance(0.2)) this.submissions.push(submit());
+  }
+
+  private patch(baseVersion: number): PatchRecord {
+    this.nextPatch += 1;
+    const patchId = `p${this.nextPatch}`;
+    if (this.random.chance(0.5)) return limitPatch(patchId, baseVersion, this.nextPatch);
+    const value = this.random.pick(['p1', 'p2']);
+    return patchRecord(patchId, baseVersion, [
+      { op: 'replace', path: '/instances/i1/poolId', value },
+    ]);
+  }
+
+  private heal(): void {
+    this.fleet.entries.forEach(({ entryId, way }) => {
+      Object.assign(way.faults, { down: false, delayMs: 0, loseAppendAnswers: 0 });
+      this.fleet.hub.cut(entryId, false);
+    });
+  }
+
+  private async verdict(): Promise<ScheduleVerdict> {
+    const { violations, entries } = this.fleet;
+    const truth = new ConfigReducer(smallDocument());
+    this.written.forEach((payload, offset) => truth.reduce(offset, payload));
+    const text = canonicalJson(truth.state);
+    const submissions = await Promise.all(this.submissions);
+    return {
+      reverts: violations.filter(({ kind }) => kind === 'reverted').length,
+      divergences: violations.filter(({ kind }) => kind === 'diverged').length,
+      falseAnswers: submissions.filter((submission) => FaultSchedule.isFalse(submission, truth))
+        .length,
+      converged: entries.every((entry) => canonicalJson(entry.follower.state()) === text),
+      versions: truth.state.version,
+      restarts: this.restarts,
+    };
+  }
+
+  /** Whether the log contradicts what the operator was told. */
+  private static isFalse({ patchId, outcome }: Submission, truth: ConfigReducer): boolean {
+    const decision = truth.decision(patchId);
+    const version = decision && 'version' in decision ? decision.version : undefined;
+    if (outcome.kind === 'unknown') return false;
+    if (outcome.kind === 'not-appended') return version !== undefined;
+    const { verdict } = outcome;
+    if (verdict.kind === 'refused') return version !== undefined;
+    if (verdict.kind !== 'applied' && verdict.kind !== 'repeated') return true;
+    return version !== verdict.version;
+  }
+}
--- a/packages/replication/src/testing/index.ts
+++ b/packages/replication/src/testing/index.ts
@@ -3,3 +3,4 @@
 export * from './MemoryPeerNetwork.js';
 export * from './ModelEntry.js';
 export * from './ModelFleet.js';
+export * from './FaultSchedule.js';
