--- a/packages/config/src/ConfigDocument.ts
+++ b/packages/config/src/ConfigDocument.ts
@@ -31,9 +31,10 @@
   .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/);
 
 export const poolSchema = z.strictObject({
-  /** Instances of a spare pool serve nobody until they are moved. */
-  role: z.enum(['service', 'spare']),
-  description: z.string().max(500).default(''),
+  role: z
+    .enum(['service', 'spare'])
+    .describe('Instances of a spare pool serve nobody until they are moved.'),
+  description: z.string().max(500).default('').describe('A remark for operators.'),
 });
 
 /**
@@ -43,92 +44,155 @@
 export const instanceIntentSchema = z.enum(['serving', 'draining', 'maintenance']);
 
 export const instanceSchema = z.strictObject({
-  poolId: poolIdSchema,
-  zoneId: zoneIdSchema,
-  rackId: rackIdSchema,
-  address: addressSchema,
-  cores: z.int().min(1),
-  memoryBytes: z.int().min(1),
-  accelerators: z.int().min(0).default(0),
-  slots: z.int().min(1).max(MAX_SLOTS).default(8),
-  connections: z.int().min(1).max(MAX_CONNECTIONS).default(64),
-  intent: instanceIntentSchema.default('serving'),
+  poolId: poolIdSchema.describe('The one pool that the instance belongs to.'),
+  zoneId: zoneIdSchema.describe('Availability zone.'),
+  rackId: rackIdSchema.describe('Instances of one rack fail and are maintained together.'),
+  address: addressSchema.describe(
+    'Where gateways reach the target: `host:port` with a literal IP address, or `[v6]:port`.',
+  ),
+  cores: z.int().min(1).describe('Processor cores.'),
+  memoryBytes: z.int().min(1).describe('Memory.'),
+  accelerators: z.int().min(0).default(0).describe('Accelerators.'),
+  slots: z
+    .int()
+    .min(1)
+    .max(MAX_SLOTS)
+    .default(8)
+    .describe('Requests that the target runs at once.'),
+  connections: z
+    .int()
+    .min(1)
+    .max(MAX_CONNECTIONS)
+    .default(64)
+    .describe('Connections that the target takes from all entries together.'),
+  intent: instanceIntentSchema
+    .default('serving')
+    .describe(
+      'What is wanted of the instance. Only a `serving` one gets new work; `maintenance` is set and taken back by the controller.',
+    ),
 });
 
 export const serviceSchema = z.strictObject({
-  poolId: poolIdSchema,
-  /** `keyed`: a team's key is required. `open`: no key; the work counts for `openTeamId`. */
-  access: z.enum(['keyed', 'open']).default('keyed'),
-  openTeamId: teamIdSchema.optional(),
-  idempotent: z.boolean(),
-  /** The part of requests that must be answered; also what a maintenance step must leave room for. */
-  availabilityTarget: z.number().gt(0).lt(1),
-  latencyObjectiveMs: durationMs,
-  /** The part of requests that must be answered within `latencyObjectiveMs`. */
-  latencyTarget: z.number().gt(0).lt(1).default(0.99),
-  /** Fewest serving instances that the service needs to keep its availability target. */
-  minServingInstances: z.int().min(0).default(1),
-  defaultDeadlineMs: durationMs,
-  maxDeadlineMs: durationMs,
-  declaredRunMs: durationMs,
-  /** Longest time that one attempt may run on a target: the lease of the task. */
-  taskLeaseMs: durationMs,
-  maxAttempts: z.int().min(1).max(10).default(3),
-  retryBudgetRatio: ratio.default(0.1),
-  maxQueuedPerTeam: z.int().min(1).default(10_000),
-  maxRequestBytes: bodyBytes.default(2 * 1024 * 1024),
-  maxAnswerBytes: bodyBytes.default(8 * 1024 * 1024),
-  accelerators: z.int().min(0).default(0),
+  poolId: poolIdSchema.describe('The pool whose instances run the service.'),
+  access: z
+    .enum(['keyed', 'open'])
+    .default('keyed')
+    .describe(
+      "`keyed`: a team's key is required. `open`: no key; the work counts for `openTeamId`.",
+    ),
+  openTeamId: teamIdSchema.optional().describe('The team that work without a key counts for.'),
+  idempotent: z
+    .boolean()
+    .describe('Whether a request may be run again. If not, it is sent to a target at most once.'),
+  availabilityTarget: z
+    .number()
+    .gt(0)
+    .lt(1)
+    .describe(
+      'The part of requests that must be answered; also what a maintenance step must leave room for.',
+    ),
+  latencyObjectiveMs: durationMs.describe(
+    'Time within which `latencyTarget` of the requests must be answered.',
+  ),
+  latencyTarget: z
+    .number()
+    .gt(0)
+    .lt(1)
+    .default(0.99)
+    .describe('The part of requests that must be answered within `latencyObjectiveMs`.'),
+  minServingInstances: z
+    .int()
+    .min(0)
+    .default(1)
+    .describe('Fewest serving instances that the service needs to keep its availability target.'),
+  defaultDeadlineMs: durationMs.describe('Deadline of a request that names none.'),
+  maxDeadlineMs: durationMs.describe('Longest deadline that a request may name.'),
+  declaredRunMs: durationMs.describe('Expected run time until enough requests have been measured.'),
+  taskLeaseMs: durationMs.describe(
+    'Longest time that one attempt may run on a target: the lease of the task.',
+  ),
+  maxAttempts: z
+    .int()
+    .min(1)
+    .max(10)
+    .default(3)
+    .describe('Most attempts for one idempotent request.'),
+  retryBudgetRatio: ratio.default(0.1).describe('Part of the requests that may be tried again.'),
+  maxQueuedPerTeam: z.int().min(1).default(10_000).describe('Most requests of one team that wait.'),
+  maxRequestBytes: bodyBytes.default(2 * 1024 * 1024).describe('Largest request body.'),
+  maxAnswerBytes: bodyBytes.default(8 * 1024 * 1024).describe('Largest answer body.'),
+  accelerators: z
+    .int()
+    .min(0)
+    .default(0)
+    .describe('Accelerators that an instance needs to run the service.'),
 });
 
 export const keySchema = z.strictObject({
-  /** SHA-256 of the key in lower-case hex. The key itself is never kept. */
-  sha256: z.string().regex(/^[0-9a-f]{64}$/),
-  grantedAtMs: z.int().min(0),
-  note: z.string().max(200).default(''),
+  sha256: z
+    .string()
+    .regex(/^[0-9a-f]{64}$/)
+    .describe('SHA-256 of the key in lower-case hex. The key itself is never kept.'),
+  grantedAtMs: z
+    .int()
+    .min(0)
+    .describe('When the key was granted, milliseconds since the Unix epoch.'),
+  note: z.string().max(200).default('').describe('A remark for operators.'),
 });
 
 export const teamSchema = z.strictObject({
-  displayName: z.string().max(200).default(''),
-  /** Weight of the team's portion when the fleet is full. */
-  share: z.number().gt(0),
-  /** Most requests of the team that may run at once across the fleet. */
-  limit: z.int().min(0).max(MAX_TEAM_LIMIT),
-  keys: z.record(idSchema, keySchema).default({}),
+  displayName: z.string().max(200).default('').describe('Name for reports.'),
+  share: z.number().gt(0).describe("Weight of the team's portion when the fleet is full."),
+  limit: z
+    .int()
+    .min(0)
+    .max(MAX_TEAM_LIMIT)
+    .describe('Most requests of the team that may run at once across the fleet.'),
+  keys: z.record(idSchema, keySchema).default({}).describe('Keys by key id.'),
 });
 
 export const policyWeightsSchema = z.strictObject({
-  bufferCost: z.number().min(0),
-  rollOutTime: z.number().min(0),
-  moves: z.number().min(0),
-  shareError: z.number().min(0),
+  bufferCost: z.number().min(0).describe('Cost of instances held in reserve.'),
+  rollOutTime: z.number().min(0).describe('Time that a roll-out takes.'),
+  moves: z.number().min(0).describe('Moves of instances between pools.'),
+  shareError: z.number().min(0).describe('Distance of each team from its share.'),
 });
 
 export const policySchema = z.strictObject({
-  weights: policyWeightsSchema,
-  /** Urgent work must start within this time. */
-  urgentStartMs: durationMs.default(5_600),
-  /** Part of a service's slots that background work leaves free for urgent work. */
-  urgentHeadroomRatio: ratio.default(0.1),
-  /** Background work that has waited this long is treated as urgent. */
-  backgroundAgeingMs: durationMs.default(60_000),
-  maintenancePeriodMs: durationMs.default(14 * 24 * 60 * 60 * 1_000),
-  /** Most part of a pool that health checks may eject at once. */
-  maxEjectedRatio: ratio.default(0.5),
+  weights: policyWeightsSchema.describe(
+    'What the planning of maintenance and spare instances weighs against each other.',
+  ),
+  urgentStartMs: durationMs.default(5_600).describe('Urgent work must start within this time.'),
+  urgentHeadroomRatio: ratio
+    .default(0.1)
+    .describe("Part of a service's slots that background work leaves free for urgent work."),
+  backgroundAgeingMs: durationMs
+    .default(60_000)
+    .describe('Background work that has waited this long is treated as urgent.'),
+  maintenancePeriodMs: durationMs
+    .default(14 * 24 * 60 * 60 * 1_000)
+    .describe('Every instance is maintained once in this time.'),
+  maxEjectedRatio: ratio
+    .default(0.5)
+    .describe('Most part of a pool that health checks may eject at once.'),
 });
 
-export const zoneSchema = z.strictObject({ description: z.string().max(500).default('') });
+export const zoneSchema = z.strictObject({
+  description: z.string().max(500).default('').describe('A remark for operators.'),
+});
 
 const documentFields = z.strictObject({
-  schemaVersion: z.literal(1),
-  deploymentName: z.string().min(1).max(200),
-  regionId: regionIdSchema,
-  zones: z.record(zoneIdSchema, zoneSchema),
-  pools: z.record(poolIdSchema, poolSchema),
-  instances: z.record(instanceIdSchema, instanceSchema),
-  services: z.record(serviceIdSchema, serviceSchema),
-  teams: z.record(teamIdSchema, teamSchema),
-  policy: policySchema,
+  schemaVersion: z.literal(1).describe('Format of the document.'),
+  deploymentName: z.string().min(1).max(200).describe('Name for reports.'),
+  regionId: regionIdSchema.describe('The region that the deployment runs in.'),
+  zones: z.record(zoneIdSchema, zoneSchema).describe('Availability zones by id.'),
+  pools: z.record(poolIdSchema, poolSchema).describe('Pools by id.'),
+  instances: z
+    .record(instanceIdSchema, instanceSchema)
+    .describe('Instances by id. Each names its one pool.'),
+  services: z.record(serviceIdSchema, serviceSchema).describe('Services by id.'),
+  teams: z.record(teamIdSchema, teamSchema).describe('Teams by id.'),
+  policy: policySchema.describe('Deployment-wide policy.'),
 });
 
 export interface DocumentFault {
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -9,3 +9,4 @@
 export * from './canonicalJson.js';
 export * from './TeamKey.js';
 export * from './emptyDocument.js';
+export * from './configReference.js';
