--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -5,4 +5,5 @@
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
   config: async () => new (await import('./ConfigBench.js')).ConfigBench(),
+  rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
 };
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -4,9 +4,17 @@
  */
 import { randomUUID } from 'node:crypto';
 import { setTimeout } from 'node:timers/promises';
-import { type Clock, Disposable, Random, toDisposable, type WorkView } from '@acaciadock/core';
+import {
+  type Clock,
+  Disposable,
+  type Logger,
+  Random,
+  SilentLogger,
+  toDisposable,
+  type WorkView,
+} from '@acaciadock/core';
 import { StaticSplit } from '@acaciadock/credits';
-import { CallerServer, RequestRunner, TicketDesk } from '@acaciadock/gateway';
+import { claimHorizonFor, Gateway } from '@acaciadock/gateway';
 import { FixedMembership, OpenFence } from '@acaciadock/membership';
 import { type PeerAddress, PeerLinks } from '@acaciadock/peers';
 import {
@@ -29,12 +37,11 @@
   PoolHomes,
   WorkReporter,
 } from '@acaciadock/scheduling';
-import { LastOutcomes } from '@acaciadock/telemetry';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { ConfigRoutes } from './ConfigRoutes.js';
-import { CountingTargetClient } from './CountingTargetClient.js';
 import { HttpInstanceProbe } from './HttpInstanceProbe.js';
 import { Maintenance } from './Maintenance.js';
+import { Observability } from './Observability.js';
 import { OperatorServer } from './OperatorServer.js';
 import { PatchConfigWriter } from './PatchConfigWriter.js';
 import { type Settings } from './Settings.js';
@@ -50,11 +57,11 @@
 export class Entry extends Disposable {
   readonly follower: ConfigFollower;
 
-  readonly outcomes = new LastOutcomes();
+  readonly observability: Observability;
 
   private readonly links: PeerLinks;
 
-  private readonly callers: CallerServer;
+  readonly gateway: Gateway;
 
   private readonly operators: OperatorServer;
 
@@ -69,6 +76,7 @@
     private readonly settings: Settings,
     clock: Clock,
     seed: number,
+    logger: Logger = new SilentLogger(),
   ) {
     super();
     const random = new Random(seed);
@@ -88,6 +96,18 @@
       ),
     );
     this.follower.attach(this.links);
+    const { entryId } = settings;
+    this.observability = this.register(
+      new Observability({
+        entryId,
+        incarnation,
+        config: this.follower,
+        log,
+        clock,
+        random,
+        logger,
+      }),
+    );
     this.register(
       new SnapshotPublisher(
         log,
@@ -119,11 +139,22 @@
     );
     this.register(new WorkReporter(homes, this.links, clock));
     this.work = this.register(new FleetWork(homes, this.links, clock));
-    const desk = this.register(new TicketDesk(homes, this.links, clock));
-    const targets = this.register(new CountingTargetClient(clock));
-    const runner = new RequestRunner(this.follower, desk, targets, clock, random);
-    this.callers = this.register(
-      new CallerServer(this.follower, fence, runner, this.outcomes, clock),
+    this.register(
+      this.dispatcher.onFailure((failure) => logger.error('task-failed', { ...failure })),
+    );
+    this.gateway = this.register(
+      new Gateway({
+        selfEntryId: settings.entryId,
+        config: this.follower,
+        fence,
+        homes,
+        network: this.links,
+        log,
+        recorder: this.observability.recorder,
+        clock,
+        random,
+        claimHorizon: claimHorizonFor(settings.platform.logRetentionMs),
+      }),
     );
     const submitter = this.register(new PatchSubmitter(log, this.follower, clock));
     this.maintenance = this.register(
@@ -136,7 +167,7 @@
         control,
         directory,
         probe: this.register(new HttpInstanceProbe()),
-        runs: targets,
+        runs: this.gateway.runs,
         homes,
         network: this.links,
         clock,
@@ -144,7 +175,10 @@
       }),
     );
     this.operators = this.register(
-      new OperatorServer([...this.configRoutes(submitter, clock).routes()]),
+      new OperatorServer([
+        ...this.configRoutes(submitter, clock).routes(),
+        ...this.observability.routes(),
+      ]),
     );
   }
 
@@ -160,7 +194,7 @@
     this.maintenance.start();
     return {
       peerAddress: listening.value,
-      callerAddress: await this.callers.listen(this.settings.callerAddress),
+      callerAddress: await this.gateway.listen(this.settings.callerAddress),
       operatorAddress: await this.operators.listen(this.settings.operatorAddress),
     };
   }
@@ -173,8 +207,9 @@
   /** Graceful stop: requests in progress are finished first. */
   async stop(): Promise<void> {
     await this.maintenance.stop();
-    await this.callers.stop();
+    await this.gateway.stop();
     this.dispatcher.stop();
+    await this.observability.burn.flush();
     // The tickets that it gives back leave in the next turns.
     await setTimeout(GIVE_BACK_MS);
     this.dispose();
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -5,5 +5,6 @@
 export * from './LogStandIn.js';
 export * from './DirectoryStandIn.js';
 export * from './ControlStandIn.js';
+export * from './TargetBehaviour.js';
 export * from './TargetStandIn.js';
 export * from './exampleDocument.js';
