Contract tests of the platform's interfaces, and scenarios in feature files

Cause: no test said what any adapter of the log, the list and the control must do. The HTTP log adapter told a malformed answer as unreachable, the directory likewise; a call's limit was per chunk, so that an answer in drips stretched it; it is one limit for the whole call now.

--- a/packages/platform/src/HttpInstanceDirectory.ts
+++ b/packages/platform/src/HttpInstanceDirectory.ts
@@ -21,6 +21,9 @@
       path: '/instances',
       timeoutMs: LIST_TIMEOUT_MS,
     });
+    if (answer.isErr() && answer.error.kind === 'malformed') {
+      return err({ kind: 'directory-malformed', detail: answer.error.detail });
+    }
     if (answer.isErr()) return err({ kind: 'directory-unreachable' });
     if (answer.value.statusCode !== 200) return err({ kind: 'directory-unreachable' });
     const list = instanceListSchema.safeParse(answer.value.body);
--- a/packages/platform/src/HttpLogService.ts
+++ b/packages/platform/src/HttpLogService.ts
@@ -11,8 +11,6 @@
   type ReadRequest,
 } from './LogService.js';
 
-const APPEND_TIMEOUT_MS = 3_000;
-const READ_SLACK_MS = 3_000;
 const DEFAULT_RETRY_AFTER_MS = 200;
 
 const receiptSchema = z.object({ firstOffset: z.int().min(0), count: z.int().min(0) });
@@ -26,8 +24,20 @@
 const expiredSchema = z.object({ firstOffset: z.int().min(0) });
 const refusedSchema = z.object({ retryAfterMs: z.number().min(0) });
 
+export interface HttpLogOptions {
+  /** How long the answer to an append is waited for, in milliseconds. */
+  readonly appendTimeoutMs: number;
+  /** How much longer than it may be held back an answer to a read is waited for. */
+  readonly readSlackMs: number;
+}
+
+const DEFAULTS: HttpLogOptions = { appendTimeoutMs: 3_000, readSlackMs: 3_000 };
+
 export class HttpLogService extends LogService {
-  constructor(private readonly client: HttpPlatformClient) {
+  constructor(
+    private readonly client: HttpPlatformClient,
+    private readonly options: HttpLogOptions = DEFAULTS,
+  ) {
     super();
   }
 
@@ -41,7 +51,7 @@
       method: 'POST',
       path,
       body,
-      timeoutMs: APPEND_TIMEOUT_MS,
+      timeoutMs: this.options.appendTimeoutMs,
     });
     if (answer.isErr()) {
       return err({
@@ -58,8 +68,11 @@
       waitMs: String(request.waitMs),
     });
     const path = `/streams/${encodeURIComponent(request.stream)}/records?${query.toString()}`;
-    const timeoutMs = request.waitMs + READ_SLACK_MS;
+    const timeoutMs = request.waitMs + this.options.readSlackMs;
     const answer = await this.client.call({ method: 'GET', path, timeoutMs });
+    if (answer.isErr() && answer.error.kind === 'malformed') {
+      return err({ kind: 'log-malformed', detail: answer.error.detail });
+    }
     if (answer.isErr()) return err({ kind: 'log-unreachable' });
     return HttpLogService.page(answer.value);
   }
--- a/packages/platform/src/HttpPlatformClient.ts
+++ b/packages/platform/src/HttpPlatformClient.ts
@@ -50,8 +50,8 @@
       const answer = await this.pool.request({
         method: call.method,
         path: call.path,
-        headersTimeout: call.timeoutMs,
-        bodyTimeout: call.timeoutMs,
+        // One limit for the whole call, so that an answer in drips does not stretch it.
+        signal: AbortSignal.timeout(call.timeoutMs),
         ...(call.body === undefined
           ? {}
           : { body: JSON.stringify(call.body), headers: { 'content-type': 'application/json' } }),
--- /dev/null
+++ b/packages/scenarios/src/gherkin/FleetWorld.ts
@@ -0,0 +1,223 @@
+/**
+ * The world of a scenario: entries in this process, each with its own way to one log, targets,
+ * and the stand-ins for the rest of the platform. What a scenario does not start costs nothing.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { SystemClock } from '@acaciadock/core';
+import { EMPTY_DOCUMENT, type PatchOperation, TeamKey } from '@acaciadock/config';
+import { Entry, type EntryAddresses, settingsSchema } from '@acaciadock/daemon';
+import { CONFIG_STREAM } from '@acaciadock/platform';
+import {
+  ControlStandIn,
+  DirectoryStandIn,
+  exampleDocument,
+  LogStandIn,
+  LogStore,
+  TargetStandIn,
+} from '@acaciadock/testkit';
+import { request } from 'undici';
+
+const ANY_PORT = '127.0.0.1:0';
+const SEED = 1;
+const POLL_MS = 20;
+const SERVICE_ID = 'advice';
+
+export interface CallerAnswer {
+  readonly statusCode: number;
+  readonly text: string;
+}
+
+export interface PatchAnswer {
+  readonly statusCode: number;
+  readonly body: unknown;
+}
+
+export interface FleetSizes {
+  readonly entries: number;
+  readonly targets: number;
+  readonly teamId: string;
+  readonly limit: number;
+}
+
+export class FleetWorld {
+  readonly entries: Entry[] = [];
+
+  readonly logs: LogStandIn[] = [];
+
+  readonly targets: TargetStandIn[] = [];
+
+  private keptPatchAnswers: readonly PatchAnswer[] = [];
+
+  private keptCallerAnswers: readonly CallerAnswer[] = [];
+
+  teamKey = '';
+
+  keyPath = '';
+
+  private readonly clock = new SystemClock();
+
+  private readonly store = new LogStore(this.clock);
+
+  private readonly directory = new DirectoryStandIn(this.clock);
+
+  private readonly control = new ControlStandIn(this.clock);
+
+  private addresses: EntryAddresses[] = [];
+
+  private nextPatch = 0;
+
+  async start(sizes: FleetSizes): Promise<void> {
+    await Promise.all([this.directory.listen(), this.control.listen()]);
+    for (let index = 0; index < sizes.targets; index += 1) await this.addTarget(index);
+    this.publish(sizes);
+    for (let index = 0; index < sizes.entries; index += 1) await this.addEntry(index, sizes);
+    const peers = this.entries.map((entry, index) => ({
+      entryId: entry.entryId,
+      address: this.addresses[index]?.peerAddress ?? ANY_PORT,
+    }));
+    this.entries.forEach((entry) => entry.setPeers(peers));
+    await this.until('the first version everywhere', () => this.lowestVersion() >= 1);
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => entry.stop()));
+    const standIns = [...this.targets, ...this.logs, this.directory, this.control];
+    await Promise.all(standIns.map((standIn) => standIn.close()));
+  }
+
+  /** Answers of the patches of the last step that submitted any. */
+  get patchAnswers(): readonly PatchAnswer[] {
+    return this.keptPatchAnswers;
+  }
+
+  /** Answers of the requests of the last step that sent any. */
+  get callerAnswers(): readonly CallerAnswer[] {
+    return this.keptCallerAnswers;
+  }
+
+  keepPatchAnswers(answers: readonly PatchAnswer[]): void {
+    this.keptPatchAnswers = answers;
+  }
+
+  keepCallerAnswers(answers: readonly CallerAnswer[]): void {
+    this.keptCallerAnswers = answers;
+  }
+
+  lowestVersion(): number {
+    return Math.min(...this.entries.map((entry) => entry.follower.state().version));
+  }
+
+  /** Waits for a condition; throws when it does not hold in time. */
+  async until(
+    what: string,
+    holds: () => boolean | Promise<boolean>,
+    withinMs = 10_000,
+  ): Promise<void> {
+    const untilMs = this.clock.monotonicMs() + withinMs;
+    while (!(await holds())) {
+      if (this.clock.monotonicMs() > untilMs) throw new Error(`not in time: ${what}`);
+      await sleep(POLL_MS);
+    }
+  }
+
+  /** Sends one request of the team through an entry. */
+  async call(entryIndex: number, body: unknown): Promise<CallerAnswer> {
+    const address = this.addresses[entryIndex]?.callerAddress ?? '';
+    const answer = await request(`http://${address}/v1/services/${SERVICE_ID}/requests`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${this.teamKey}` },
+      body: JSON.stringify(body),
+    });
+    return { statusCode: answer.statusCode, text: await answer.body.text() };
+  }
+
+  /** Submits a patch through an entry, on the version that this entry has. */
+  async patch(
+    entryIndex: number,
+    operations: readonly PatchOperation[],
+    baseVersion = this.entries[entryIndex]?.follower.state().version ?? 0,
+  ): Promise<PatchAnswer> {
+    this.nextPatch += 1;
+    const address = this.addresses[entryIndex]?.operatorAddress ?? '';
+    const answer = await request(`http://${address}/v1/config/patches`, {
+      method: 'POST',
+      body: JSON.stringify({
+        kind: 'patch',
+        schemaVersion: 1,
+        patchId: `scenario-${this.nextPatch}`,
+        baseVersion,
+        author: 'operator',
+        submittedAtMs: this.clock.unixMs(),
+        operations,
+      }),
+    });
+    return { statusCode: answer.statusCode, body: await answer.body.json() };
+  }
+
+  /** An operator's call of an entry. */
+  async operatorGet(entryIndex: number, path: string): Promise<unknown> {
+    const address = this.addresses[entryIndex]?.operatorAddress ?? '';
+    const answer = await request(`http://${address}${path}`);
+    return answer.body.json();
+  }
+
+  private async addTarget(index: number): Promise<void> {
+    const target = new TargetStandIn(`t${index + 1}`, this.clock);
+    await target.listen();
+    this.targets.push(target);
+    this.directory.set({ instanceId: target.targetId, role: 'target', state: 'live' });
+  }
+
+  private publish({ teamId, limit }: FleetSizes): void {
+    const targets = this.targets.map(({ targetId, address }) => ({
+      instanceId: targetId,
+      address,
+    }));
+    const document = exampleDocument({ targets, teams: { [teamId]: { share: 1, limit } } });
+    const { keyId, key, sha256 } = TeamKey.create(teamId);
+    this.teamKey = key;
+    this.keyPath = `/teams/${teamId}/keys/${keyId}`;
+    const team = document.teams[teamId];
+    if (team) team.keys[keyId] = { sha256, grantedAtMs: 0, note: '' };
+    const operations = Object.keys(EMPTY_DOCUMENT).map((field) => ({
+      op: 'replace',
+      path: `/${field}`,
+      value: document[field as keyof typeof document],
+    }));
+    this.store.append(CONFIG_STREAM, [
+      {
+        kind: 'patch',
+        schemaVersion: 1,
+        patchId: 'first',
+        baseVersion: 0,
+        author: 'scenario',
+        submittedAtMs: 0,
+        operations,
+      },
+    ]);
+  }
+
+  private async addEntry(index: number, sizes: FleetSizes): Promise<void> {
+    const log = new LogStandIn(this.clock, this.store);
+    await log.listen();
+    this.logs.push(log);
+    const entryIds = Array.from({ length: sizes.entries }, (_, peer) => `e${peer + 1}`);
+    const settings = settingsSchema.parse({
+      schemaVersion: 1,
+      entryId: `e${index + 1}`,
+      zoneId: 'zone-a',
+      callerAddress: ANY_PORT,
+      operatorAddress: ANY_PORT,
+      peerAddress: ANY_PORT,
+      platform: {
+        logUrl: `http://${log.address}`,
+        directoryUrl: `http://${this.directory.address}`,
+        controlUrl: `http://${this.control.address}`,
+      },
+      peers: entryIds.map((entryId) => ({ entryId, address: ANY_PORT })),
+    });
+    const entry = new Entry(settings, this.clock, SEED + index);
+    this.entries.push(entry);
+    this.addresses.push(await entry.start());
+  }
+}
--- /dev/null
+++ b/packages/scenarios/src/gherkin/Scenario.ts
@@ -0,0 +1,14 @@
+/** A scenario as parsed from a feature file: its name and the texts of its steps. */
+
+export interface Scenario {
+  readonly featureName: string;
+  readonly name: string;
+  readonly steps: readonly string[];
+}
+
+export type ScenarioFailure =
+  | { readonly kind: 'feature-malformed'; readonly detail: string }
+  /** No step definition fits the line, or more than one does. */
+  | { readonly kind: 'step-not-defined'; readonly text: string }
+  | { readonly kind: 'step-ambiguous'; readonly text: string }
+  | { readonly kind: 'step-failed'; readonly text: string; readonly cause: unknown };
--- a/packages/testkit/src/ControlStandIn.ts
+++ b/packages/testkit/src/ControlStandIn.ts
@@ -3,6 +3,7 @@
 import { type Clock, EventEmitter, type InstanceId } from '@acaciadock/core';
 import { type OperationState } from '@acaciadock/platform';
 import { z } from 'zod';
+import { AnswerFaults } from './AnswerFaults.js';
 import { HttpStandIn } from './HttpStandIn.js';
 
 const requestSchema = z.object({
@@ -15,6 +16,8 @@
   down: boolean;
   /** How many of the next calls take effect and then lose their answer. */
   loseAnswers: number;
+  /** How many of the next calls are refused, without effect. */
+  refuse: number;
   /** Instances whose operations end as failed. */
   readonly failing: Set<InstanceId>;
 }
@@ -27,7 +30,14 @@
 }
 
 export class ControlStandIn extends HttpStandIn {
-  readonly faults: ControlFaults = { down: false, loseAnswers: 0, failing: new Set() };
+  readonly faults: ControlFaults = {
+    down: false,
+    loseAnswers: 0,
+    refuse: 0,
+    failing: new Set(),
+  };
+
+  readonly answers: AnswerFaults;
 
   private readonly operations = new Map<string, OperationState>();
 
@@ -45,6 +55,7 @@
     public rebootMs = 200,
   ) {
     super();
+    this.answers = new AnswerFaults(clock);
   }
 
   protected override async answer(
@@ -55,6 +66,11 @@
       response.destroy();
       return;
     }
+    if (this.faults.refuse > 0) {
+      this.faults.refuse -= 1;
+      HttpStandIn.send(response, 409, { detail: 'refused' });
+      return;
+    }
     const operationId = (request.url ?? '').split('/').pop() ?? '';
     if (request.method === 'POST') {
       this.start(operationId, requestSchema.parse(await HttpStandIn.readJson(request)));
@@ -64,7 +80,9 @@
       response.destroy();
       return;
     }
-    HttpStandIn.send(response, 200, { state: this.operations.get(operationId) ?? 'unknown' });
+    await this.answers.send(response, 200, {
+      state: this.operations.get(operationId) ?? 'unknown',
+    });
   }
 
   private start(operationId: string, request: z.infer<typeof requestSchema>): void {
--- a/packages/testkit/src/DirectoryStandIn.ts
+++ b/packages/testkit/src/DirectoryStandIn.ts
@@ -2,6 +2,7 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Clock, type InstanceId } from '@acaciadock/core';
 import { type ListedInstance } from '@acaciadock/platform';
+import { AnswerFaults } from './AnswerFaults.js';
 import { HttpStandIn } from './HttpStandIn.js';
 
 interface Change {
@@ -13,6 +14,8 @@
 export class DirectoryStandIn extends HttpStandIn {
   down = false;
 
+  readonly answers: AnswerFaults;
+
   private changes: Change[] = [];
 
   private readonly shown = new Map<InstanceId, ListedInstance>();
@@ -23,6 +26,7 @@
     public lagMs = 0,
   ) {
     super();
+    this.answers = new AnswerFaults(clock);
   }
 
   /** Sets what is true of an instance; the list shows it after the lag. */
@@ -41,7 +45,7 @@
       return;
     }
     this.showUntil(this.clock.monotonicMs() - this.lagMs);
-    HttpStandIn.send(response, 200, {
+    await this.answers.send(response, 200, {
       observedAtMs: this.clock.unixMs() - this.lagMs,
       instances: [...this.shown.values()],
     });
--- a/packages/testkit/src/HttpStandIn.ts
+++ b/packages/testkit/src/HttpStandIn.ts
@@ -24,6 +24,10 @@
     });
   }
 
+  get isListening(): boolean {
+    return this.server.listening;
+  }
+
   get address(): string {
     const { port } = this.server.address() as AddressInfo;
     return `${LOOPBACK}:${port}`;
@@ -49,7 +53,7 @@
     return JSON.parse((await HttpStandIn.readBody(request)).toString('utf8'));
   }
 
-  protected static send(response: ServerResponse, statusCode: number, body: unknown): void {
+  static send(response: ServerResponse, statusCode: number, body: unknown): void {
     const bytes = Buffer.from(JSON.stringify(body));
     response.writeHead(statusCode, {
       'content-type': 'application/json',
--- a/packages/testkit/src/LogStandIn.ts
+++ b/packages/testkit/src/LogStandIn.ts
@@ -6,6 +6,7 @@
 import { type Clock } from '@acaciadock/core';
 import { type LogRecord } from '@acaciadock/platform';
 import { z } from 'zod';
+import { AnswerFaults } from './AnswerFaults.js';
 import { HttpStandIn } from './HttpStandIn.js';
 import { LogStore } from './LogStore.js';
 
@@ -20,10 +21,6 @@
   loseAppendAnswers: number;
   /** How many of the next appends are refused with a typed answer. */
   refuseAppends: number;
-  /** How many of the next answers are cut in the middle; the call took effect. */
-  cutAnswers: number;
-  /** How many of the next answers are no JSON; the call took effect. */
-  garbleAnswers: number;
 }
 
 export class LogStandIn extends HttpStandIn {
@@ -32,15 +29,18 @@
     slowMs: 0,
     loseAppendAnswers: 0,
     refuseAppends: 0,
-    cutAnswers: 0,
-    garbleAnswers: 0,
   };
 
-  readonly store: LogStore;
+  /** Faults of the answers, of appends and reads alike. */
+  readonly answers: AnswerFaults;
 
-  constructor(private readonly clock: Clock) {
+  constructor(
+    private readonly clock: Clock,
+    /** Stand-ins over one store are several ways to the same log. */
+    readonly store = new LogStore(clock),
+  ) {
     super();
-    this.store = new LogStore(clock);
+    this.answers = new AnswerFaults(clock);
   }
 
   /** Append calls that took effect so far. */
@@ -106,7 +106,7 @@
       response.destroy();
       return;
     }
-    this.send(response, 200, { firstOffset, count: payloads.length });
+    await this.answers.send(response, 200, { firstOffset, count: payloads.length });
   }
 
   private async answerRead(
@@ -121,24 +121,10 @@
       return;
     }
     const page = this.store.read(name, from, Number(query.get('most')));
-    if ('kind' in page) this.send(response, 410, { firstOffset: page.firstOffset });
-    else this.send(response, 200, page);
-  }
-
-  /** Sends an answer, whole or broken as the faults say. */
-  private send(response: ServerResponse, statusCode: number, body: unknown): void {
-    if (this.faults.garbleAnswers > 0) {
-      this.faults.garbleAnswers -= 1;
-      response.writeHead(200, { 'content-type': 'application/json' }).end('{"records":');
-      return;
-    }
-    if (this.faults.cutAnswers > 0) {
-      this.faults.cutAnswers -= 1;
-      const text = JSON.stringify(body);
-      response.writeHead(statusCode, { 'content-length': text.length });
-      response.write(text.slice(0, text.length / 2), () => response.destroy());
+    if ('kind' in page) {
+      await this.answers.send(response, 410, { firstOffset: page.firstOffset });
       return;
     }
-    HttpStandIn.send(response, statusCode, body);
+    await this.answers.send(response, 200, page);
   }
 }
--- /dev/null
+++ b/packages/testkit/src/contracts/instanceControlContract.ts
@@ -0,0 +1,88 @@
+/** What every adapter of the platform's instance control must do, with its faults in a table. */
+import { describe, it } from '@acaciadock/core/testing';
+import { type InstanceControl } from '@acaciadock/platform';
+
+export type ControlFault =
+  'unreachable' | 'refused' | 'answer lost' | 'answer cut' | 'answer no JSON' | 'answer misshaped';
+
+export abstract class ControlHarness {
+  abstract readonly control: InstanceControl;
+
+  /** Operations that took effect so far. */
+  abstract readonly startCount: number;
+
+  /** Lets the operations under way end, as failed for the instances named here. */
+  abstract finish(failing?: readonly string[]): void;
+
+  abstract cause(fault: ControlFault): Promise<void>;
+
+  abstract close(): Promise<void>;
+}
+
+interface FaultCase {
+  readonly fault: ControlFault;
+  readonly kind: string;
+  readonly started: number;
+}
+
+const FAULT_CASES: readonly FaultCase[] = [
+  { fault: 'unreachable', kind: 'control-unreachable', started: 0 },
+  { fault: 'refused', kind: 'control-refused', started: 0 },
+  { fault: 'answer lost', kind: 'control-unknown', started: 1 },
+  { fault: 'answer cut', kind: 'control-unknown', started: 1 },
+  { fault: 'answer no JSON', kind: 'control-unknown', started: 1 },
+  { fault: 'answer misshaped', kind: 'control-malformed', started: 1 },
+];
+
+/** Runs the contract against an adapter. */
+export function describeInstanceControl(name: string, open: () => Promise<ControlHarness>): void {
+  describe(`${name} as instance control`, () => {
+    it('starts an operation once, however often it is called under its id', async (t) => {
+      const harness = await open();
+      const { control } = harness;
+      t.match(await control.operation('op-1'), { value: 'unknown' });
+      t.match(await control.reboot('op-1', 't1'), { value: 'running' });
+      t.match(await control.reboot('op-1', 't1'), { value: 'running' });
+      harness.finish();
+      t.match(await control.operation('op-1'), { value: 'succeeded' });
+      t.match(await control.reboot('op-1', 't1'), { value: 'succeeded' });
+      t.equal(harness.startCount, 1);
+      await harness.close();
+    });
+
+    it('tells when an operation failed', async (t) => {
+      const harness = await open();
+      await harness.control.reboot('op-1', 't1');
+      harness.finish(['t1']);
+      t.match(await harness.control.operation('op-1'), { value: 'failed' });
+      await harness.close();
+    });
+
+    it('checkpoints under an operation id', async (t) => {
+      const harness = await open();
+      t.ok((await harness.control.checkpoint('op-2', 't1', 'r1')).isOk());
+      harness.finish();
+      t.match(await harness.control.operation('op-2'), { value: 'succeeded' });
+      await harness.close();
+    });
+
+    FAULT_CASES.forEach(({ fault, kind, started }) => {
+      it(`tells truly what happened: ${fault}`, async (t) => {
+        const harness = await open();
+        await harness.cause(fault);
+        t.match(await harness.control.reboot('op-1', 't1'), { error: { kind } });
+        t.equal(harness.startCount, started);
+        await harness.close();
+      });
+    });
+
+    it('does nothing twice when a call is repeated after its answer was lost', async (t) => {
+      const harness = await open();
+      await harness.cause('answer lost');
+      t.match(await harness.control.reboot('op-1', 't1'), { error: { kind: 'control-unknown' } });
+      t.match(await harness.control.reboot('op-1', 't1'), { value: 'running' });
+      t.equal(harness.startCount, 1);
+      await harness.close();
+    });
+  });
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,5 @@
 /** Public interface: stand-ins for the outside systems, for tests, benches and the demo. */
+export * from './AnswerFaults.js';
 export * from './HttpStandIn.js';
 export * from './LogStore.js';
 export * from './MemoryLogService.js';
