--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -67,7 +67,7 @@
       release: (serviceId, targetId) => this.poolOfService(serviceId)?.targets.release(targetId),
     });
     this.acks = new AckBatches(network);
-    this.maker = new GrantMaker(config, clock, parts.incarnation);
+    this.maker = new GrantMaker(config, parts.incarnation);
     this.drains = new DrainReporter(
       network.selfEntryId,
       this.board,
