--- a/packages/scenarios/features/requests.feature
+++ b/packages/scenarios/features/requests.feature
@@ -14,3 +14,8 @@
     Then every request is answered with 200
     When the operator withdraws the team's key
     Then a request through every entry is refused with 401 within 8 seconds
+
+  Scenario: A withdrawn key stops working at an entry that is cut from the log
+    Given entry 3 is cut from the log
+    When the operator withdraws the team's key
+    Then a request through every entry is refused with 401 within 8 seconds
--- a/packages/scenarios/src/gherkin/FleetWorld.ts
+++ b/packages/scenarios/src/gherkin/FleetWorld.ts
@@ -70,13 +70,8 @@
     await Promise.all([this.directory.listen(), this.control.listen()]);
     for (let index = 0; index < sizes.targets; index += 1) await this.addTarget(index);
     this.publish(sizes);
-    for (let index = 0; index < sizes.entries; index += 1) await this.addEntry(index, sizes);
-    const peers = this.entries.map((entry, index) => ({
-      entryId: entry.entryId,
-      address: this.addresses[index]?.peerAddress ?? ANY_PORT,
-    }));
-    this.entries.forEach((entry) => entry.setPeers(peers));
-    await this.until('the first version everywhere', () => this.lowestVersion() >= 1);
+    for (let index = 0; index < sizes.entries; index += 1) await this.addEntry(index);
+    await this.until('every entry serves', () => this.entries.every((entry) => this.serves(entry)));
   }
 
   async stop(): Promise<void> {
@@ -197,14 +192,20 @@
     ]);
   }
 
-  private async addEntry(index: number, sizes: FleetSizes): Promise<void> {
+  /** Whether an entry has the configuration, knows all others and may start work. */
+  private serves({ follower, fence, membership }: Entry): boolean {
+    if (follower.state().version === 0 || fence.reason()) return false;
+    return membership.liveEntries().length === this.entries.length;
+  }
+
+  private async addEntry(index: number): Promise<void> {
     const log = new LogStandIn(this.clock, this.store);
     await log.listen();
     this.logs.push(log);
-    const entryIds = Array.from({ length: sizes.entries }, (_, peer) => `e${peer + 1}`);
+    const entryId = `e${index + 1}`;
     const settings = settingsSchema.parse({
       schemaVersion: 1,
-      entryId: `e${index + 1}`,
+      entryId,
       zoneId: 'zone-a',
       callerAddress: ANY_PORT,
       operatorAddress: ANY_PORT,
@@ -214,8 +215,8 @@
         directoryUrl: `http://${this.directory.address}`,
         controlUrl: `http://${this.control.address}`,
       },
-      peers: entryIds.map((entryId) => ({ entryId, address: ANY_PORT })),
     });
+    this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
     const entry = new Entry(settings, this.clock, SEED + index);
     this.entries.push(entry);
     this.addresses.push(await entry.start());
