--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -5,5 +5,10 @@
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
   config: async () => new (await import('./ConfigBench.js')).ConfigBench(),
+  share: async () => new (await import('./ShareBench.js')).ShareBench(),
+  burst: async () => new (await import('./BurstBench.js')).BurstBench(),
+  overload: async () => new (await import('./OverloadBench.js')).OverloadBench(),
+  health: async () => new (await import('./HealthBench.js')).HealthBench(),
+  scheduling: async () => new (await import('./SchedulingBench.js')).SchedulingBench(),
   rollout: async () => new (await import('./RollOutBench.js')).RollOutBench(),
 };
