--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,11 +4,8 @@
 type BenchLoader = () => Promise<Bench>;
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
-<<<<<<< HEAD
   config: async () => new (await import('./ConfigBench.js')).ConfigBench(),
-=======
   plan: async () => new (await import('./PlanBench.js')).PlanBench(),
->>>>>>> main
   share: async () => new (await import('./ShareBench.js')).ShareBench(),
   burst: async () => new (await import('./BurstBench.js')).BurstBench(),
   overload: async () => new (await import('./OverloadBench.js')).OverloadBench(),
