--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -5,6 +5,7 @@
 
 export const BENCHES: Readonly<Record<string, BenchLoader>> = {
   capacity: async () => new (await import('./CapacityBench.js')).CapacityBench(),
+  config: async () => new (await import('./ConfigBench.js')).ConfigBench(),
   credits: async () => new (await import('./CreditsBench.js')).CreditsBench(),
   plan: async () => new (await import('./PlanBench.js')).PlanBench(),
   share: async () => new (await import('./ShareBench.js')).ShareBench(),
--- a/packages/platform/src/HttpInstanceDirectory.ts
+++ b/packages/platform/src/HttpInstanceDirectory.ts
@@ -31,6 +31,9 @@
       timeoutMs: LIST_TIMEOUT_MS,
       ...(this.lastTag === undefined ? {} : { headers: { 'if-none-match': this.lastTag } }),
     });
+    if (answer.isErr() && answer.error.kind === 'malformed') {
+      return err({ kind: 'directory-malformed', detail: answer.error.detail });
+    }
     if (answer.isErr()) return err({ kind: 'directory-unreachable' });
     if (answer.value.statusCode === 304 && this.last) return ok(this.unchanged(answer.value));
     if (answer.value.statusCode !== 200) return err({ kind: 'directory-unreachable' });
--- a/packages/testkit/src/DirectoryStandIn.ts
+++ b/packages/testkit/src/DirectoryStandIn.ts
@@ -2,6 +2,7 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Clock, type InstanceId } from '@acaciadock/core';
 import { type ListedInstance } from '@acaciadock/platform';
+import { AnswerFaults } from './AnswerFaults.js';
 import { HttpStandIn } from './HttpStandIn.js';
 
 interface Change {
@@ -13,6 +14,8 @@
 export class DirectoryStandIn extends HttpStandIn {
   down = false;
 
+  readonly answers: AnswerFaults;
+
   private changes: Change[] = [];
 
   /** Changes with what the list shows; the list's tag. */
@@ -26,6 +29,7 @@
     public lagMs = 0,
   ) {
     super();
+    this.answers = new AnswerFaults(clock);
   }
 
   /** Sets what is true of an instance; the list shows it after the lag. */
@@ -54,7 +58,7 @@
       response.writeHead(304).end();
       return;
     }
-    HttpStandIn.send(response, 200, { observedAtMs, instances: [...this.shown.values()] });
+    await this.answers.send(response, 200, { observedAtMs, instances: [...this.shown.values()] });
   }
 
   private showUntil(untilMs: number): void {
