--- a/packages/bench/src/credits/RealFleet.ts
+++ b/packages/bench/src/credits/RealFleet.ts
@@ -1,6 +1,6 @@
 /** Eight real entries in one process on loopback: how fast one busy team reaches its limit. */
 import { type Clock, SystemClock } from '@acaciadock/core';
-import { EMPTY_DOCUMENT, TeamKey } from '@acaciadock/config';
+import { TeamKey } from '@acaciadock/config';
 import { Entry, settingsSchema } from '@acaciadock/daemon';
 import { CONFIG_STREAM } from '@acaciadock/platform';
 import {
@@ -9,6 +9,8 @@
   exampleDocument,
   LogStandIn,
   TargetStandIn,
+  firstPatch,
+  loopbackSettings,
 } from '@acaciadock/testkit';
 import { Pool } from 'undici';
 
@@ -19,7 +21,6 @@
 const RUN_MS = 4_000;
 const WITHIN_MS = 1_000;
 const POLL_MS = 10;
-const ANY_PORT = '127.0.0.1:0';
 const TEAM_ID = 'bench-desk';
 
 export interface RealFleetFindings {
@@ -102,14 +103,7 @@
     const { keyId, key, sha256 } = TeamKey.create(TEAM_ID);
     const team = document.teams[TEAM_ID];
     if (team) team.keys[keyId] = { sha256, grantedAtMs: this.clock.unixMs(), note: '' };
-    const operations = Object.keys(EMPTY_DOCUMENT).map((field) => ({
-      op: 'replace',
-      path: `/${field}`,
-      value: document[field as keyof typeof document],
-    }));
-    const submittedAtMs = this.clock.unixMs();
-    const base = { kind: 'patch', schemaVersion: 1, patchId: 'first', baseVersion: 0 };
-    this.log.append(CONFIG_STREAM, [{ ...base, author: 'bench', submittedAtMs, operations }]);
+    this.log.append(CONFIG_STREAM, [firstPatch(document)]);
     return key;
   }
 
@@ -118,19 +112,13 @@
     for (let index = 0; index < ENTRIES; index += 1) {
       const entryId = `e${index}`;
       this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
-      const settings = settingsSchema.parse({
-        schemaVersion: 1,
-        entryId,
-        zoneId: 'zone-a',
-        callerAddress: ANY_PORT,
-        operatorAddress: ANY_PORT,
-        peerAddress: ANY_PORT,
-        platform: {
-          logUrl: `http://${this.log.address}`,
-          directoryUrl: `http://${this.directory.address}`,
-          controlUrl: `http://${this.control.address}`,
-        },
-      });
+      const settings = settingsSchema.parse(
+        loopbackSettings(entryId, {
+          log: this.log,
+          directory: this.directory,
+          control: this.control,
+        }),
+      );
       const entry = new Entry(settings, this.clock, seed + index);
       this.entries.push(entry);
       callerAddress = (await entry.start()).callerAddress;
--- a/packages/bench/src/path/PathRig.ts
+++ b/packages/bench/src/path/PathRig.ts
@@ -1,8 +1,14 @@
 /** The processes of the bench: targets, the bare forwarder, and one and three entries. */
-import { EMPTY_DOCUMENT, TeamKey } from '@acaciadock/config';
+import { TeamKey } from '@acaciadock/config';
 import { type Clock } from '@acaciadock/core';
 import { CONFIG_STREAM } from '@acaciadock/platform';
-import { ControlStandIn, DirectoryStandIn, exampleDocument, LogStandIn } from '@acaciadock/testkit';
+import {
+  ControlStandIn,
+  DirectoryStandIn,
+  exampleDocument,
+  LogStandIn,
+  firstPatch,
+} from '@acaciadock/testkit';
 import { ForkedRole } from './ForkedRole.js';
 
 const TARGETS = 35;
@@ -114,14 +120,6 @@
     this.teamKey = key;
     const team = document.teams[TEAM_ID];
     if (team) team.keys[keyId] = { sha256, grantedAtMs: this.clock.unixMs(), note: '' };
-    const operations = Object.keys(EMPTY_DOCUMENT).map((field) => ({
-      op: 'replace',
-      path: `/${field}`,
-      value: document[field as keyof typeof document],
-    }));
-    const submittedAtMs = this.clock.unixMs();
-    const patchId = 'bench-first';
-    const head = { kind: 'patch', schemaVersion: 1, baseVersion: 0, author: 'bench' };
-    this.log.append(CONFIG_STREAM, [{ ...head, patchId, submittedAtMs, operations }]);
+    this.log.append(CONFIG_STREAM, [firstPatch(document)]);
   }
 }
--- a/packages/daemon/src/Entry.ts
+++ b/packages/daemon/src/Entry.ts
@@ -109,6 +109,7 @@
       ),
     );
     this.follower.attach(this.links);
+    const { counters } = this.links;
     const { entryId } = settings;
     this.observability = this.register(
       new Observability({
@@ -121,6 +122,7 @@
         logger,
       }),
     );
+    this.observability.addLinkGauges(counters);
     this.register(
       new SnapshotPublisher(
         log,
--- a/packages/daemon/src/Observability.ts
+++ b/packages/daemon/src/Observability.ts
@@ -1,6 +1,7 @@
 /** What one entry tells about itself: request log, metrics, service-level burn and its alerts. */
 import { type Clock, Disposable, type Logger, type Random } from '@acaciadock/core';
 import { type ConfigView } from '@acaciadock/config';
+import { type LinkCounters } from '@acaciadock/peers';
 import { type LogService } from '@acaciadock/platform';
 import {
   BurnAlerts,
@@ -56,6 +57,18 @@
     );
   }
 
+  /** Shows what passes over the links to the other entries. */
+  addLinkGauges(counters: LinkCounters): void {
+    const { metrics } = this;
+    metrics.addGauge('acaciadock_peer_sent_bytes', 'Bytes sent to other entries.', () => counters.sentBytes);
+    metrics.addGauge('acaciadock_peer_received_bytes', 'Bytes received from other entries.', () => counters.receivedBytes);
+    metrics.addGauge(
+      'acaciadock_peer_rejected_messages',
+      'Messages of other entries that did not fit the contract.',
+      () => counters.rejectedMessages,
+    );
+  }
+
   routes(): readonly OperatorRoute[] {
     const { config, clock } = this.options;
     return new ReportRoutes(config, this.burn, this.metrics, clock).routes();
--- a/packages/demo/src/DemoFleet.ts
+++ b/packages/demo/src/DemoFleet.ts
@@ -1,6 +1,6 @@
 /** Three entries, the stand-ins and ten targets in one process. */
 import { type Clock, SystemClock } from '@acaciadock/core';
-import { EMPTY_DOCUMENT, TeamKey } from '@acaciadock/config';
+import { TeamKey } from '@acaciadock/config';
 import { Entry, type EntryAddresses, settingsSchema } from '@acaciadock/daemon';
 import { CONFIG_STREAM } from '@acaciadock/platform';
 import {
@@ -9,6 +9,8 @@
   exampleDocument,
   LogStandIn,
   TargetStandIn,
+  firstPatch,
+  loopbackSettings,
 } from '@acaciadock/testkit';
 
 const ENTRY_COUNT = 3;
@@ -17,7 +19,6 @@
 const TEAM_ID = 'bench-desk';
 const SERVICE_ID = 'advice';
 const CONFIG_POLL_MS = 10;
-const ANY_PORT = '127.0.0.1:0';
 
 export class DemoFleet {
   readonly log: LogStandIn;
@@ -77,39 +78,13 @@
     this.teamKey = key;
     const team = document.teams[TEAM_ID];
     if (team) team.keys[keyId] = { sha256, grantedAtMs: this.clock.unixMs(), note: 'demo' };
-    this.log.append(CONFIG_STREAM, [
-      {
-        kind: 'patch',
-        schemaVersion: 1,
-        patchId: 'demo-first',
-        baseVersion: 0,
-        author: 'demo',
-        submittedAtMs: this.clock.unixMs(),
-        operations: Object.keys(EMPTY_DOCUMENT).map((field) => ({
-          op: 'replace',
-          path: `/${field}`,
-          value: document[field as keyof typeof document],
-        })),
-      },
-    ]);
+    this.log.append(CONFIG_STREAM, [firstPatch(document)]);
   }
 
   private async startEntries(seed: number): Promise<void> {
     const entryIds = Array.from({ length: ENTRY_COUNT }, (_, index) => `e${index}`);
     for (const [index, entryId] of entryIds.entries()) {
-      const settings = settingsSchema.parse({
-        schemaVersion: 1,
-        entryId,
-        zoneId: 'zone-a',
-        callerAddress: ANY_PORT,
-        operatorAddress: ANY_PORT,
-        peerAddress: ANY_PORT,
-        platform: {
-          logUrl: `http://${this.log.address}`,
-          directoryUrl: `http://${this.directory.address}`,
-          controlUrl: `http://${this.control.address}`,
-        },
-      });
+      const settings = settingsSchema.parse(loopbackSettings(entryId, this));
       this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
       const entry = new Entry(settings, this.clock, seed + index);
       this.entries.push(entry);
--- a/packages/scenarios/src/EntryFleet.ts
+++ b/packages/scenarios/src/EntryFleet.ts
@@ -17,11 +17,11 @@
   exampleDocument,
   LogStandIn,
   TargetStandIn,
+  loopbackSettings,
 } from '@acaciadock/testkit';
 import { Pool } from 'undici';
 import { type CallerAnswer, type CallerRequest, readAnswer } from './CallerAnswer.js';
 
-const ANY_PORT = '127.0.0.1:0';
 const POLL_MS = 10;
 const TEAM_ID = 'bench-desk';
 const DEFAULT_TEAM_LIMIT = 1_000;
@@ -197,19 +197,7 @@
 
   private createEntry(entryId: string, index: number): Entry {
     this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
-    const settings = settingsSchema.parse({
-      schemaVersion: 1,
-      entryId,
-      zoneId: 'zone-a',
-      callerAddress: ANY_PORT,
-      operatorAddress: ANY_PORT,
-      peerAddress: ANY_PORT,
-      platform: {
-        logUrl: `http://${this.log.address}`,
-        directoryUrl: `http://${this.directory.address}`,
-        controlUrl: `http://${this.control.address}`,
-      },
-    });
+    const settings = settingsSchema.parse(loopbackSettings(entryId, this));
     return new Entry(settings, this.clock, this.options.seed + index);
   }
 
--- a/packages/scenarios/src/fleet/MaintenanceFleet.ts
+++ b/packages/scenarios/src/fleet/MaintenanceFleet.ts
@@ -1,7 +1,7 @@
 /** Entries, stand-ins and the targets of one deployment in one process, for maintenance runs. */
 import { randomUUID } from 'node:crypto';
 import { type Clock, type InstanceId, Random } from '@acaciadock/core';
-import { EMPTY_DOCUMENT, type PatchOperation } from '@acaciadock/config';
+import { type PatchOperation } from '@acaciadock/config';
 import { Entry, type EntryAddresses, type Settings, settingsSchema } from '@acaciadock/daemon';
 import {
   type CommandOutcome,
@@ -9,7 +9,14 @@
   type MaintenanceState,
 } from '@acaciadock/maintenance';
 import { CONFIG_STREAM } from '@acaciadock/platform';
-import { ControlStandIn, DirectoryStandIn, LogStandIn, TargetStandIn } from '@acaciadock/testkit';
+import {
+  ControlStandIn,
+  DirectoryStandIn,
+  LogStandIn,
+  TargetStandIn,
+  firstPatch,
+  loopbackSettings,
+} from '@acaciadock/testkit';
 import {
   type Deployment,
   DEPLOYMENT_TARGETS,
@@ -19,7 +26,6 @@
 import { FleetLoad } from './FleetLoad.js';
 import { FleetObserver } from './FleetObserver.js';
 
-const ANY_PORT = '127.0.0.1:0';
 const POLL_MS = 10;
 
 export interface FleetOptions {
@@ -186,21 +192,7 @@
 
   private publish(): void {
     const { document } = this.deployment;
-    this.log.append(CONFIG_STREAM, [
-      {
-        kind: 'patch',
-        schemaVersion: 1,
-        patchId: 'first',
-        baseVersion: 0,
-        author: 'scenario',
-        submittedAtMs: this.clock.unixMs(),
-        operations: Object.keys(EMPTY_DOCUMENT).map((field) => ({
-          op: 'replace',
-          path: `/${field}`,
-          value: document[field as keyof typeof document],
-        })),
-      },
-    ]);
+    this.log.append(CONFIG_STREAM, [firstPatch(document)]);
   }
 
   private async startEntries(): Promise<void> {
@@ -223,17 +215,7 @@
 
   private settingsOf(entryId: string): Settings {
     return settingsSchema.parse({
-      schemaVersion: 1,
-      entryId,
-      zoneId: 'zone-a',
-      callerAddress: ANY_PORT,
-      operatorAddress: ANY_PORT,
-      peerAddress: ANY_PORT,
-      platform: {
-        logUrl: `http://${this.log.address}`,
-        directoryUrl: `http://${this.directory.address}`,
-        controlUrl: `http://${this.control.address}`,
-      },
+      ...loopbackSettings(entryId, this),
       maintenance: MAINTENANCE_TIMING,
     });
   }
--- a/packages/scenarios/src/gherkin/FleetWorld.ts
+++ b/packages/scenarios/src/gherkin/FleetWorld.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { SystemClock } from '@acaciadock/core';
-import { EMPTY_DOCUMENT, type PatchOperation, TeamKey } from '@acaciadock/config';
+import { type PatchOperation, TeamKey } from '@acaciadock/config';
 import { Entry, type EntryAddresses, settingsSchema } from '@acaciadock/daemon';
 import { CONFIG_STREAM } from '@acaciadock/platform';
 import {
@@ -14,10 +14,11 @@
   LogStandIn,
   LogStore,
   TargetStandIn,
+  firstPatch,
+  loopbackSettings,
 } from '@acaciadock/testkit';
 import { request } from 'undici';
 
-const ANY_PORT = '127.0.0.1:0';
 const SEED = 1;
 const POLL_MS = 20;
 const SERVICE_ID = 'advice';
@@ -174,22 +175,7 @@
     this.keyPath = `/teams/${teamId}/keys/${keyId}`;
     const team = document.teams[teamId];
     if (team) team.keys[keyId] = { sha256, grantedAtMs: 0, note: '' };
-    const operations = Object.keys(EMPTY_DOCUMENT).map((field) => ({
-      op: 'replace',
-      path: `/${field}`,
-      value: document[field as keyof typeof document],
-    }));
-    this.store.append(CONFIG_STREAM, [
-      {
-        kind: 'patch',
-        schemaVersion: 1,
-        patchId: 'first',
-        baseVersion: 0,
-        author: 'scenario',
-        submittedAtMs: 0,
-        operations,
-      },
-    ]);
+    this.store.append(CONFIG_STREAM, [firstPatch(document)]);
   }
 
   /** Whether an entry has the configuration, knows all others and may start work. */
@@ -203,19 +189,9 @@
     await log.listen();
     this.logs.push(log);
     const entryId = `e${index + 1}`;
-    const settings = settingsSchema.parse({
-      schemaVersion: 1,
-      entryId,
-      zoneId: 'zone-a',
-      callerAddress: ANY_PORT,
-      operatorAddress: ANY_PORT,
-      peerAddress: ANY_PORT,
-      platform: {
-        logUrl: `http://${log.address}`,
-        directoryUrl: `http://${this.directory.address}`,
-        controlUrl: `http://${this.control.address}`,
-      },
-    });
+    const settings = settingsSchema.parse(
+      loopbackSettings(entryId, { log, directory: this.directory, control: this.control }),
+    );
     this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
     const entry = new Entry(settings, this.clock, SEED + index);
     this.entries.push(entry);
--- a/packages/scenarios/src/processes/ProcessFleet.ts
+++ b/packages/scenarios/src/processes/ProcessFleet.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:net';
 import { type AddressInfo } from 'node:net';
 import { SystemClock } from '@acaciadock/core';
-import { type ConfigDocument, EMPTY_DOCUMENT, TeamKey } from '@acaciadock/config';
+import { type ConfigDocument, TeamKey } from '@acaciadock/config';
 import { CONFIG_STREAM } from '@acaciadock/platform';
 import {
   ControlStandIn,
@@ -14,6 +14,7 @@
   type ExampleOptions,
   LogStandIn,
   TargetStandIn,
+  firstPatch,
 } from '@acaciadock/testkit';
 import { request } from 'undici';
 import { EntryProcess } from './EntryProcess.js';
@@ -131,22 +132,7 @@
   }
 
   private publish(document: ConfigDocument): void {
-    const fields = Object.keys(EMPTY_DOCUMENT) as (keyof ConfigDocument)[];
-    this.log.append(CONFIG_STREAM, [
-      {
-        kind: 'patch',
-        schemaVersion: 1,
-        patchId: 'first',
-        baseVersion: 0,
-        author: 'test',
-        submittedAtMs: this.clock.unixMs(),
-        operations: fields.map((field) => ({
-          op: 'replace',
-          path: `/${field}`,
-          value: document[field],
-        })),
-      },
-    ]);
+    this.log.append(CONFIG_STREAM, [firstPatch(document)]);
   }
 
   private async startEntries(): Promise<void> {
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -10,3 +10,5 @@
 export * from './TargetStandIn.js';
 export * from './exampleDocument.js';
 export * from './TestCertificates.js';
+export * from './firstPatch.js';
+export * from './loopbackSettings.js';
