The path bench's entries take free ports and find each other through the roster

Cause: fixed ports 39101 and up lie in the range that the machine hands out for connections; two entries could not listen and the bench hung. A process of the bench that ends now ends the bench.

--- a/packages/bench/src/path/ForkedRole.ts
+++ b/packages/bench/src/path/ForkedRole.ts
@@ -31,9 +31,13 @@
 
   private static next(child: ChildProcess): Promise<RoleMessage> {
     return new Promise((resolve, reject) => {
-      child.once('error', reject);
+      const fail = (code: unknown): void =>
+        reject(new Error(`a process of the bench ended: ${String(code)}`));
+      child.once('error', fail);
+      child.once('exit', fail);
       child.once('message', (message) => {
-        child.off('error', reject);
+        child.off('error', fail);
+        child.off('exit', fail);
         resolve(roleMessageSchema.parse(message));
       });
     });
--- a/packages/bench/src/path/PathRig.ts
+++ b/packages/bench/src/path/PathRig.ts
@@ -8,14 +8,13 @@
   exampleDocument,
   LogStandIn,
   firstPatch,
+  loopbackSettings,
 } from '@acaciadock/testkit';
 import { ForkedRole } from './ForkedRole.js';
 
 const TARGETS = 35;
 const TEAM_ID = 'bench-desk';
 const TEAM_LIMIT = 10_000;
-const LOOPBACK = '127.0.0.1';
-const FIRST_PEER_PORT = 39_100;
 
 export class PathRig {
   teamKey = '';
@@ -30,8 +29,6 @@
 
   private targetAddresses: readonly string[] = [];
 
-  private nextPort = FIRST_PEER_PORT;
-
   constructor(
     private readonly clock: Clock,
     private readonly seed: number,
@@ -56,18 +53,17 @@
     return this.fork('./forwarderRole.js', { targetAddresses: this.targetAddresses });
   }
 
-  /** Starts entries that know each other. */
+  /** Starts entries, which find each other through the roster. */
   async startEntries(count: number): Promise<readonly ForkedRole[]> {
-    const peers = Array.from({ length: count }, (_, index) => {
-      this.nextPort += 1;
-      const entryId = `n${count}-${index}`;
-      this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
-      return { entryId, address: `${LOOPBACK}:${this.nextPort}` };
+    const entryIds = Array.from({ length: count }, (_, index) => `n${count}-${index}`);
+    const { log, directory, control } = this;
+    entryIds.forEach((instanceId) => {
+      directory.set({ instanceId, role: 'entry', state: 'live' });
     });
     return Promise.all(
-      peers.map(({ entryId, address }, index) =>
+      entryIds.map((entryId, index) =>
         this.fork('./entryRole.js', {
-          settings: this.settings(entryId, address, peers),
+          settings: loopbackSettings(entryId, { log, directory, control }),
           entryCount: count,
           seed: this.seed + index,
         }),
@@ -85,23 +81,6 @@
     await Promise.all([this.log.close(), this.directory.close(), this.control.close()]);
   }
 
-  private settings(entryId: string, peerAddress: string, peers: readonly unknown[]): unknown {
-    return {
-      schemaVersion: 1,
-      entryId,
-      zoneId: 'zone-a',
-      callerAddress: `${LOOPBACK}:0`,
-      operatorAddress: `${LOOPBACK}:0`,
-      peerAddress,
-      platform: {
-        logUrl: `http://${this.log.address}`,
-        directoryUrl: `http://${this.directory.address}`,
-        controlUrl: `http://${this.control.address}`,
-      },
-      peers,
-    };
-  }
-
   private async fork(script: string, options: unknown): Promise<ForkedRole> {
     const role = await ForkedRole.start(script, options);
     this.roles.push(role);
--- a/packages/scenarios/src/promises/team-limit-faults.test.ts
+++ b/packages/scenarios/src/promises/team-limit-faults.test.ts
@@ -8,7 +8,9 @@
       await running.replace(1);
       await running.clock.sleep(4_500);
     });
-    t.equal(mostRunning(fleet), LIMIT);
+    const most = mostRunning(fleet);
+    t.ok(most <= LIMIT, `at most ${LIMIT} ran at once, ${most} seen`);
+    t.ok(most >= LIMIT, `the whole limit was used, ${most} seen`);
   });
 
   it('through a log outage, with an entry killed in the middle of it', async (t) => {
