--- a/packages/scenarios/src/TeamLoad.ts
+++ b/packages/scenarios/src/TeamLoad.ts
@@ -1,5 +1,6 @@
 /** A fleet with one team that always asks for more than its limit, and what its targets saw. */
 import { Random } from '@acaciadock/core';
+import { type TargetStandIn } from '@acaciadock/testkit';
 import { EntryFleet } from './EntryFleet.js';
 
 const SEED = 4_001;
@@ -46,7 +47,10 @@
 }
 
 /** Most runs that any instant from `sinceMs` on saw, over all targets, as the targets saw them. */
-export function mostRunning(fleet: EntryFleet, sinceMs = 0): number {
+export function mostRunning(
+  fleet: { readonly targets: readonly TargetStandIn[] },
+  sinceMs = 0,
+): number {
   const runs = fleet.targets.flatMap((target) => target.runs);
   const steps = runs.flatMap(({ startedAtMs, endedAtMs }) => [
     { atMs: startedAtMs, change: 1 },
