--- a/packages/daemon/src/Observability.ts
+++ b/packages/daemon/src/Observability.ts
@@ -60,8 +60,16 @@
   /** Shows what passes over the links to the other entries. */
   addLinkGauges(counters: LinkCounters): void {
     const { metrics } = this;
-    metrics.addGauge('acaciadock_peer_sent_bytes', 'Bytes sent to other entries.', () => counters.sentBytes);
-    metrics.addGauge('acaciadock_peer_received_bytes', 'Bytes received from other entries.', () => counters.receivedBytes);
+    metrics.addGauge(
+      'acaciadock_peer_sent_bytes',
+      'Bytes sent to other entries.',
+      () => counters.sentBytes,
+    );
+    metrics.addGauge(
+      'acaciadock_peer_received_bytes',
+      'Bytes received from other entries.',
+      () => counters.receivedBytes,
+    );
     metrics.addGauge(
       'acaciadock_peer_rejected_messages',
       'Messages of other entries that did not fit the contract.',
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -23,7 +23,7 @@
   tickMs: z.int().min(10).default(200),
   /** How often the platform's list of instances is read. */
   listPeriodMs: z.int().min(10).default(500),
-  /** How often the entries are asked what runs. */
+  /** How often the entries are asked what runs; a tenth as often while nothing is under way. */
   surveyPeriodMs: z.int().min(10).default(500),
   /** Longest time from a grant to its send. */
   startWindowMs: z.int().min(0).default(1_000),
--- a/packages/maintenance/src/MaintenanceController.ts
+++ b/packages/maintenance/src/MaintenanceController.ts
@@ -61,6 +61,8 @@
 /** How long a decision waits for its record to be read back before it is made again. */
 const READ_BACK_MS = 2_000;
 
+/** With nothing under way the survey only follows the demand, which is smoothed anyway. */
+const IDLE_SURVEY_FACTOR = 10;
 const SNAPSHOT_PERIOD_MS = 10 * 60 * 1_000;
 
 export class MaintenanceController extends Task<ControllerMessage> {
@@ -149,7 +151,9 @@
         if (list.isOk()) this.health.list(list.value);
       });
     }
-    if (nowMs - this.surveyedAtMs < this.options.surveyPeriodMs) return;
+    const idle = Object.keys(this.services.reader.state.jobs).length === 0;
+    const periodMs = this.options.surveyPeriodMs * (idle ? IDLE_SURVEY_FACTOR : 1);
+    if (nowMs - this.surveyedAtMs < periodMs) return;
     this.surveyedAtMs = nowMs;
     survey.ask();
   }
--- a/packages/membership/src/MembershipTiming.ts
+++ b/packages/membership/src/MembershipTiming.ts
@@ -26,10 +26,10 @@
 
 /** `voteBindsMs` exceeds `voteFreshMs`, `evictionExpiryMs` and the clock skew together. */
 export const DEFAULT_MEMBERSHIP_TIMING: MembershipTiming = {
-  heartbeatMs: 500,
+  heartbeatMs: 1_000,
   fanOut: 8,
   fenceMs: 3_000,
-  liveMs: 2_000,
+  liveMs: 2_500,
   silenceMs: 6_000,
   absenceMs: 5_000,
   voteFreshMs: 3_000,
