--- a/packages/demo/src/DemoWalk.ts
+++ b/packages/demo/src/DemoWalk.ts
@@ -4,10 +4,11 @@
  * interfaces that users have.
  */
 import { type Clock } from '@acaciadock/core';
-import { type CommandSurroundings, ExitCode, runCommand } from '@acaciadock/cli';
+import { ExitCode } from '@acaciadock/cli';
 import { request } from 'undici';
 import { type DemoFleet } from './DemoFleet.js';
 import { DemoStepFailed } from './DemoStepFailed.js';
+import { runOperatorCommand } from './runOperatorCommand.js';
 
 const REQUESTS = 200;
 const POLL_MS = 100;
@@ -146,17 +147,9 @@
   }
 
   private async commandText(...words: string[]): Promise<string> {
-    const output: string[] = [];
-    const errors: string[] = [];
-    const surroundings: CommandSurroundings = {
-      environment: { USER: 'demo' },
-      print: (text) => output.push(text),
-      printError: (text) => errors.push(text),
-      nowMs: () => this.clock.unixMs(),
-    };
     const url = `http://${this.fleet.addresses[0]?.operatorAddress}`;
-    const exitCode = await runCommand(['--url', url, ...words], surroundings);
+    const { exitCode, output, errors } = await runOperatorCommand(url, words);
     if (exitCode !== ExitCode.done) throw new DemoStepFailed(words.join(' '), errors);
-    return output.join('\n');
+    return output;
   }
 }
--- a/packages/demo/src/maintenanceCommands.test.ts
+++ b/packages/demo/src/maintenanceCommands.test.ts
@@ -1,29 +1,15 @@
 /** The maintenance commands against real entries: plan, roll-out, moves and instances by state. */
 import { describe, it } from '@acaciadock/core/testing';
-import { ExitCode, type ExitCodeValue, runCommand } from '@acaciadock/cli';
+import { ExitCode } from '@acaciadock/cli';
 import { DemoFleet } from './DemoFleet.js';
+import { type CommandRun, runOperatorCommand } from './runOperatorCommand.js';
 
 const SEED = 8;
 const POLL_MS = 100;
 const TIMEOUT_MS = 60_000;
 
-interface CommandRun {
-  readonly exitCode: ExitCodeValue;
-  readonly output: string;
-  readonly errors: string;
-}
-
-async function run(url: string, words: readonly string[]): Promise<CommandRun> {
-  const output: string[] = [];
-  const errors: string[] = [];
-  const exitCode = await runCommand(['--url', url, ...words], {
-    environment: { USER: 'tester' },
-    print: (text) => output.push(text),
-    printError: (text) => errors.push(text),
-    nowMs: () => Date.now(),
-  });
-  return { exitCode, output: output.join('\n'), errors: errors.join('\n') };
-}
+const run = (url: string, words: readonly string[]): Promise<CommandRun> =>
+  runOperatorCommand(url, words, 'tester');
 
 async function runUntil(
   url: string,
