--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 /** Public interface: an entry that can be run inside another process (demo, tests, benches). */
 export * from './Entry.js';
+export * from './EntryTls.js';
 export * from './OperatorRoute.js';
 export * from './OperatorServer.js';
 export * from './Settings.js';
