--- /dev/null
+++ b/packages/coordinator/src/JobService.ts
@@ -0,0 +1,73 @@
+/**
+ * What an entry asks of the coordinator on behalf of its callers, whether it runs in the same
+ * process or on another entry. Every answer says truly whether work may have been accepted.
+ */
+import { jobSpecSchema } from '@acaciadock/jobs';
+import { z } from 'zod';
+
+/** The call, and the entry's verdict under the configuration version that it knows. */
+export const callContextSchema = z.object({
+  access: z.object({ host: z.string(), path: z.string(), key: z.string() }),
+  configVersion: z.number(),
+  queueId: z.string(),
+  poolId: z.string(),
+  teamId: z.string(),
+  priority: z.number(),
+  maxAttempts: z.number(),
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+});
+
+const submitCallSchema = z.object({
+  kind: z.literal('submit'),
+  context: callContextSchema,
+  jobId: z.string(),
+  spec: jobSpecSchema,
+});
+
+const stateCallSchema = z.object({
+  kind: z.literal('state'),
+  context: callContextSchema,
+  jobId: z.string(),
+});
+
+const cancelCallSchema = z.object({
+  kind: z.literal('cancel'),
+  context: callContextSchema,
+  jobId: z.string(),
+});
+
+const waitingCallSchema = z.object({ kind: z.literal('waiting'), context: callContextSchema });
+
+export const jobCallSchema = z.discriminatedUnion('kind', [
+  submitCallSchema,
+  stateCallSchema,
+  cancelCallSchema,
+  waitingCallSchema,
+]);
+
+export const jobReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('accepted') }),
+  z.object({
+    kind: z.literal('state'),
+    status: z.enum(['pending', 'running', 'completed', 'failed', 'cancelled']),
+  }),
+  z.object({ kind: z.literal('cancelled') }),
+  z.object({ kind: z.literal('waiting'), count: z.number() }),
+  z.object({ kind: z.literal('unknown-job') }),
+  z.object({ kind: z.literal('no-such-queue') }),
+  z.object({ kind: z.literal('unknown-key') }),
+  /** Not accepted, and never will be by this call. */
+  z.object({ kind: z.literal('refused'), reason: z.string(), retryAfterMs: z.number() }),
+  /** It may have been accepted; the same call is safe to repeat. */
+  z.object({ kind: z.literal('unknown-outcome'), reason: z.string() }),
+]);
+
+export type CallContext = z.infer<typeof callContextSchema>;
+export type SubmitCall = z.infer<typeof submitCallSchema>;
+export type JobCall = z.infer<typeof jobCallSchema>;
+export type JobReply = z.infer<typeof jobReplySchema>;
+
+export abstract class JobService {
+  abstract call(call: JobCall): Promise<JobReply>;
+}
--- /dev/null
+++ b/packages/coordinator/src/JobTable.ts
@@ -0,0 +1,101 @@
+/** All jobs that are known, by id and by pool, and how they are journaled. */
+import { type Clock } from '@acaciadock/core';
+import { Job, JobCodec, type JobDefinition, type JobStatus } from '@acaciadock/jobs';
+import { type CommitOutcome, type StoredRecord } from '@acaciadock/journal';
+import { JobEntry } from './JobEntry.js';
+import { type Ownership } from './Ownership.js';
+
+const DEFINITION_PREFIX = 'definition/';
+const PROGRESS_PREFIX = 'progress/';
+
+export class JobTable {
+  private readonly entries = new Map<string, JobEntry>();
+
+  /** Jobs that have not finished. */
+  private readonly active = new Map<string, JobEntry>();
+
+  constructor(
+    private readonly ownership: Ownership,
+    private readonly clock: Clock,
+  ) {}
+
+  get activeJobs(): IterableIterator<JobEntry> {
+    return this.active.values();
+  }
+
+  get activeCount(): number {
+    return this.active.size;
+  }
+
+  get(jobId: string): JobEntry | undefined {
+    return this.entries.get(jobId);
+  }
+
+  /** Rebuilds the table from the journal; returns the ids of what could not be read. */
+  restore(records: readonly StoredRecord[]): string[] {
+    const unreadable: string[] = [];
+    const progress = new Map<string, Buffer>();
+    records.forEach(({ key, value }) => {
+      if (value && key.startsWith(PROGRESS_PREFIX)) {
+        progress.set(key.slice(PROGRESS_PREFIX.length), value);
+      }
+    });
+    records.forEach(({ key, value }) => {
+      if (!value || !key.startsWith(DEFINITION_PREFIX)) return;
+      const jobId = key.slice(DEFINITION_PREFIX.length);
+      if (!this.restoreOne(value, progress.get(jobId))) unreadable.push(jobId);
+    });
+    return unreadable;
+  }
+
+  /** Adds a job and journals it. */
+  accept(definition: JobDefinition): JobEntry {
+    const entry = new JobEntry(new Job(definition));
+    this.entries.set(definition.jobId, entry);
+    this.active.set(definition.jobId, entry);
+    const key = `${DEFINITION_PREFIX}${definition.jobId}`;
+    void this.ownership.writer.write(key, () => JobCodec.encodeDefinition(definition));
+    entry.acceptance = this.writeProgress(entry);
+    return entry;
+  }
+
+  /** Journals the job as it is when the next batch leaves, and shows its state once durable. */
+  writeProgress(entry: JobEntry): Promise<CommitOutcome> {
+    const { job } = entry;
+    let written: JobStatus = job.status;
+    const commit = this.ownership.writer.write(`${PROGRESS_PREFIX}${job.jobId}`, () => {
+      written = job.status;
+      return JobCodec.encodeProgress(job);
+    });
+    if (job.isFinished) this.active.delete(job.jobId);
+    if (job.status === entry.shownStatus) return commit;
+    return commit.then((outcome) => {
+      if (outcome === 'durable') Object.assign(entry, { shownStatus: written });
+      return outcome;
+    });
+  }
+
+  /** Drops finished jobs that nobody may ask for any more. */
+  dropFinished(keepMs: number): void {
+    const nowMs = this.clock.unixMs();
+    for (const [jobId, entry] of this.entries) {
+      const { job } = entry;
+      if (!job.isFinished || nowMs - job.finishedUnixMs < keepMs) continue;
+      this.entries.delete(jobId);
+      void this.ownership.writer.write(`${DEFINITION_PREFIX}${jobId}`, () => undefined);
+      void this.ownership.writer.write(`${PROGRESS_PREFIX}${jobId}`, () => undefined);
+    }
+  }
+
+  private restoreOne(definition: Buffer, progress: Buffer | undefined): boolean {
+    const decoded = JobCodec.decodeDefinition(definition);
+    if (decoded.isErr()) return false;
+    const job = new Job(decoded.value);
+    if (progress && JobCodec.restoreProgress(job, progress).isErr()) return false;
+    const entry = new JobEntry(job);
+    entry.shownStatus = job.status;
+    this.entries.set(job.jobId, entry);
+    if (!job.isFinished) this.active.set(job.jobId, entry);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/Ownership.ts
@@ -0,0 +1,81 @@
+/**
+ * One period in which this entry owns the journal: its epoch, its writer and whether orders may
+ * still leave. The period ends once; nothing of it is used again.
+ */
+import { type Clock, Disposable, EventEmitter } from '@acaciadock/core';
+import { JournalWriter, type OwnedJournal, type RecordLog } from '@acaciadock/journal';
+
+/**
+ * Leases are extended only this long after the store last confirmed the ownership, in
+ * milliseconds. A successor waits this long, plus a lease, for targets that it can't reach.
+ */
+export const EXTENSION_BOUND_MS = 6_000;
+
+/** An append that takes longer than this means the store can't be counted on, in milliseconds. */
+const STORE_STALL_MS = 1_000;
+
+/** A wall clock that ran ahead of the steady one by this much means a suspension. */
+const SUSPENSION_MS = 300;
+
+export type OwnershipEnd = 'journal-lost' | 'fenced' | 'reassigned' | 'shutdown';
+
+export class Ownership extends Disposable {
+  readonly writer: JournalWriter;
+
+  readonly epoch: number;
+
+  private confirmedMs: number;
+
+  private confirmedUnixMs: number;
+
+  private readonly endEmitter = this.register(new EventEmitter<OwnershipEnd>());
+
+  /** Fires once when the period ends. */
+  readonly onEnd = this.endEmitter.event;
+
+  private ended = false;
+
+  constructor(
+    log: RecordLog,
+    owned: OwnedJournal,
+    private readonly clock: Clock,
+  ) {
+    super();
+    this.epoch = owned.epoch;
+    this.writer = this.register(new JournalWriter(log, owned, clock));
+    this.writer.onLost(() => this.end('journal-lost'));
+    this.confirmedMs = clock.monotonicMs();
+    this.confirmedUnixMs = clock.unixMs();
+  }
+
+  get isActive(): boolean {
+    return !this.ended;
+  }
+
+  /** Whether the store acknowledges promptly enough to accept work. */
+  get isStoreResponsive(): boolean {
+    return this.writer.stalledMs < STORE_STALL_MS;
+  }
+
+  /** Notes that the store has just confirmed that this entry owns the journal. */
+  confirm(): void {
+    this.confirmedMs = this.clock.monotonicMs();
+    this.confirmedUnixMs = this.clock.unixMs();
+  }
+
+  /** Whether leases may be extended; also false right after a suspension. */
+  get mayExtendLeases(): boolean {
+    if (this.ended) return false;
+    const steadyMs = this.clock.monotonicMs() - this.confirmedMs;
+    const wallMs = this.clock.unixMs() - this.confirmedUnixMs;
+    if (wallMs - steadyMs > SUSPENSION_MS) return false;
+    return steadyMs < EXTENSION_BOUND_MS;
+  }
+
+  end(reason: OwnershipEnd): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.endEmitter.fire(reason);
+    this.dispose();
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -0,0 +1,266 @@
+/**
+ * The task that owns the conversation with one target: it holds its lease, collects the ends, and
+ * sends orders whose outcome it follows until it is certain.
+ */
+import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { type OrderFailure, type StartOrder, type TargetPort } from '@acaciadock/execution';
+import { type FleetTarget } from './FleetTarget.js';
+import { type LiveRun } from './LiveRun.js';
+import { type Ownership } from './Ownership.js';
+import { type ReportReader } from './ReportReader.js';
+import { type RunBook } from './RunBook.js';
+
+/**
+ * Length of a lease, in milliseconds, below the platform's maximum: long enough that work
+ * outlives a change of owner (about 2 s), short enough to give a lost target's work back soon.
+ */
+export const LEASE_MS = 5_000;
+
+/** How long a target may keep a report back while nothing ends, in milliseconds. */
+const REPORT_WAIT_MS = 1_000;
+
+/** Between two reports that can't be acknowledged yet, in milliseconds. */
+const UNACKNOWLEDGED_PAUSE_MS = 500;
+
+/** Between two tries to reach a silent target, in milliseconds. */
+const SILENT_PAUSE_MS = 250;
+
+/** Between two tries of a stop, in milliseconds. */
+const STOP_RETRY_MS = 300;
+
+/** No new work after the target had no room, in milliseconds: about one report later. */
+const NO_ROOM_PAUSE_MS = 150;
+
+/** No new work after the target called itself unhealthy, in milliseconds. */
+const UNHEALTHY_PAUSE_MS = 1_500;
+
+export interface TargetDriverDeps {
+  readonly port: TargetPort;
+  readonly book: RunBook;
+  readonly reader: ReportReader;
+  readonly ownership: Ownership;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** The target takes new work from now on. */
+  readonly onConfirmed: () => void;
+}
+
+export class TargetDriver extends Disposable {
+  private wakeUp: (() => void) | undefined;
+
+  constructor(
+    private readonly target: FleetTarget,
+    private readonly deps: TargetDriverDeps,
+  ) {
+    super();
+  }
+
+  /** Runs until disposed. */
+  async run(): Promise<void> {
+    while (this.isActive) {
+      if (this.needsReport) await this.report();
+      else await this.untilWoken();
+    }
+  }
+
+  /** Tells the driver that there is something to hold or to find out. */
+  wake(): void {
+    this.wakeUp?.();
+  }
+
+  /** Sends the order of a run that is durable. */
+  async start(live: LiveRun): Promise<void> {
+    const { target } = this;
+    const { port, ownership, clock } = this.deps;
+    if (!this.isCurrent(live) || live.phase !== 'planned') return;
+    if (!ownership.mayExtendLeases) {
+      this.deps.book.stop(live);
+      return;
+    }
+    Object.assign(live, { phase: 'ordered' });
+    const order = this.startOrderOf(live, clock.monotonicMs());
+    const done = await port.start(target.address, order);
+    if (!this.isActive) return;
+    this.log('start', live, done.isOk() ? 'accepted' : done.error.kind);
+    if (done.isOk()) this.deps.book.markRunning(live);
+    else this.onStartFailed(live, done.error);
+    this.wake();
+  }
+
+  /** Repeats a stop until the target has answered it. */
+  async stop(live: LiveRun): Promise<void> {
+    const { port, ownership, clock } = this.deps;
+    while (this.isActive && this.isCurrent(live)) {
+      const { taskId, run } = live;
+      const done = await port.stop(this.target.address, {
+        taskId,
+        run,
+        fencingToken: ownership.epoch,
+      });
+      if (done.isOk() || done.error.kind === 'stale-run') {
+        this.log('stop', live, 'accepted');
+        Object.assign(live, { absenceCountsFromMs: clock.monotonicMs() });
+        this.wake();
+        return;
+      }
+      this.log('stop', live, done.error.kind);
+      if (this.onCommonFailure(done.error)) return;
+      await clock.sleep(STOP_RETRY_MS);
+    }
+  }
+
+  /** Sets the share at which a filling task works. */
+  async pace(live: LiveRun, percent: number): Promise<void> {
+    const { port, ownership } = this.deps;
+    Object.assign(live, { pacePercent: percent });
+    const { taskId, run } = live;
+    const done = await port.pace(this.target.address, {
+      taskId,
+      run,
+      percent,
+      fencingToken: ownership.epoch,
+    });
+    // The next report shows the real share; the controller then tries again.
+    if (done.isErr()) this.log('pace', live, done.error.kind);
+  }
+
+  private get isActive(): boolean {
+    return !this.isDisposed && this.deps.ownership.isActive;
+  }
+
+  private get needsReport(): boolean {
+    const { target } = this;
+    if (target.entry === undefined) return false;
+    if (target.isListed && target.failedHolds > 0) return true;
+    return !target.isConfirmed || target.runs.size > 0 || target.durableEnd < target.processedEnd;
+  }
+
+  private isCurrent(live: LiveRun): boolean {
+    return this.target.runs.get(live.taskId) === live;
+  }
+
+  private untilWoken(): Promise<void> {
+    return new Promise((resolve) => {
+      this.wakeUp = () => {
+        this.wakeUp = undefined;
+        resolve();
+      };
+      this.register({ dispose: resolve });
+    });
+  }
+
+  private async report(): Promise<void> {
+    const { target } = this;
+    const { port, ownership, clock } = this.deps;
+    const sentAtMs = clock.monotonicMs();
+    const isSettled = target.durableEnd === target.processedEnd;
+    const done = await port.hold(target.address, {
+      fencingToken: ownership.epoch,
+      lastSeenEnd: target.durableEnd,
+      leaseUntilMs: this.leaseUntilMs(sentAtMs),
+      waitMs: target.isConfirmed && isSettled ? REPORT_WAIT_MS : 0,
+    });
+    if (!this.isActive) return;
+    if (done.isErr()) {
+      await this.onReportFailed(done.error);
+      return;
+    }
+    const result = this.deps.reader.read(target, done.value, sentAtMs);
+    target.lease.show(done.value.clockMs, sentAtMs, clock.monotonicMs());
+    const wasClosed = !target.isConfirmed || target.failedHolds > 0;
+    target.isConfirmed = true;
+    target.failedHolds = 0;
+    if (wasClosed) this.deps.onConfirmed();
+    result.strangers.forEach((stranger) => {
+      void port.stop(target.address, { ...stranger, fencingToken: ownership.epoch });
+    });
+    await this.acknowledge(result.commit, result.lastEnd);
+  }
+
+  private async acknowledge(commit: Promise<unknown>, lastEnd: number): Promise<void> {
+    const settled = commit.then((outcome) => {
+      if (outcome === 'durable' && lastEnd > this.target.durableEnd) {
+        this.target.durableEnd = lastEnd;
+      }
+    });
+    await Promise.race([settled, this.deps.clock.sleep(UNACKNOWLEDGED_PAUSE_MS)]);
+  }
+
+  private leaseUntilMs(nowMs: number): number | undefined {
+    const { target } = this;
+    if (!target.lease.isKnown || target.runs.size === 0) return undefined;
+    if (!this.deps.ownership.mayExtendLeases) return undefined;
+    return target.lease.grant(LEASE_MS, nowMs);
+  }
+
+  private startOrderOf(live: LiveRun, nowMs: number): StartOrder {
+    const { place, taskId, run } = live;
+    return {
+      taskId,
+      run,
+      spec: place.job.definition.spec.spec,
+      leaseUntilMs: this.target.lease.grant(LEASE_MS, nowMs),
+      fencingToken: this.deps.ownership.epoch,
+      checkpoint: place.task.checkpoint,
+      ticket: live.ticket,
+    };
+  }
+
+  private onStartFailed(live: LiveRun, failure: OrderFailure): void {
+    const { book, clock } = this.deps;
+    if (!this.isCurrent(live)) return;
+    const nowMs = clock.monotonicMs();
+    if (failure.kind === 'unknown-outcome') {
+      Object.assign(live, { phase: 'uncertain' });
+      book.stop(live);
+      return;
+    }
+    if (failure.kind === 'no-room') this.target.closedUntilMs = nowMs + NO_ROOM_PAUSE_MS;
+    if (failure.kind === 'unhealthy') this.target.closedUntilMs = nowMs + UNHEALTHY_PAUSE_MS;
+    if (failure.kind === 'unreachable') this.target.failedHolds += 1;
+    if (this.onCommonFailure(failure)) return;
+    void book.finish(live, 'lost', '');
+  }
+
+  private async onReportFailed(failure: OrderFailure): Promise<void> {
+    const { target } = this;
+    const { clock } = this.deps;
+    target.failedHolds += 1;
+    if (target.failedHolds === 1) {
+      this.deps.logger.warn('target-silent', {
+        targetId: target.targetId,
+        reason: failure.kind,
+        runs: target.runs.size,
+      });
+    }
+    this.onCommonFailure(failure);
+    await clock.sleep(SILENT_PAUSE_MS);
+  }
+
+  /** Handles what ends the ownership or the target; false for anything else. */
+  private onCommonFailure(failure: OrderFailure): boolean {
+    if (failure.kind === 'fenced') {
+      this.deps.ownership.end('fenced');
+      return true;
+    }
+    if (failure.kind !== 'other-lifetime') return false;
+    // The address answers for another lifetime, so the one that ran our work is over.
+    [...this.target.runs.values()].forEach((live) => {
+      void this.deps.book.finish(live, 'lost', '');
+    });
+    this.target.failedHolds += 1;
+    return true;
+  }
+
+  private log(order: string, live: LiveRun, outcome: string): void {
+    this.deps.logger.info('order', {
+      order,
+      jobId: live.place.job.jobId,
+      taskId: live.taskId,
+      run: live.run,
+      targetId: live.targetId,
+      fencingToken: this.deps.ownership.epoch,
+      outcome,
+    });
+  }
+}
--- /dev/null
+++ b/packages/execution/src/LeaseClock.ts
@@ -0,0 +1,56 @@
+/**
+ * What is known of a target's clock and of the lease it was given. The lease runs on the target's
+ * own steady clock, which may be slow, so the end of a lease is certain only after a margin.
+ * Own time is monotonic; it stands still while this process is suspended, which only adds delay.
+ */
+
+/** A target's clock shows at least this share of the time that has passed. */
+export const SLOWEST_CLOCK_RATE = 0.98;
+
+export class LeaseClock {
+  private shownClockMs: number | undefined;
+
+  private shownAtMs = 0;
+
+  private largestUntilMs = 0;
+
+  /** Latest moment, own time, at which leases given by earlier owners have ended. */
+  private inheritedUntilMs: number;
+
+  constructor(
+    private readonly mostLeaseMs: number,
+    inheritedUntilMs = 0,
+  ) {
+    this.inheritedUntilMs = inheritedUntilMs;
+  }
+
+  get isKnown(): boolean {
+    return this.shownClockMs !== undefined;
+  }
+
+  /** Takes up a clock value; `sentAtMs` and `receivedAtMs` bracket the moment it was read. */
+  show(clockMs: number, sentAtMs: number, receivedAtMs: number): void {
+    this.shownClockMs = clockMs;
+    this.shownAtMs = receivedAtMs;
+    // The target has now seen this owner's token, so no other lease than ours and the one that
+    // it may already have can be in force.
+    const boundMs = sentAtMs + this.mostLeaseMs / SLOWEST_CLOCK_RATE;
+    if (this.inheritedUntilMs > boundMs) this.inheritedUntilMs = boundMs;
+  }
+
+  /** A lease end `leaseMs` from now, on the target's clock; remembered as sent. */
+  grant(leaseMs: number, nowMs: number): number {
+    const clockMs = (this.shownClockMs ?? 0) + (nowMs - this.shownAtMs);
+    const untilMs = Math.floor(clockMs + Math.min(leaseMs, this.mostLeaseMs));
+    this.largestUntilMs = Math.max(this.largestUntilMs, untilMs);
+    return untilMs;
+  }
+
+  /** Own time from which nothing can be running on a lease any more. */
+  surelyLapsedAtMs(): number {
+    if (this.shownClockMs === undefined) return this.inheritedUntilMs;
+    const leftMs = Math.max(0, this.largestUntilMs - this.shownClockMs);
+    const ownMs = this.shownAtMs + leftMs / SLOWEST_CLOCK_RATE;
+    return Math.max(ownMs, this.inheritedUntilMs);
+  }
+}
--- /dev/null
+++ b/packages/jobdesk/src/PeerCallServer.ts
@@ -0,0 +1,48 @@
+/** Takes the calls of other entries and hands them to this entry's own coordinator. */
+import { Disposable } from '@acaciadock/core';
+import { type JobCall, type JobReply, type JobService } from '@acaciadock/coordinator';
+import {
+  type sendUnaryData,
+  Server,
+  ServerCredentials,
+  type ServerUnaryCall,
+  status,
+  type UntypedHandleCall,
+} from '@grpc/grpc-js';
+import { err, ok, type Result } from 'neverthrow';
+import { callMethod } from './PeerCalls.js';
+
+export interface PeerListenFailure {
+  readonly kind: 'peer-listen-failed';
+  readonly address: string;
+  readonly detail: string;
+}
+
+export class PeerCallServer extends Disposable {
+  private readonly server = new Server();
+
+  constructor(service: JobService) {
+    super();
+    const handle: UntypedHandleCall = (
+      call: ServerUnaryCall<JobCall, JobReply>,
+      done: sendUnaryData<JobReply>,
+    ) => {
+      service.call(call.request).then(
+        (reply) => done(null, reply),
+        (cause: unknown) => done({ code: status.INTERNAL, details: String(cause) }),
+      );
+    };
+    this.server.addService({ call: callMethod }, { call: handle });
+    this.register({ dispose: () => this.server.forceShutdown() });
+  }
+
+  /** Listens at `host:port` and returns the address that others may use. */
+  listen(address: string): Promise<Result<string, PeerListenFailure>> {
+    return new Promise((resolve) => {
+      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
+        if (error) resolve(err({ kind: 'peer-listen-failed', address, detail: error.message }));
+        else resolve(ok(`${address.slice(0, address.lastIndexOf(':'))}:${port}`));
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/JobCodec.ts
@@ -0,0 +1,88 @@
+/**
+ * The durable form of a job. A definition is written once; progress is written whole each time,
+ * so the newest record of each key is all that a successor needs.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { Job, type JobStatus } from './Job.js';
+import { type JobDefinition } from './JobSpec.js';
+import { type TaskRecord } from './TaskState.js';
+
+export interface RecordUnreadable {
+  readonly kind: 'record-unreadable';
+  readonly detail: string;
+}
+
+interface TaskEntry extends TaskRecord {
+  readonly step: number;
+  readonly index: number;
+}
+
+interface OccurrenceEntry {
+  readonly index: number;
+  readonly dueUnixMs: number;
+  readonly tasks: readonly TaskEntry[];
+}
+
+interface ProgressRecord {
+  readonly status: JobStatus;
+  readonly finishedUnixMs: number;
+  readonly ended: readonly number[];
+  readonly occurrences: readonly OccurrenceEntry[];
+}
+
+function parse<T>(bytes: Buffer): Result<T, RecordUnreadable> {
+  try {
+    return ok(JSON.parse(bytes.toString('utf8')) as T);
+  } catch (cause) {
+    return err({ kind: 'record-unreadable', detail: String(cause) });
+  }
+}
+
+function occurrenceEntries(job: Job): OccurrenceEntry[] {
+  return [...job.occurrences.values()].map((occurrence) => ({
+    index: occurrence.index,
+    dueUnixMs: occurrence.dueUnixMs,
+    tasks: occurrence.steps.flatMap((step) =>
+      step.tasks.flatMap((task) => {
+        const record = task.toRecord();
+        return record ? [{ step: step.index, index: task.index, ...record }] : [];
+      }),
+    ),
+  }));
+}
+
+export const JobCodec = {
+  encodeDefinition(definition: JobDefinition): Buffer {
+    return Buffer.from(JSON.stringify(definition));
+  },
+
+  decodeDefinition(bytes: Buffer): Result<JobDefinition, RecordUnreadable> {
+    return parse<JobDefinition>(bytes);
+  },
+
+  encodeProgress(job: Job): Buffer {
+    const quiet = job.isFinished && job.liveTasks().length === 0;
+    const record: ProgressRecord = {
+      status: job.status,
+      finishedUnixMs: job.finishedUnixMs,
+      ended: quiet ? [] : [...job.endedOccurrences],
+      occurrences: quiet ? [] : occurrenceEntries(job),
+    };
+    return Buffer.from(JSON.stringify(record));
+  },
+
+  /** Puts the recorded progress onto a job made from its definition. */
+  restoreProgress(job: Job, bytes: Buffer): Result<Job, RecordUnreadable> {
+    return parse<ProgressRecord>(bytes).map((record) => {
+      Object.assign(job, { status: record.status, finishedUnixMs: record.finishedUnixMs });
+      record.ended.forEach((index) => job.endedOccurrences.add(index));
+      record.occurrences.forEach((entry) => {
+        if (!job.occurrences.has(entry.index)) job.openDue(entry.dueUnixMs);
+        entry.tasks.forEach((task) => {
+          job.find(entry.index, task.step, task.index)?.task.restore(task);
+        });
+      });
+      return job;
+    });
+  },
+} as const;
--- /dev/null
+++ b/packages/jobs/src/Occurrence.ts
@@ -0,0 +1,33 @@
+/** One pass through a job's steps. A job without a schedule has exactly one, number 0. */
+import { type JobSpec } from './JobSpec.js';
+import { StepState } from './StepState.js';
+
+export class Occurrence {
+  readonly steps: StepState[];
+
+  constructor(
+    jobId: string,
+    readonly index: number,
+    spec: JobSpec,
+    readonly dueUnixMs: number,
+  ) {
+    this.steps = spec.steps.map(
+      (step, number) => new StepState(step, `${jobId}.${index}.${number}`, number),
+    );
+  }
+
+  get isDone(): boolean {
+    return this.steps.every((step) => step.isDone);
+  }
+
+  get hasStarted(): boolean {
+    return this.steps.some((step) => step.hasStarted);
+  }
+
+  /** Steps whose predecessors have all ended and that have tasks left to end. */
+  get openSteps(): StepState[] {
+    return this.steps.filter(
+      (step) => !step.isDone && step.spec.afterSteps.every((after) => this.steps[after]?.isDone),
+    );
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/StepState.ts
@@ -0,0 +1,30 @@
+/** One step of one occurrence: its tasks, and the counts that decisions need at once. */
+import { type StepSpec } from './JobSpec.js';
+import { TaskState } from './TaskState.js';
+
+export class StepState {
+  readonly tasks: TaskState[];
+
+  constructor(
+    readonly spec: StepSpec,
+    readonly stepId: string,
+    readonly index: number,
+  ) {
+    this.tasks = Array.from(
+      { length: spec.taskCount },
+      (_, task) => new TaskState(`${stepId}.${task}`, task),
+    );
+  }
+
+  get isDone(): boolean {
+    return this.tasks.every((task) => task.done);
+  }
+
+  get waitingTasks(): TaskState[] {
+    return this.tasks.filter((task) => task.isWaiting);
+  }
+
+  get hasStarted(): boolean {
+    return this.tasks.some((task) => task.lastRun > 0);
+  }
+}
--- /dev/null
+++ b/packages/journal/src/index.ts
@@ -0,0 +1,5 @@
+/** Public interface: the store's contracts, claim and group commit. */
+export * from './RecordLog.js';
+export * from './OwnershipGroup.js';
+export * from './JournalClaim.js';
+export * from './JournalWriter.js';
--- /dev/null
+++ b/packages/placement/src/QueueOrder.ts
@@ -0,0 +1,65 @@
+/**
+ * In which order waiting steps get room. Answers the load in which a queue asks for several times
+ * what its pool holds: within a priority, tasks that last come first (they are few and earn all
+ * the time), then what can still meet its objective by least slack, then what is late, and last
+ * what no longer earns anything. Among equals a team below its share goes first.
+ */
+
+export interface WaitingStep {
+  readonly priority: number;
+  readonly isLongRunning: boolean;
+  /** When the whole job should have ended, Unix milliseconds. */
+  readonly objectiveUnixMs: number;
+  /** The time from the job's acceptance to its objective. */
+  readonly objectiveMs: number;
+  /** Expected time of the work that is left, from now on without waiting. */
+  readonly remainingMs: number;
+  /** What the team has running over what its weight grants; 1 is its exact share. */
+  readonly teamLoad: number;
+}
+
+/** An answer is worth something until this many times the objective. */
+const LATE_FACTOR = 3;
+
+/** A team this far above its share waits behind the others of its class. */
+const FAR_ABOVE_SHARE = 1.5;
+
+type Urgency = 'in-time' | 'late' | 'worthless';
+
+const URGENCY_RANK: Record<Urgency, number> = { 'in-time': 0, late: 1, worthless: 2 };
+
+export class QueueOrder {
+  /** Orders the steps, most urgent first. */
+  static sort<T extends WaitingStep>(steps: readonly T[], nowUnixMs: number): T[] {
+    return [...steps]
+      .map((step) => ({ step, keys: QueueOrder.keysOf(step, nowUnixMs) }))
+      .sort((a, b) => QueueOrder.compare(a.keys, b.keys))
+      .map(({ step }) => step);
+  }
+
+  private static keysOf(step: WaitingStep, nowUnixMs: number): number[] {
+    const slackMs = step.objectiveUnixMs - nowUnixMs - step.remainingMs;
+    const urgency = QueueOrder.urgencyOf(step, slackMs);
+    return [
+      step.priority,
+      step.isLongRunning ? 0 : 1,
+      URGENCY_RANK[urgency],
+      step.teamLoad > FAR_ABOVE_SHARE ? 1 : 0,
+      slackMs,
+    ];
+  }
+
+  private static urgencyOf(step: WaitingStep, slackMs: number): Urgency {
+    if (slackMs >= 0) return 'in-time';
+    const graceMs = step.objectiveMs * (LATE_FACTOR - 1);
+    return slackMs + graceMs >= 0 ? 'late' : 'worthless';
+  }
+
+  private static compare(a: readonly number[], b: readonly number[]): number {
+    for (let index = 0; index < a.length; index += 1) {
+      const difference = (a[index] ?? 0) - (b[index] ?? 0);
+      if (difference !== 0) return difference;
+    }
+    return 0;
+  }
+}
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,4 @@
+/** Public interface: pure decisions about order and place. */
+export * from './QueueOrder.js';
+export * from './RuntimeEstimates.js';
+export * from './TargetChooser.js';
