--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -7,7 +7,14 @@
 import { type JobDefinition, type JobsConfigView } from '@acaciadock/jobs';
 import { type OwnedJournal } from '@acaciadock/journal';
 import { RuntimeEstimates } from '@acaciadock/placement';
-import { type AdviceService, type TargetRegistry } from './contracts.js';
+import {
+  type AdviceService,
+  type InstanceFleet,
+  type TargetRegistry,
+  type UpkeepWave,
+  type WaveReports,
+} from './contracts.js';
+import { FleetSteward, type FleetStewardOptions } from './FleetSteward.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type JobEntry } from './JobEntry.js';
 import { type JobCall, type JobReply, JobService, type SubmitCall } from './JobService.js';
@@ -35,7 +42,9 @@
 const RESTART_PAUSE_MS = 100;
 const LARGEST_RESTART_PAUSE_MS = 1_600;
 
-export interface CoordinatorOptions {
+const WAVE_PREFIX = 'wave/';
+
+export interface CoordinatorOptions extends FleetStewardOptions {
   /** Largest lease that a target grants, in milliseconds. */
   readonly mostLeaseMs: number;
   /** How long a finished job's state can be asked for, in milliseconds. */
@@ -47,6 +56,10 @@
   readonly registry: TargetRegistry;
   readonly port: TargetPort;
   readonly advice: AdviceService;
+  /** Undefined where instances can't be moved. */
+  readonly fleet: InstanceFleet | undefined;
+  readonly reports: WaveReports;
+  readonly waves: () => readonly UpkeepWave[];
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
@@ -63,6 +76,8 @@
 
   readonly scheduler: JobScheduler;
 
+  private readonly steward: FleetSteward | undefined;
+
   private readonly tickets: TicketBook;
 
   private readonly reader: ReportReader;
@@ -101,6 +116,7 @@
         config: deps.config,
       }),
     );
+    this.steward = this.newSteward();
     this.restore(owned);
     this.connect();
   }
@@ -111,6 +127,7 @@
     this.register(ownership.onEnd(() => this.dispose()));
     this.register(clock.every(TICK_MS, () => this.tick()));
     void this.followRegistry();
+    void this.steward?.run();
   }
 
   call(call: JobCall): Promise<JobReply> {
@@ -129,6 +146,7 @@
   private restore(owned: OwnedJournal): void {
     const unreadable = this.jobs.restore(owned.records);
     const adopted = this.book.adoptJournaled();
+    this.restoreWaves(owned);
     this.deps.logger.info('coordinator-started', {
       epoch: owned.epoch,
       jobs: this.jobs.activeCount,
@@ -137,6 +155,34 @@
     });
   }
 
+  private newSteward(): FleetSteward | undefined {
+    const { fleet, reports, waves, ownership, clock, logger, config } = this.deps;
+    if (!fleet) return undefined;
+    const { targets, book, scheduler } = this;
+    return this.register(
+      new FleetSteward(this.options, {
+        fleet,
+        reports,
+        waves,
+        targets,
+        book,
+        scheduler,
+        ownership,
+        clock,
+        logger,
+        config,
+      }),
+    );
+  }
+
+  private restoreWaves(owned: OwnedJournal): void {
+    owned.records.forEach(({ key, value }) => {
+      if (!value || !key.startsWith(WAVE_PREFIX)) return;
+      const instanceIds = JSON.parse(value.toString('utf8')) as string[];
+      this.steward?.restoreWave(Number(key.slice(WAVE_PREFIX.length)), instanceIds);
+    });
+  }
+
   private connect(): void {
     this.register(this.targets.onListed((target) => this.onListed(target)));
     this.register(this.targets.onDraining((target) => this.onDraining(target)));
--- /dev/null
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -0,0 +1,403 @@
+/**
+ * Orders moves of instances between pools and their upkeep. Each order is two steps: take no more
+ * work there, then act once nothing runs. Only the owner of the journal orders, with its epoch as
+ * fencing token, and only after the former owner's last order is long enough past.
+ */
+import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { type JobsConfigView } from '@acaciadock/jobs';
+import {
+  type PoolDemand,
+  type PoolPressure,
+  PoolSizer,
+  type PoolTarget,
+  type UpkeepCandidate,
+  UpkeepPlanner,
+} from '@acaciadock/placement';
+import {
+  type Duty,
+  type FleetFailure,
+  type FleetInstance,
+  type InstanceFleet,
+  type UpkeepWave,
+  type WaveReports,
+} from './contracts.js';
+import { type FleetTarget } from './FleetTarget.js';
+import { type JobScheduler } from './JobScheduler.js';
+import { type Ownership } from './Ownership.js';
+import { type RunBook } from './RunBook.js';
+import { ServingGuard } from './ServingGuard.js';
+import { type TargetTable } from './TargetTable.js';
+
+/** Between two looks at pools and waves, in milliseconds. */
+const PERIOD_MS = 150;
+
+/** Between two readings of the list of instances while orders are under way or not. */
+const BUSY_LIST_MS = 400;
+const IDLE_LIST_MS = 2_000;
+
+/** After the former owner's orders, beyond the platform's own time, in milliseconds. */
+const HANDOVER_MARGIN_MS = 500;
+
+/** An order that the list has not shown by then is forgotten, in milliseconds. */
+const ORDER_MEMORY_MS = 10_000;
+
+/** Emptying an instance takes about this long, in milliseconds. */
+const EMPTYING_MS = 4_000;
+
+/** An instance is given away after it has been empty this long, in milliseconds. */
+const IDLE_BEFORE_MOVE_MS = 400;
+
+/** Orders sent at the same time. */
+const MOST_ORDERS = 8;
+
+interface PendingOrder {
+  readonly poolId: string;
+  readonly isUpkeep: boolean;
+  readonly sinceMs: number;
+}
+
+export interface FleetStewardOptions {
+  readonly holderId: string;
+  /** Two holders keep at least this time between their orders, in milliseconds. */
+  readonly dutyHandoverMs: number;
+  readonly upkeepMs: number;
+}
+
+export interface FleetStewardDeps {
+  readonly fleet: InstanceFleet;
+  readonly reports: WaveReports;
+  readonly waves: () => readonly UpkeepWave[];
+  readonly targets: TargetTable;
+  readonly book: RunBook;
+  readonly scheduler: JobScheduler;
+  readonly ownership: Ownership;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly config: () => JobsConfigView;
+}
+
+export class FleetSteward extends Disposable {
+  private instances: readonly FleetInstance[] = [];
+
+  private listedMs = -Infinity;
+
+  private readonly orders = new Map<string, PendingOrder>();
+
+  private readonly sizer = new PoolSizer();
+
+  private readonly guard: ServingGuard;
+
+  /** Instances whose upkeep has begun, by wave. */
+  private readonly begun = new Map<number, Set<string>>();
+
+  private readonly published = new Map<number, 'running' | 'completed'>();
+
+  private readonly reservedForWave = new Set<string>();
+
+  private readonly notBeforeMs: number;
+
+  constructor(
+    private readonly options: FleetStewardOptions,
+    private readonly deps: FleetStewardDeps,
+  ) {
+    super();
+    this.guard = new ServingGuard((taskId, targetId) => deps.book.liveRunOf(taskId, targetId));
+    this.notBeforeMs =
+      deps.clock.monotonicMs() + options.dutyHandoverMs + HANDOVER_MARGIN_MS;
+  }
+
+  /** Takes up how far a wave was when an earlier owner journaled it. */
+  restoreWave(waveId: number, instanceIds: readonly string[]): void {
+    this.begun.set(waveId, new Set(instanceIds));
+  }
+
+  async run(): Promise<void> {
+    while (this.isActive) {
+      await this.round();
+      await this.deps.clock.sleep(PERIOD_MS);
+    }
+  }
+
+  private get isActive(): boolean {
+    return !this.isDisposed && this.deps.ownership.isActive;
+  }
+
+  private get duty(): Duty {
+    return { holderId: this.options.holderId, fencingToken: this.deps.ownership.epoch };
+  }
+
+  private async round(): Promise<void> {
+    await this.refreshList();
+    if (!this.isActive || this.instances.length === 0) return;
+    if (this.deps.clock.monotonicMs() < this.notBeforeMs) return;
+    if (!this.deps.ownership.mayExtendLeases) return;
+    this.deps.waves().forEach((wave) => this.workOnWave(wave));
+    this.sizePools();
+  }
+
+  private async refreshList(): Promise<void> {
+    const { clock, fleet, logger } = this.deps;
+    const nowMs = clock.monotonicMs();
+    const periodMs = this.orders.size > 0 ? BUSY_LIST_MS : IDLE_LIST_MS;
+    if (nowMs - this.listedMs < periodMs) return;
+    const listed = await fleet.list();
+    if (listed.isErr()) {
+      logger.warn('instances-unlisted', { reason: listed.error.detail });
+      this.listedMs = nowMs;
+      return;
+    }
+    this.instances = listed.value;
+    this.listedMs = nowMs;
+    this.settleOrders(nowMs);
+  }
+
+  /** An order is settled once a list asked for after it shows its result. */
+  private settleOrders(listedMs: number): void {
+    const byId = new Map(this.instances.map((one) => [one.instanceId, one]));
+    this.orders.forEach((order, instanceId) => {
+      if (order.sinceMs > listedMs) return;
+      const instance = byId.get(instanceId);
+      const isThere = instance?.state === 'up' && instance.poolId === order.poolId;
+      const isOld = listedMs - order.sinceMs > ORDER_MEMORY_MS;
+      const mayHaveEnded = !order.isUpkeep || listedMs - order.sinceMs > this.options.upkeepMs;
+      if (!instance || isOld || (isThere && mayHaveEnded)) this.orders.delete(instanceId);
+    });
+  }
+
+  // Waves of upkeep.
+
+  private workOnWave(wave: UpkeepWave): void {
+    if (this.published.get(wave.waveId) === 'completed') return;
+    const begun = this.begunOf(wave.waveId);
+    const left = this.instances.filter(
+      ({ instanceId }) => wave.instanceIds.includes(instanceId) && !begun.has(instanceId),
+    );
+    if (left.length === 0) {
+      void this.publish(wave.waveId, 'completed');
+      return;
+    }
+    if (!this.published.has(wave.waveId)) void this.publish(wave.waveId, 'running');
+    const plan = UpkeepPlanner.plan({
+      candidates: left.map((instance) => this.candidateOf(instance)),
+      pools: this.pressures(),
+      downCount: this.downCountOf(wave),
+      mostAtOnce: wave.mostAtOnce,
+      timeLeftMs: wave.dueMs - this.deps.clock.monotonicMs(),
+      stepMs: this.options.upkeepMs + EMPTYING_MS,
+    });
+    plan.reserve.forEach((instanceId) => this.reservedForWave.add(instanceId));
+    left.forEach((instance) => this.empty(instance));
+    plan.begin.forEach((instanceId) => {
+      const instance = left.find((one) => one.instanceId === instanceId);
+      if (instance) void this.beginUpkeep(instance, wave);
+    });
+  }
+
+  private candidateOf(instance: FleetInstance): UpkeepCandidate {
+    const target = this.targets.get(instance.targetId);
+    const isSpare = this.isSpare(instance.poolId);
+    return {
+      instanceId: instance.instanceId,
+      poolId: instance.poolId,
+      isEmpty: isSpare || (target?.isReserved === true && target.runs.size === 0),
+      isReserved: this.reservedForWave.has(instance.instanceId),
+      isBusy: instance.state !== 'up' || this.orders.has(instance.instanceId),
+      runCount: target?.runs.size ?? 0,
+      isSpare,
+    };
+  }
+
+  /** Closes a reserved instance and moves away what lasts, as far as its jobs allow. */
+  private empty(instance: FleetInstance): void {
+    if (!this.reservedForWave.has(instance.instanceId)) return;
+    const target = this.targets.get(instance.targetId);
+    if (!target) return;
+    target.isReserved = true;
+    this.moveServing(target);
+  }
+
+  private moveServing(target: FleetTarget): void {
+    for (const live of target.runs.values()) {
+      const { step, task } = live.place;
+      const isServing = step.spec.longRunning && live.phase === 'running';
+      if (isServing && this.guard.mayStop(step, task)) this.deps.book.stop(live);
+    }
+  }
+
+  private downCountOf(wave: UpkeepWave): number {
+    return this.instances.filter(({ instanceId, state }) => {
+      if (!wave.instanceIds.includes(instanceId)) return false;
+      return state === 'upkeep' || this.orders.get(instanceId)?.isUpkeep === true;
+    }).length;
+  }
+
+  private async beginUpkeep(instance: FleetInstance, wave: UpkeepWave): Promise<void> {
+    const { instanceId, poolId } = instance;
+    this.noteOrder(instanceId, poolId, true);
+    const done = await this.deps.fleet.upkeep(instanceId, wave.waveId, this.duty);
+    this.logOrder('upkeep', instance, poolId, done.isOk() ? 'accepted' : done.error.kind);
+    if (done.isOk() || done.error.kind === 'invalid') {
+      this.begunOf(wave.waveId).add(instanceId);
+      this.reservedForWave.delete(instanceId);
+      this.journalWave(wave.waveId);
+      return;
+    }
+    this.onRefused(instanceId, done.error);
+  }
+
+  private begunOf(waveId: number): Set<string> {
+    const known = this.begun.get(waveId);
+    if (known) return known;
+    const created = new Set<string>();
+    this.begun.set(waveId, created);
+    return created;
+  }
+
+  private journalWave(waveId: number): void {
+    void this.deps.ownership.writer.write(`wave/${waveId}`, () =>
+      Buffer.from(JSON.stringify([...this.begunOf(waveId)])),
+    );
+  }
+
+  private async publish(waveId: number, state: 'running' | 'completed'): Promise<void> {
+    const former = this.published.get(waveId);
+    this.published.set(waveId, state);
+    const done = await this.deps.reports.publish(waveId, state);
+    if (done.isOk()) {
+      this.deps.logger.info('wave-state', { waveId, state });
+      return;
+    }
+    this.deps.logger.warn('wave-state-unpublished', { waveId, state, reason: done.error.kind });
+    if (former) this.published.set(waveId, former);
+    else this.published.delete(waveId);
+  }
+
+  // Sizes of pools.
+
+  private sizePools(): void {
+    const demands = this.demands();
+    const sizes = this.sizer.size(demands, this.deps.clock.monotonicMs());
+    const countOf = new Map(demands.map(({ poolId, instanceCount }) => [poolId, instanceCount]));
+    const lacking = sizes
+      .map((size) => ({ size, missing: size.needed - (countOf.get(size.poolId) ?? 0) }))
+      .filter(({ missing }) => missing > 0)
+      .sort((a, b) => b.missing - a.missing);
+    const donors = this.donors(sizes, countOf);
+    lacking.forEach(({ size, missing }) => {
+      donors.splice(0, missing).forEach((instance) => void this.move(instance, size.poolId));
+    });
+    if (lacking.length === 0) this.park(donors);
+  }
+
+  /** Instances that may be given away: spare ones first, then empty ones of pools with too many. */
+  private donors(sizes: readonly PoolTarget[], countOf: ReadonlyMap<string, number>): FleetInstance[] {
+    const spare = this.instances.filter((one) => this.isSpare(one.poolId) && this.isFree(one));
+    const surplus = sizes.flatMap(({ poolId, kept }) => {
+      const idle = this.instances.filter((one) => one.poolId === poolId && this.isIdle(one));
+      return idle.slice(0, Math.max(0, (countOf.get(poolId) ?? 0) - kept));
+    });
+    return [...spare, ...surplus].slice(0, MOST_ORDERS);
+  }
+
+  private park(donors: readonly FleetInstance[]): void {
+    const [sparePoolId] = this.deps.config().sparePoolIds;
+    if (sparePoolId === undefined) return;
+    donors
+      .filter((instance) => !this.isSpare(instance.poolId))
+      .forEach((instance) => void this.move(instance, sparePoolId));
+  }
+
+  private demands(): PoolDemand[] {
+    return this.deps
+      .config()
+      .config.pools.filter((pool) => !pool.isSpare)
+      .map(({ poolId }) => this.demandOf(poolId));
+  }
+
+  private demandOf(poolId: string): PoolDemand {
+    const present = this.instances.filter((one) => this.poolAfterOrders(one) === poolId);
+    const waiting = this.deps.scheduler.waitingCpuMilli(poolId);
+    const running = this.targets
+      .ofPool(poolId)
+      .reduce((sum, target) => sum + target.usedCpuMilli, 0);
+    return {
+      poolId,
+      demandCpuMilli: waiting + running,
+      instanceCount: present.length,
+      cpuMilliPerInstance: present[0]?.capacity.cpuMilli ?? this.instances[0]?.capacity.cpuMilli ?? 1,
+    };
+  }
+
+  private poolAfterOrders({ instanceId, poolId }: FleetInstance): string {
+    return this.orders.get(instanceId)?.poolId ?? poolId;
+  }
+
+  private isFree({ instanceId, state }: FleetInstance): boolean {
+    return state === 'up' && !this.orders.has(instanceId) && !this.reservedForWave.has(instanceId);
+  }
+
+  private isIdle(instance: FleetInstance): boolean {
+    const target = this.targets.get(instance.targetId);
+    if (!target || !this.isFree(instance)) return false;
+    const nowMs = this.deps.clock.monotonicMs();
+    if (!target.isOpen(nowMs) || target.runs.size > 0) return false;
+    return nowMs - target.idleSinceMs > IDLE_BEFORE_MOVE_MS;
+  }
+
+  private async move(instance: FleetInstance, poolId: string): Promise<void> {
+    const { instanceId, targetId } = instance;
+    const target = this.targets.get(targetId);
+    if (target) target.isReserved = true;
+    this.noteOrder(instanceId, poolId, false);
+    const done = await this.deps.fleet.move(instanceId, poolId, this.duty);
+    this.logOrder('move', instance, poolId, done.isOk() ? 'accepted' : done.error.kind);
+    if (done.isOk()) return;
+    this.onRefused(instanceId, done.error);
+    if (target && done.error.kind !== 'unknown-outcome') target.isReserved = false;
+  }
+
+  // Orders.
+
+  private get targets(): TargetTable {
+    return this.deps.targets;
+  }
+
+  private isSpare(poolId: string): boolean {
+    return this.deps.config().pool(poolId)?.isSpare ?? false;
+  }
+
+  private pressures(): Map<string, PoolPressure> {
+    const nowMs = this.deps.clock.monotonicMs();
+    return new Map(
+      this.deps.config().config.pools.map(({ poolId }) => [
+        poolId,
+        {
+          openCount: this.targets.ofPool(poolId).filter((target) => target.isOpen(nowMs)).length,
+          hasWaitingWork: this.deps.scheduler.waitingCpuMilli(poolId) > 0,
+        },
+      ]),
+    );
+  }
+
+  private noteOrder(instanceId: string, poolId: string, isUpkeep: boolean): void {
+    this.orders.set(instanceId, { poolId, isUpkeep, sinceMs: this.deps.clock.monotonicMs() });
+  }
+
+  private onRefused(instanceId: string, failure: FleetFailure): void {
+    if (failure.kind === 'fenced') this.deps.ownership.end('fenced');
+    // An order without an answer may have been carried out: the list will tell.
+    if (failure.kind !== 'unknown-outcome') this.orders.delete(instanceId);
+  }
+
+  private logOrder(order: string, instance: FleetInstance, poolId: string, outcome: string): void {
+    this.deps.logger.info('fleet-order', {
+      order,
+      instanceId: instance.instanceId,
+      fromPoolId: instance.poolId,
+      poolId,
+      fencingToken: this.deps.ownership.epoch,
+      listAgeMs: Math.round(this.deps.clock.monotonicMs() - this.listedMs),
+      outcome,
+    });
+  }
+}
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -62,7 +62,7 @@
   readonly onPlaced = this.placedEmitter.event;
 
   /** Steps that got no room in the last pass, by pool. */
-  readonly waitingByPool = new Map<string, readonly OpenStep[]>();
+  private readonly waitingByPool = new Map<string, readonly OpenStep[]>();
 
   constructor(private readonly deps: JobSchedulerDeps) {
     super();
@@ -70,6 +70,15 @@
     this.register({ dispose: () => this.passTimer?.dispose() });
   }
 
+  /** Processor that the pool's waiting tasks ask for, thousandths of a core. */
+  waitingCpuMilli(poolId: string): number {
+    const waiting = this.waitingByPool.get(poolId) ?? [];
+    return waiting.reduce((sum, { step }) => {
+      if (step.spec.filler) return sum;
+      return sum + step.spec.cpuMilli * step.waitingTasks.length;
+    }, 0);
+  }
+
   /** Asks for a pass over the pool. */
   wake(poolId: string): void {
     this.dirtyPools.add(poolId);
--- a/packages/coordinator/src/TargetTable.ts
+++ b/packages/coordinator/src/TargetTable.ts
@@ -78,7 +78,10 @@
     const wasDraining = target.isDraining;
     target.entry = entry;
     target.isListed = true;
-    if (target.hasUnknownLifetime) target.isConfirmed = false;
+    if (target.hasUnknownLifetime) {
+      target.isConfirmed = false;
+      target.isReserved = false;
+    }
     if (isNew || !target.isConfirmed) this.addEmitter.fire(target);
     if (target.isDraining && !wasDraining) this.drainEmitter.fire(target);
   }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,3 +2,5 @@
 export * from './QueueOrder.js';
 export * from './RuntimeEstimates.js';
 export * from './TargetChooser.js';
+export * from './PoolSizer.js';
+export * from './UpkeepPlanner.js';
