--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -317,6 +317,7 @@
   private accept(definition: JobDefinition): JobEntry {
     const entry = this.jobs.accept(definition);
     this.openDue(entry);
+    this.scheduler.noteArrival(entry);
     this.wakeFor(entry);
     return entry;
   }
--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -9,8 +9,9 @@
   type PoolDemand,
   type PoolPressure,
   PoolSizer,
-  type PoolTarget,
+  type PoolSize,
   type UpkeepCandidate,
+  TurnForecast,
   UpkeepPlanner,
 } from '@acaciadock/placement';
 import {
@@ -47,6 +48,9 @@
 /** An instance is given away after it has been empty this long, in milliseconds. */
 const IDLE_BEFORE_MOVE_MS = 400;
 
+/** Between two log lines about the sizes of pools, in milliseconds. */
+const SIZES_LOG_MS = 1_000;
+
 /** Orders sent at the same time. */
 const MOST_ORDERS = 8;
 
@@ -81,10 +85,14 @@
 
   private listedMs = -Infinity;
 
+  private sizesLoggedMs = -Infinity;
+
   private readonly orders = new Map<string, PendingOrder>();
 
   private readonly sizer = new PoolSizer();
 
+  private readonly forecast = new TurnForecast();
+
   private readonly guard: ServingGuard;
 
   /** Instances whose upkeep has begun, by wave. */
@@ -276,7 +284,13 @@
 
   private sizePools(): void {
     const demands = this.demands();
-    const sizes = this.sizer.size(demands, this.deps.clock.monotonicMs());
+    const nowMs = this.deps.clock.monotonicMs();
+    this.forecast.observe(
+      demands.map(({ poolId, arrivingCpuMilli }) => ({ poolId, cpuMilli: arrivingCpuMilli })),
+      nowMs,
+    );
+    const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs);
+    this.logSizes(demands, sizes, nowMs);
     const countOf = new Map(demands.map(({ poolId, instanceCount }) => [poolId, instanceCount]));
     const lacking = sizes
       .map((size) => ({ size, missing: size.needed - (countOf.get(size.poolId) ?? 0) }))
@@ -289,8 +303,30 @@
     if (lacking.length === 0) this.park(donors);
   }
 
+  private logSizes(
+    demands: readonly PoolDemand[],
+    sizes: readonly PoolSize[],
+    nowMs: number,
+  ): void {
+    if (nowMs - this.sizesLoggedMs < SIZES_LOG_MS) return;
+    this.sizesLoggedMs = nowMs;
+    this.deps.logger.info('pool-sizes', {
+      pools: demands.map((demand, index) => ({
+        poolId: demand.poolId,
+        instances: demand.instanceCount,
+        needed: sizes[index]?.needed,
+        kept: sizes[index]?.kept,
+        demandCpuMilli: demand.demandCpuMilli,
+        arrivingCpuMilli: Math.round(demand.arrivingCpuMilli),
+      })),
+      turnPoolId: this.forecast.currentPoolId,
+      next: this.forecast.next(nowMs),
+      listAgeMs: Math.round(nowMs - this.listedMs),
+    });
+  }
+
   /** Instances that may be given away: spare ones first, then empty ones of pools with too many. */
-  private donors(sizes: readonly PoolTarget[], countOf: ReadonlyMap<string, number>): FleetInstance[] {
+  private donors(sizes: readonly PoolSize[], countOf: ReadonlyMap<string, number>): FleetInstance[] {
     const spare = this.instances.filter((one) => this.isSpare(one.poolId) && this.isFree(one));
     const surplus = sizes.flatMap(({ poolId, kept }) => {
       const idle = this.instances.filter((one) => one.poolId === poolId && this.isIdle(one));
@@ -323,6 +359,8 @@
     return {
       poolId,
       demandCpuMilli: waiting + running,
+      arrivingCpuMilli: this.deps.scheduler.arrivingCpuMilli(poolId),
+      hasHadTurn: this.forecast.hasHadTurn(poolId),
       instanceCount: present.length,
       cpuMilliPerInstance: present[0]?.capacity.cpuMilli ?? this.instances[0]?.capacity.cpuMilli ?? 1,
     };
@@ -373,12 +411,18 @@
         poolId,
         {
           openCount: this.targets.ofPool(poolId).filter((target) => target.isOpen(nowMs)).length,
-          hasWaitingWork: this.deps.scheduler.waitingCpuMilli(poolId) > 0,
+          hasWaitingWork:
+            this.deps.scheduler.waitingCpuMilli(poolId) > 0 || this.isInTurn(poolId, nowMs),
         },
       ]),
     );
   }
 
+  /** Whether the pool is, or will soon be, the one that asks for much. */
+  private isInTurn(poolId: string, nowMs: number): boolean {
+    return this.forecast.currentPoolId === poolId || this.forecast.next(nowMs)?.poolId === poolId;
+  }
+
   private noteOrder(instanceId: string, poolId: string, isUpkeep: boolean): void {
     this.orders.set(instanceId, { poolId, isUpkeep, sinceMs: this.deps.clock.monotonicMs() });
   }
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -1,5 +1,6 @@
 /** One target: what it reports, what runs there, and how it has behaved. */
 import { LeaseClock, SLOWEST_CLOCK_RATE, type TargetAddress } from '@acaciadock/execution';
+import { type CommitOutcome } from '@acaciadock/journal';
 import { type PlacementTarget } from '@acaciadock/placement';
 import { type Capacity, type RegistryEntry } from './contracts.js';
 import { type LiveRun } from './LiveRun.js';
@@ -25,6 +26,9 @@
   /** Ends up to here are durable. */
   durableEnd = 0;
 
+  /** Settles when every end that was taken up so far is durable. */
+  endsCommit: Promise<CommitOutcome> = Promise.resolve('durable');
+
   failedHolds = 0;
 
   /** Whether the newest list shows it. */
@@ -124,6 +128,7 @@
     this.bornMs = bornMs;
     this.processedEnd = 0;
     this.durableEnd = 0;
+    this.endsCommit = Promise.resolve('durable');
     this.lease = new LeaseClock(this.mostLeaseMs, nowMs + this.mostLeaseMs / SLOWEST_CLOCK_RATE);
   }
 
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -12,6 +12,7 @@
   type TaskState,
 } from '@acaciadock/jobs';
 import {
+  ArrivalMeter,
   QueueOrder,
   type RuntimeEstimates,
   TargetChooser,
@@ -61,6 +62,8 @@
   /** Fires when a planned run is durable and its order may leave. */
   readonly onPlaced = this.placedEmitter.event;
 
+  private readonly arrivals = new Map<string, ArrivalMeter>();
+
   /** Steps that got no room in the last pass, by pool. */
   private readonly waitingByPool = new Map<string, readonly OpenStep[]>();
 
@@ -70,6 +73,26 @@
     this.register({ dispose: () => this.passTimer?.dispose() });
   }
 
+  /** Notes a job that has just been accepted. */
+  noteArrival(entry: JobEntry): void {
+    const { queueId, spec } = entry.job.definition;
+    const cpuMilliMs = spec.steps
+      .filter((step) => !step.longRunning)
+      .reduce((sum, step) => {
+        const runtimeMs = this.deps.estimates.meanMs(queueId, step.estimatedRuntimeMs);
+        return sum + step.taskCount * step.cpuMilli * runtimeMs;
+      }, 0);
+    const poolId = this.poolOf(entry);
+    const meter = this.arrivals.get(poolId) ?? new ArrivalMeter();
+    this.arrivals.set(poolId, meter);
+    meter.note(cpuMilliMs, this.deps.clock.monotonicMs());
+  }
+
+  /** Processor that keeps up with what arrives at the pool, thousandths of a core. */
+  arrivingCpuMilli(poolId: string): number {
+    return this.arrivals.get(poolId)?.cpuMilli(this.deps.clock.monotonicMs()) ?? 0;
+  }
+
   /** Processor that the pool's waiting tasks ask for, thousandths of a core. */
   waitingCpuMilli(poolId: string): number {
     const waiting = this.waitingByPool.get(poolId) ?? [];
--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -6,8 +6,8 @@
 import { JournalWriter, type OwnedJournal, type RecordLog } from '@acaciadock/journal';
 
 /**
- * Leases are extended only this long after the store last confirmed the ownership, in
- * milliseconds. A successor waits this long, plus a lease, for targets that it can't reach.
+ * Leases are extended only this long after the last acknowledged append, in milliseconds: only
+ * that proves that nobody else has claimed. A successor waits this long, plus a lease, for targets that it can't reach.
  */
 export const EXTENSION_BOUND_MS = 6_000;
 
@@ -17,17 +17,13 @@
 /** A wall clock that ran ahead of the steady one by this much means a suspension. */
 const SUSPENSION_MS = 300;
 
-export type OwnershipEnd = 'journal-lost' | 'fenced' | 'reassigned' | 'shutdown';
+export type OwnershipEnd = 'journal-lost' | 'fenced' | 'shutdown';
 
 export class Ownership extends Disposable {
   readonly writer: JournalWriter;
 
   readonly epoch: number;
 
-  private confirmedMs: number;
-
-  private confirmedUnixMs: number;
-
   private readonly endEmitter = this.register(new EventEmitter<OwnershipEnd>());
 
   /** Fires once when the period ends. */
@@ -44,8 +40,6 @@
     this.epoch = owned.epoch;
     this.writer = this.register(new JournalWriter(log, owned, clock));
     this.writer.onLost(() => this.end('journal-lost'));
-    this.confirmedMs = clock.monotonicMs();
-    this.confirmedUnixMs = clock.unixMs();
   }
 
   get isActive(): boolean {
@@ -57,17 +51,11 @@
     return this.writer.stalledMs < STORE_STALL_MS;
   }
 
-  /** Notes that the store has just confirmed that this entry owns the journal. */
-  confirm(): void {
-    this.confirmedMs = this.clock.monotonicMs();
-    this.confirmedUnixMs = this.clock.unixMs();
-  }
-
   /** Whether leases may be extended; also false right after a suspension. */
   get mayExtendLeases(): boolean {
     if (this.ended) return false;
-    const steadyMs = this.clock.monotonicMs() - this.confirmedMs;
-    const wallMs = this.clock.unixMs() - this.confirmedUnixMs;
+    const steadyMs = this.clock.monotonicMs() - this.writer.lastDurableMs;
+    const wallMs = this.clock.unixMs() - this.writer.lastDurableUnixMs;
     if (wallMs - steadyMs > SUSPENSION_MS) return false;
     return steadyMs < EXTENSION_BOUND_MS;
   }
--- a/packages/coordinator/src/ReportReader.ts
+++ b/packages/coordinator/src/ReportReader.ts
@@ -37,8 +37,11 @@
     const strangers = report.running.filter((running) => !this.readRunning(target, running));
     const isWhole = report.ended.length < ENDS_PER_REPORT;
     if (isWhole) commits.push(...this.concludeAbsent(target, report, sentAtMs));
+    // An end is acknowledged by its number, so all earlier ones must be durable too.
+    const endsCommit = ReportReader.join([target.endsCommit, ...commits]);
+    Object.assign(target, { endsCommit });
     return {
-      commit: ReportReader.join(commits),
+      commit: endsCommit,
       lastEnd: target.processedEnd,
       strangers,
     };
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -178,7 +178,9 @@
   }
 
   private async acknowledge(commit: Promise<unknown>, lastEnd: number): Promise<void> {
+    const { bornMs } = this.target;
     const settled = commit.then((outcome) => {
+      if (this.target.bornMs !== bornMs) return;
       if (outcome === 'durable' && lastEnd > this.target.durableEnd) {
         this.target.durableEnd = lastEnd;
       }
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -1,14 +1,18 @@
 /**
- * The task that keeps this entry in the ownership group, claims the journal when it is assigned
- * here, and gives it up when it is assigned elsewhere. It also learns who the owner is.
+ * The task that keeps this entry in the group, claims the journal when its owner is gone and this
+ * entry is the successor, and tells the others. An owner that lives keeps the journal, however
+ * the group is dealt anew.
  */
 import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
 import { Ownership } from '@acaciadock/coordinator';
 import {
+  CLAIM_KEY,
   type GroupMember,
   type GroupView,
+  isSameMember,
   JournalClaim,
   type OwnedJournal,
+  type OwnerNotice,
   type OwnershipGroup,
   type RecordLog,
 } from '@acaciadock/journal';
@@ -17,13 +21,28 @@
  * Between two renewals of the membership, in milliseconds: a few fit into the time to live, and
  * the store counts a renewal as a tenth of a call.
  */
-const RENEW_PERIOD_MS = 350;
+const RENEW_PERIOD_MS = 300;
 
 /** Between two claims of this process, in milliseconds, so that two claimants don't spin. */
 const CLAIM_PAUSE_MS = 300;
 
 /** Between two questions for the owner while it is not known or does not answer. */
-const OWNER_REFRESH_MS = 250;
+const OWNER_REFRESH_MS = 200;
+
+/** The successor looks at the owner's membership this often without a change, in milliseconds. */
+const OWNER_CHECK_MS = 1_500;
+
+/** An owner without work proves its ownership to itself this often, in milliseconds. */
+const IDLE_PROOF_MS = 1_000;
+
+/** After an outage of the store the others get this long to rejoin before anyone claims. */
+const REJOIN_GRACE_MS = 700;
+
+/** Between two tries to announce the ownership, in milliseconds. */
+const ANNOUNCE_RETRY_MS = 150;
+
+/** A planned stop waits this long for what is being journaled, in milliseconds. */
+const FLUSH_WAIT_MS = 400;
 
 export interface OwnedPeriod {
   readonly ownership: Ownership;
@@ -45,24 +64,23 @@
 
   private ownership: Ownership | undefined;
 
-  private generation = -1;
-
-  private isAssigned = false;
+  private view: GroupView = { generation: -1, isSuccessor: false };
 
   private isClaiming = false;
 
-  private currentOwner: GroupMember | undefined;
+  private notice: OwnerNotice | undefined;
 
   private lastClaimMs = -Infinity;
 
-  private lastOwnerReadMs = -Infinity;
+  private lastNoticeMs = -Infinity;
+
+  private lastCheckMs = -Infinity;
 
   private storeLost = false;
 
-  private claims = 0;
+  private storeBackMs = -Infinity;
 
-  /** Monotonic time of the last answer of the store. */
-  lastStoreAnswerMs = -Infinity;
+  private claims = 0;
 
   constructor(
     private readonly self: GroupMember,
@@ -71,9 +89,9 @@
     super();
   }
 
-  /** The member that the journal is assigned to, as far as is known. */
+  /** The owner of the journal, as far as is known. */
   get owner(): GroupMember | undefined {
-    return this.currentOwner;
+    return this.isOwner ? this.self : this.notice?.owner;
   }
 
   get isOwner(): boolean {
@@ -87,24 +105,38 @@
     }
   }
 
-  /** Leaves the group, so that the journal is assigned elsewhere at once. */
+  /** Gives up the journal and leaves the group, so that the successor claims at once. */
   async leave(): Promise<void> {
-    this.ownership?.end('shutdown');
     this.dispose();
+    const { ownership } = this;
+    if (ownership?.isActive) {
+      const flushed = ownership.writer.write(CLAIM_KEY, () => this.claimValue());
+      await Promise.race([flushed, this.deps.clock.sleep(FLUSH_WAIT_MS)]);
+      ownership.end('shutdown');
+    }
     await this.deps.group.leave(this.self);
   }
 
   /** Asks the store who the owner is, unless that was done a moment ago. */
   async refreshOwner(): Promise<void> {
     const nowMs = this.deps.clock.monotonicMs();
-    if (nowMs - this.lastOwnerReadMs < OWNER_REFRESH_MS) return;
-    this.lastOwnerReadMs = nowMs;
-    const owner = await this.deps.group.owner();
-    if (owner.isErr()) return;
-    if (owner.value?.peerAddress !== this.currentOwner?.peerAddress) {
-      this.deps.logger.info('owner-known', { owner: owner.value?.entryId ?? '' });
+    if (nowMs - this.lastNoticeMs < OWNER_REFRESH_MS) return;
+    this.lastNoticeMs = nowMs;
+    await this.readNotice();
+  }
+
+  private async readNotice(): Promise<boolean> {
+    const notice = await this.deps.group.announced();
+    if (notice.isErr()) return false;
+    const formerEpoch = this.notice?.epoch ?? -1;
+    if (notice.value && notice.value.epoch > formerEpoch) {
+      this.notice = notice.value;
+      this.deps.logger.info('owner-known', {
+        owner: notice.value.owner.entryId,
+        epoch: notice.value.epoch,
+      });
     }
-    this.currentOwner = owner.value;
+    return true;
   }
 
   private async renew(): Promise<void> {
@@ -112,59 +144,96 @@
     if (this.isDisposed) return;
     this.noteStore(view.isOk(), view.isErr() ? view.error.kind : '');
     if (view.isErr()) return;
-    this.lastStoreAnswerMs = this.deps.clock.monotonicMs();
-    this.applyView(view.value);
-    if (this.currentOwner === undefined) void this.refreshOwner();
+    const changed = view.value.generation !== this.view.generation;
+    this.view = view.value;
+    if (changed) this.deps.logger.info('group-changed', { ...this.view });
+    if (this.isOwner) this.proveOwnership();
+    else await this.watchOwner(changed);
   }
 
-  private applyView(view: GroupView): void {
-    if (view.generation !== this.generation) {
-      this.generation = view.generation;
-      this.deps.logger.info('group-changed', {
-        generation: view.generation,
-        ownsJournal: view.ownsJournal,
-      });
-      void this.refreshOwner();
-    }
-    this.isAssigned = view.ownsJournal;
-    if (!view.ownsJournal) {
-      this.ownership?.end('reassigned');
+  /** An acknowledged append is the only proof that nobody else has claimed. */
+  private proveOwnership(): void {
+    const { ownership } = this;
+    if (!ownership) return;
+    const idleMs = this.deps.clock.monotonicMs() - ownership.writer.lastDurableMs;
+    if (idleMs > IDLE_PROOF_MS) void ownership.writer.write(CLAIM_KEY, () => this.claimValue());
+  }
+
+  private async watchOwner(changed: boolean): Promise<void> {
+    const nowMs = this.deps.clock.monotonicMs();
+    const isDue = changed || this.notice === undefined || nowMs - this.lastCheckMs > OWNER_CHECK_MS;
+    const isOwnNotice = this.notice !== undefined && isSameMember(this.notice.owner, this.self);
+    if (!this.view.isSuccessor && !isOwnNotice) {
+      if (changed || this.notice === undefined) void this.refreshOwner();
       return;
     }
-    this.currentOwner = this.self;
-    if (this.isOwner) this.ownership?.confirm();
-    else void this.claim();
+    if (!isDue && !isOwnNotice) return;
+    if (nowMs - this.storeBackMs < REJOIN_GRACE_MS) return;
+    this.lastCheckMs = nowMs;
+    if (await this.isOwnerGone()) void this.claim();
+  }
+
+  private async isOwnerGone(): Promise<boolean> {
+    if (!(await this.readNotice())) return false;
+    const { notice } = this;
+    if (!notice || isSameMember(notice.owner, this.self)) return true;
+    const members = await this.deps.group.members();
+    if (members.isErr()) return false;
+    return !members.value.some((member) => isSameMember(member, notice.owner));
   }
 
   private async claim(): Promise<void> {
     const { clock, log, logger } = this.deps;
-    if (this.isClaiming || clock.monotonicMs() - this.lastClaimMs < CLAIM_PAUSE_MS) return;
+    if (this.isClaiming || this.isOwner) return;
+    if (clock.monotonicMs() - this.lastClaimMs < CLAIM_PAUSE_MS) return;
     this.isClaiming = true;
     this.lastClaimMs = clock.monotonicMs();
     this.claims += 1;
     const { entryId, bootMs } = this.self;
     const owned = await new JournalClaim(log, clock).take(
       { entryId, bootMs, nonce: `${bootMs}-${this.claims}` },
-      () => this.isAssigned && !this.isDisposed,
+      () => !this.isDisposed && !this.storeLost,
     );
     this.isClaiming = false;
-    if (!owned || !this.isAssigned || this.isDisposed) return;
-    const ownership = new Ownership(log, owned, clock);
-    this.ownership = ownership;
-    ownership.onEnd((reason) => {
-      logger.info('ownership-ended', { epoch: owned.epoch, reason });
-    });
+    if (!owned || this.isDisposed) return;
     logger.info('ownership-claimed', {
       epoch: owned.epoch,
       records: owned.records.length,
       tookMs: Math.round(clock.monotonicMs() - this.lastClaimMs),
     });
+    this.own(owned);
+  }
+
+  private own(owned: OwnedJournal): void {
+    const { clock, log, logger } = this.deps;
+    const ownership = new Ownership(log, owned, clock);
+    this.ownership = ownership;
+    ownership.onEnd((reason) => {
+      logger.info('ownership-ended', { epoch: owned.epoch, reason });
+    });
     this.ownedEmitter.fire({ ownership, owned });
+    void this.announce(ownership);
+  }
+
+  private async announce(ownership: Ownership): Promise<void> {
+    const notice = { owner: this.self, epoch: ownership.epoch };
+    while (ownership.isActive) {
+      const done = await this.deps.group.announce(notice);
+      if (done.isOk()) return;
+      this.deps.logger.warn('owner-unannounced', { reason: done.error.kind });
+      await this.deps.clock.sleep(ANNOUNCE_RETRY_MS);
+    }
+  }
+
+  private claimValue(): Buffer {
+    const { entryId, bootMs } = this.self;
+    return Buffer.from(JSON.stringify({ entryId, bootMs, nonce: `${bootMs}-${this.claims}` }));
   }
 
   private noteStore(isBack: boolean, reason: string): void {
     if (this.storeLost === !isBack) return;
     this.storeLost = !isBack;
+    if (isBack) this.storeBackMs = this.deps.clock.monotonicMs();
     this.deps.logger.warn(isBack ? 'store-back' : 'store-lost', { reason });
   }
 }
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -49,6 +49,9 @@
   /** Monotonic time of the last acknowledged append. */
   lastDurableMs: number;
 
+  /** The same moment on the wall clock. */
+  lastDurableUnixMs: number;
+
   /** Monotonic time since which the append under way has been tried; undefined when idle. */
   private appendingSinceMs: number | undefined;
 
@@ -64,6 +67,7 @@
     super();
     this.nextOffset = owned.nextOffset;
     this.lastDurableMs = clock.monotonicMs();
+    this.lastDurableUnixMs = clock.unixMs();
   }
 
   /** How long the append under way has waited for an acknowledgement, in milliseconds. */
@@ -151,6 +155,7 @@
   private advance(count: number): boolean {
     this.nextOffset += count;
     this.lastDurableMs = this.clock.monotonicMs();
+    this.lastDurableUnixMs = this.clock.unixMs();
     this.appendingSinceMs = undefined;
     return true;
   }
--- a/packages/journal/src/OwnershipGroup.ts
+++ b/packages/journal/src/OwnershipGroup.ts
@@ -1,6 +1,7 @@
 /**
- * Which live entry should own the journal. The group only proposes: two entries may both believe
- * to be the owner for a moment, and only the claim in the journal decides.
+ * The live entries, which of them should claim the journal when its owner is gone, and who the
+ * owner says it is. All of it is advice: two entries may both believe to be the owner for a
+ * moment, and only the claim in the journal decides.
  */
 import { type Result } from 'neverthrow';
 import { type LogFailure } from './RecordLog.js';
@@ -14,8 +15,20 @@
 }
 
 export interface GroupView {
+  /** Rises with every change of the membership. */
   readonly generation: number;
-  readonly ownsJournal: boolean;
+  /** This member is the one to claim the journal if its owner is gone. */
+  readonly isSuccessor: boolean;
+}
+
+/** The owner as it has announced itself. */
+export interface OwnerNotice {
+  readonly owner: GroupMember;
+  readonly epoch: number;
+}
+
+export function isSameMember(a: GroupMember, b: GroupMember): boolean {
+  return a.entryId === b.entryId && a.bootMs === b.bootMs;
 }
 
 export abstract class OwnershipGroup {
@@ -24,6 +37,10 @@
 
   abstract leave(self: GroupMember): Promise<Result<void, LogFailure>>;
 
-  /** The member that the journal is assigned to, if any. */
-  abstract owner(): Promise<Result<GroupMember | undefined, LogFailure>>;
+  abstract members(): Promise<Result<readonly GroupMember[], LogFailure>>;
+
+  abstract announce(notice: OwnerNotice): Promise<Result<void, LogFailure>>;
+
+  /** The newest announcement; undefined if there has been none. */
+  abstract announced(): Promise<Result<OwnerNotice | undefined, LogFailure>>;
 }
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -1,34 +1,48 @@
 /**
  * How many instances each pool should have. Answers the load in which queues ask for several times
- * their mean by turns: a pool grows as soon as what waits and runs needs it, and gives instances
- * back only after it has needed less for a while, so that it does not swing with every job.
+ * their mean by turns: a pool grows as soon as what waits, runs and arrives needs it, and ahead of
+ * a turn that is foreseen; it gives instances back once it has needed fewer for a while. A pool
+ * that has not had its turn yet keeps part of what it was given, as nothing is known of its need.
  */
+import { type NextTurn } from './TurnForecast.js';
 
 export interface PoolDemand {
   readonly poolId: string;
   /** Processor that running and waiting work asks for, thousandths of a core. */
   readonly demandCpuMilli: number;
+  /** Processor that keeps up with the arrivals, thousandths of a core. */
+  readonly arrivingCpuMilli: number;
   /** Instances that are up or on their way. */
   readonly instanceCount: number;
   readonly cpuMilliPerInstance: number;
+  readonly hasHadTurn: boolean;
 }
 
 /** Work does not fill an instance to the last core. */
 const FILL_SHARE = 0.85;
 
 /** A pool gives instances back after needing fewer for this long, in milliseconds. */
-const SHRINK_AFTER_MS = 2_000;
+const SHRINK_AFTER_MS = 1_200;
 
 /** A pool never has fewer. */
 const LEAST_INSTANCES = 1;
 
+/** A pool that has not had its turn keeps this share of the instances it was given. */
+const UNSEEN_SHARE = 0.5;
+
+/** A foreseen turn is prepared for this long ahead, in milliseconds: a move and its delays. */
+const PREPARE_MS = 2_200;
+
 interface History {
   /** Largest need lately, and when it was last that large. */
   peak: number;
   peakMs: number;
+  /** Largest need in the pool's last turn. */
+  turnPeak: number;
+  readonly firstCount: number;
 }
 
-export interface PoolTarget {
+export interface PoolSize {
   readonly poolId: string;
   /** Instances needed now. */
   readonly needed: number;
@@ -39,26 +53,35 @@
 export class PoolSizer {
   private readonly histories = new Map<string, History>();
 
-  size(pools: readonly PoolDemand[], nowMs: number): PoolTarget[] {
-    return pools.map((pool) => this.sizeOne(pool, nowMs));
+  size(pools: readonly PoolDemand[], next: NextTurn | undefined, nowMs: number): PoolSize[] {
+    return pools.map((pool) => this.sizeOne(pool, next, nowMs));
   }
 
-  private sizeOne(pool: PoolDemand, nowMs: number): PoolTarget {
+  private sizeOne(pool: PoolDemand, next: NextTurn | undefined, nowMs: number): PoolSize {
+    const { poolId, hasHadTurn } = pool;
+    const history = this.historyOf(pool, nowMs);
     const perInstance = Math.max(1, pool.cpuMilliPerInstance * FILL_SHARE);
-    const needed = Math.max(LEAST_INSTANCES, Math.ceil(pool.demandCpuMilli / perInstance));
-    return { poolId: pool.poolId, needed, kept: this.peakOf(pool, needed, nowMs) };
+    const cpuMilli = Math.max(pool.demandCpuMilli, pool.arrivingCpuMilli);
+    const needed = Math.max(LEAST_INSTANCES, Math.ceil(cpuMilli / perInstance));
+    PoolSizer.update(history, needed, nowMs);
+    const isForeseen = next?.poolId === poolId && next.inMs < PREPARE_MS;
+    const ahead = isForeseen ? history.turnPeak : 0;
+    const kept = hasHadTurn ? history.peak : Math.max(history.peak, Math.ceil(history.firstCount * UNSEEN_SHARE));
+    return { poolId, needed: Math.max(needed, ahead), kept: Math.max(kept, ahead) };
+  }
+
+  private historyOf({ poolId, instanceCount }: PoolDemand, nowMs: number): History {
+    const known = this.histories.get(poolId);
+    if (known) return known;
+    const created = { peak: instanceCount, peakMs: nowMs, turnPeak: 0, firstCount: instanceCount };
+    this.histories.set(poolId, created);
+    return created;
   }
 
-  private peakOf(pool: PoolDemand, needed: number, nowMs: number): number {
-    const history = this.histories.get(pool.poolId) ?? {
-      peak: pool.instanceCount,
-      peakMs: nowMs,
-    };
-    this.histories.set(pool.poolId, history);
+  private static update(history: History, needed: number, nowMs: number): void {
     if (needed >= history.peak || nowMs - history.peakMs > SHRINK_AFTER_MS) {
-      history.peak = needed;
-      history.peakMs = nowMs;
+      Object.assign(history, { peak: needed, peakMs: nowMs });
     }
-    return history.peak;
+    Object.assign(history, { turnPeak: Math.max(history.turnPeak, needed) });
   }
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,4 +1,6 @@
 /** Public interface: pure decisions about order and place. */
+export * from './ArrivalMeter.js';
+export * from './TurnForecast.js';
 export * from './QueueOrder.js';
 export * from './RuntimeEstimates.js';
 export * from './TargetChooser.js';
