Orders of the fleet are journaled first; no wait for a holder whose process is over

Cause: after kill_all the new owner waited 3.5 s before its first move while the asking pool had 3 instances.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -14,7 +14,7 @@
   type UpkeepWave,
   type WaveReports,
 } from './contracts.js';
-import { FleetSteward, type FleetStewardOptions } from './FleetSteward.js';
+import { DUTY_KEY, type DutyRecord, FleetSteward, type FleetStewardOptions } from './FleetSteward.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type JobEntry } from './JobEntry.js';
 import { type JobCall, type JobReply, JobService, type SubmitCall } from './JobService.js';
@@ -146,7 +146,7 @@
   private restore(owned: OwnedJournal): void {
     const unreadable = this.jobs.restore(owned.records);
     const adopted = this.book.adoptJournaled();
-    this.restoreWaves(owned);
+    this.restoreSteward(owned);
     this.deps.logger.info('coordinator-started', {
       epoch: owned.epoch,
       jobs: this.jobs.activeCount,
@@ -175,8 +175,11 @@
     );
   }
 
-  private restoreWaves(owned: OwnedJournal): void {
+  private restoreSteward(owned: OwnedJournal): void {
     owned.records.forEach(({ key, value }) => {
+      if (value && key === DUTY_KEY) {
+        this.steward?.restoreDuty(JSON.parse(value.toString('utf8')) as DutyRecord);
+      }
       if (!value || !key.startsWith(WAVE_PREFIX)) return;
       const instanceIds = JSON.parse(value.toString('utf8')) as string[];
       this.steward?.restoreWave(Number(key.slice(WAVE_PREFIX.length)), instanceIds);
--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -36,6 +36,8 @@
 const BUSY_LIST_MS = 400;
 const IDLE_LIST_MS = 2_000;
 
+export const DUTY_KEY = 'duty';
+
 /** After the former owner's orders, beyond the platform's own time, in milliseconds. */
 const HANDOVER_MARGIN_MS = 500;
 
@@ -60,8 +62,19 @@
   readonly sinceMs: number;
 }
 
+/** Who ordered last, and when. */
+export interface DutyRecord {
+  readonly holderId: string;
+  readonly bootMs: number;
+  readonly lastOrderUnixMs: number;
+}
+
 export interface FleetStewardOptions {
   readonly holderId: string;
+  /** Start of this process, Unix milliseconds. */
+  readonly bootMs: number;
+  /** Whether that process of an entry is certainly over. */
+  readonly isProcessOver: (entryId: string, bootMs: number) => boolean;
   /** Two holders keep at least this time between their orders, in milliseconds. */
   readonly dutyHandoverMs: number;
   readonly upkeepMs: number;
@@ -102,7 +115,8 @@
 
   private readonly reservedForWave = new Set<string>();
 
-  private readonly notBeforeMs: number;
+  /** No order before this monotonic time. */
+  private notBeforeMs: number;
 
   constructor(
     private readonly options: FleetStewardOptions,
@@ -110,8 +124,21 @@
   ) {
     super();
     this.guard = new ServingGuard((taskId, targetId) => deps.book.liveRunOf(taskId, targetId));
-    this.notBeforeMs =
-      deps.clock.monotonicMs() + options.dutyHandoverMs + HANDOVER_MARGIN_MS;
+    this.notBeforeMs = deps.clock.monotonicMs();
+  }
+
+  /**
+   * Takes up who ordered last and when. The record is durable before an order leaves, so nothing
+   * was ordered after it; the order itself took a moment. A holder whose process is over can't be
+   * heard of any more, so nobody has to wait for it.
+   */
+  restoreDuty(duty: DutyRecord): void {
+    const { clock } = this.deps;
+    const { holderId, bootMs, dutyHandoverMs } = this.options;
+    const isOver = duty.holderId === holderId && duty.bootMs !== bootMs;
+    if (isOver || this.options.isProcessOver(duty.holderId, duty.bootMs)) return;
+    const agoMs = Math.max(0, clock.unixMs() - duty.lastOrderUnixMs);
+    this.notBeforeMs = clock.monotonicMs() + dutyHandoverMs + HANDOVER_MARGIN_MS - agoMs;
   }
 
   /** Takes up how far a wave was when an earlier owner journaled it. */
@@ -242,6 +269,7 @@
   private async beginUpkeep(instance: FleetInstance, wave: UpkeepWave): Promise<void> {
     const { instanceId, poolId } = instance;
     this.noteOrder(instanceId, poolId, true);
+    if (!(await this.noteDuty())) return;
     const done = await this.deps.fleet.upkeep(instanceId, wave.waveId, this.duty);
     this.logOrder('upkeep', instance, poolId, done.isOk() ? 'accepted' : done.error.kind);
     if (done.isOk() || done.error.kind === 'invalid') {
@@ -387,6 +415,7 @@
     const target = this.targets.get(targetId);
     if (target) target.isReserved = true;
     this.noteOrder(instanceId, poolId, false);
+    if (!(await this.noteDuty())) return;
     const done = await this.deps.fleet.move(instanceId, poolId, this.duty);
     this.logOrder('move', instance, poolId, done.isOk() ? 'accepted' : done.error.kind);
     if (done.isOk()) return;
@@ -396,6 +425,17 @@
 
   // Orders.
 
+  /** Journals that orders leave now; false if they must not. */
+  private async noteDuty(): Promise<boolean> {
+    const { holderId, bootMs } = this.options;
+    const outcome = await this.deps.ownership.writer.write(DUTY_KEY, () =>
+      Buffer.from(
+        JSON.stringify({ holderId, bootMs, lastOrderUnixMs: this.deps.clock.unixMs() }),
+      ),
+    );
+    return outcome === 'durable' && this.isActive;
+  }
+
   private get targets(): TargetTable {
     return this.deps.targets;
   }
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -76,6 +76,9 @@
 
   private lastCheckMs = -Infinity;
 
+  /** The newest start of each entry's process that was seen in the group. */
+  private readonly newestBootMs = new Map<string, number>();
+
   private storeLost = false;
 
   private storeBackMs = -Infinity;
@@ -98,6 +101,11 @@
     return this.ownership?.isActive ?? false;
   }
 
+  /** Whether that process of an entry is over, because a later one of the entry is a member. */
+  isProcessOver(entryId: string, bootMs: number): boolean {
+    return (this.newestBootMs.get(entryId) ?? 0) > bootMs;
+  }
+
   async run(): Promise<void> {
     while (!this.isDisposed) {
       await this.renew();
@@ -177,8 +185,13 @@
     if (!(await this.readNotice())) return false;
     const { notice } = this;
     if (!notice || isSameMember(notice.owner, this.self)) return true;
+    this.newestBootMs.set(this.self.entryId, this.self.bootMs);
     const members = await this.deps.group.members();
     if (members.isErr()) return false;
+    members.value.forEach((member) => {
+      const newest = this.newestBootMs.get(member.entryId) ?? 0;
+      this.newestBootMs.set(member.entryId, Math.max(newest, member.bootMs));
+    });
     return !members.value.some((member) => isSameMember(member, notice.owner));
   }
 
--- a/packages/journal/src/JournalClaim.ts
+++ b/packages/journal/src/JournalClaim.ts
@@ -35,40 +35,45 @@
   /** Claims and loads; undefined once `isWanted` turns false. */
   async take(holder: ClaimHolder, isWanted: () => boolean): Promise<OwnedJournal | undefined> {
     const value = Buffer.from(JSON.stringify(holder));
+    // A wrong guess costs little: the refusal tells where the log ends.
+    let expectedOffset = 0;
     while (isWanted()) {
-      const before = await this.log.readNewest();
-      if (before.isErr()) {
-        await this.clock.sleep(RETRY_MS);
+      const endOffset = await this.appendClaim(expectedOffset, value, isWanted);
+      if (endOffset !== undefined) {
+        expectedOffset = endOffset;
         continue;
       }
-      const epoch = before.value.endOffset;
-      if (!(await this.appendClaim(epoch, value, isWanted))) continue;
-      const loaded = await this.load(epoch, isWanted);
+      const loaded = await this.load(expectedOffset, isWanted);
       if (loaded) return loaded;
     }
     return undefined;
   }
 
-  /** Settles the append for certain: true only if the record at `epoch` is this claim. */
+  /** Undefined if the claim stands at `epoch`, else the offset to try next. */
   private async appendClaim(
     epoch: number,
     value: Buffer,
     isWanted: () => boolean,
-  ): Promise<boolean> {
+  ): Promise<number | undefined> {
     while (isWanted()) {
       const done = await this.log.append(epoch, [{ key: CLAIM_KEY, value }]);
-      if (done.isOk()) return true;
-      if (done.error.kind === 'offset-mismatch') return this.isOurs(epoch, value);
+      if (done.isOk()) return undefined;
+      if (done.error.kind === 'offset-mismatch') {
+        const { endOffset } = done.error;
+        const isOurs = endOffset === epoch + 1 && (await this.isOurs(epoch, value));
+        return isOurs ? undefined : endOffset;
+      }
       await this.clock.sleep(RETRY_MS);
     }
-    return false;
+    return epoch;
   }
 
+  /** Whether an append without an answer has been carried out after all. */
   private async isOurs(epoch: number, value: Buffer): Promise<boolean> {
-    const newest = await this.log.readNewest();
-    if (newest.isErr()) return false;
-    const claim = newest.value.records.find((record) => record.key === CLAIM_KEY);
-    return claim?.offset === epoch && claim.value?.equals(value) === true;
+    const slice = await this.log.readFrom(epoch, 0);
+    if (slice.isErr()) return false;
+    const [claim] = slice.value.records;
+    return claim?.key === CLAIM_KEY && claim.value?.equals(value) === true;
   }
 
   private async load(epoch: number, isWanted: () => boolean): Promise<OwnedJournal | undefined> {
