--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -191,6 +191,9 @@
   private leaseUntilMs(nowMs: number): number | undefined {
     const { target } = this;
     if (!target.lease.isKnown || target.runs.size === 0) return undefined;
+    // A silent target may still hear us. Extending its lease would put off for ever the moment
+    // from which its work may run elsewhere.
+    if (target.failedHolds > 0) return undefined;
     if (!this.deps.ownership.mayExtendLeases) return undefined;
     return target.lease.grant(LEASE_MS, nowMs);
   }
