--- /dev/null
+++ b/packages/coordinator/src/testing/PausableClock.ts
@@ -0,0 +1,73 @@
+/** The clock of one simulated process: it stands still while the process is suspended or dead. */
+import { Clock, type IDisposable, type ManualClock, toDisposable } from '@acaciadock/core';
+
+export class PausableClock extends Clock {
+  private pausedSinceMs: number | undefined;
+
+  private pausedMs = 0;
+
+  private held: (() => void)[] = [];
+
+  private isDead = false;
+
+  constructor(private readonly base: ManualClock) {
+    super();
+  }
+
+  get isPaused(): boolean {
+    return this.pausedSinceMs !== undefined;
+  }
+
+  override unixMs(): number {
+    return this.base.unixMs();
+  }
+
+  override monotonicMs(): number {
+    return (this.pausedSinceMs ?? this.base.monotonicMs()) - this.pausedMs;
+  }
+
+  override after(delayMs: number, action: () => void): IDisposable {
+    let cancelled = false;
+    const timer = this.base.after(delayMs, () => this.fire(() => cancelled || action()));
+    return toDisposable(() => {
+      cancelled = true;
+      timer.dispose();
+    });
+  }
+
+  override every(periodMs: number, action: () => void): IDisposable {
+    let isPending = false;
+    return this.base.every(periodMs, () => {
+      if (isPending) return;
+      isPending = true;
+      this.fire(() => {
+        isPending = false;
+        action();
+      });
+    });
+  }
+
+  pause(): void {
+    this.pausedSinceMs ??= this.base.monotonicMs();
+  }
+
+  resume(): void {
+    if (this.pausedSinceMs === undefined) return;
+    this.pausedMs += this.base.monotonicMs() - this.pausedSinceMs;
+    this.pausedSinceMs = undefined;
+    this.held.splice(0).forEach((action) => action());
+  }
+
+  /** Nothing runs any more. */
+  kill(): void {
+    this.isDead = true;
+    this.held = [];
+  }
+
+  /** Runs the action now, after the suspension, or never. */
+  fire(action: () => void): void {
+    if (this.isDead) return;
+    if (this.isPaused) this.held.push(action);
+    else action();
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/testing/RunObserver.ts
@@ -0,0 +1,80 @@
+/**
+ * Sees what targets really run and notes each broken promise: a task twice at the same time, a
+ * start after an acknowledged end, more failed attempts than allowed, a step before its turn.
+ */
+
+interface SeenTask {
+  readonly running: Map<string, number>;
+  isDoneAcknowledged: boolean;
+  acknowledgedFailures: number;
+  starts: number;
+  isDone: boolean;
+}
+
+export class RunObserver {
+  readonly broken: string[] = [];
+
+  private readonly tasks = new Map<string, SeenTask>();
+
+  constructor(private readonly mostAttempts: number) {}
+
+  get startCount(): number {
+    return [...this.tasks.values()].reduce((sum, task) => sum + task.starts, 0);
+  }
+
+  startsOf(taskId: string): number {
+    return this.tasks.get(taskId)?.starts ?? 0;
+  }
+
+  isDone(taskId: string): boolean {
+    return this.tasks.get(taskId)?.isDone ?? false;
+  }
+
+  started(taskId: string, run: number, targetId: string): void {
+    const task = this.ensure(taskId);
+    task.starts += 1;
+    if (task.running.size > 0) this.broken.push(`${taskId} run ${run} beside another run`);
+    if (task.isDoneAcknowledged) this.broken.push(`${taskId} run ${run} after an acknowledged end`);
+    if (task.acknowledgedFailures >= this.mostAttempts) {
+      this.broken.push(`${taskId} run ${run} after ${task.acknowledgedFailures} failed attempts`);
+    }
+    this.checkOrder(taskId);
+    task.running.set(targetId, run);
+  }
+
+  ended(taskId: string, targetId: string, isDone: boolean): void {
+    const task = this.ensure(taskId);
+    task.running.delete(targetId);
+    if (isDone) task.isDone = true;
+  }
+
+  acknowledged(taskId: string, end: string): void {
+    const task = this.ensure(taskId);
+    if (end === 'done') task.isDoneAcknowledged = true;
+    if (end === 'failed') task.acknowledgedFailures += 1;
+  }
+
+  /** A task of step 1 must come after all tasks of step 0 that were ever started. */
+  private checkOrder(taskId: string): void {
+    const [jobId, occurrence, step] = taskId.split('.');
+    if (step === '0') return;
+    this.tasks.forEach((task, other) => {
+      if (!other.startsWith(`${jobId}.${occurrence}.0.`) || task.isDone) return;
+      this.broken.push(`${taskId} before ${other} has ended`);
+    });
+  }
+
+  private ensure(taskId: string): SeenTask {
+    const known = this.tasks.get(taskId);
+    if (known) return known;
+    const created = {
+      running: new Map<string, number>(),
+      isDoneAcknowledged: false,
+      acknowledgedFailures: 0,
+      starts: 0,
+      isDone: false,
+    };
+    this.tasks.set(taskId, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/testing/SimulatedStore.ts
@@ -0,0 +1,186 @@
+/**
+ * A stand-in for the platform's log and group in virtual time, with its bad manners: outages,
+ * lost answers, appends carried out late, members that lapse.
+ */
+import { type ManualClock, type Random } from '@acaciadock/core';
+import {
+  type GroupMember,
+  type GroupView,
+  isSameMember,
+  type KeyedRecord,
+  type LogFailure,
+  type LogSlice,
+  type NewestRecords,
+  type OwnerNotice,
+  OwnershipGroup,
+  RecordLog,
+  type StoredRecord,
+} from '@acaciadock/journal';
+import { err, ok, type Result } from 'neverthrow';
+import { type PausableClock } from './PausableClock.js';
+
+const MEMBER_TTL_MS = 1_000;
+const LATE_MOST_MS = 4_000;
+
+/** What is wrong with the store, for all entries or one. */
+export interface StoreFaults {
+  isDown: boolean;
+  lostAnswerShare: number;
+  latencyMs: number;
+}
+
+export class SimulatedStore {
+  readonly records: StoredRecord[] = [];
+
+  readonly faults: StoreFaults = { isDown: false, lostAnswerShare: 0, latencyMs: 4 };
+
+  private notice: OwnerNotice | undefined;
+
+  private generation = 0;
+
+  private readonly members = new Map<string, { member: GroupMember; seenMs: number }>();
+
+  constructor(
+    private readonly clock: ManualClock,
+    private readonly random: Random,
+  ) {}
+
+  append(at: number, records: readonly KeyedRecord[]): Result<void, LogFailure> {
+    if (at !== this.records.length) {
+      return err({ kind: 'offset-mismatch', endOffset: this.records.length });
+    }
+    records.forEach((record) => this.records.push({ ...record, offset: this.records.length }));
+    return ok(undefined);
+  }
+
+  newest(): NewestRecords {
+    const byKey = new Map<string, StoredRecord>();
+    this.records.forEach((record) => {
+      if (record.value) byKey.set(record.key, record);
+      else byKey.delete(record.key);
+    });
+    return { records: [...byKey.values()], endOffset: this.records.length };
+  }
+
+  /** Deals the succession anew, as the platform does at times. */
+  dealAnew(): void {
+    this.generation += 1;
+  }
+
+  join(member: GroupMember): GroupView {
+    const key = `${member.entryId}/${member.bootMs}`;
+    if (!this.members.has(key)) this.generation += 1;
+    this.members.set(key, { member, seenMs: this.clock.monotonicMs() });
+    const live = this.liveMembers();
+    const successor = live[this.generation % Math.max(1, live.length)];
+    const isSuccessor = successor !== undefined && isSameMember(successor, member);
+    return { generation: this.generation, isSuccessor };
+  }
+
+  leave(member: GroupMember): void {
+    if (this.members.delete(`${member.entryId}/${member.bootMs}`)) this.generation += 1;
+  }
+
+  liveMembers(): GroupMember[] {
+    const nowMs = this.clock.monotonicMs();
+    this.members.forEach(({ seenMs }, key) => {
+      if (nowMs - seenMs <= MEMBER_TTL_MS) return;
+      this.members.delete(key);
+      this.generation += 1;
+    });
+    return [...this.members.values()].map(({ member }) => member);
+  }
+
+  get announced(): OwnerNotice | undefined {
+    return this.notice;
+  }
+
+  announce(notice: OwnerNotice): void {
+    this.notice = notice;
+  }
+
+  /**
+   * One call of an entry: refused, carried out, carried out without an answer, or carried out
+   * late. `own` are the faults between that entry and the store.
+   */
+  call<T>(
+    clock: PausableClock,
+    own: StoreFaults,
+    action: () => Result<T, LogFailure>,
+  ): Promise<Result<T, LogFailure>> {
+    return new Promise((resolve) => {
+      const answer = (result: Result<T, LogFailure>): void => clock.fire(() => resolve(result));
+      const latencyMs = this.faults.latencyMs + own.latencyMs;
+      if (this.faults.isDown || own.isDown) {
+        this.clock.after(latencyMs, () => answer(err({ kind: 'rejected', detail: 'down' })));
+        return;
+      }
+      const isLost = this.random.chance(this.faults.lostAnswerShare + own.lostAnswerShare);
+      if (!isLost) {
+        this.clock.after(latencyMs, () => answer(action()));
+        return;
+      }
+      const isLate = this.random.chance(0.5);
+      this.clock.after(isLate ? this.random.next() * LATE_MOST_MS : latencyMs, () => action());
+      this.clock.after(500, () => answer(err({ kind: 'unknown-outcome', detail: 'lost' })));
+    });
+  }
+}
+
+export class SimulatedLog extends RecordLog {
+  constructor(
+    private readonly store: SimulatedStore,
+    private readonly clock: PausableClock,
+    private readonly faults: StoreFaults,
+  ) {
+    super();
+  }
+
+  override append(
+    at: number,
+    records: readonly KeyedRecord[],
+  ): Promise<Result<void, LogFailure>> {
+    return this.store.call(this.clock, this.faults, () => this.store.append(at, records));
+  }
+
+  override readNewest(): Promise<Result<NewestRecords, LogFailure>> {
+    return this.store.call(this.clock, this.faults, () => ok(this.store.newest()));
+  }
+
+  override readFrom(offset: number): Promise<Result<LogSlice, LogFailure>> {
+    return this.store.call(this.clock, this.faults, () => {
+      const records = this.store.records.slice(offset);
+      return ok({ records, nextOffset: offset + records.length });
+    });
+  }
+}
+
+export class SimulatedGroup extends OwnershipGroup {
+  constructor(
+    private readonly store: SimulatedStore,
+    private readonly clock: PausableClock,
+    private readonly faults: StoreFaults,
+  ) {
+    super();
+  }
+
+  override join(self: GroupMember): Promise<Result<GroupView, LogFailure>> {
+    return this.store.call(this.clock, this.faults, () => ok(this.store.join(self)));
+  }
+
+  override leave(self: GroupMember): Promise<Result<void, LogFailure>> {
+    return this.store.call(this.clock, this.faults, () => ok(this.store.leave(self)));
+  }
+
+  override members(): Promise<Result<readonly GroupMember[], LogFailure>> {
+    return this.store.call(this.clock, this.faults, () => ok(this.store.liveMembers()));
+  }
+
+  override announce(notice: OwnerNotice): Promise<Result<void, LogFailure>> {
+    return this.store.call(this.clock, this.faults, () => ok(this.store.announce(notice)));
+  }
+
+  override announced(): Promise<Result<OwnerNotice | undefined, LogFailure>> {
+    return this.store.call(this.clock, this.faults, () => ok(this.store.announced));
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -0,0 +1,207 @@
+/**
+ * A stand-in for a target that runs tasks in virtual time: fencing tokens, leases on its own
+ * clock, numbered ends, barred runs, and a new lifetime that knows nothing of the one before.
+ */
+import { type IDisposable, type ManualClock, type Random } from '@acaciadock/core';
+import {
+  type EndedRun,
+  type HoldReport,
+  type HoldRequest,
+  type ListedEnd,
+  type OrderFailure,
+  type OrderReceipt,
+  type RunRef,
+  type StartOrder,
+  type StopOrder,
+} from '@acaciadock/execution';
+import { err, ok, type Result } from 'neverthrow';
+import { type RegistryEntry } from '../contracts.js';
+import { type RunObserver } from './RunObserver.js';
+
+export interface SimulatedTargetOptions {
+  readonly mostLeaseMs: number;
+  readonly cpuMilli: number;
+  readonly runtimeMs: number;
+  readonly failShare: number;
+}
+
+interface Running extends RunRef {
+  readonly timer: IDisposable;
+}
+
+const STOP_MS = 20;
+
+function refusal(kind: OrderFailure['kind']): Result<never, OrderFailure> {
+  return err({ kind, detail: kind });
+}
+
+export class SimulatedTarget {
+  isUp = true;
+
+  isListed = true;
+
+  isDraining = false;
+
+  private bornMs: number;
+
+  private fence = 0;
+
+  private untilMs = 0;
+
+  private leaseTimer: IDisposable | undefined;
+
+  private readonly running = new Map<string, Running>();
+
+  private readonly barred = new Map<string, number>();
+
+  private ends: EndedRun[] = [];
+
+  /** Ends that were not acknowledged before the lease lapsed; they never count as told. */
+  private readonly voidEnds = new Set<number>();
+
+  private sequence = 0;
+
+  constructor(
+    readonly targetId: string,
+    private readonly poolId: string,
+    private readonly options: SimulatedTargetOptions,
+    private readonly clock: ManualClock,
+    private readonly random: Random,
+    private readonly observer: RunObserver,
+  ) {
+    this.bornMs = clock.unixMs();
+  }
+
+  get entry(): RegistryEntry {
+    return {
+      targetId: this.targetId,
+      poolId: this.poolId,
+      address: `${this.targetId}:1`,
+      zoneId: 'z',
+      rackId: 'r',
+      labels: ['a', 'r'],
+      capacity: { cpuMilli: this.options.cpuMilli, memoryMb: 64_000, gpuCount: 0 },
+      state: this.isDraining ? 'draining' : 'ready',
+      remainingMs: undefined,
+      bornMs: this.bornMs,
+    };
+  }
+
+  get runningCount(): number {
+    return this.running.size;
+  }
+
+  crash(): void {
+    this.isUp = false;
+    this.leaseTimer?.dispose();
+    this.running.forEach((run) => {
+      run.timer.dispose();
+      this.observer.ended(run.taskId, this.targetId, false);
+    });
+    this.running.clear();
+  }
+
+  /** A new lifetime under the same id. */
+  rebirth(): void {
+    if (this.isUp) this.crash();
+    this.isUp = true;
+    this.bornMs = this.clock.unixMs();
+    this.fence = 0;
+    this.untilMs = 0;
+    this.ends = [];
+    this.sequence = 0;
+    this.barred.clear();
+    this.voidEnds.clear();
+  }
+
+  hold(request: HoldRequest): Result<HoldReport, OrderFailure> {
+    if (request.fencingToken < this.fence) return refusal('fenced');
+    this.fence = request.fencingToken;
+    this.acknowledge(request.lastSeenEnd);
+    if (request.leaseUntilMs !== undefined) this.extend(request.leaseUntilMs);
+    return ok({
+      clockMs: this.clockMs,
+      bornMs: this.bornMs,
+      running: [...this.running.values()].map(({ taskId, run }) => ({
+        taskId,
+        run,
+        checkpoint: '',
+        percent: 100,
+        loadFigure: 0,
+      })),
+      ended: [...this.ends],
+    });
+  }
+
+  start(order: StartOrder): Result<OrderReceipt, OrderFailure> {
+    const { taskId, run } = order;
+    if (order.fencingToken < this.fence) return refusal('fenced');
+    this.fence = order.fencingToken;
+    if (order.leaseUntilMs <= this.clockMs) return refusal('late');
+    const present = this.running.get(taskId);
+    if (present?.run === run) return ok({ clockMs: this.clockMs });
+    this.extend(order.leaseUntilMs);
+    if (run <= (this.barred.get(taskId) ?? 0) || present) return refusal('stale-run');
+    this.observer.started(taskId, run, this.targetId);
+    const spreadMs = this.options.runtimeMs * (0.5 + this.random.next());
+    const isFailing = this.random.chance(this.options.failShare);
+    const timer = this.clock.after(spreadMs, () => this.end(taskId, isFailing ? 'failed' : 'done'));
+    this.running.set(taskId, { taskId, run, timer });
+    return ok({ clockMs: this.clockMs });
+  }
+
+  stop({ taskId, run, fencingToken }: StopOrder): Result<OrderReceipt, OrderFailure> {
+    if (fencingToken < this.fence) return refusal('fenced');
+    this.fence = fencingToken;
+    this.bar(taskId, run);
+    if (this.running.get(taskId)?.run === run) {
+      this.clock.after(STOP_MS, () => {
+        if (this.running.get(taskId)?.run === run) this.end(taskId, 'stopped');
+      });
+    }
+    return ok({ clockMs: this.clockMs });
+  }
+
+  /** Whether an end is waiting to be told. */
+  hasNews(lastSeenEnd: number): boolean {
+    return this.ends.some((end) => end.sequence > lastSeenEnd);
+  }
+
+  private get clockMs(): number {
+    return this.clock.unixMs() - this.bornMs + 1_000;
+  }
+
+  private bar(taskId: string, run: number): void {
+    this.barred.set(taskId, Math.max(run, this.barred.get(taskId) ?? 0));
+  }
+
+  private acknowledge(lastSeenEnd: number): void {
+    this.ends
+      .filter((end) => end.sequence <= lastSeenEnd && !this.voidEnds.has(end.sequence))
+      .forEach((end) => this.observer.acknowledged(end.taskId, end.end));
+    this.ends = this.ends.filter((end) => end.sequence > lastSeenEnd);
+  }
+
+  private extend(untilMs: number): void {
+    const mostMs = this.clockMs + this.options.mostLeaseMs;
+    this.untilMs = Math.max(this.untilMs, Math.min(untilMs, mostMs));
+    this.leaseTimer?.dispose();
+    this.leaseTimer = this.clock.after(this.untilMs - this.clockMs, () => this.lapse());
+  }
+
+  private lapse(): void {
+    this.ends.forEach((end) => this.voidEnds.add(end.sequence));
+    [...this.running.keys()].forEach((taskId) => this.end(taskId, 'lapsed'));
+  }
+
+  private end(taskId: string, end: ListedEnd): void {
+    const run = this.running.get(taskId);
+    if (!run) return;
+    run.timer.dispose();
+    this.running.delete(taskId);
+    this.bar(taskId, run.run);
+    this.sequence += 1;
+    this.ends.push({ sequence: this.sequence, taskId, run: run.run, end, checkpoint: '' });
+    this.observer.ended(taskId, this.targetId, end === 'done');
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/testing/index.ts
@@ -0,0 +1,6 @@
+/** Stand-ins in virtual time for the store, targets and the way to them. */
+export * from './PausableClock.js';
+export * from './RunObserver.js';
+export * from './SimulatedPort.js';
+export * from './SimulatedStore.js';
+export * from './SimulatedTarget.js';
--- /dev/null
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -0,0 +1,235 @@
+/**
+ * Counterexamples to ownership, leases and acknowledgement, each through real elections and
+ * coordinators against stand-ins in virtual time.
+ */
+import { describe, it } from '@acaciadock/core/testing';
+import { type stepSpecSchema } from '@acaciadock/jobs';
+import { type Test } from 'tap';
+import { type z } from 'zod';
+import { DEFAULT_WORLD, JobWorld, type JobWorldOptions } from './testing/JobWorld.js';
+
+type StepWish = z.input<typeof stepSpecSchema>;
+
+const ONE_STEP: readonly StepWish[] = [{ taskCount: 4, cpuMilli: 1_000 }];
+const TWO_STEPS: readonly StepWish[] = [
+  { taskCount: 3, cpuMilli: 1_000 },
+  { taskCount: 2, cpuMilli: 1_000, afterSteps: [0] },
+];
+const SETTLED_MS = 40_000;
+
+async function newWorld(change: Partial<JobWorldOptions> = {}): Promise<JobWorld> {
+  const world = new JobWorld({ ...DEFAULT_WORLD, ...change });
+  await world.runUntil(() => world.owner !== undefined, 5_000);
+  await world.run(400);
+  return world;
+}
+
+async function statusOf(world: JobWorld, jobId: string): Promise<string> {
+  const asked = world.stateOf(jobId);
+  await world.run(50);
+  const reply = await asked;
+  return reply?.kind === 'state' ? reply.status : (reply?.kind ?? 'nobody');
+}
+
+async function submit(world: JobWorld, jobId: string, steps: readonly StepWish[] = ONE_STEP): Promise<void> {
+  void world.submit(jobId, { steps: steps });
+  await world.run(60);
+}
+
+async function assertCompletes(t: Test, world: JobWorld, jobIds: readonly string[]): Promise<void> {
+  let open = [...jobIds];
+  for (let waitedMs = 0; waitedMs < SETTLED_MS && open.length > 0; waitedMs += 500) {
+    await world.run(450);
+    const statuses = await Promise.all(open.map((jobId) => statusOf(world, jobId)));
+    open = open.filter((_, index) => statuses[index] !== 'completed');
+  }
+  t.same(open, [], 'every job completes');
+  t.same(world.observer.broken, [], 'no promise broken');
+}
+
+describe('takeover', () => {
+  describe('when the owner is killed', () => {
+    it('another continues and starts within two seconds', async (t) => {
+      const world = await newWorld({ runtimeMs: 300 });
+      await submit(world, 'a', TWO_STEPS);
+      world.killEntry(world.ownerId() ?? '');
+      const diedMs = world.clock.monotonicMs();
+      const took = await world.runUntil(() => world.owner !== undefined, 5_000);
+      t.ok(took, 'there is an owner again');
+      void world.submit('b', { steps: ONE_STEP });
+      await world.runUntil(() => world.observer.startsOf('b.0.0.0') > 0, 5_000);
+      t.ok(world.clock.monotonicMs() - diedMs <= 2_500, 'first start after the death');
+      await assertCompletes(t, world, ['a', 'b']);
+    });
+
+    it('running work is adopted, not run again', async (t) => {
+      const world = await newWorld({ runtimeMs: 3_000 });
+      await submit(world, 'a');
+      world.killEntry(world.ownerId() ?? '');
+      await assertCompletes(t, world, ['a']);
+      t.equal(world.observer.startsOf('a.0.0.0'), 1, 'started once');
+    });
+  });
+
+  describe('when the owner stops as planned', () => {
+    it('the successor starts work within a second', async (t) => {
+      const world = await newWorld();
+      const former = world.ownerId() ?? '';
+      void world.entries.get(former)?.leave();
+      await world.runUntil(() => (world.ownerId() ?? former) !== former, 3_000);
+      const leftMs = world.clock.monotonicMs();
+      void world.submit('a', { steps: ONE_STEP });
+      await world.runUntil(() => world.observer.startsOf('a.0.0.0') > 0, 3_000);
+      t.ok(world.clock.monotonicMs() - leftMs <= 1_000);
+      await assertCompletes(t, world, ['a']);
+    });
+  });
+
+  describe('when the owner is suspended', () => {
+    it('and thaws with an order planned, nothing runs twice', async (t) => {
+      const world = await newWorld();
+      const former = world.ownerId() ?? '';
+      void world.submit('a', { steps: ONE_STEP });
+      await world.run(5);
+      world.entries.get(former)?.clock.pause();
+      await world.runUntil(() => (world.ownerId() ?? former) !== former, 5_000);
+      await world.run(1_000);
+      world.entries.get(former)?.clock.resume();
+      await world.run(3_000);
+      t.same(world.observer.broken, []);
+      t.notOk(world.entries.get(former)?.isOwner, 'the former owner has noticed');
+    });
+  });
+
+  describe('when the store refuses the owner', () => {
+    it('an end that could not be journaled is not acknowledged', async (t) => {
+      // Fails if a report without new ends moves the acknowledgement past pending ones.
+      const world = await newWorld({ runtimeMs: 400 });
+      await submit(world, 'a', [{ taskCount: 1, cpuMilli: 1_000 }]);
+      const former = world.ownerId() ?? '';
+      Object.assign(world.entries.get(former)?.storeFaults ?? {}, { isDown: true });
+      await assertCompletes(t, world, ['a']);
+      t.equal(world.observer.startsOf('a.0.0.0'), 1, 'the end was kept for the successor');
+    });
+  });
+
+  describe('when the store is away for all', () => {
+    it('running work goes on and ends are told afterwards', async (t) => {
+      const world = await newWorld({ runtimeMs: 1_000 });
+      await submit(world, 'a', TWO_STEPS);
+      world.store.faults.isDown = true;
+      await world.run(4_500);
+      world.store.faults.isDown = false;
+      await assertCompletes(t, world, ['a']);
+      t.equal(world.observer.startsOf('a.0.0.0'), 1, 'no lease lapsed');
+    });
+  });
+
+  describe('when a target falls silent', () => {
+    it('its work runs elsewhere once the lease has lapsed', async (t) => {
+      // Fails if each try to reach it extends its lease again.
+      const world = await newWorld({ targetCount: 2, runtimeMs: 500 });
+      await submit(world, 'a');
+      world.targets.get('t0')?.crash();
+      world.targets.get('t1')?.crash();
+      world.targets.get('t1')?.rebirth();
+      await assertCompletes(t, world, ['a']);
+    });
+
+    it('an end listed after its task ran elsewhere changes nothing', async (t) => {
+      const world = await newWorld({ targetCount: 2, runtimeMs: 600 });
+      await submit(world, 'a');
+      world.entries.forEach((entry) => entry.portFaults.cutTargets.add('t0'));
+      await world.run(9_000);
+      world.entries.forEach((entry) => entry.portFaults.cutTargets.clear());
+      await assertCompletes(t, world, ['a']);
+    });
+
+    it('a new lifetime under the same id holds nothing of the former', async (t) => {
+      const world = await newWorld({ targetCount: 1, runtimeMs: 900 });
+      await submit(world, 'a');
+      world.targets.get('t0')?.rebirth();
+      await assertCompletes(t, world, ['a']);
+    });
+  });
+
+  describe('when orders are carried out late', () => {
+    it('no task runs twice', async (t) => {
+      const world = await newWorld({ runtimeMs: 400 });
+      world.entries.forEach((entry) => Object.assign(entry.portFaults, { lateOrderShare: 0.4 }));
+      await submit(world, 'a', TWO_STEPS);
+      await submit(world, 'b');
+      await world.run(6_000);
+      world.entries.forEach((entry) => Object.assign(entry.portFaults, { lateOrderShare: 0 }));
+      await assertCompletes(t, world, ['a', 'b']);
+    });
+  });
+
+  describe('when answers of the store are lost', () => {
+    it('claim and appends are settled for certain', async (t) => {
+      const world = await newWorld({ runtimeMs: 300 });
+      world.store.faults.lostAnswerShare = 0.35;
+      await submit(world, 'a', TWO_STEPS);
+      world.killEntry(world.ownerId() ?? '');
+      await world.run(8_000);
+      world.store.faults.lostAnswerShare = 0;
+      await world.run(3_000);
+      await submit(world, 'b');
+      await assertCompletes(t, world, ['b', ...world.accepted]);
+    });
+  });
+
+  describe('when the group is dealt anew', () => {
+    it('an owner that lives keeps the journal', async (t) => {
+      const world = await newWorld();
+      const former = world.ownerId();
+      world.store.dealAnew();
+      await world.run(500);
+      world.store.dealAnew();
+      await world.run(1_500);
+      t.equal(world.ownerId(), former);
+    });
+  });
+
+  describe('when all entries are killed right after an acceptance', () => {
+    it('the job is not lost', async (t) => {
+      const world = await newWorld();
+      void world.submit('a', { steps: TWO_STEPS });
+      await world.runUntil(() => world.accepted.has('a'), 1_000);
+      [...world.entries.keys()].forEach((entryId) => world.killEntry(entryId));
+      await world.run(1_000);
+      ['e0', 'e1', 'e2'].forEach((entryId) => world.startEntry(entryId));
+      await world.runUntil(() => world.owner !== undefined, 5_000);
+      await assertCompletes(t, world, ['a']);
+    });
+  });
+
+  describe('when a cancel overtakes the work', () => {
+    it('the job is not started again and stays cancelled', async (t) => {
+      const world = await newWorld({ runtimeMs: 2_000 });
+      await submit(world, 'a');
+      const cancelling = world.cancel('a');
+      await world.run(100);
+      t.same(await cancelling, { kind: 'cancelled' });
+      world.killEntry(world.ownerId() ?? '');
+      await world.runUntil(() => world.owner !== undefined, 5_000);
+      await world.run(3_000);
+      t.equal(await statusOf(world, 'a'), 'cancelled');
+      const running = [...world.targets.values()].reduce((sum, one) => sum + one.runningCount, 0);
+      t.equal(running, 0, 'what ran was stopped');
+      t.equal(world.observer.startsOf('a.0.0.0'), 1);
+    });
+  });
+
+  describe('when a job is handed in again', () => {
+    it('it remains one job, also after it has completed', async (t) => {
+      const world = await newWorld({ runtimeMs: 200 });
+      await submit(world, 'a');
+      await submit(world, 'a');
+      await assertCompletes(t, world, ['a']);
+      await submit(world, 'a');
+      await world.run(2_000);
+      t.equal(world.observer.startsOf('a.0.0.0'), 1);
+    });
+  });
+});
--- /dev/null
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -0,0 +1,186 @@
+/**
+ * Entries, store and targets in virtual time, with callers that hand in jobs and ask for their
+ * state. Time moves only through `run`.
+ */
+import {
+  RunObserver,
+  SimulatedStore,
+  SimulatedTarget,
+} from '@acaciadock/coordinator/testing';
+import { type CallContext, type JobReply } from '@acaciadock/coordinator';
+import { ManualClock, Random } from '@acaciadock/core';
+import {
+  jobsConfigSchema,
+  JobsConfigView,
+  jobSpecSchema,
+  type stepSpecSchema,
+} from '@acaciadock/jobs';
+import { type z } from 'zod';
+import { SimulatedEntry } from './SimulatedEntry.js';
+
+const STEP_MS = 5;
+const FLUSHES_PER_STEP = 4;
+
+export interface JobWorldOptions {
+  readonly seed: number;
+  readonly entryCount: number;
+  readonly targetCount: number;
+  readonly runtimeMs: number;
+  readonly failShare: number;
+  readonly maxAttempts: number;
+}
+
+export const DEFAULT_WORLD: JobWorldOptions = {
+  seed: 1,
+  entryCount: 3,
+  targetCount: 4,
+  runtimeMs: 600,
+  failShare: 0,
+  maxAttempts: 3,
+};
+
+/** A job as callers write it, without what has defaults. */
+export interface JobWish {
+  readonly steps: readonly z.input<typeof stepSpecSchema>[];
+}
+
+const POOL_ID = 'pool';
+const QUEUE_ID = 'queue';
+
+export class JobWorld {
+  readonly clock = new ManualClock();
+
+  readonly random: Random;
+
+  readonly store: SimulatedStore;
+
+  readonly observer: RunObserver;
+
+  readonly targets = new Map<string, SimulatedTarget>();
+
+  readonly entries = new Map<string, SimulatedEntry>();
+
+  /** Jobs whose acceptance a caller has been told of. */
+  readonly accepted = new Set<string>();
+
+  readonly config: JobsConfigView;
+
+  constructor(readonly options: JobWorldOptions) {
+    this.random = new Random(options.seed);
+    this.store = new SimulatedStore(this.clock, this.random);
+    this.observer = new RunObserver(options.maxAttempts);
+    this.config = new JobsConfigView(
+      jobsConfigSchema.parse({
+        version: 1,
+        queues: [
+          {
+            queueId: QUEUE_ID,
+            host: 'h',
+            pathPrefix: '/',
+            poolId: POOL_ID,
+            maxAttempts: options.maxAttempts,
+            stretch: 2,
+          },
+        ],
+        pools: [{ poolId: POOL_ID, rejectsOverload: true }],
+        teams: [{ teamId: 'team', keys: ['key'] }],
+      }),
+    );
+    for (let index = 0; index < options.targetCount; index += 1) this.addTarget(`t${index}`);
+    for (let index = 0; index < options.entryCount; index += 1) this.startEntry(`e${index}`);
+  }
+
+  get owner(): SimulatedEntry | undefined {
+    return [...this.entries.values()].find((entry) => entry.isOwner);
+  }
+
+  startEntry(entryId: string): SimulatedEntry {
+    const entry = new SimulatedEntry(entryId, this);
+    this.entries.set(entryId, entry);
+    return entry;
+  }
+
+  /** Kills the entry's process; a new one may be started under the same id. */
+  killEntry(entryId: string): void {
+    this.entries.get(entryId)?.kill();
+    this.entries.delete(entryId);
+  }
+
+  async run(durationMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+      this.clock.advance(STEP_MS);
+      await JobWorld.flush();
+    }
+  }
+
+  /** Runs until the condition holds; false if it does not within `mostMs`. */
+  async runUntil(condition: () => boolean, mostMs: number): Promise<boolean> {
+    for (let elapsedMs = 0; elapsedMs < mostMs; elapsedMs += STEP_MS) {
+      if (condition()) return true;
+      await this.run(STEP_MS);
+    }
+    return condition();
+  }
+
+  /** Hands a job in at whichever entry coordinates, until it is accepted or refused for good. */
+  async submit(jobId: string, spec: JobWish): Promise<void> {
+    const call = {
+      kind: 'submit' as const,
+      context: JobWorld.context(),
+      jobId,
+      spec: jobSpecSchema.parse({ spec: '', ...spec }),
+    };
+    const reply = await this.entries.get(this.ownerId() ?? '')?.call(call);
+    if (reply?.kind === 'accepted') this.accepted.add(jobId);
+  }
+
+  stateOf(jobId: string): Promise<JobReply> | undefined {
+    return this.owner?.call({ kind: 'state', context: JobWorld.context(), jobId });
+  }
+
+  cancel(jobId: string): Promise<JobReply> | undefined {
+    return this.owner?.call({ kind: 'cancel', context: JobWorld.context(), jobId });
+  }
+
+  ownerId(): string | undefined {
+    return [...this.entries].find(([, entry]) => entry.isOwner && !entry.clock.isPaused)?.[0];
+  }
+
+  private addTarget(targetId: string): void {
+    const { runtimeMs, failShare } = this.options;
+    this.targets.set(
+      targetId,
+      new SimulatedTarget(
+        targetId,
+        POOL_ID,
+        { mostLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare },
+        this.clock,
+        this.random,
+        this.observer,
+      ),
+    );
+  }
+
+  private static context(): CallContext {
+    return {
+      access: { host: 'h', path: '/', key: 'key' },
+      configVersion: 1,
+      queueId: QUEUE_ID,
+      poolId: POOL_ID,
+      teamId: 'team',
+      priority: 0,
+      maxAttempts: 3,
+      stretch: 2,
+      targetLatencyMs: 500,
+    };
+  }
+
+  /** Lets promises and immediates settle. */
+  private static async flush(): Promise<void> {
+    for (let count = 0; count < FLUSHES_PER_STEP; count += 1) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -0,0 +1,115 @@
+/** One entry's process in virtual time: its election and, while it owns the journal, coordinator. */
+import { Coordinator, type JobCall, type JobReply, type TargetRegistry } from '@acaciadock/coordinator';
+import {
+  PausableClock,
+  type PortFaults,
+  SimulatedGroup,
+  SimulatedLog,
+  SimulatedPort,
+  type SimulatedStore,
+  type SimulatedTarget,
+  type StoreFaults,
+} from '@acaciadock/coordinator/testing';
+import { type ManualClock, type Random, SilentLogger } from '@acaciadock/core';
+import { type JobsConfigView } from '@acaciadock/jobs';
+import { err, ok } from 'neverthrow';
+import { Election } from '../Election.js';
+
+export const MOST_LEASE_MS = 6_000;
+const KEEP_FINISHED_MS = 120_000;
+
+export interface SimulatedSurroundings {
+  readonly clock: ManualClock;
+  readonly random: Random;
+  readonly store: SimulatedStore;
+  readonly targets: ReadonlyMap<string, SimulatedTarget>;
+  readonly config: JobsConfigView;
+}
+
+export class SimulatedEntry {
+  readonly storeFaults: StoreFaults = { isDown: false, lostAnswerShare: 0, latencyMs: 0 };
+
+  readonly portFaults: PortFaults = { cutTargets: new Set(), lateOrderShare: 0 };
+
+  readonly clock: PausableClock;
+
+  private readonly election: Election;
+
+  private coordinator: Coordinator | undefined;
+
+  constructor(
+    entryId: string,
+    private readonly around: SimulatedSurroundings,
+  ) {
+    const { clock: base, store, random, targets, config } = around;
+    this.clock = new PausableClock(base);
+    const { clock } = this;
+    const logger = new SilentLogger();
+    const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1` };
+    this.election = new Election(self, {
+      group: new SimulatedGroup(store, clock, this.storeFaults),
+      log: new SimulatedLog(store, clock, this.storeFaults),
+      clock,
+      logger,
+    });
+    this.election.onOwned(({ ownership, owned }) => {
+      this.coordinator = new Coordinator(
+        owned,
+        {
+          mostLeaseMs: MOST_LEASE_MS,
+          keepFinishedMs: KEEP_FINISHED_MS,
+          holderId: entryId,
+          bootMs: self.bootMs,
+          isProcessOver: () => false,
+          dutyHandoverMs: 3_000,
+          upkeepMs: 2_000,
+        },
+        {
+          ownership,
+          registry: { list: () => this.listTargets() },
+          port: new SimulatedPort(targets, this.portFaults, clock, base, random),
+          advice: {
+            advise: () => Promise.resolve(err({ kind: 'advice-unavailable', detail: 'none' })),
+          },
+          fleet: undefined,
+          reports: { publish: () => Promise.resolve(ok(undefined)) },
+          waves: () => [],
+          clock,
+          logger,
+          config: () => config,
+        },
+      );
+      this.coordinator.start();
+    });
+    void this.election.run();
+  }
+
+  get isOwner(): boolean {
+    return this.election.isOwner;
+  }
+
+  /** Calls the coordinator here; undefined if there is none. */
+  call(call: JobCall): Promise<JobReply> | undefined {
+    if (!this.isOwner || this.clock.isPaused) return undefined;
+    return this.coordinator?.call(call);
+  }
+
+  kill(): void {
+    this.clock.kill();
+  }
+
+  /** A planned stop. */
+  leave(): Promise<void> {
+    return this.election.leave();
+  }
+
+  private listTargets(): ReturnType<TargetRegistry['list']> {
+    return Promise.resolve(ok(this.entries()));
+  }
+
+  private entries(): SimulatedTarget['entry'][] {
+    return [...this.around.targets.values()]
+      .filter((target) => target.isListed)
+      .map((target) => target.entry);
+  }
+}
--- /dev/null
+++ b/packages/jobdesk/src/testing/runSchedule.ts
@@ -0,0 +1,129 @@
+/** Plays one random schedule of jobs and faults and returns what it broke. */
+import { type Random } from '@acaciadock/core';
+import { DEFAULT_WORLD, JobWorld } from './JobWorld.js';
+
+const FAULTY_MS = 12_000;
+const PERIOD_MS = 400;
+const SETTLE_MS = 45_000;
+const MAX_ATTEMPTS = 3;
+
+type Fault = (world: JobWorld, random: Random) => void;
+
+function anyEntry(world: JobWorld, random: Random): string {
+  return random.pick([...world.entries.keys()]) ?? 'e0';
+}
+
+function anyTarget(world: JobWorld, random: Random): string {
+  return random.pick([...world.targets.keys()]) ?? 't0';
+}
+
+const FAULTS: readonly Fault[] = [
+  (world, random) => {
+    const entryId = anyEntry(world, random);
+    world.killEntry(entryId);
+    world.clock.after(300 + random.next() * 2_000, () => world.startEntry(entryId));
+  },
+  (world, random) => {
+    const entry = world.entries.get(anyEntry(world, random));
+    entry?.clock.pause();
+    world.clock.after(500 + random.next() * 4_000, () => entry?.clock.resume());
+  },
+  (world, random) => {
+    const entry = world.entries.get(world.ownerId() ?? anyEntry(world, random));
+    Object.assign(entry?.storeFaults ?? {}, { isDown: true });
+    world.clock.after(random.next() * 5_000, () => {
+      Object.assign(entry?.storeFaults ?? {}, { isDown: false });
+    });
+  },
+  (world, random) => {
+    Object.assign(world.store.faults, { isDown: true });
+    world.clock.after(random.next() * 4_000, () => {
+      Object.assign(world.store.faults, { isDown: false });
+    });
+  },
+  (world, random) => {
+    Object.assign(world.store.faults, { lostAnswerShare: 0.3 });
+    world.clock.after(random.next() * 3_000, () => {
+      Object.assign(world.store.faults, { lostAnswerShare: 0 });
+    });
+  },
+  (world, random) => {
+    const entry = world.entries.get(anyEntry(world, random));
+    const targetId = anyTarget(world, random);
+    entry?.portFaults.cutTargets.add(targetId);
+    world.clock.after(random.next() * 9_000, () => entry?.portFaults.cutTargets.delete(targetId));
+  },
+  (world, random) => {
+    world.entries.forEach((entry) => Object.assign(entry.portFaults, { lateOrderShare: 0.3 }));
+    world.clock.after(random.next() * 3_000, () => {
+      world.entries.forEach((entry) => Object.assign(entry.portFaults, { lateOrderShare: 0 }));
+    });
+  },
+  (world, random) => {
+    const target = world.targets.get(anyTarget(world, random));
+    target?.crash();
+    world.clock.after(random.next() * 4_000, () => target?.rebirth());
+  },
+  (world) => world.store.dealAnew(),
+];
+
+function heal(world: JobWorld): void {
+  Object.assign(world.store.faults, { isDown: false, lostAnswerShare: 0 });
+  world.entries.forEach((entry) => {
+    Object.assign(entry.storeFaults, { isDown: false });
+    Object.assign(entry.portFaults, { lateOrderShare: 0 });
+    entry.portFaults.cutTargets.clear();
+    entry.clock.resume();
+  });
+  world.targets.forEach((target) => {
+    if (!target.isUp) target.rebirth();
+  });
+}
+
+async function isFinished(world: JobWorld, jobId: string): Promise<boolean> {
+  const asked = world.stateOf(jobId);
+  await world.run(20);
+  const reply = await Promise.race([asked, world.run(100)]);
+  return reply?.kind === 'state' && (reply.status === 'completed' || reply.status === 'failed');
+}
+
+async function unfinished(world: JobWorld): Promise<string[]> {
+  let open = [...world.accepted];
+  for (let waitedMs = 0; waitedMs < SETTLE_MS && open.length > 0; waitedMs += 1_000) {
+    await world.run(900);
+    const still: string[] = [];
+    for (const jobId of open) {
+      if (!(await isFinished(world, jobId))) still.push(jobId);
+    }
+    open = still;
+  }
+  return open;
+}
+
+/** The promises that the schedule of this seed broke. */
+export async function runSchedule(random: Random, seed: number): Promise<string[]> {
+  const world = new JobWorld({
+    ...DEFAULT_WORLD,
+    seed,
+    failShare: 0.1,
+    maxAttempts: MAX_ATTEMPTS,
+    runtimeMs: 300 + random.next() * 1_500,
+  });
+  await world.run(1_500);
+  let jobs = 0;
+  for (let elapsedMs = 0; elapsedMs < FAULTY_MS; elapsedMs += PERIOD_MS) {
+    jobs += 1;
+    void world.submit(`j${jobs}`, {
+      steps: [
+        { taskCount: random.integer(1, 4), cpuMilli: 700 },
+        { taskCount: random.integer(1, 2), cpuMilli: 900, afterSteps: [0] },
+      ],
+    });
+    if (random.chance(0.35)) random.pick(FAULTS)?.(world, random);
+    await world.run(PERIOD_MS);
+  }
+  await world.run(5_500);
+  heal(world);
+  const lost = await unfinished(world);
+  return [...world.observer.broken, ...lost.map((jobId) => `${jobId} never finished`)];
+}
