--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -13,11 +13,16 @@
   type TargetRegistry,
   type UpkeepWave,
   type WaveReports,
-} from './contracts.js';
-import { DUTY_KEY, type DutyRecord, FleetSteward, type FleetStewardOptions } from './FleetSteward.js';
+} from './contracts/index.js';
+import {
+  DUTY_KEY,
+  type DutyRecord,
+  FleetSteward,
+  type FleetStewardOptions,
+} from './FleetSteward.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type JobEntry } from './JobEntry.js';
-import { type JobCall, type JobReply, JobService, type SubmitCall } from './JobService.js';
+import { type JobCall, type JobReply, type JobService, type SubmitCall } from './JobService.js';
 import { JobScheduler } from './JobScheduler.js';
 import { JobTable } from './JobTable.js';
 import { type LiveRun } from './LiveRun.js';
@@ -139,6 +144,7 @@
       case 'state':
         return Promise.resolve(this.state(call.jobId, call.context.teamId));
       case 'waiting':
+      default:
         return Promise.resolve(this.waiting(call.context.queueId));
     }
   }
--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -21,7 +21,7 @@
   type InstanceFleet,
   type UpkeepWave,
   type WaveReports,
-} from './contracts.js';
+} from './contracts/index.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type JobScheduler } from './JobScheduler.js';
 import { type Ownership } from './Ownership.js';
@@ -326,7 +326,9 @@
       .sort((a, b) => b.missing - a.missing);
     const donors = this.donors(sizes, countOf);
     lacking.forEach(({ size, missing }) => {
-      donors.splice(0, missing).forEach((instance) => void this.move(instance, size.poolId));
+      donors.splice(0, missing).forEach((instance) => {
+        void this.move(instance, size.poolId);
+      });
     });
     if (lacking.length === 0) this.park(donors);
   }
@@ -354,7 +356,10 @@
   }
 
   /** Instances that may be given away: spare ones first, then empty ones of pools with too many. */
-  private donors(sizes: readonly PoolSize[], countOf: ReadonlyMap<string, number>): FleetInstance[] {
+  private donors(
+    sizes: readonly PoolSize[],
+    countOf: ReadonlyMap<string, number>,
+  ): FleetInstance[] {
     const spare = this.instances.filter((one) => this.isSpare(one.poolId) && this.isFree(one));
     const surplus = sizes.flatMap(({ poolId, kept }) => {
       const idle = this.instances.filter((one) => one.poolId === poolId && this.isIdle(one));
@@ -368,7 +373,9 @@
     if (sparePoolId === undefined) return;
     donors
       .filter((instance) => !this.isSpare(instance.poolId))
-      .forEach((instance) => void this.move(instance, sparePoolId));
+      .forEach((instance) => {
+        void this.move(instance, sparePoolId);
+      });
   }
 
   private demands(): PoolDemand[] {
@@ -390,7 +397,8 @@
       arrivingCpuMilli: this.deps.scheduler.arrivingCpuMilli(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
       instanceCount: present.length,
-      cpuMilliPerInstance: present[0]?.capacity.cpuMilli ?? this.instances[0]?.capacity.cpuMilli ?? 1,
+      cpuMilliPerInstance:
+        present[0]?.capacity.cpuMilli ?? this.instances[0]?.capacity.cpuMilli ?? 1,
     };
   }
 
@@ -429,9 +437,7 @@
   private async noteDuty(): Promise<boolean> {
     const { holderId, bootMs } = this.options;
     const outcome = await this.deps.ownership.writer.write(DUTY_KEY, () =>
-      Buffer.from(
-        JSON.stringify({ holderId, bootMs, lastOrderUnixMs: this.deps.clock.unixMs() }),
-      ),
+      Buffer.from(JSON.stringify({ holderId, bootMs, lastOrderUnixMs: this.deps.clock.unixMs() })),
     );
     return outcome === 'durable' && this.isActive;
   }
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -2,7 +2,7 @@
 import { LeaseClock, SLOWEST_CLOCK_RATE, type TargetAddress } from '@acaciadock/execution';
 import { type CommitOutcome } from '@acaciadock/journal';
 import { type PlacementTarget } from '@acaciadock/placement';
-import { type Capacity, type RegistryEntry } from './contracts.js';
+import { type Capacity, type RegistryEntry } from './contracts/index.js';
 import { type LiveRun } from './LiveRun.js';
 
 const NO_CAPACITY: Capacity = { cpuMilli: 0, memoryMb: 0, gpuCount: 0 };
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -258,16 +258,18 @@
     const { step } = open;
     if (!step.tasks.every((task) => task.isWaiting)) return true;
     if (!this.teamAllows(open, step.tasks.length)) return false;
-    const racks = step.spec.sameRack
-      ? [...new Set(targets.map((target) => target.rackId))]
-      : [''];
+    const racks = step.spec.sameRack ? [...new Set(targets.map((target) => target.rackId))] : [''];
     return racks.some((rackId) => this.placeGangIn(open, targets, rackId));
   }
 
   private placeGangIn(open: OpenStep, targets: readonly FleetTarget[], rackId: string): boolean {
     const { step } = open;
     const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
-    const checkpoint = step.tasks.map((task) => task.checkpoint).sort().at(-1) ?? '';
+    const checkpoint =
+      step.tasks
+        .map((task) => task.checkpoint)
+        .sort()
+        .at(-1) ?? '';
     const placed: LiveRun[] = [];
     for (const task of step.tasks) {
       const target = this.choose(open, task, targets, rackId);
--- a/packages/coordinator/src/ReportReader.ts
+++ b/packages/coordinator/src/ReportReader.ts
@@ -82,7 +82,8 @@
     }
     live.percent = running.percent;
     live.loadFigure = running.loadFigure;
-    if (running.checkpoint !== '') Object.assign(live.place.task, { checkpoint: running.checkpoint });
+    if (running.checkpoint !== '')
+      Object.assign(live.place.task, { checkpoint: running.checkpoint });
     if (live.phase === 'uncertain' || live.phase === 'ordered') this.book.markRunning(live);
     return true;
   }
--- a/packages/coordinator/src/RunBook.ts
+++ b/packages/coordinator/src/RunBook.ts
@@ -73,7 +73,7 @@
     if (live.phase === 'stopping') return;
     const nowMs = this.clock.monotonicMs();
     Object.assign(live, { phase: 'running' });
-    live.absenceCountsFromMs = nowMs;
+    Object.assign(live, { absenceCountsFromMs: nowMs });
     if (live.startedMs === 0) Object.assign(live, { startedMs: nowMs, progressedMs: nowMs });
   }
 
@@ -81,7 +81,7 @@
   stop(live: LiveRun): void {
     if (live.phase === 'stopping') return;
     if (live.phase === 'planned') {
-      this.finish(live, 'lost', '');
+      void this.finish(live, 'lost', '');
       return;
     }
     Object.assign(live, { phase: 'stopping', absenceCountsFromMs: undefined });
@@ -142,7 +142,9 @@
     return this.jobs.writeProgress(entry);
   }
 
-  private static verdictOf(place: TaskPlace): Extract<JobStatus, 'completed' | 'failed'> | undefined {
+  private static verdictOf(
+    place: TaskPlace,
+  ): Extract<JobStatus, 'completed' | 'failed'> | undefined {
     if (place.job.isComplete) return 'completed';
     return place.job.isHopeless(place) ? 'failed' : undefined;
   }
--- a/packages/coordinator/src/TargetTable.ts
+++ b/packages/coordinator/src/TargetTable.ts
@@ -1,6 +1,6 @@
 /** All targets that are listed or may still run something. */
 import { Disposable, EventEmitter } from '@acaciadock/core';
-import { type RegistryEntry } from './contracts.js';
+import { type RegistryEntry } from './contracts/index.js';
 import { FleetTarget } from './FleetTarget.js';
 
 export interface TargetTableOptions {
--- a/packages/coordinator/src/TicketBook.ts
+++ b/packages/coordinator/src/TicketBook.ts
@@ -3,7 +3,7 @@
  * way at a time, because the service answers the calls of one instance in turn.
  */
 import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
-import { type AdviceService } from './contracts.js';
+import { type AdviceService } from './contracts/index.js';
 import { type FleetTarget } from './FleetTarget.js';
 
 /** Each target named costs the service time; this many are enough to place a step. */
--- /dev/null
+++ b/packages/coordinator/src/contracts/AdviceService.ts
@@ -0,0 +1,25 @@
+/** The service that knows which targets may run a step. */
+import { type Result } from 'neverthrow';
+
+export interface AdviceTicket {
+  readonly targetId: string;
+  readonly ticket: string;
+}
+
+export interface AdviceAnswer {
+  readonly tickets: readonly AdviceTicket[];
+  readonly validityMs: number;
+}
+
+export interface AdviceFailure {
+  readonly kind: 'advice-unavailable';
+  readonly detail: string;
+}
+
+/** Knows which targets may run a step. One call at a time. */
+export abstract class AdviceService {
+  abstract advise(
+    stepId: string,
+    targetIds: readonly string[],
+  ): Promise<Result<AdviceAnswer, AdviceFailure>>;
+}
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -1,5 +1,5 @@
 /** Public interface: the coordinator, its contracts and the service that entries call. */
-export * from './contracts.js';
+export * from './contracts/index.js';
 export * from './Coordinator.js';
 export * from './JobService.js';
 export * from './Ownership.js';
--- a/packages/coordinator/src/testing/SimulatedStore.ts
+++ b/packages/coordinator/src/testing/SimulatedStore.ts
@@ -9,11 +9,8 @@
   isSameMember,
   type KeyedRecord,
   type LogFailure,
-  type LogSlice,
   type NewestRecords,
   type OwnerNotice,
-  OwnershipGroup,
-  RecordLog,
   type StoredRecord,
 } from '@acaciadock/journal';
 import { err, ok, type Result } from 'neverthrow';
@@ -126,61 +123,3 @@
     });
   }
 }
-
-export class SimulatedLog extends RecordLog {
-  constructor(
-    private readonly store: SimulatedStore,
-    private readonly clock: PausableClock,
-    private readonly faults: StoreFaults,
-  ) {
-    super();
-  }
-
-  override append(
-    at: number,
-    records: readonly KeyedRecord[],
-  ): Promise<Result<void, LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => this.store.append(at, records));
-  }
-
-  override readNewest(): Promise<Result<NewestRecords, LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => ok(this.store.newest()));
-  }
-
-  override readFrom(offset: number): Promise<Result<LogSlice, LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => {
-      const records = this.store.records.slice(offset);
-      return ok({ records, nextOffset: offset + records.length });
-    });
-  }
-}
-
-export class SimulatedGroup extends OwnershipGroup {
-  constructor(
-    private readonly store: SimulatedStore,
-    private readonly clock: PausableClock,
-    private readonly faults: StoreFaults,
-  ) {
-    super();
-  }
-
-  override join(self: GroupMember): Promise<Result<GroupView, LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => ok(this.store.join(self)));
-  }
-
-  override leave(self: GroupMember): Promise<Result<void, LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => ok(this.store.leave(self)));
-  }
-
-  override members(): Promise<Result<readonly GroupMember[], LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => ok(this.store.liveMembers()));
-  }
-
-  override announce(notice: OwnerNotice): Promise<Result<void, LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => ok(this.store.announce(notice)));
-  }
-
-  override announced(): Promise<Result<OwnerNotice | undefined, LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => ok(this.store.announced));
-  }
-}
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -15,7 +15,7 @@
   type StopOrder,
 } from '@acaciadock/execution';
 import { err, ok, type Result } from 'neverthrow';
-import { type RegistryEntry } from '../contracts.js';
+import { type RegistryEntry } from '../contracts/index.js';
 import { type RunObserver } from './RunObserver.js';
 
 export interface SimulatedTargetOptions {
--- a/packages/jobdesk/src/JobDesk.ts
+++ b/packages/jobdesk/src/JobDesk.ts
@@ -3,7 +3,12 @@
  * the entry that owns the journal. A call waits briefly through a change of owner, never longer.
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
-import { type CallContext, type JobCall, type JobReply, JobService } from '@acaciadock/coordinator';
+import {
+  type CallContext,
+  type JobCall,
+  type JobReply,
+  type JobService,
+} from '@acaciadock/coordinator';
 import { type AllowedCall, type CallAccess, type JobsConfigView } from '@acaciadock/jobs';
 import { type Election } from './Election.js';
 import { PeerCallClient } from './PeerCallClient.js';
--- a/packages/jobdesk/src/PeerCallClient.ts
+++ b/packages/jobdesk/src/PeerCallClient.ts
@@ -1,6 +1,6 @@
 /** Calls to the coordinator on another entry, over one gRPC channel to it. */
 import { type Clock, Disposable } from '@acaciadock/core';
-import { type JobCall, type JobReply, JobService } from '@acaciadock/coordinator';
+import { type JobCall, type JobReply, type JobService } from '@acaciadock/coordinator';
 import { Client, credentials, type ServiceError, status } from '@grpc/grpc-js';
 import { callMethod } from './PeerCalls.js';
 
@@ -48,7 +48,8 @@
     // A channel may have gone silent for good: the next call opens a new one.
     if (error?.code === status.DEADLINE_EXCEEDED) this.close();
     const reason = `coordinator-${error ? status[error.code] : 'silent'}`;
-    if (call.kind === 'submit' || call.kind === 'cancel') return { kind: 'unknown-outcome', reason };
+    if (call.kind === 'submit' || call.kind === 'cancel')
+      return { kind: 'unknown-outcome', reason };
     return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS };
   }
 
--- a/packages/jobdesk/src/PeerCalls.ts
+++ b/packages/jobdesk/src/PeerCalls.ts
@@ -1,5 +1,10 @@
 /** The gRPC method by which entries hand calls about jobs to the coordinator. */
-import { type JobCall, jobCallSchema, type JobReply, jobReplySchema } from '@acaciadock/coordinator';
+import {
+  type JobCall,
+  jobCallSchema,
+  type JobReply,
+  jobReplySchema,
+} from '@acaciadock/coordinator';
 import { type MethodDefinition } from '@grpc/grpc-js';
 
 const serialize = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -31,8 +31,12 @@
   return reply?.kind === 'state' ? reply.status : (reply?.kind ?? 'nobody');
 }
 
-async function submit(world: JobWorld, jobId: string, steps: readonly StepWish[] = ONE_STEP): Promise<void> {
-  void world.submit(jobId, { steps: steps });
+async function submit(
+  world: JobWorld,
+  jobId: string,
+  steps: readonly StepWish[] = ONE_STEP,
+): Promise<void> {
+  void world.submit(jobId, { steps });
   await world.run(60);
 }
 
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -2,11 +2,7 @@
  * Entries, store and targets in virtual time, with callers that hand in jobs and ask for their
  * state. Time moves only through `run`.
  */
-import {
-  RunObserver,
-  SimulatedStore,
-  SimulatedTarget,
-} from '@acaciadock/coordinator/testing';
+import { RunObserver, SimulatedStore, SimulatedTarget } from '@acaciadock/coordinator/testing';
 import { type CallContext, type JobReply } from '@acaciadock/coordinator';
 import { ManualClock, Random } from '@acaciadock/core';
 import {
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -1,5 +1,10 @@
 /** One entry's process in virtual time: its election and, while it owns the journal, coordinator. */
-import { Coordinator, type JobCall, type JobReply, type TargetRegistry } from '@acaciadock/coordinator';
+import {
+  Coordinator,
+  type JobCall,
+  type JobReply,
+  type TargetRegistry,
+} from '@acaciadock/coordinator';
 import {
   PausableClock,
   type PortFaults,
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -97,12 +97,9 @@
     if (!task.hasRun(run)) return false;
     const endedAt = task.runs.find((other) => other.run === run);
     task.removeRun(run);
-    if (checkpoint !== '') task.checkpoint = checkpoint;
+    if (checkpoint !== '') Object.assign(task, { checkpoint });
     if (end === 'done' && !step.spec.longRunning) this.markDone(place);
-    if (end === 'failed') {
-      task.failures += 1;
-      task.avoidTargetId = endedAt?.targetId ?? '';
-    }
+    if (end === 'failed') task.noteFailure(endedAt?.targetId ?? '');
     return true;
   }
 
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -3,7 +3,7 @@
  * so the newest record of each key is all that a successor needs.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { Job, type JobStatus } from './Job.js';
+import { type Job, type JobStatus } from './Job.js';
 import { type JobDefinition } from './JobSpec.js';
 import { type TaskRecord } from './TaskState.js';
 
--- a/packages/jobs/src/JobsConfigView.ts
+++ b/packages/jobs/src/JobsConfigView.ts
@@ -1,6 +1,11 @@
 /** One version of the jobs' configuration, indexed for look-ups. */
 import { err, ok, type Result } from 'neverthrow';
-import { type JobsConfig, type PoolConfig, type QueueConfig, type TeamConfig } from './JobsConfig.js';
+import {
+  type JobsConfig,
+  type PoolConfig,
+  type QueueConfig,
+  type TeamConfig,
+} from './JobsConfig.js';
 
 /** What a call shows of itself. */
 export interface CallAccess {
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -57,6 +57,11 @@
     this.runs = this.runs.filter((other) => other.run !== run);
   }
 
+  noteFailure(targetId: string): void {
+    this.failures += 1;
+    this.avoidTargetId = targetId;
+  }
+
   hasRun(run: number): boolean {
     return this.runs.some((other) => other.run === run);
   }
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -66,7 +66,9 @@
     PoolSizer.update(history, needed, nowMs);
     const isForeseen = next?.poolId === poolId && next.inMs < PREPARE_MS;
     const ahead = isForeseen ? history.turnPeak : 0;
-    const kept = hasHadTurn ? history.peak : Math.max(history.peak, Math.ceil(history.firstCount * UNSEEN_SHARE));
+    const kept = hasHadTurn
+      ? history.peak
+      : Math.max(history.peak, Math.ceil(history.firstCount * UNSEEN_SHARE));
     return { poolId, needed: Math.max(needed, ahead), kept: Math.max(kept, ahead) };
   }
 
--- a/packages/placement/src/UpkeepPlanner.ts
+++ b/packages/placement/src/UpkeepPlanner.ts
@@ -82,11 +82,7 @@
     return chosen;
   }
 
-  private static mayTake(
-    pool: PoolPressure | undefined,
-    already: number,
-    hurry: boolean,
-  ): boolean {
+  private static mayTake(pool: PoolPressure | undefined, already: number, hurry: boolean): boolean {
     if (!pool || hurry) return true;
     if (pool.hasWaitingWork) return false;
     const whole = pool.openCount + already;
