--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -123,7 +123,10 @@
     private readonly deps: FleetStewardDeps,
   ) {
     super();
-    this.guard = new ServingGuard((taskId, targetId) => deps.book.liveRunOf(taskId, targetId));
+    this.guard = new ServingGuard(
+      (taskId, targetId) => deps.book.liveRunOf(taskId, targetId),
+      deps.clock,
+    );
     this.notBeforeMs = deps.clock.monotonicMs();
   }
 
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -22,6 +22,9 @@
   /** Latest share of work or progress that the target reported. */
   percent = 0;
 
+  /** When the target last listed the run, monotonic. */
+  reportedMs = 0;
+
   /** When `percent` or the checkpoint last changed, monotonic. */
   progressedMs = 0;
 
--- a/packages/coordinator/src/ReportReader.ts
+++ b/packages/coordinator/src/ReportReader.ts
@@ -80,6 +80,7 @@
     if (running.percent !== live.percent || running.checkpoint !== live.place.task.checkpoint) {
       live.progressedMs = nowMs;
     }
+    live.reportedMs = nowMs;
     live.percent = running.percent;
     live.loadFigure = running.loadFigure;
     if (running.checkpoint !== '')
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -97,7 +97,7 @@
     if (!task.hasRun(run)) return false;
     const endedAt = task.runs.find((other) => other.run === run);
     task.removeRun(run);
-    if (checkpoint !== '') Object.assign(task, { checkpoint });
+    task.noteCheckpoint(checkpoint);
     if (end === 'done' && !step.spec.longRunning) this.markDone(place);
     if (end === 'failed') task.noteFailure(endedAt?.targetId ?? '');
     return true;
@@ -116,9 +116,9 @@
   }
 
   private markDone({ occurrence, step, task }: TaskPlace): void {
-    task.done = true;
+    task.markDone();
     // The end of one gang member stands for all of them.
-    if (step.spec.gang) step.tasks.forEach((member) => Object.assign(member, { done: true }));
+    if (step.spec.gang) step.tasks.forEach((member) => member.markDone());
     if (!occurrence.isDone) return;
     if (this.isScheduled) this.closeOccurrence(occurrence);
   }
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -57,6 +57,15 @@
     this.runs = this.runs.filter((other) => other.run !== run);
   }
 
+  markDone(): void {
+    this.done = true;
+  }
+
+  /** An empty checkpoint says nothing new. */
+  noteCheckpoint(checkpoint: string): void {
+    if (checkpoint !== '') this.checkpoint = checkpoint;
+  }
+
   noteFailure(targetId: string): void {
     this.failures += 1;
     this.avoidTargetId = targetId;
