--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -6,7 +6,7 @@
 import { SLOWEST_CLOCK_RATE, type TargetPort } from '@acaciadock/execution';
 import { type JobDefinition, type JobsConfigView } from '@acaciadock/jobs';
 import { type OwnedJournal } from '@acaciadock/journal';
-import { RuntimeEstimates } from '@acaciadock/placement';
+import { RuntimeEstimates, ShareMeter } from '@acaciadock/placement';
 import {
   type AdviceService,
   type InstanceFleet,
@@ -87,6 +87,8 @@
 
   private readonly reader: ReportReader;
 
+  private readonly shares = new ShareMeter();
+
   private readonly drivers = new Map<string, TargetDriver>();
 
   constructor(
@@ -342,10 +344,17 @@
       stretch: context.stretch,
       targetLatencyMs: context.targetLatencyMs,
       acceptedUnixMs: this.deps.clock.unixMs(),
+      isBeyondShare: this.isBeyondShare(context.teamId),
       spec,
     };
   }
 
+  private isBeyondShare(teamId: string): boolean {
+    const team = this.deps.config().team(teamId);
+    if (!team) return false;
+    return this.shares.note(teamId, team.weight, this.deps.clock.monotonicMs());
+  }
+
   private async cancel(jobId: string, teamId: string): Promise<JobReply> {
     const entry = this.visible(jobId, teamId);
     if (!entry) return { kind: 'unknown-job' };
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -176,7 +176,7 @@
       objectiveMs,
       objectiveUnixMs: occurrence.dueUnixMs + objectiveMs,
       remainingMs,
-      teamLoad: 0,
+      isBeyondShare: definition.isBeyondShare,
     };
   }
 
--- a/packages/coordinator/src/JobService.ts
+++ b/packages/coordinator/src/JobService.ts
@@ -3,7 +3,7 @@
  * process or on another entry. Every answer says truly whether work may have been accepted.
  */
 import { jobSpecSchema } from '@acaciadock/jobs';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The call, and the entry's verdict under the configuration version that it knows. */
 export const callContextSchema = z.object({
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -2,7 +2,7 @@
  * Identifiers shared by all packages. Each is a short, printable name that is safe in a URL path,
  * a metric label and a log line.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_ID_CHARACTERS = 128;
 
--- a/packages/jobs/src/JobSpec.ts
+++ b/packages/jobs/src/JobSpec.ts
@@ -2,7 +2,7 @@
  * What a team hands in: a directed graph of steps, each with tasks of one size. All durations are
  * milliseconds, processor is thousandths of a core, memory is megabytes.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MOST_SPEC_CHARACTERS = 4_000;
 const MOST_STEPS = 256;
@@ -74,5 +74,7 @@
   readonly stretch: number;
   readonly targetLatencyMs: number;
   readonly acceptedUnixMs: number;
+  /** The team had already sent what it is owed in that second. */
+  readonly isBeyondShare: boolean;
   readonly spec: JobSpec;
 }
--- a/packages/jobs/src/JobsConfig.ts
+++ b/packages/jobs/src/JobsConfig.ts
@@ -2,7 +2,7 @@
  * The configuration that jobs need: queues and where they send their work, pools, teams with
  * keys, weights and limits. The product's form; whoever publishes it translates.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const count = z.number().min(0);
 
--- a/packages/placement/src/QueueOrder.ts
+++ b/packages/placement/src/QueueOrder.ts
@@ -1,8 +1,8 @@
 /**
  * In which order waiting steps get room. Answers the load in which a queue asks for several times
  * what its pool holds: within a priority, tasks that last come first (they are few and earn all
- * the time), then what can still meet its objective by least slack, then what is late, and last
- * what no longer earns anything. Among equals a team below its share goes first.
+ * the time), then what can still meet its objective by least slack, then what is late. Behind all
+ * that a team is owed comes what teams sent beyond their share, and last what is of no more use.
  */
 
 export interface WaitingStep {
@@ -14,19 +14,21 @@
   readonly objectiveMs: number;
   /** Expected time of the work that is left, from now on without waiting. */
   readonly remainingMs: number;
-  /** What the team has running over what its weight grants; 1 is its exact share. */
-  readonly teamLoad: number;
+  /** The team sent it beyond its share. */
+  readonly isBeyondShare: boolean;
 }
 
 /** An answer is worth something until this many times the objective. */
 const LATE_FACTOR = 3;
 
-/** A team this far above its share waits behind the others of its class. */
-const FAR_ABOVE_SHARE = 1.5;
+type Urgency = 'in-time' | 'late' | 'beyond-share' | 'worthless';
 
-type Urgency = 'in-time' | 'late' | 'worthless';
-
-const URGENCY_RANK: Record<Urgency, number> = { 'in-time': 0, late: 1, worthless: 2 };
+const URGENCY_RANK: Record<Urgency, number> = {
+  'in-time': 0,
+  late: 1,
+  'beyond-share': 2,
+  worthless: 3,
+};
 
 export class QueueOrder {
   /** Orders the steps, most urgent first. */
@@ -44,15 +46,15 @@
       step.priority,
       step.isLongRunning ? 0 : 1,
       URGENCY_RANK[urgency],
-      step.teamLoad > FAR_ABOVE_SHARE ? 1 : 0,
       slackMs,
     ];
   }
 
   private static urgencyOf(step: WaitingStep, slackMs: number): Urgency {
-    if (slackMs >= 0) return 'in-time';
     const graceMs = step.objectiveMs * (LATE_FACTOR - 1);
-    return slackMs + graceMs >= 0 ? 'late' : 'worthless';
+    if (slackMs + graceMs < 0) return 'worthless';
+    if (step.isBeyondShare) return 'beyond-share';
+    return slackMs >= 0 ? 'in-time' : 'late';
   }
 
   private static compare(a: readonly number[], b: readonly number[]): number {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,6 +3,7 @@
 export * from './TurnForecast.js';
 export * from './QueueOrder.js';
 export * from './RuntimeEstimates.js';
+export * from './ShareMeter.js';
 export * from './TargetChooser.js';
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
