--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -328,6 +328,7 @@
       .filter(({ missing }) => missing > 0)
       .sort((a, b) => b.missing - a.missing);
     const donors = this.donors(sizes, countOf);
+    if (lacking.length > 0) donors.push(...this.lenders(sizes, countOf, donors));
     lacking.forEach(({ size, missing }) => {
       donors.splice(0, missing).forEach((instance) => {
         void this.move(instance, size.poolId);
@@ -371,6 +372,20 @@
     return [...spare, ...surplus].slice(0, MOST_ORDERS);
   }
 
+  /** Empty instances that pools keep without needing them now; only for pools that lack some. */
+  private lenders(
+    sizes: readonly PoolSize[],
+    countOf: ReadonlyMap<string, number>,
+    donors: readonly FleetInstance[],
+  ): FleetInstance[] {
+    return sizes.flatMap(({ poolId, needed }) => {
+      const given = donors.filter((one) => one.poolId === poolId).length;
+      const idle = this.instances.filter((one) => one.poolId === poolId && this.isIdle(one));
+      const surplus = (countOf.get(poolId) ?? 0) - given - needed;
+      return idle.filter((one) => !donors.includes(one)).slice(0, Math.max(0, surplus));
+    });
+  }
+
   private park(donors: readonly FleetInstance[]): void {
     const [sparePoolId] = this.deps.config().sparePoolIds;
     if (sparePoolId === undefined) return;
--- a/packages/placement/src/QueueOrder.ts
+++ b/packages/placement/src/QueueOrder.ts
@@ -21,6 +21,12 @@
 /** An answer is worth something until this many times the objective. */
 const LATE_FACTOR = 3;
 
+/**
+ * Slack that a job needs to count as in time, as a share of the work that is left: a step ends
+ * with its slowest task, and estimates are of the mean.
+ */
+const SAFETY_SHARE = 0.25;
+
 type Urgency = 'in-time' | 'late' | 'beyond-share' | 'worthless';
 
 const URGENCY_RANK: Record<Urgency, number> = {
@@ -54,7 +60,7 @@
     const graceMs = step.objectiveMs * (LATE_FACTOR - 1);
     if (slackMs + graceMs < 0) return 'worthless';
     if (step.isBeyondShare) return 'beyond-share';
-    return slackMs >= 0 ? 'in-time' : 'late';
+    return slackMs >= step.remainingMs * SAFETY_SHARE ? 'in-time' : 'late';
   }
 
   private static compare(a: readonly number[], b: readonly number[]): number {
