Stalled and crawling runs are given up; sick targets are ejected

Cause: tasks on targets that stood still or crawled kept their jobs late for as long as the trouble lasted.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -21,6 +21,7 @@
   type FleetStewardOptions,
 } from './FleetSteward.js';
 import { type FleetTarget } from './FleetTarget.js';
+import { HealthWatch } from './HealthWatch.js';
 import { type JobEntry } from './JobEntry.js';
 import { type JobCall, type JobReply, type JobService, type SubmitCall } from './JobService.js';
 import { JobScheduler } from './JobScheduler.js';
@@ -85,6 +86,8 @@
 
   private readonly tickets: TicketBook;
 
+  private readonly health: HealthWatch;
+
   private readonly reader: ReportReader;
 
   private readonly shares = new ShareMeter();
@@ -110,6 +113,9 @@
     );
     this.reader = new ReportReader(this.book, clock, logger);
     this.tickets = this.register(new TicketBook(advice, clock, logger));
+    this.health = this.register(
+      new HealthWatch({ targets: this.targets, book: this.book, estimates, clock, logger }),
+    );
     this.scheduler = this.register(
       new JobScheduler({
         jobs: this.jobs,
@@ -118,6 +124,7 @@
         book: this.book,
         estimates,
         tickets: this.tickets,
+        health: this.health,
         ownership,
         clock,
         config: deps.config,
@@ -287,6 +294,7 @@
     for (const target of this.targets.all) {
       if (target.runs.size > 0 && nowMs >= target.lease.surelyLapsedAtMs()) this.giveUp(target);
     }
+    this.health.look();
     for (const entry of this.jobs.activeJobs) this.openDue(entry);
     this.jobs.dropFinished(this.options.keepFinishedMs);
   }
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -19,6 +19,7 @@
   type WaitingStep,
 } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
+import { type HealthWatch } from './HealthWatch.js';
 import { type JobEntry } from './JobEntry.js';
 import { type JobTable } from './JobTable.js';
 import { type LiveRun } from './LiveRun.js';
@@ -47,6 +48,7 @@
   readonly book: RunBook;
   readonly estimates: RuntimeEstimates;
   readonly tickets: TicketBook;
+  readonly health: HealthWatch;
   readonly ownership: Ownership;
   readonly clock: Clock;
   readonly config: () => JobsConfigView;
@@ -183,7 +185,9 @@
   private placePool(poolId: string, steps: readonly OpenStep[]): void {
     const { clock, targets } = this.deps;
     const nowMs = clock.monotonicMs();
-    const open = targets.ofPool(poolId).filter((target) => target.isOpen(nowMs));
+    const open = this.deps.health
+      .usable(targets.ofPool(poolId))
+      .filter((target) => target.isOpen(nowMs));
     const ordered = QueueOrder.sort(steps, clock.unixMs());
     const blocked = ordered.filter((step) => !this.placeStep(step, open));
     this.waitingByPool.set(poolId, blocked);
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -66,6 +66,11 @@
     if (checkpoint !== '') this.checkpoint = checkpoint;
   }
 
+  /** The next start goes elsewhere if it can. */
+  noteAvoided(targetId: string): void {
+    this.avoidTargetId = targetId;
+  }
+
   noteFailure(targetId: string): void {
     this.failures += 1;
     this.avoidTargetId = targetId;
--- a/packages/placement/src/QueueOrder.ts
+++ b/packages/placement/src/QueueOrder.ts
@@ -48,12 +48,7 @@
   private static keysOf(step: WaitingStep, nowUnixMs: number): number[] {
     const slackMs = step.objectiveUnixMs - nowUnixMs - step.remainingMs;
     const urgency = QueueOrder.urgencyOf(step, slackMs);
-    return [
-      step.priority,
-      step.isLongRunning ? 0 : 1,
-      URGENCY_RANK[urgency],
-      slackMs,
-    ];
+    return [step.priority, step.isLongRunning ? 0 : 1, URGENCY_RANK[urgency], slackMs];
   }
 
   private static urgencyOf(step: WaitingStep, slackMs: number): Urgency {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -4,6 +4,8 @@
 export * from './QueueOrder.js';
 export * from './RuntimeEstimates.js';
 export * from './ShareMeter.js';
+export * from './StragglerRule.js';
 export * from './TargetChooser.js';
+export * from './TargetHealth.js';
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
