--- /dev/null
+++ b/packages/placement/src/QueueOrder.test.ts
@@ -0,0 +1,92 @@
+/** The order of waiting steps, in tables and under a load that one team multiplies. */
+import { describe, it } from '@acaciadock/core/testing';
+import { QueueOrder, type WaitingStep } from './QueueOrder.js';
+
+interface NamedStep extends WaitingStep {
+  readonly name: string;
+}
+
+const NOW_MS = 1_000_000;
+
+function step(name: string, change: Partial<WaitingStep> = {}): NamedStep {
+  return {
+    name,
+    priority: 0,
+    isLongRunning: false,
+    objectiveUnixMs: NOW_MS + 2_000,
+    objectiveMs: 2_000,
+    remainingMs: 800,
+    isBeyondShare: false,
+    ...change,
+  };
+}
+
+function order(...steps: NamedStep[]): string {
+  return QueueOrder.sort(steps, NOW_MS)
+    .map(({ name }) => name)
+    .join(' ');
+}
+
+describe('QueueOrder', () => {
+  describe('between classes', () => {
+    it('a higher priority goes first, however urgent the other is', (t) => {
+      const urgent = step('urgent', { priority: 1, objectiveUnixMs: NOW_MS + 1_100 });
+      t.equal(order(urgent, step('first')), 'first urgent');
+    });
+
+    it('what lasts goes before what ends', (t) => {
+      t.equal(order(step('ends'), step('lasts', { isLongRunning: true })), 'lasts ends');
+    });
+
+    it('what is late waits behind what can still be in time', (t) => {
+      const late = step('late', { objectiveUnixMs: NOW_MS + 500 });
+      t.equal(order(late, step('in-time')), 'in-time late');
+    });
+
+    it('what a team sent beyond its share waits behind what others are owed', (t) => {
+      const beyond = step('beyond', { isBeyondShare: true, objectiveUnixMs: NOW_MS + 1_200 });
+      const late = step('late', { objectiveUnixMs: NOW_MS + 500 });
+      t.equal(order(beyond, late, step('owed')), 'owed late beyond');
+    });
+
+    it('what earns nothing any more comes last', (t) => {
+      const worthless = step('worthless', { objectiveUnixMs: NOW_MS - 9_000 });
+      const beyond = step('beyond', { isBeyondShare: true });
+      t.equal(order(worthless, beyond), 'beyond worthless');
+    });
+  });
+
+  describe('within a class', () => {
+    it('the least slack goes first', (t) => {
+      const near = step('near', { objectiveUnixMs: NOW_MS + 1_500 });
+      const long = step('long', { remainingMs: 1_400 });
+      t.equal(order(step('easy'), near, long), 'long near easy');
+    });
+
+    it('a slack that an estimate can swallow counts as late', (t) => {
+      const tight = step('tight', { objectiveUnixMs: NOW_MS + 900 });
+      t.equal(order(tight, step('easy')), 'easy tight');
+    });
+  });
+
+  describe('under twice the load that a pool serves', () => {
+    it('serves as many in time as it has room for, not all of them late', (t) => {
+      const SERVED_PER_TURN = 5;
+      const ARRIVING_PER_TURN = 10;
+      const TURN_MS = 800;
+      let waiting: NamedStep[] = [];
+      let inTime = 0;
+      const turns = 20;
+      for (let turn = 0; turn < turns; turn += 1) {
+        const nowMs = NOW_MS + turn * TURN_MS;
+        for (let one = 0; one < ARRIVING_PER_TURN; one += 1) {
+          waiting.push(step(`${turn}/${one}`, { objectiveUnixMs: nowMs + 2_000 }));
+        }
+        const served = QueueOrder.sort(waiting, nowMs).slice(0, SERVED_PER_TURN);
+        inTime += served.filter((one) => one.objectiveUnixMs >= nowMs + 800).length;
+        waiting = waiting.filter((one) => !served.includes(one));
+      }
+      t.ok(inTime >= turns * SERVED_PER_TURN * 0.95, `${inTime} in time`);
+    });
+  });
+});
--- /dev/null
+++ b/packages/placement/src/StragglerRule.test.ts
@@ -0,0 +1,43 @@
+/** Runs that are worth giving up. */
+import { describe, it } from '@acaciadock/core/testing';
+import { type RunProgress, StragglerRule } from './StragglerRule.js';
+
+function run(change: Partial<RunProgress> = {}): RunProgress {
+  return {
+    elapsedMs: 1_000,
+    sinceProgressMs: 300,
+    sinceReportMs: 300,
+    percent: 50,
+    expectedMs: 1_000,
+    ...change,
+  };
+}
+
+describe('StragglerRule', () => {
+  const cases = [
+    { name: 'a run at its usual pace', change: {}, verdict: 'sound' },
+    {
+      name: 'no progress over two reports',
+      change: { sinceProgressMs: 2_500 },
+      verdict: 'stalled',
+    },
+    {
+      name: 'a target not heard of',
+      change: { sinceProgressMs: 4_000, sinceReportMs: 3_000 },
+      verdict: 'sound',
+    },
+    { name: 'a crawling run', change: { percent: 10 }, verdict: 'slow' },
+    {
+      name: 'a job that is twice as long as others',
+      change: { percent: 35, elapsedMs: 900 },
+      verdict: 'sound',
+    },
+    { name: 'too early to tell', change: { percent: 5, elapsedMs: 300 }, verdict: 'sound' },
+    { name: 'about to end', change: { percent: 100, sinceProgressMs: 9_000 }, verdict: 'sound' },
+  ];
+  cases.forEach(({ name, change, verdict }) => {
+    it(`${name}: ${verdict}`, (t) => {
+      t.equal(StragglerRule.judge(run(change)), verdict);
+    });
+  });
+});
--- /dev/null
+++ b/packages/placement/src/TargetChooser.test.ts
@@ -0,0 +1,79 @@
+/** Fit and choice of targets. */
+import { describe, it } from '@acaciadock/core/testing';
+import { type StepSpec, stepSpecSchema } from '@acaciadock/jobs';
+import { type PlacementTarget, TargetChooser } from './TargetChooser.js';
+
+function target(targetId: string, change: Partial<PlacementTarget> = {}): PlacementTarget {
+  return {
+    targetId,
+    rackId: 'r1',
+    labels: ['a', 'r1'],
+    freeCpuMilli: 4_000,
+    freeMemoryMb: 8_000,
+    freeGpuCount: 0,
+    longRunningCount: 0,
+    countOfStep: () => 0,
+    ...change,
+  };
+}
+
+function choose(
+  step: Partial<StepSpec>,
+  targets: PlacementTarget[],
+  more: { avoidTargetId?: string; onlyRackId?: string } = {},
+): string | undefined {
+  const wish = {
+    step: stepSpecSchema.parse({ taskCount: 1, cpuMilli: 1_000, ...step }),
+    stepId: 's',
+    avoidTargetId: '',
+    onlyRackId: '',
+    ...more,
+  };
+  return TargetChooser.choose(targets, wish)?.targetId;
+}
+
+describe('TargetChooser', () => {
+  describe('what does not fit', () => {
+    const cases = [
+      { name: 'processor', step: { cpuMilli: 5_000 }, target: {} },
+      { name: 'memory', step: { memoryMb: 9_000 }, target: {} },
+      { name: 'accelerators', step: { gpuCount: 1 }, target: {} },
+      { name: 'a missing label', step: { requiredLabel: 'b' }, target: {} },
+      { name: 'too many of a step', step: { mostPerTarget: 2 }, target: { countOfStep: () => 2 } },
+    ];
+    cases.forEach(({ name, step, target: change }) => {
+      it(`is not placed for ${name}`, (t) => {
+        t.equal(choose(step, [target('t', change)]), undefined);
+      });
+    });
+
+    it('a task that fills needs no processor left', (t) => {
+      t.equal(choose({ filler: true }, [target('t', { freeCpuMilli: 0 })]), 't');
+    });
+  });
+
+  describe('among targets with room', () => {
+    it('the fullest is taken, so that others become empty', (t) => {
+      t.equal(choose({}, [target('empty'), target('full', { freeCpuMilli: 1_200 })]), 'full');
+    });
+
+    it('what lasts is packed beside what lasts', (t) => {
+      const targets = [
+        target('full', { freeCpuMilli: 1_200 }),
+        target('l', { longRunningCount: 1 }),
+      ];
+      t.equal(choose({ longRunning: true }, targets), 'l');
+    });
+
+    it('the rack of the data goes before fullness', (t) => {
+      const targets = [target('full', { freeCpuMilli: 1_200 }), target('near', { rackId: 'r2' })];
+      t.equal(choose({ preferredRack: 'r2' }, targets), 'near');
+    });
+
+    it('the target of the last failure is taken only if there is no other', (t) => {
+      const targets = [target('bad', { freeCpuMilli: 1_200 }), target('other')];
+      t.equal(choose({}, targets, { avoidTargetId: 'bad' }), 'other');
+      t.equal(choose({}, [target('bad')], { avoidTargetId: 'bad' }), 'bad');
+    });
+  });
+});
--- /dev/null
+++ b/packages/placement/src/TargetHealth.test.ts
@@ -0,0 +1,44 @@
+/** Ejection of targets that fail what they are given. */
+import { describe, it } from '@acaciadock/core/testing';
+import { TargetHealth } from './TargetHealth.js';
+
+function failJobs(health: TargetHealth, targetId: string, jobs: number, nowMs = 0): void {
+  for (let job = 0; job < jobs; job += 1) health.note(targetId, `j${job}`, 'bad', nowMs);
+}
+
+describe('TargetHealth', () => {
+  it('ejects a target that fails several jobs in a row', (t) => {
+    const health = new TargetHealth();
+    failJobs(health, 't', 3);
+    t.ok(health.isEjected('t', 100));
+    t.notOk(health.isEjected('t', 10_000), 'for a while');
+  });
+
+  it('does not blame a target for one job that fails everywhere', (t) => {
+    const health = new TargetHealth();
+    for (let attempt = 0; attempt < 9; attempt += 1) health.note('t', 'poison', 'bad', 0);
+    t.notOk(health.isEjected('t', 1));
+  });
+
+  it('forgives after a good end', (t) => {
+    const health = new TargetHealth();
+    failJobs(health, 't', 2);
+    health.note('t', 'good', 'good', 0);
+    failJobs(health, 't', 2);
+    t.notOk(health.isEjected('t', 1));
+  });
+
+  it('ejects for longer at a relapse', (t) => {
+    const health = new TargetHealth();
+    failJobs(health, 't', 3);
+    health.note('t', 'again', 'bad', 5_000);
+    t.ok(health.isEjected('t', 10_000));
+  });
+
+  it('never takes more than a third of a pool', (t) => {
+    const health = new TargetHealth();
+    const pool = ['a', 'b', 'c', 'd', 'e', 'f'].map((targetId) => ({ targetId }));
+    pool.forEach(({ targetId }) => failJobs(health, targetId, 3));
+    t.equal(health.usable(pool, 1).length, 4);
+  });
+});
--- a/packages/placement/src/UpkeepPlanner.ts
+++ b/packages/placement/src/UpkeepPlanner.ts
@@ -68,6 +68,7 @@
     situation.candidates
       .filter((one) => one.isReserved)
       .forEach(({ poolId }) => taken.set(poolId, (taken.get(poolId) ?? 0) + 1));
+    const reservedBefore = new Map(taken);
     const chosen: string[] = [];
     const byLoad = [...situation.candidates]
       .filter((one) => !one.isReserved && !one.isEmpty && !one.isBusy)
@@ -75,18 +76,23 @@
     for (const { instanceId, poolId } of byLoad) {
       if (chosen.length >= count) break;
       const already = taken.get(poolId) ?? 0;
-      if (!UpkeepPlanner.mayTake(situation.pools.get(poolId), already, hurry)) continue;
+      const pool = situation.pools.get(poolId);
+      const wholeCount = (pool?.openCount ?? 0) + (reservedBefore.get(poolId) ?? 0);
+      if (!hurry && !UpkeepPlanner.mayTake(pool, already, wholeCount)) continue;
       taken.set(poolId, already + 1);
       chosen.push(instanceId);
     }
     return chosen;
   }
 
-  private static mayTake(pool: PoolPressure | undefined, already: number, hurry: boolean): boolean {
-    if (!pool || hurry) return true;
+  private static mayTake(
+    pool: PoolPressure | undefined,
+    already: number,
+    wholeCount: number,
+  ): boolean {
+    if (!pool) return true;
     if (pool.hasWaitingWork) return false;
-    const whole = pool.openCount + already;
-    return already + 1 <= Math.max(1, Math.floor(whole * MOST_POOL_SHARE));
+    return already + 1 <= Math.max(1, Math.floor(wholeCount * MOST_POOL_SHARE));
   }
 
   private static isLate({ candidates, mostAtOnce, stepMs, timeLeftMs }: WaveSituation): boolean {
