--- a/eslint.config.js
+++ b/eslint.config.js
@@ -75,6 +75,10 @@
   },
   {
     files: ['**/*.test.ts'],
-    rules: { 'max-classes-per-file': 'off' },
+    rules: {
+      'max-classes-per-file': 'off',
+      // The error library's own way to open a result in a test.
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
+    },
   },
 ];
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -48,6 +48,10 @@
 
   longRunningCount = 0;
 
+  servingCount = 0;
+
+  fillerCount = 0;
+
   /** When the last run ended, monotonic. */
   idleSinceMs = 0;
 
@@ -144,6 +148,8 @@
     this.usedMemoryMb += sign * spec.memoryMb;
     this.usedGpuCount += sign * spec.gpuCount;
     if (spec.longRunning) this.longRunningCount += sign;
+    if (spec.tailTargetMs > 0) this.servingCount += sign;
+    if (spec.filler) this.fillerCount += sign;
     const count = this.countOfStep(stepId) + sign;
     if (count === 0) this.stepCounts.delete(stepId);
     else this.stepCounts.set(stepId, count);
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -36,6 +36,9 @@
   /** The share that the target was last told, 0 to 100. */
   pacePercent = 100;
 
+  /** When it was told so, monotonic. */
+  pacedMs = 0;
+
   constructor(
     readonly place: TaskPlace,
     readonly run: number,
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -4,6 +4,7 @@
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
 import { type OrderFailure, type StartOrder, type TargetPort } from '@acaciadock/execution';
+import { PaceController } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type Ownership } from './Ownership.js';
@@ -19,9 +20,15 @@
 /** How long a target may keep a report back while nothing ends, in milliseconds. */
 const REPORT_WAIT_MS = 1_000;
 
+/** The same where filling tasks work beside serving ones: the figures are of half a second. */
+const PACED_REPORT_WAIT_MS = 450;
+
 /** Between two reports that can't be acknowledged yet, in milliseconds. */
 const UNACKNOWLEDGED_PAUSE_MS = 500;
 
+/** A share that the target does not show by then is ordered again, in milliseconds. */
+const PACE_REPEAT_MS = 1_000;
+
 /** Between two tries to reach a silent target, in milliseconds. */
 const SILENT_PAUSE_MS = 250;
 
@@ -48,6 +55,10 @@
 export class TargetDriver extends Disposable {
   private wakeUp: (() => void) | undefined;
 
+  private readonly pacing = new PaceController();
+
+  private pacedMs = -Infinity;
+
   constructor(
     private readonly target: FleetTarget,
     private readonly deps: TargetDriverDeps,
@@ -110,9 +121,9 @@
   }
 
   /** Sets the share at which a filling task works. */
-  async pace(live: LiveRun, percent: number): Promise<void> {
+  private async pace(live: LiveRun, percent: number): Promise<void> {
     const { port, ownership } = this.deps;
-    Object.assign(live, { pacePercent: percent });
+    Object.assign(live, { pacePercent: percent, pacedMs: this.deps.clock.monotonicMs() });
     const { taskId, run } = live;
     const done = await port.pace(this.target.address, {
       taskId,
@@ -120,8 +131,8 @@
       percent,
       fencingToken: ownership.epoch,
     });
-    // The next report shows the real share; the controller then tries again.
-    if (done.isErr()) this.log('pace', live, done.error.kind);
+    // The next report shows the real share; if it differs, the order is repeated.
+    this.log('pace', live, done.isOk() ? `accepted ${percent}` : done.error.kind);
   }
 
   private get isActive(): boolean {
@@ -135,6 +146,14 @@
     return !target.isConfirmed || target.runs.size > 0 || target.durableEnd < target.processedEnd;
   }
 
+  private get needsPacing(): boolean {
+    return this.target.fillerCount > 0 && this.target.servingCount > 0;
+  }
+
+  private get reportWaitMs(): number {
+    return this.needsPacing ? PACED_REPORT_WAIT_MS : REPORT_WAIT_MS;
+  }
+
   private isCurrent(live: LiveRun): boolean {
     return this.target.runs.get(live.taskId) === live;
   }
@@ -149,6 +168,13 @@
     });
   }
 
+  /** Of a task that lasts the target shows the share; of any other it shows the progress. */
+  private static isOffPace(live: LiveRun, percent: number, nowMs: number): boolean {
+    if (live.pacePercent !== percent) return true;
+    const shows = live.place.step.spec.longRunning && nowMs - live.pacedMs > PACE_REPEAT_MS;
+    return shows && live.percent !== percent;
+  }
+
   private async report(): Promise<void> {
     const { target } = this;
     const { port, ownership, clock } = this.deps;
@@ -158,7 +184,7 @@
       fencingToken: ownership.epoch,
       lastSeenEnd: target.durableEnd,
       leaseUntilMs: this.leaseUntilMs(sentAtMs),
-      waitMs: target.isConfirmed && isSettled ? REPORT_WAIT_MS : 0,
+      waitMs: target.isConfirmed && isSettled ? this.reportWaitMs : 0,
     });
     if (!this.isActive) return;
     if (done.isErr()) {
@@ -174,9 +200,30 @@
     result.strangers.forEach((stranger) => {
       void port.stop(target.address, { ...stranger, fencingToken: ownership.epoch });
     });
+    this.paceFillers();
     await this.acknowledge(result.commit, result.lastEnd);
   }
 
+  /** Sets the share of what fills by what the neighbours that serve have just shown. */
+  private paceFillers(): void {
+    const { target } = this;
+    if (target.fillerCount === 0) return;
+    const nowMs = this.deps.clock.monotonicMs();
+    if (nowMs - this.pacedMs < PACED_REPORT_WAIT_MS) return;
+    this.pacedMs = nowMs;
+    const runs = [...target.runs.values()].filter((live) => live.phase === 'running');
+    const serving = runs
+      .filter((live) => live.place.step.spec.tailTargetMs > 0)
+      .map((live) => ({ tailMs: live.loadFigure, targetMs: live.place.step.spec.tailTargetMs }));
+    const percent = this.pacing.next(serving, nowMs);
+    runs
+      .filter((live) => live.place.step.spec.filler)
+      .filter((live) => TargetDriver.isOffPace(live, percent, nowMs))
+      .forEach((live) => {
+        void this.pace(live, percent);
+      });
+  }
+
   private async acknowledge(commit: Promise<unknown>, lastEnd: number): Promise<void> {
     const { bornMs } = this.target;
     const settled = commit.then((outcome) => {
--- a/packages/placement/src/TargetChooser.test.ts
+++ b/packages/placement/src/TargetChooser.test.ts
@@ -12,6 +12,8 @@
     freeMemoryMb: 8_000,
     freeGpuCount: 0,
     longRunningCount: 0,
+    servingCount: 0,
+    fillerCount: 0,
     countOfStep: () => 0,
     ...change,
   };
@@ -65,6 +67,13 @@
       t.equal(choose({ longRunning: true }, targets), 'l');
     });
 
+    it('what fills goes where nothing serves, and the other way round', (t) => {
+      const serving = [target('serves', { servingCount: 1, longRunningCount: 1 }), target('free')];
+      t.equal(choose({ filler: true, longRunning: true }, serving), 'free');
+      const filled = [target('filled', { fillerCount: 1, longRunningCount: 1 }), target('free')];
+      t.equal(choose({ tailTargetMs: 50, longRunning: true }, filled), 'free');
+    });
+
     it('the rack of the data goes before fullness', (t) => {
       const targets = [target('full', { freeCpuMilli: 1_200 }), target('near', { rackId: 'r2' })];
       t.equal(choose({ preferredRack: 'r2' }, targets), 'near');
--- a/packages/placement/src/TargetChooser.ts
+++ b/packages/placement/src/TargetChooser.ts
@@ -13,6 +13,9 @@
   readonly freeMemoryMb: number;
   readonly freeGpuCount: number;
   readonly longRunningCount: number;
+  /** Tasks there that must keep a bound on their response times. */
+  readonly servingCount: number;
+  readonly fillerCount: number;
   /** Tasks of the step that are there now. */
   countOfStep(stepId: string): number;
 }
@@ -66,6 +69,9 @@
     if (step.preferredRack !== '' && target.rackId === step.preferredRack) {
       score += 2 * STRONG_PREFERENCE;
     }
+    // What fills disturbs what serves.
+    if (step.filler && target.servingCount > 0) score -= 3 * STRONG_PREFERENCE;
+    if (step.tailTargetMs > 0 && target.fillerCount > 0) score -= 3 * STRONG_PREFERENCE;
     if (step.longRunning && target.longRunningCount > 0) score += STRONG_PREFERENCE;
     return score;
   }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -7,5 +7,6 @@
 export * from './StragglerRule.js';
 export * from './TargetChooser.js';
 export * from './TargetHealth.js';
+export * from './PaceController.js';
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
--- /dev/null
+++ b/packages/telemetry/src/EventMetrics.test.ts
@@ -0,0 +1,16 @@
+/** Metrics of logged events. */
+import { describe, it } from '@acaciadock/core/testing';
+import { EventMetrics } from './EventMetrics.js';
+
+describe('EventMetrics', () => {
+  it('counts events by outcome and keeps latency quantiles', async (t) => {
+    const metrics = new EventMetrics();
+    metrics.note('order', { outcome: 'accepted' });
+    metrics.note('order', { outcome: 'accepted' });
+    metrics.note('call', { status: 200, tookMs: 12 });
+    const text = await metrics.text();
+    t.match(text, /acaciadock_events_total\{event="order",outcome="accepted"\} 2/);
+    t.match(text, /acaciadock_events_total\{event="call",outcome="200"\} 1/);
+    t.match(text, /acaciadock_event_latency_ms\{event="call",quantile="0.99"\} 12/);
+  });
+});
--- a/tools/run-tests.js
+++ b/tools/run-tests.js
@@ -10,8 +10,9 @@
 const wanted = process.argv.slice(2);
 
 function testFiles() {
-  return readdirSync(join(root, 'packages'))
-    .map((name) => join(root, 'packages', name, 'dist'))
+  const folders = readdirSync(join(root, 'packages')).map((name) => join('packages', name));
+  return [...folders, 'platform']
+    .map((folder) => join(root, folder, 'dist'))
     .filter((folder) => existsSync(folder))
     .flatMap((folder) =>
       readdirSync(folder, { recursive: true })
