--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -33,7 +33,20 @@
 /** A foreseen turn is prepared for this long ahead, in milliseconds: a move and its delays. */
 const PREPARE_MS = 2_200;
 
+/** The trend of the need is taken over this time, in milliseconds. */
+const TREND_MS = 1_000;
+
+/** A rising need is carried forward by this many trends: about the time that a move takes. */
+const TRENDS_AHEAD = 1.5;
+
+interface Need {
+  readonly atMs: number;
+  readonly count: number;
+}
+
 interface History {
+  /** Needs of the last moments, oldest first. */
+  recent: Need[];
   /** Largest need lately, and when it was last that large. */
   peak: number;
   peakMs: number;
@@ -62,7 +75,8 @@
     const history = this.historyOf(pool, nowMs);
     const perInstance = Math.max(1, pool.cpuMilliPerInstance * FILL_SHARE);
     const cpuMilli = Math.max(pool.demandCpuMilli, pool.arrivingCpuMilli);
-    const needed = Math.max(LEAST_INSTANCES, Math.ceil(cpuMilli / perInstance));
+    const present = Math.max(LEAST_INSTANCES, Math.ceil(cpuMilli / perInstance));
+    const needed = present + PoolSizer.rise(history, present, nowMs);
     PoolSizer.update(history, needed, nowMs);
     const isForeseen = next?.poolId === poolId && next.inMs < PREPARE_MS;
     const ahead = isForeseen ? history.turnPeak : 0;
@@ -72,10 +86,24 @@
     return { poolId, needed: Math.max(needed, ahead), kept: Math.max(kept, ahead) };
   }
 
+  /** How many more will be needed by the time that an instance ordered now has arrived. */
+  private static rise(history: History, present: number, nowMs: number): number {
+    const recent = history.recent.filter(({ atMs }) => nowMs - atMs <= TREND_MS);
+    Object.assign(history, { recent: [...recent, { atMs: nowMs, count: present }] });
+    const before = recent[0]?.count ?? present;
+    return Math.max(0, Math.ceil((present - before) * TRENDS_AHEAD));
+  }
+
   private historyOf({ poolId, instanceCount }: PoolDemand, nowMs: number): History {
     const known = this.histories.get(poolId);
     if (known) return known;
-    const created = { peak: instanceCount, peakMs: nowMs, turnPeak: 0, firstCount: instanceCount };
+    const created = {
+      recent: [],
+      peak: instanceCount,
+      peakMs: nowMs,
+      turnPeak: 0,
+      firstCount: instanceCount,
+    };
     this.histories.set(poolId, created);
     return created;
   }
