--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -37,7 +37,7 @@
 const TREND_MS = 1_000;
 
 /** A rising need is carried forward by this many trends: about the time that a move takes. */
-const TRENDS_AHEAD = 1.5;
+const TRENDS_AHEAD = 0.8;
 
 interface Need {
   readonly atMs: number;
