--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -2,6 +2,7 @@
 import { Command } from 'commander';
 import { type CommandContext, type GlobalFlags } from './CommandContext.js';
 import { registerConfig } from './commands/config.js';
+import { registerExplain } from './commands/explain.js';
 import { registerInstance } from './commands/instance.js';
 import { registerKey } from './commands/key.js';
 import { registerPlan } from './commands/plan.js';
@@ -50,6 +51,7 @@
   registerConfig(program, context);
   registerSections(program, context);
   registerKey(program, context);
+  registerExplain(program, context);
   registerInstance(program, context);
   registerRollOut(program, context);
   registerPlan(program, context);
