--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -11,6 +11,7 @@
   PoolSizer,
   type PoolSize,
   type UpkeepCandidate,
+  TargetChooser,
   TurnForecast,
   UpkeepPlanner,
 } from '@acaciadock/placement';
@@ -24,6 +25,7 @@
 } from './contracts/index.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type JobScheduler } from './JobScheduler.js';
+import { type LiveRun } from './LiveRun.js';
 import { type Ownership } from './Ownership.js';
 import { type RunBook } from './RunBook.js';
 import { ServingGuard } from './ServingGuard.js';
@@ -258,10 +260,22 @@
     for (const live of target.runs.values()) {
       const { step, task } = live.place;
       const isServing = step.spec.longRunning && live.phase === 'running';
-      if (isServing && this.guard.mayStop(step, task)) this.deps.book.stop(live);
+      const mayMove = isServing && this.guard.mayStop(step, task) && this.hasRoomElsewhere(live);
+      if (mayMove) this.deps.book.stop(live);
     }
   }
 
+  /** A task that serves is stopped only when another target of its pool can take it. */
+  private hasRoomElsewhere(live: LiveRun): boolean {
+    const nowMs = this.deps.clock.monotonicMs();
+    const target = this.targets.get(live.targetId);
+    const { step } = live.place;
+    const wish = { step: step.spec, stepId: step.stepId, avoidTargetId: '', onlyRackId: '' };
+    return this.targets
+      .ofPool(target?.poolId ?? '')
+      .some((other) => other.isOpen(nowMs) && TargetChooser.fits(other, wish));
+  }
+
   private downCountOf(wave: UpkeepWave): number {
     return this.instances.filter(({ instanceId, state }) => {
       if (!wave.instanceIds.includes(instanceId)) return false;
@@ -404,7 +418,9 @@
   }
 
   private demandOf(poolId: string): PoolDemand {
-    const present = this.instances.filter((one) => this.poolAfterOrders(one) === poolId);
+    const present = this.instances.filter(
+      (one) => this.poolAfterOrders(one) === poolId && !this.reservedForWave.has(one.instanceId),
+    );
     const waiting = this.deps.scheduler.waitingCpuMilli(poolId);
     const running = this.targets
       .ofPool(poolId)
@@ -414,6 +430,7 @@
       demandCpuMilli: waiting + running,
       arrivingCpuMilli: this.deps.scheduler.arrivingCpuMilli(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
+      hasServingWaiting: this.deps.scheduler.hasServingWaiting(poolId),
       instanceCount: present.length,
       cpuMilliPerInstance:
         present[0]?.capacity.cpuMilli ?? this.instances[0]?.capacity.cpuMilli ?? 1,
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -35,6 +35,9 @@
 /** Between two passes that nothing has asked for, in milliseconds: pauses and tickets expire. */
 const REGULAR_PASS_MS = 100;
 
+/** Whether a step's waiting tasks got room, and if not, why. */
+type PlaceOutcome = 'placed' | 'no-room' | 'team-limit';
+
 export interface OpenStep extends WaitingStep {
   readonly entry: JobEntry;
   readonly occurrence: Occurrence;
@@ -66,7 +69,7 @@
 
   private readonly arrivals = new Map<string, ArrivalMeter>();
 
-  /** Steps that got no room in the last pass, by pool. */
+  /** Steps that the pool had no room for in the last pass; a team at its limit is not among them. */
   private readonly waitingByPool = new Map<string, readonly OpenStep[]>();
 
   constructor(private readonly deps: JobSchedulerDeps) {
@@ -104,6 +107,11 @@
     }, 0);
   }
 
+  /** Whether tasks that last wait for room in the pool. */
+  hasServingWaiting(poolId: string): boolean {
+    return (this.waitingByPool.get(poolId) ?? []).some((open) => open.isLongRunning);
+  }
+
   /** Asks for a pass over the pool. */
   wake(poolId: string): void {
     this.dirtyPools.add(poolId);
@@ -189,32 +197,31 @@
       .usable(targets.ofPool(poolId))
       .filter((target) => target.isOpen(nowMs));
     const ordered = QueueOrder.sort(steps, clock.unixMs());
-    const blocked = ordered.filter((step) => !this.placeStep(step, open));
+    const blocked = ordered.filter((step) => this.placeStep(step, open) === 'no-room');
     this.waitingByPool.set(poolId, blocked);
   }
 
-  /** Whether all of the step's waiting tasks got room. */
-  private placeStep(open: OpenStep, targets: readonly FleetTarget[]): boolean {
+  private placeStep(open: OpenStep, targets: readonly FleetTarget[]): PlaceOutcome {
     if (open.step.spec.gang) return this.placeGang(open, targets);
     const nowMs = this.deps.clock.monotonicMs();
     for (const task of open.step.tasks) {
       if (!task.isWaiting || task.notBeforeMs > nowMs) continue;
-      if (!this.placeTask(open, task, targets, '')) return false;
+      const outcome = this.placeTask(open, task, targets);
+      if (outcome !== 'placed') return outcome;
     }
-    return true;
+    return 'placed';
   }
 
   private placeTask(
     open: OpenStep,
     task: TaskState,
     targets: readonly FleetTarget[],
-    onlyRackId: string,
-  ): boolean {
-    if (!this.teamAllows(open, 1)) return false;
-    const target = this.choose(open, task, targets, onlyRackId);
-    if (!target) return false;
+  ): PlaceOutcome {
+    if (!this.teamAllows(open, 1)) return 'team-limit';
+    const target = this.choose(open, task, targets, '');
+    if (!target) return 'no-room';
     this.plan(open, task, target);
-    return true;
+    return 'placed';
   }
 
   private teamAllows({ entry, step }: OpenStep, taskCount: number): boolean {
@@ -258,12 +265,13 @@
   }
 
   /** All members or none, with one run number and one checkpoint. */
-  private placeGang(open: OpenStep, targets: readonly FleetTarget[]): boolean {
+  private placeGang(open: OpenStep, targets: readonly FleetTarget[]): PlaceOutcome {
     const { step } = open;
-    if (!step.tasks.every((task) => task.isWaiting)) return true;
-    if (!this.teamAllows(open, step.tasks.length)) return false;
+    if (!step.tasks.every((task) => task.isWaiting)) return 'placed';
+    if (!this.teamAllows(open, step.tasks.length)) return 'team-limit';
     const racks = step.spec.sameRack ? [...new Set(targets.map((target) => target.rackId))] : [''];
-    return racks.some((rackId) => this.placeGangIn(open, targets, rackId));
+    const isPlaced = racks.some((rackId) => this.placeGangIn(open, targets, rackId));
+    return isPlaced ? 'placed' : 'no-room';
   }
 
   private placeGangIn(open: OpenStep, targets: readonly FleetTarget[], rackId: string): boolean {
--- a/packages/placement/src/PoolSizer.test.ts
+++ b/packages/placement/src/PoolSizer.test.ts
@@ -12,6 +12,7 @@
     instanceCount: 8,
     cpuMilliPerInstance: INSTANCE_MILLI,
     hasHadTurn: true,
+    hasServingWaiting: false,
     ...change,
   };
 }
@@ -37,6 +38,13 @@
     t.ok(size.needed >= 5);
   });
 
+  it('asks for another instance while a task that lasts finds no room', (t) => {
+    const pool = demand({ instanceCount: 1, demandCpuMilli: 6_000, hasServingWaiting: true });
+    t.equal(sizeAfter(new PoolSizer(), pool, 0).needed, 2);
+    const empty = demand({ instanceCount: 0, demandCpuMilli: 6_000 });
+    t.equal(sizeAfter(new PoolSizer(), empty, 0).needed, 1, 'its only one is being emptied');
+  });
+
   it('keeps what it needed a moment ago and gives it back later', (t) => {
     const sizer = new PoolSizer();
     sizeAfter(sizer, demand({ demandCpuMilli: 8 * INSTANCE_MILLI }), 0);
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -12,10 +12,12 @@
   readonly demandCpuMilli: number;
   /** Processor that keeps up with the arrivals, thousandths of a core. */
   readonly arrivingCpuMilli: number;
-  /** Instances that are up or on their way. */
+  /** Instances that take work or are on their way; one that is being emptied does not count. */
   readonly instanceCount: number;
   readonly cpuMilliPerInstance: number;
   readonly hasHadTurn: boolean;
+  /** Tasks that last wait for room, whatever the processor left over: they need another instance. */
+  readonly hasServingWaiting: boolean;
 }
 
 /** Work does not fill an instance to the last core. */
@@ -75,7 +77,8 @@
     const history = this.historyOf(pool, nowMs);
     const perInstance = Math.max(1, pool.cpuMilliPerInstance * FILL_SHARE);
     const cpuMilli = Math.max(pool.demandCpuMilli, pool.arrivingCpuMilli);
-    const present = Math.max(LEAST_INSTANCES, Math.ceil(cpuMilli / perInstance));
+    const least = pool.hasServingWaiting ? pool.instanceCount + 1 : LEAST_INSTANCES;
+    const present = Math.max(least, Math.ceil(cpuMilli / perInstance));
     const needed = present + PoolSizer.rise(history, present, nowMs);
     PoolSizer.update(history, needed, nowMs);
     const isForeseen = next?.poolId === poolId && next.inMs < PREPARE_MS;
