--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -201,9 +201,18 @@
       const isOld = listedMs - order.sinceMs > ORDER_MEMORY_MS;
       const mayHaveEnded = !order.isUpkeep || listedMs - order.sinceMs > this.options.upkeepMs;
       if (!instance || isOld || (isThere && mayHaveEnded)) this.orders.delete(instanceId);
+      if (instance && isOld && !isThere) this.reopen(instance);
     });
   }
 
+  /** An order without an answer was not carried out after all. */
+  private reopen({ instanceId, targetId, state }: FleetInstance): void {
+    const target = this.targets.get(targetId);
+    if (!target || state !== 'up' || this.reservedForWave.has(instanceId)) return;
+    this.deps.logger.info('instance-reopened', { instanceId, targetId });
+    target.isReserved = false;
+  }
+
   // Waves of upkeep.
 
   private workOnWave(wave: UpkeepWave): void {
@@ -419,7 +428,7 @@
 
   private demandOf(poolId: string): PoolDemand {
     const present = this.instances.filter(
-      (one) => this.poolAfterOrders(one) === poolId && !this.reservedForWave.has(one.instanceId),
+      (one) => this.poolAfterOrders(one) === poolId && this.isOfUse(one),
     );
     const waiting = this.deps.scheduler.waitingCpuMilli(poolId);
     const running = this.targets
@@ -437,6 +446,14 @@
     };
   }
 
+  /** Whether the instance takes work, or is on its way to; not while it is emptied or silent. */
+  private isOfUse({ instanceId, targetId }: FleetInstance): boolean {
+    if (this.reservedForWave.has(instanceId)) return false;
+    if (this.orders.has(instanceId)) return true;
+    const target = this.targets.get(targetId);
+    return target === undefined || (!target.isReserved && target.failedHolds === 0);
+  }
+
   private poolAfterOrders({ instanceId, poolId }: FleetInstance): string {
     return this.orders.get(instanceId)?.poolId ?? poolId;
   }
