--- /dev/null
+++ b/packages/coordinator/src/testing/SimulatedFleet.ts
@@ -0,0 +1,124 @@
+/** A stand-in for the platform's instances in virtual time: moves and upkeep end what runs there. */
+import { type ManualClock, type Random } from '@acaciadock/core';
+import { err, ok, type Result } from 'neverthrow';
+import {
+  type Duty,
+  type FleetFailure,
+  type FleetInstance,
+  InstanceFleet,
+  type InstanceState,
+} from '../contracts/index.js';
+import { type RunObserver } from './RunObserver.js';
+import { SimulatedTarget, type SimulatedTargetOptions } from './SimulatedTarget.js';
+
+const MOVE_MS = 1_500;
+const UPKEEP_MS = 2_000;
+
+interface Instance {
+  readonly instanceId: string;
+  poolId: string;
+  state: InstanceState;
+  targetId: string;
+}
+
+export interface SimulatedFleetDeps {
+  readonly clock: ManualClock;
+  readonly random: Random;
+  readonly observer: RunObserver;
+  readonly targets: Map<string, SimulatedTarget>;
+  readonly options: SimulatedTargetOptions;
+  /** Its instances are off. */
+  readonly sparePoolId: string;
+}
+
+export class SimulatedFleet extends InstanceFleet {
+  /** Instances whose upkeep has begun, in order. */
+  readonly upkeeps: string[] = [];
+
+  moves = 0;
+
+  /** Most instances that were down for upkeep at once. */
+  mostDown = 0;
+
+  private readonly instances = new Map<string, Instance>();
+
+  private lives = 0;
+
+  constructor(private readonly deps: SimulatedFleetDeps) {
+    super();
+  }
+
+  add(instanceId: string, poolId: string): void {
+    const instance: Instance = { instanceId, poolId, state: 'up', targetId: '' };
+    this.instances.set(instanceId, instance);
+    this.boot(instance);
+  }
+
+  override list(): Promise<Result<readonly FleetInstance[], FleetFailure>> {
+    const { cpuMilli } = this.deps.options;
+    const listed = [...this.instances.values()].map((instance) => ({
+      ...instance,
+      zoneId: 'z',
+      rackId: 'r',
+      labels: ['a', 'r'],
+      capacity: { cpuMilli, memoryMb: 64_000, gpuCount: 0 },
+    }));
+    return Promise.resolve(ok(listed));
+  }
+
+  override move(
+    instanceId: string,
+    poolId: string,
+    duty: Duty,
+  ): Promise<Result<void, FleetFailure>> {
+    this.moves += 1;
+    return this.takeDown(instanceId, 'moving', MOVE_MS, duty, poolId);
+  }
+
+  override upkeep(
+    instanceId: string,
+    _waveId: number,
+    duty: Duty,
+  ): Promise<Result<void, FleetFailure>> {
+    this.upkeeps.push(instanceId);
+    return this.takeDown(instanceId, 'upkeep', UPKEEP_MS, duty);
+  }
+
+  private takeDown(
+    instanceId: string,
+    state: InstanceState,
+    durationMs: number,
+    _duty: Duty,
+    poolId?: string,
+  ): Promise<Result<void, FleetFailure>> {
+    const instance = this.instances.get(instanceId);
+    if (instance?.state !== 'up') return Promise.resolve(err({ kind: 'busy', detail: instanceId }));
+    instance.state = state;
+    const target = this.deps.targets.get(instance.targetId);
+    target?.crash();
+    if (target) target.isListed = false;
+    instance.poolId = poolId ?? instance.poolId;
+    const down = [...this.instances.values()].filter((one) => one.state === 'upkeep').length;
+    this.mostDown = Math.max(this.mostDown, down);
+    this.deps.clock.after(durationMs, () => {
+      instance.state = 'up';
+      this.boot(instance);
+    });
+    return Promise.resolve(ok(undefined));
+  }
+
+  private boot(instance: Instance): void {
+    const { clock, random, observer, options, targets, sparePoolId } = this.deps;
+    if (instance.poolId === sparePoolId) {
+      Object.assign(instance, { targetId: '' });
+      return;
+    }
+    this.lives += 1;
+    const targetId = `${instance.instanceId}-${this.lives}`;
+    Object.assign(instance, { targetId });
+    targets.set(
+      targetId,
+      new SimulatedTarget(targetId, instance.poolId, options, clock, random, observer),
+    );
+  }
+}
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -31,6 +31,11 @@
 
 const STOP_MS = 20;
 
+/** A task whose specification begins so runs until it is stopped. */
+export const SERVES = 'serves';
+
+const NEVER_MS = 1e9;
+
 function refusal(kind: OrderFailure['kind']): Result<never, OrderFailure> {
   return err({ kind, detail: kind });
 }
@@ -145,7 +150,9 @@
     this.observer.started(taskId, run, this.targetId);
     const spreadMs = this.options.runtimeMs * (0.5 + this.random.next());
     const isFailing = this.random.chance(this.options.failShare);
-    const timer = this.clock.after(spreadMs, () => this.end(taskId, isFailing ? 'failed' : 'done'));
+    const timer = order.spec.startsWith(SERVES)
+      ? this.clock.after(NEVER_MS, () => undefined)
+      : this.clock.after(spreadMs, () => this.end(taskId, isFailing ? 'failed' : 'done'));
     this.running.set(taskId, { taskId, run, timer });
     return ok({ clockMs: this.clockMs });
   }
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -2,8 +2,14 @@
  * Entries, store and targets in virtual time, with callers that hand in jobs and ask for their
  * state. Time moves only through `run`.
  */
-import { RunObserver, SimulatedStore, SimulatedTarget } from '@acaciadock/coordinator/testing';
-import { type CallContext, type JobReply } from '@acaciadock/coordinator';
+import {
+  RunObserver,
+  SimulatedFleet,
+  SimulatedStore,
+  SimulatedTarget,
+  type SimulatedTargetOptions,
+} from '@acaciadock/coordinator/testing';
+import { type CallContext, type JobReply, type UpkeepWave } from '@acaciadock/coordinator';
 import { ManualClock, Random } from '@acaciadock/core';
 import {
   jobsConfigSchema,
@@ -24,6 +30,9 @@
   readonly runtimeMs: number;
   readonly failShare: number;
   readonly maxAttempts: number;
+  /** Instances of the fleet; then targets come from them. 0 means a fixed set of targets. */
+  readonly instanceCount: number;
+  readonly spareCount: number;
 }
 
 export const DEFAULT_WORLD: JobWorldOptions = {
@@ -33,14 +42,18 @@
   runtimeMs: 600,
   failShare: 0,
   maxAttempts: 3,
+  instanceCount: 0,
+  spareCount: 0,
 };
 
 /** A job as callers write it, without what has defaults. */
 export interface JobWish {
+  readonly spec?: string;
   readonly steps: readonly z.input<typeof stepSpecSchema>[];
 }
 
 const POOL_ID = 'pool';
+const SPARE_POOL_ID = 'spare';
 const QUEUE_ID = 'queue';
 
 export class JobWorld {
@@ -61,6 +74,11 @@
 
   readonly config: JobsConfigView;
 
+  readonly fleet: SimulatedFleet | undefined;
+
+  /** Waves that the operator has published. */
+  readonly waves: UpkeepWave[] = [];
+
   constructor(readonly options: JobWorldOptions) {
     this.random = new Random(options.seed);
     this.store = new SimulatedStore(this.clock, this.random);
@@ -78,10 +96,14 @@
             stretch: 2,
           },
         ],
-        pools: [{ poolId: POOL_ID, rejectsOverload: true }],
+        pools: [
+          { poolId: POOL_ID, rejectsOverload: true },
+          { poolId: SPARE_POOL_ID, isSpare: true },
+        ],
         teams: [{ teamId: 'team', keys: ['key'] }],
       }),
     );
+    this.fleet = options.instanceCount > 0 ? this.newFleet() : undefined;
     for (let index = 0; index < options.targetCount; index += 1) this.addTarget(`t${index}`);
     for (let index = 0; index < options.entryCount; index += 1) this.startEntry(`e${index}`);
   }
@@ -142,14 +164,29 @@
     return [...this.entries].find(([, entry]) => entry.isOwner && !entry.clock.isPaused)?.[0];
   }
 
-  private addTarget(targetId: string): void {
+  private newFleet(): SimulatedFleet {
+    const { instanceCount, spareCount } = this.options;
+    const { clock, random, observer, targets } = this;
+    const options = this.targetOptions();
+    const sparePoolId = SPARE_POOL_ID;
+    const fleet = new SimulatedFleet({ clock, random, observer, targets, options, sparePoolId });
+    for (let index = 0; index < instanceCount; index += 1) fleet.add(`m${index}`, POOL_ID);
+    for (let index = 0; index < spareCount; index += 1) fleet.add(`s${index}`, SPARE_POOL_ID);
+    return fleet;
+  }
+
+  private targetOptions(): SimulatedTargetOptions {
     const { runtimeMs, failShare } = this.options;
+    return { mostLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare };
+  }
+
+  private addTarget(targetId: string): void {
     this.targets.set(
       targetId,
       new SimulatedTarget(
         targetId,
         POOL_ID,
-        { mostLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare },
+        this.targetOptions(),
         this.clock,
         this.random,
         this.observer,
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -1,9 +1,11 @@
 /** One entry's process in virtual time: its election and, while it owns the journal, coordinator. */
 import {
   Coordinator,
+  type InstanceFleet,
   type JobCall,
   type JobReply,
   type TargetRegistry,
+  type UpkeepWave,
 } from '@acaciadock/coordinator';
 import {
   PausableClock,
@@ -29,6 +31,9 @@
   readonly store: SimulatedStore;
   readonly targets: ReadonlyMap<string, SimulatedTarget>;
   readonly config: JobsConfigView;
+  /** Undefined where instances can't be moved. */
+  readonly fleet: InstanceFleet | undefined;
+  readonly waves: readonly UpkeepWave[];
 }
 
 export class SimulatedEntry {
@@ -76,9 +81,9 @@
           advice: {
             advise: () => Promise.resolve(err({ kind: 'advice-unavailable', detail: 'none' })),
           },
-          fleet: undefined,
+          fleet: around.fleet,
           reports: { publish: () => Promise.resolve(ok(undefined)) },
-          waves: () => [],
+          waves: () => around.waves,
           clock,
           logger,
           config: () => config,
--- /dev/null
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -0,0 +1,106 @@
+/** The durable form of jobs, and the rules of their state machine. */
+import { describe, it } from '@acaciadock/core/testing';
+import { Job } from './Job.js';
+import { JobCodec } from './JobCodec.js';
+import { type JobDefinition, jobSpecSchema } from './JobSpec.js';
+
+function definition(change: Partial<JobDefinition> = {}, repeatCount = 0): JobDefinition {
+  const schedule =
+    repeatCount > 0 ? { firstDueUnixMs: 1_000, periodMs: 500, repeatCount } : undefined;
+  return {
+    jobId: 'j',
+    queueId: 'q',
+    poolId: 'p',
+    teamId: 't',
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 1,
+    targetLatencyMs: 0,
+    acceptedUnixMs: 0,
+    isBeyondShare: false,
+    spec: jobSpecSchema.parse({
+      spec: '',
+      steps: [{ taskCount: 2 }, { taskCount: 1, afterSteps: [0] }],
+      schedule,
+    }),
+    ...change,
+  };
+}
+
+function finishTask(job: Job, occurrence: number, step: number, task: number): void {
+  const place = job.find(occurrence, step, task)!;
+  const { run } = place.task.addRun('target', 1);
+  job.endRun(place, run, 'done', '');
+}
+
+describe('Job', () => {
+  it('opens a step only after the steps before it have ended', (t) => {
+    const job = new Job(definition());
+    finishTask(job, 0, 0, 0);
+    t.same(
+      job.occurrences.get(0)?.openSteps.map((step) => step.index),
+      [0],
+    );
+    finishTask(job, 0, 0, 1);
+    t.same(
+      job.occurrences.get(0)?.openSteps.map((step) => step.index),
+      [1],
+    );
+  });
+
+  it('is hopeless only after failed attempts, not after lapsed or stopped ones', (t) => {
+    const job = new Job(definition());
+    const place = job.find(0, 0, 0)!;
+    (['lapsed', 'stopped', 'lost', 'failed'] as const).forEach((end) => {
+      job.endRun(place, place.task.addRun('target', 1).run, end, '');
+    });
+    t.notOk(job.isHopeless(place));
+    job.endRun(place, place.task.addRun('target', 1).run, 'failed', '');
+    t.ok(job.isHopeless(place));
+  });
+
+  it('ignores the end of a run that is not alive here', (t) => {
+    const job = new Job(definition());
+    const place = job.find(0, 0, 0)!;
+    place.task.addRun('target', 1);
+    t.notOk(job.endRun(place, 7, 'done', ''));
+    t.notOk(place.task.done);
+  });
+
+  it('opens occurrences when they are due and completes after the last', (t) => {
+    const job = new Job(definition({}, 2));
+    t.equal(job.openDue(900).length, 0);
+    t.equal(job.openDue(1_600).length, 2);
+    [0, 1].forEach((occurrence) => {
+      finishTask(job, occurrence, 0, 0);
+      finishTask(job, occurrence, 0, 1);
+      t.notOk(job.isComplete);
+      finishTask(job, occurrence, 1, 0);
+    });
+    t.ok(job.isComplete);
+  });
+});
+
+describe('JobCodec', () => {
+  it('restores ends, failures, checkpoints and live runs', (t) => {
+    const job = new Job(definition());
+    finishTask(job, 0, 0, 0);
+    const place = job.find(0, 0, 1)!;
+    job.endRun(place, place.task.addRun('a', 5).run, 'failed', 'cp');
+    place.task.addRun('b', 6);
+    job.markStarted();
+    const restored = new Job(
+      JobCodec.decodeDefinition(JobCodec.encodeDefinition(definition()))._unsafeUnwrap(),
+    );
+    JobCodec.restoreProgress(restored, JobCodec.encodeProgress(job));
+    t.equal(restored.status, 'running');
+    t.ok(restored.find(0, 0, 0)?.task.done);
+    t.match(restored.find(0, 0, 1)?.task, { failures: 1, checkpoint: 'cp', lastRun: 2 });
+    t.same(restored.find(0, 0, 1)?.task.runs, [{ run: 2, targetId: 'b', bornMs: 6 }]);
+  });
+
+  it('says that a record is unreadable instead of guessing', (t) => {
+    const failure = JobCodec.restoreProgress(new Job(definition()), Buffer.from('{"status"'));
+    t.equal(failure._unsafeUnwrapErr().kind, 'record-unreadable');
+  });
+});
