--- a/packages/cli/src/JobTimeline.ts
+++ b/packages/cli/src/JobTimeline.ts
@@ -83,7 +83,9 @@
     if (times.length === 0) return [];
     const fromMs = Math.min(...times) - CONTEXT_MARGIN_MS;
     const untilMs = Math.max(...times) + CONTEXT_MARGIN_MS;
-    const targetIds = new Set<unknown>(own.map((line) => line.targetId).filter((id) => id !== undefined));
+    const targetIds = new Set<unknown>(
+      own.map((line) => line.targetId).filter((id) => id !== undefined),
+    );
     return all.filter((line) => {
       const atMs = Date.parse(line.time);
       if (atMs < fromMs || atMs > untilMs || own.includes(line)) return false;
--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -30,7 +30,7 @@
 import { EXTENSION_BOUND_MS, type Ownership } from './Ownership.js';
 import { ReportReader } from './ReportReader.js';
 import { RunBook } from './RunBook.js';
-import { TargetDriver } from './TargetDriver.js';
+import { LEASE_MS, TargetDriver } from './TargetDriver.js';
 import { TargetTable } from './TargetTable.js';
 import { TeamUsage } from './TeamUsage.js';
 import { TicketBook } from './TicketBook.js';
@@ -51,6 +51,8 @@
 const WAVE_PREFIX = 'wave/';
 
 export interface CoordinatorOptions extends FleetStewardOptions {
+  /** The earlier owner extends no leases any more: it has released the journal or is over. */
+  readonly isFormerOwnerOver: boolean;
   /** Largest lease that a target grants, in milliseconds. */
   readonly mostLeaseMs: number;
   /** How long a finished job's state can be asked for, in milliseconds. */
@@ -101,8 +103,8 @@
   ) {
     super();
     const { ownership, clock, logger, advice } = deps;
-    const inheritedUntilMs =
-      clock.monotonicMs() + EXTENSION_BOUND_MS + options.mostLeaseMs / SLOWEST_CLOCK_RATE;
+    const extensionMs = options.isFormerOwnerOver ? 0 : EXTENSION_BOUND_MS;
+    const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
     this.jobs = new JobTable(ownership, clock);
     this.targets = this.register(
--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -7,9 +7,9 @@
 
 /**
  * Leases are extended only this long after the last acknowledged append, in milliseconds: only
- * that proves that nobody else has claimed. A successor waits this long, plus a lease, for targets that it can't reach.
+ * that proves that nobody else has claimed. With a lease it outlasts an outage of the store of 9 s. A successor waits this long, plus a lease, for targets that it can't reach.
  */
-export const EXTENSION_BOUND_MS = 6_000;
+export const EXTENSION_BOUND_MS = 4_000;
 
 /** An append that takes longer than this means the store can't be counted on, in milliseconds. */
 const STORE_STALL_MS = 1_000;
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -47,6 +47,8 @@
 export interface OwnedPeriod {
   readonly ownership: Ownership;
   readonly owned: OwnedJournal;
+  /** The earlier owner extends no leases any more. */
+  readonly isFormerOwnerOver: boolean;
 }
 
 export interface ElectionDeps {
@@ -121,6 +123,7 @@
       const flushed = ownership.writer.write(CLAIM_KEY, () => this.claimValue());
       await Promise.race([flushed, this.deps.clock.sleep(FLUSH_WAIT_MS)]);
       ownership.end('shutdown');
+      await this.deps.group.announce(this.noticeOf(ownership, true));
     }
     await this.deps.group.leave(this.self);
   }
@@ -137,11 +140,15 @@
     const notice = await this.deps.group.announced();
     if (notice.isErr()) return false;
     const formerEpoch = this.notice?.epoch ?? -1;
-    if (notice.value && notice.value.epoch > formerEpoch) {
-      this.notice = notice.value;
+    const { value } = notice;
+    const isRelease = value?.isReleased === true && this.notice?.isReleased !== true;
+    const isNews = isRelease || (value?.epoch ?? -1) > formerEpoch;
+    if (value && isNews && value.epoch >= formerEpoch) {
+      this.notice = value;
       this.deps.logger.info('owner-known', {
-        owner: notice.value.owner.entryId,
-        epoch: notice.value.epoch,
+        owner: value.owner.entryId,
+        epoch: value.epoch,
+        isReleased: value.isReleased,
       });
     }
     return true;
@@ -184,7 +191,7 @@
   private async isOwnerGone(): Promise<boolean> {
     if (!(await this.readNotice())) return false;
     const { notice } = this;
-    if (!notice || isSameMember(notice.owner, this.self)) return true;
+    if (!notice || notice.isReleased || isSameMember(notice.owner, this.self)) return true;
     this.newestBootMs.set(this.self.entryId, this.self.bootMs);
     const members = await this.deps.group.members();
     if (members.isErr()) return false;
@@ -219,17 +226,18 @@
 
   private own(owned: OwnedJournal): void {
     const { clock, log, logger } = this.deps;
+    const isFormerOwnerOver = this.isFormerOwnerOver();
     const ownership = new Ownership(log, owned, clock);
     this.ownership = ownership;
     ownership.onEnd((reason) => {
       logger.info('ownership-ended', { epoch: owned.epoch, reason });
     });
-    this.ownedEmitter.fire({ ownership, owned });
+    this.ownedEmitter.fire({ ownership, owned, isFormerOwnerOver });
     void this.announce(ownership);
   }
 
   private async announce(ownership: Ownership): Promise<void> {
-    const notice = { owner: this.self, epoch: ownership.epoch };
+    const notice = this.noticeOf(ownership, false);
     while (ownership.isActive) {
       const done = await this.deps.group.announce(notice);
       if (done.isOk()) return;
@@ -238,6 +246,17 @@
     }
   }
 
+  /** Whether the owner before this claim has stopped for certain; known from what it announced. */
+  private isFormerOwnerOver(): boolean {
+    const { notice } = this;
+    if (!notice || notice.isReleased || isSameMember(notice.owner, this.self)) return true;
+    return this.isProcessOver(notice.owner.entryId, notice.owner.bootMs);
+  }
+
+  private noticeOf({ epoch }: Ownership, isReleased: boolean): OwnerNotice {
+    return { owner: this.self, epoch, isReleased };
+  }
+
   private claimValue(): Buffer {
     const { entryId, bootMs } = this.self;
     return Buffer.from(JSON.stringify({ entryId, bootMs, nonce: `${bootMs}-${this.claims}` }));
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -89,6 +89,23 @@
     });
   });
 
+  describe('when the owner stops as planned and a target is dark', () => {
+    it('its work runs elsewhere as soon as its lease has ended', async (t) => {
+      // Fails if the successor waits for extensions that a released owner no longer gives.
+      const world = await newWorld({ targetCount: 2, runtimeMs: 3_000 });
+      await submit(world, 'a', [{ taskCount: 8, cpuMilli: 1_000 }]);
+      const former = world.ownerId() ?? '';
+      world.targets.get('t0')?.crash();
+      const darkMs = world.clock.monotonicMs();
+      void world.entries.get(former)?.leave();
+      await world.runUntil(() => (world.ownerId() ?? former) !== former, 3_000);
+      const takenMs = world.clock.monotonicMs() - darkMs;
+      const again = await world.runUntil(() => world.observer.startCount > 8, 7_000);
+      t.ok(again, `within ${7_000 + takenMs} ms`);
+      await assertCompletes(t, world, ['a']);
+    });
+  });
+
   describe('when the owner is suspended', () => {
     it('and thaws with an order planned, nothing runs twice', async (t) => {
       const world = await newWorld();
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -62,10 +62,11 @@
       clock,
       logger,
     });
-    this.election.onOwned(({ ownership, owned }) => {
+    this.election.onOwned(({ ownership, owned, isFormerOwnerOver }) => {
       this.coordinator = new Coordinator(
         owned,
         {
+          isFormerOwnerOver,
           mostLeaseMs: MOST_LEASE_MS,
           keepFinishedMs: KEEP_FINISHED_MS,
           holderId: entryId,
--- a/packages/journal/src/OwnershipGroup.ts
+++ b/packages/journal/src/OwnershipGroup.ts
@@ -25,6 +25,8 @@
 export interface OwnerNotice {
   readonly owner: GroupMember;
   readonly epoch: number;
+  /** It has given the journal up and orders nothing any more. */
+  readonly isReleased: boolean;
 }
 
 export function isSameMember(a: GroupMember, b: GroupMember): boolean {
