Ends are acknowledged only right after a report, so a lifetime that began unnoticed loses none

Ruled out: two owners (one claim in the trace). The seed stays as a case; both tests fail without the mend. The linter leaves target/ alone.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
 const rootFolder = dirname(fileURLToPath(import.meta.url));
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '.tap/**'] },
+  { ignores: ['target/**', '**/dist/**', '**/node_modules/**', '.tap/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -29,6 +29,12 @@
   /** Settles when every end that was taken up so far is durable. */
   endsCommit: Promise<CommitOutcome> = Promise.resolve('durable');
 
+  /** Ends up to here the target has been told that it may forget. */
+  acknowledgedEnd = 0;
+
+  /** When the target last answered with its lists, monotonic. */
+  reportedMs = -Infinity;
+
   failedHolds = 0;
 
   /** Whether the newest list shows it. */
@@ -132,6 +138,7 @@
     this.bornMs = bornMs;
     this.processedEnd = 0;
     this.durableEnd = 0;
+    this.acknowledgedEnd = 0;
     this.endsCommit = Promise.resolve('durable');
     this.lease = new LeaseClock(this.mostLeaseMs, nowMs + this.mostLeaseMs / SLOWEST_CLOCK_RATE);
   }
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -23,6 +23,13 @@
 /** The same where filling tasks work beside serving ones: the figures are of half a second. */
 const PACED_REPORT_WAIT_MS = 450;
 
+/**
+ * Ends are acknowledged only right after a report, in milliseconds: a target that was not heard of
+ * for longer may have begun a new lifetime under the same id, whose ends are numbered anew, and
+ * an old number would make it forget ends that nobody has seen. Less than a process takes to start.
+ */
+const CONTINUITY_MS = 1_000;
+
 /** Between two reports that can't be acknowledged yet, in milliseconds. */
 const UNACKNOWLEDGED_PAUSE_MS = 500;
 
@@ -143,7 +150,14 @@
     const { target } = this;
     if (target.entry === undefined) return false;
     if (target.isListed && target.failedHolds > 0) return true;
-    return !target.isConfirmed || target.runs.size > 0 || target.durableEnd < target.processedEnd;
+    if (!target.isConfirmed || target.runs.size > 0) return true;
+    return target.acknowledgedEnd < target.processedEnd;
+  }
+
+  private endToAcknowledge(nowMs: number): number {
+    const { target } = this;
+    const isContinuous = target.failedHolds === 0 && nowMs - target.reportedMs < CONTINUITY_MS;
+    return isContinuous ? target.durableEnd : 0;
   }
 
   private get needsPacing(): boolean {
@@ -180,11 +194,12 @@
     const { port, ownership, clock } = this.deps;
     const sentAtMs = clock.monotonicMs();
     const isSettled = target.durableEnd === target.processedEnd;
+    const lastSeenEnd = this.endToAcknowledge(sentAtMs);
     const done = await port.hold(target.address, {
       fencingToken: ownership.epoch,
-      lastSeenEnd: target.durableEnd,
+      lastSeenEnd,
       leaseUntilMs: this.leaseUntilMs(sentAtMs),
-      waitMs: target.isConfirmed && isSettled ? this.reportWaitMs : 0,
+      waitMs: target.isConfirmed && isSettled && target.runs.size > 0 ? this.reportWaitMs : 0,
     });
     if (!this.isActive) return;
     if (done.isErr()) {
@@ -195,6 +210,8 @@
     target.lease.show(done.value.clockMs, sentAtMs, clock.monotonicMs());
     const wasClosed = !target.isConfirmed || target.failedHolds > 0;
     target.isConfirmed = true;
+    target.reportedMs = clock.monotonicMs();
+    if (lastSeenEnd <= target.processedEnd) target.acknowledgedEnd = lastSeenEnd;
     target.failedHolds = 0;
     if (wasClosed) this.deps.onConfirmed();
     result.strangers.forEach((stranger) => {
--- a/packages/jobdesk/src/schedules.test.ts
+++ b/packages/jobdesk/src/schedules.test.ts
@@ -6,7 +6,16 @@
 const FIRST_SEED = 20_261_204;
 const SCHEDULES = 60;
 
+/** Seeds that once found a fault; each stays. 2000: ends acknowledged by a former lifetime's numbers. */
+const FORMER_FAILURES = [2_000];
+
 describe('random schedules', () => {
+  it('keep the promises on seeds that failed once', async (t) => {
+    for (const seed of FORMER_FAILURES) {
+      t.same(await runSchedule(new Random(seed), seed), [], `seed ${seed}`);
+    }
+  });
+
   it(`keep the promises (${SCHEDULES} seeds from ${FIRST_SEED})`, async (t) => {
     for (let seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed += 1) {
       const found = await runSchedule(new Random(seed), seed);
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -166,6 +166,18 @@
       await assertCompletes(t, world, ['a']);
     });
 
+    it('a lifetime that began unnoticed is not told to forget ends by old numbers', async (t) => {
+      // Seed 2000 of the schedules: fails if the first report after a pause acknowledges ends.
+      const world = await newWorld({ targetCount: 1, runtimeMs: 100 });
+      await submit(world, 'a');
+      await assertCompletes(t, world, ['a']);
+      await world.run(2_000);
+      world.targets.get('t0')?.rebirth();
+      await submit(world, 'b');
+      await assertCompletes(t, world, ['b']);
+      t.equal(world.observer.startsOf('b.0.0.0'), 1, 'its end was seen');
+    });
+
     it('a new lifetime under the same id holds nothing of the former', async (t) => {
       const world = await newWorld({ targetCount: 1, runtimeMs: 900 });
       await submit(world, 'a');
