--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -14,12 +14,7 @@
   type UpkeepWave,
   type WaveReports,
 } from './contracts/index.js';
-import {
-  DUTY_KEY,
-  type DutyRecord,
-  FleetSteward,
-  type FleetStewardOptions,
-} from './FleetSteward.js';
+import { FleetSteward, type FleetStewardOptions } from './FleetSteward.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { HealthWatch } from './HealthWatch.js';
 import { type JobEntry } from './JobEntry.js';
@@ -38,6 +33,9 @@
 /** Between two readings of the list of targets, in milliseconds: well under a heartbeat. */
 const REGISTRY_PERIOD_MS = 300;
 
+/** The same while instances are on their way to a pool that waits for them, in milliseconds. */
+const BUSY_REGISTRY_PERIOD_MS = 100;
+
 /** Between two looks at leases and due times, in milliseconds. */
 const TICK_MS = 50;
 
@@ -48,8 +46,6 @@
 const RESTART_PAUSE_MS = 100;
 const LARGEST_RESTART_PAUSE_MS = 1_600;
 
-const WAVE_PREFIX = 'wave/';
-
 export interface CoordinatorOptions extends FleetStewardOptions {
   /** The earlier owner extends no leases any more: it has released the journal or is over. */
   readonly isFormerOwnerOver: boolean;
@@ -129,6 +125,7 @@
         health: this.health,
         ownership,
         clock,
+        logger,
         config: deps.config,
       }),
     );
@@ -194,12 +191,7 @@
 
   private restoreSteward(owned: OwnedJournal): void {
     owned.records.forEach(({ key, value }) => {
-      if (value && key === DUTY_KEY) {
-        this.steward?.restoreDuty(JSON.parse(value.toString('utf8')) as DutyRecord);
-      }
-      if (!value || !key.startsWith(WAVE_PREFIX)) return;
-      const instanceIds = JSON.parse(value.toString('utf8')) as string[];
-      this.steward?.restoreWave(Number(key.slice(WAVE_PREFIX.length)), instanceIds);
+      if (value) this.steward?.restore(key, value);
     });
   }
 
@@ -287,7 +279,8 @@
           reason: entries.isErr() ? entries.error.kind : '',
         });
       }
-      await clock.sleep(REGISTRY_PERIOD_MS);
+      const isBusy = this.steward?.hasOrders ?? false;
+      await clock.sleep(isBusy ? BUSY_REGISTRY_PERIOD_MS : REGISTRY_PERIOD_MS);
     }
   }
 
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -3,8 +3,15 @@
  * chooser names, within the team's limit, gangs all at once. A pass looks only at pools in which
  * something has changed.
  */
-import { type Clock, Disposable, EventEmitter, type IDisposable } from '@acaciadock/core';
 import {
+  type Clock,
+  Disposable,
+  EventEmitter,
+  type IDisposable,
+  type Logger,
+} from '@acaciadock/core';
+import {
+  type AdviceRule,
   type JobsConfigView,
   longestChainMs,
   type Occurrence,
@@ -14,8 +21,10 @@
 import {
   ArrivalMeter,
   QueueOrder,
+  RoomBound,
   type RuntimeEstimates,
   TargetChooser,
+  type Urgency,
   type WaitingStep,
 } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
@@ -32,9 +41,20 @@
 /** Changes of this span share a pass, in milliseconds. */
 const PASS_DELAY_MS = 2;
 
+/** A description of a waiting step is used this long, in milliseconds: estimates move slowly. */
+const DESCRIPTION_MS = 250;
+
 /** Between two passes that nothing has asked for, in milliseconds: pauses and tickets expire. */
 const REGULAR_PASS_MS = 100;
 
+/** Over which time waiting work may be spread, in milliseconds: its answer is worth little later. */
+const SPREAD_MS: Record<Urgency, number> = {
+  'in-time': 0,
+  late: 3_000,
+  'beyond-share': 3_000,
+  worthless: 10_000,
+};
+
 /** Whether a step's waiting tasks got room, and if not, why. */
 type PlaceOutcome = 'placed' | 'no-room' | 'team-limit';
 
@@ -44,6 +64,11 @@
   readonly step: StepState;
 }
 
+interface Description {
+  readonly atMs: number;
+  readonly open: OpenStep;
+}
+
 export interface JobSchedulerDeps {
   readonly jobs: JobTable;
   readonly targets: TargetTable;
@@ -54,6 +79,7 @@
   readonly health: HealthWatch;
   readonly ownership: Ownership;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly config: () => JobsConfigView;
 }
 
@@ -69,6 +95,8 @@
 
   private readonly arrivals = new Map<string, ArrivalMeter>();
 
+  private readonly descriptions = new WeakMap<StepState, Description>();
+
   /** Steps that the pool had no room for in the last pass; a team at its limit is not among them. */
   private readonly waitingByPool = new Map<string, readonly OpenStep[]>();
 
@@ -107,6 +135,25 @@
     }, 0);
   }
 
+  /**
+   * Processor that the pool needs for its waiting tasks, thousandths of a core. What can still be
+   * in time is wanted at once; what is late can wait its turn, so it needs fewer cores for longer.
+   */
+  neededCpuMilli(poolId: string): number {
+    const waiting = this.waitingByPool.get(poolId) ?? [];
+    const nowUnixMs = this.deps.clock.unixMs();
+    return waiting.reduce((sum, open) => {
+      const { spec } = open.step;
+      if (spec.filler) return sum;
+      const cpuMilli = spec.cpuMilli * open.step.waitingTasks.length;
+      const spreadMs = SPREAD_MS[QueueOrder.urgencyOf(open, nowUnixMs)];
+      if (open.isLongRunning || spreadMs === 0) return sum + cpuMilli;
+      const { queueId } = open.entry.job.definition;
+      const runtimeMs = this.deps.estimates.meanMs(queueId, spec.estimatedRuntimeMs);
+      return sum + cpuMilli * Math.min(1, runtimeMs / spreadMs);
+    }, 0);
+  }
+
   /** Whether tasks that last wait for room in the pool. */
   hasServingWaiting(poolId: string): boolean {
     return (this.waitingByPool.get(poolId) ?? []).some((open) => open.isLongRunning);
@@ -164,11 +211,24 @@
     for (const occurrence of entry.job.occurrences.values()) {
       for (const step of occurrence.openSteps) {
         const isWaiting = step.tasks.some((task) => task.isWaiting && task.notBeforeMs <= nowMs);
-        if (isWaiting) into.push(this.describe(entry, occurrence, step));
+        if (isWaiting) into.push(this.described(entry, occurrence, step, nowMs));
       }
     }
   }
 
+  private described(
+    entry: JobEntry,
+    occurrence: Occurrence,
+    step: StepState,
+    nowMs: number,
+  ): OpenStep {
+    const known = this.descriptions.get(step);
+    if (known && nowMs - known.atMs < DESCRIPTION_MS) return known.open;
+    const open = this.describe(entry, occurrence, step);
+    this.descriptions.set(step, { atMs: nowMs, open });
+    return open;
+  }
+
   private describe(entry: JobEntry, occurrence: Occurrence, step: StepState): OpenStep {
     const { definition } = entry.job;
     const objectiveMs = this.objectiveMsOf(entry);
@@ -197,30 +257,64 @@
       .usable(targets.ofPool(poolId))
       .filter((target) => target.isOpen(nowMs));
     const ordered = QueueOrder.sort(steps, clock.unixMs());
-    const blocked = ordered.filter((step) => this.placeStep(step, open) === 'no-room');
+    const tooLarge = new RoomBound();
+    const blocked = ordered.filter((step) => this.placeStep(step, open, tooLarge) === 'no-room');
     this.waitingByPool.set(poolId, blocked);
   }
 
-  private placeStep(open: OpenStep, targets: readonly FleetTarget[]): PlaceOutcome {
-    if (open.step.spec.gang) return this.placeGang(open, targets);
+  private placeStep(
+    open: OpenStep,
+    targets: readonly FleetTarget[],
+    tooLarge: RoomBound,
+  ): PlaceOutcome {
+    if (tooLarge.excludes(open.step.spec)) return 'no-room';
+    const placed: LiveRun[] = [];
+    const outcome = open.step.spec.gang
+      ? this.placeGang(open, targets, placed)
+      : this.placeTasks(open, targets, placed);
+    // Where advice is asked, a target may have room and still not be allowed.
+    if (outcome === 'no-room' && !this.adviceFor(open)) tooLarge.note(open.step.spec);
+    if (placed.length > 0) this.logPlaced(open, placed, targets.length);
+    return outcome;
+  }
+
+  private placeTasks(
+    open: OpenStep,
+    targets: readonly FleetTarget[],
+    placed: LiveRun[],
+  ): PlaceOutcome {
     const nowMs = this.deps.clock.monotonicMs();
     for (const task of open.step.tasks) {
       if (!task.isWaiting || task.notBeforeMs > nowMs) continue;
-      const outcome = this.placeTask(open, task, targets);
+      const outcome = this.placeTask(open, task, targets, placed);
       if (outcome !== 'placed') return outcome;
     }
     return 'placed';
   }
 
+  private logPlaced(open: OpenStep, placed: readonly LiveRun[], openTargets: number): void {
+    const nowUnixMs = this.deps.clock.unixMs();
+    this.deps.logger.info('tasks-placed', {
+      jobId: open.entry.job.jobId,
+      stepId: open.step.stepId,
+      urgency: QueueOrder.urgencyOf(open, nowUnixMs),
+      toObjectiveMs: Math.round(open.objectiveUnixMs - nowUnixMs),
+      remainingMs: Math.round(open.remainingMs),
+      openTargets,
+      runs: placed.map((live) => `${live.place.task.index}#${live.run}@${live.targetId}`).join(' '),
+    });
+  }
+
   private placeTask(
     open: OpenStep,
     task: TaskState,
     targets: readonly FleetTarget[],
+    placed: LiveRun[],
   ): PlaceOutcome {
     if (!this.teamAllows(open, 1)) return 'team-limit';
     const target = this.choose(open, task, targets, '');
     if (!target) return 'no-room';
-    this.plan(open, task, target);
+    placed.push(this.plan(open, task, target));
     return 'placed';
   }
 
@@ -242,8 +336,7 @@
       avoidTargetId: task.avoidTargetId,
       onlyRackId,
     };
-    const advice = this.deps.config().queue(open.entry.job.definition.queueId)?.advice;
-    if (!advice) return TargetChooser.choose(targets, wish);
+    if (!this.adviceFor(open)) return TargetChooser.choose(targets, wish);
     const roomy = targets.filter((target) => TargetChooser.fits(target, wish));
     const allowed = this.deps.tickets.allowed(open.step.stepId, roomy);
     if (allowed.length === 0) {
@@ -253,6 +346,10 @@
     return TargetChooser.choose(allowed, wish);
   }
 
+  private adviceFor({ entry }: OpenStep): AdviceRule | undefined {
+    return this.deps.config().queue(entry.job.definition.queueId)?.advice;
+  }
+
   private plan(open: OpenStep, task: TaskState, target: FleetTarget): LiveRun {
     const { entry, occurrence, step } = open;
     const place = { job: entry.job, occurrence, step, task };
@@ -265,16 +362,29 @@
   }
 
   /** All members or none, with one run number and one checkpoint. */
-  private placeGang(open: OpenStep, targets: readonly FleetTarget[]): PlaceOutcome {
+  private placeGang(
+    open: OpenStep,
+    targets: readonly FleetTarget[],
+    placed: LiveRun[],
+  ): PlaceOutcome {
     const { step } = open;
     if (!step.tasks.every((task) => task.isWaiting)) return 'placed';
     if (!this.teamAllows(open, step.tasks.length)) return 'team-limit';
     const racks = step.spec.sameRack ? [...new Set(targets.map((target) => target.rackId))] : [''];
-    const isPlaced = racks.some((rackId) => this.placeGangIn(open, targets, rackId));
-    return isPlaced ? 'placed' : 'no-room';
+    for (const rackId of racks) {
+      const members = this.placeGangIn(open, targets, rackId);
+      if (members.length === 0) continue;
+      placed.push(...members);
+      return 'placed';
+    }
+    return 'no-room';
   }
 
-  private placeGangIn(open: OpenStep, targets: readonly FleetTarget[], rackId: string): boolean {
+  private placeGangIn(
+    open: OpenStep,
+    targets: readonly FleetTarget[],
+    rackId: string,
+  ): readonly LiveRun[] {
     const { step } = open;
     const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
     const checkpoint =
@@ -287,11 +397,11 @@
       const target = this.choose(open, task, targets, rackId);
       if (!target) {
         placed.forEach((live) => this.deps.book.stop(live));
-        return false;
+        return [];
       }
       Object.assign(task, { lastRun, checkpoint });
       placed.push(this.plan(open, task, target));
     }
-    return true;
+    return placed;
   }
 }
--- a/packages/coordinator/src/ReportReader.ts
+++ b/packages/coordinator/src/ReportReader.ts
@@ -101,9 +101,9 @@
     report: HoldReport,
     sentAtMs: number,
   ): Promise<CommitOutcome>[] {
-    const listed = new Set(report.running.map(({ taskId, run }) => `${taskId}#${run}`));
+    const listed = new Map(report.running.map(({ taskId, run }) => [taskId, run]));
     return [...target.runs.values()]
-      .filter((live) => !listed.has(`${live.taskId}#${live.run}`))
+      .filter((live) => listed.get(live.taskId) !== live.run)
       .filter((live) => ReportReader.isProvenAbsent(live, report.bornMs, sentAtMs))
       .map((live) => this.book.finish(live, 'lost', ''));
   }
--- a/packages/coordinator/src/RunBook.ts
+++ b/packages/coordinator/src/RunBook.ts
@@ -100,7 +100,7 @@
     const runtimeMs = live.startedMs > 0 ? nowMs - live.startedMs : 0;
     if (end === 'done' && runtimeMs > 0) this.estimates.record(job.definition.queueId, runtimeMs);
     if (step.spec.gang && end !== 'done') this.stopGang(live.place);
-    this.logger.info('run-ended', {
+    const note = {
       jobId: job.jobId,
       taskId: live.taskId,
       run: live.run,
@@ -109,7 +109,10 @@
       phase: live.phase,
       failures: live.place.task.failures,
       runtimeMs: Math.round(runtimeMs),
-    });
+    };
+    // What ended well is told once a step, with its placing and with the job's end.
+    if (end === 'done') this.logger.debug('run-ended', note);
+    else this.logger.info('run-ended', note);
     this.endedEmitter.fire({ run: live, end, runtimeMs });
     return this.afterEnd(live.place);
   }
@@ -138,6 +141,7 @@
     const verdict = RunBook.verdictOf(place);
     if (verdict) return this.finishJob(entry, verdict);
     if (place.task.done) this.stopCopies(place);
+    if (place.step.isDone) this.logger.info('step-done', { jobId: job.jobId, stepId: place.step.stepId });
     this.changeEmitter.fire(entry);
     return this.jobs.writeProgress(entry);
   }
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -357,8 +357,11 @@
     return true;
   }
 
+  /** Orders that went well are counted only: the placing of a step is logged as a whole. */
   private log(order: string, live: LiveRun, outcome: string): void {
-    this.deps.logger.info('order', {
+    const { logger } = this.deps;
+    const isRoutine = order === 'start' && outcome === 'accepted';
+    const note = {
       order,
       jobId: live.place.job.jobId,
       taskId: live.taskId,
@@ -366,6 +369,8 @@
       targetId: live.targetId,
       fencingToken: this.deps.ownership.epoch,
       outcome,
-    });
+    };
+    if (isRoutine) logger.debug('order', note);
+    else logger.info('order', note);
   }
 }
--- /dev/null
+++ b/packages/coordinator/src/UpkeepSteward.ts
@@ -0,0 +1,216 @@
+/**
+ * Works on waves of upkeep. Each instance takes two steps: no more work is placed there, then it
+ * goes down once nothing runs. Tasks that last are moved away as far as their jobs allow.
+ */
+import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import {
+  type PoolPressure,
+  TargetChooser,
+  type UpkeepCandidate,
+  UpkeepPlanner,
+} from '@acaciadock/placement';
+import { type FleetInstance, type UpkeepWave, type WaveReports } from './contracts/index.js';
+import { type FleetOrders } from './FleetOrders.js';
+import { type FleetTarget } from './FleetTarget.js';
+import { type LiveRun } from './LiveRun.js';
+import { type Ownership } from './Ownership.js';
+import { type RunBook } from './RunBook.js';
+import { ServingGuard } from './ServingGuard.js';
+import { type TargetTable } from './TargetTable.js';
+
+/** Emptying an instance takes about this long, in milliseconds. */
+const EMPTYING_MS = 4_000;
+
+const WAVE_PREFIX = 'wave/';
+
+export interface UpkeepStewardDeps {
+  readonly orders: FleetOrders;
+  readonly reports: WaveReports;
+  readonly targets: TargetTable;
+  readonly book: RunBook;
+  readonly ownership: Ownership;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly isSpare: (poolId: string) => boolean;
+  readonly pressures: () => ReadonlyMap<string, PoolPressure>;
+}
+
+export class UpkeepSteward extends Disposable {
+  private readonly guard: ServingGuard;
+
+  /** Instances whose upkeep has begun, by wave. */
+  private readonly begun = new Map<number, Set<string>>();
+
+  private readonly published = new Map<number, 'running' | 'completed'>();
+
+  private readonly reserved = new Set<string>();
+
+  /** Pools in which a task that serves can't be moved away because no other target takes it. */
+  private crampedPools = new Set<string>();
+
+  constructor(
+    private readonly upkeepMs: number,
+    private readonly deps: UpkeepStewardDeps,
+  ) {
+    super();
+    this.guard = new ServingGuard(
+      (taskId, targetId) => deps.book.liveRunOf(taskId, targetId),
+      deps.clock,
+    );
+  }
+
+  /** Takes up how far a wave was when an earlier owner journaled it; false for another key. */
+  restore(key: string, value: Buffer): boolean {
+    if (!key.startsWith(WAVE_PREFIX)) return false;
+    const instanceIds = JSON.parse(value.toString('utf8')) as string[];
+    this.begun.set(Number(key.slice(WAVE_PREFIX.length)), new Set(instanceIds));
+    return true;
+  }
+
+  /** Whether the instance is being emptied for its upkeep. */
+  isReserved(instanceId: string): boolean {
+    return this.reserved.has(instanceId);
+  }
+
+  /** Whether a task that serves has to leave an instance of the pool and finds no room. */
+  lacksRoom(poolId: string): boolean {
+    return this.crampedPools.has(poolId);
+  }
+
+  /** Does what is due now for every wave. */
+  work(waves: readonly UpkeepWave[]): void {
+    const former = this.crampedPools;
+    this.crampedPools = new Set();
+    waves.forEach((wave) => this.workOn(wave));
+    this.crampedPools.forEach((poolId) => {
+      if (!former.has(poolId)) this.deps.logger.info('upkeep-lacks-room', { poolId });
+    });
+  }
+
+  private workOn(wave: UpkeepWave): void {
+    if (this.published.get(wave.waveId) === 'completed') return;
+    const begun = this.begunOf(wave.waveId);
+    const left = this.deps.orders.instances.filter(
+      ({ instanceId }) => wave.instanceIds.includes(instanceId) && !begun.has(instanceId),
+    );
+    if (left.length === 0) {
+      void this.publish(wave.waveId, 'completed');
+      return;
+    }
+    if (!this.published.has(wave.waveId)) void this.publish(wave.waveId, 'running');
+    const down = this.downOf(wave);
+    const plan = UpkeepPlanner.plan({
+      candidates: left.map((instance) => this.candidateOf(instance)),
+      pools: this.deps.pressures(),
+      downCount: down.length,
+      mostAtOnce: wave.mostAtOnce,
+      timeLeftMs: wave.dueMs - this.deps.clock.monotonicMs(),
+      stepMs: this.upkeepMs + EMPTYING_MS,
+    });
+    plan.reserve.forEach((instanceId) => this.reserved.add(instanceId));
+    left.forEach((instance) => this.empty(instance));
+    plan.begin.forEach((instanceId) => {
+      const instance = left.find((one) => one.instanceId === instanceId);
+      if (instance) void this.begin(instance, wave);
+    });
+    if (plan.begin.length === 0) return;
+    this.deps.logger.info('upkeep-chosen', {
+      waveId: wave.waveId,
+      begin: plan.begin,
+      down,
+      mostAtOnce: wave.mostAtOnce,
+      listAgeMs: Math.round(this.deps.orders.listAgeMs),
+    });
+  }
+
+  private candidateOf(instance: FleetInstance): UpkeepCandidate {
+    const target = this.deps.targets.get(instance.targetId);
+    const isSpare = this.deps.isSpare(instance.poolId);
+    return {
+      instanceId: instance.instanceId,
+      poolId: instance.poolId,
+      isEmpty: isSpare || (target?.isReserved === true && target.runs.size === 0),
+      isReserved: this.reserved.has(instance.instanceId),
+      isBusy: instance.state !== 'up' || this.deps.orders.hasOrder(instance.instanceId),
+      runCount: target?.runs.size ?? 0,
+      isSpare,
+    };
+  }
+
+  /** Closes a reserved instance and moves away what lasts, as far as its jobs allow. */
+  private empty(instance: FleetInstance): void {
+    if (!this.reserved.has(instance.instanceId)) return;
+    const target = this.deps.targets.get(instance.targetId);
+    if (!target) return;
+    target.isReserved = true;
+    this.moveServing(target);
+  }
+
+  private moveServing(target: FleetTarget): void {
+    for (const live of target.runs.values()) {
+      const { step, task } = live.place;
+      const isServing = step.spec.longRunning && live.phase === 'running';
+      if (!isServing || !this.guard.mayStop(step, task)) continue;
+      if (this.hasRoomElsewhere(live)) this.deps.book.stop(live);
+      else this.crampedPools.add(target.poolId);
+    }
+  }
+
+  /** A task that serves is stopped only when another target of its pool can take it. */
+  private hasRoomElsewhere(live: LiveRun): boolean {
+    const nowMs = this.deps.clock.monotonicMs();
+    const target = this.deps.targets.get(live.targetId);
+    const { step } = live.place;
+    const wish = { step: step.spec, stepId: step.stepId, avoidTargetId: '', onlyRackId: '' };
+    return this.deps.targets
+      .ofPool(target?.poolId ?? '')
+      .some((other) => other.isOpen(nowMs) && TargetChooser.fits(other, wish));
+  }
+
+  /** Instances of the wave that are down for their upkeep, or may be. */
+  private downOf(wave: UpkeepWave): string[] {
+    const { orders } = this.deps;
+    return orders.instances
+      .filter(({ instanceId, state }) => {
+        if (!wave.instanceIds.includes(instanceId)) return false;
+        return state === 'upkeep' || orders.hasUpkeepOrder(instanceId);
+      })
+      .map(({ instanceId }) => instanceId);
+  }
+
+  private async begin(instance: FleetInstance, { waveId }: UpkeepWave): Promise<void> {
+    const { instanceId } = instance;
+    const outcome = await this.deps.orders.upkeep(instance, waveId);
+    if (outcome !== 'accepted' && outcome !== 'invalid') return;
+    this.begunOf(waveId).add(instanceId);
+    this.reserved.delete(instanceId);
+    this.journal(waveId);
+  }
+
+  private begunOf(waveId: number): Set<string> {
+    const known = this.begun.get(waveId);
+    if (known) return known;
+    const created = new Set<string>();
+    this.begun.set(waveId, created);
+    return created;
+  }
+
+  private journal(waveId: number): void {
+    void this.deps.ownership.writer.write(`${WAVE_PREFIX}${waveId}`, () =>
+      Buffer.from(JSON.stringify([...this.begunOf(waveId)])),
+    );
+  }
+
+  private async publish(waveId: number, state: 'running' | 'completed'): Promise<void> {
+    const former = this.published.get(waveId);
+    this.published.set(waveId, state);
+    const done = await this.deps.reports.publish(waveId, state);
+    if (done.isOk()) {
+      this.deps.logger.info('wave-state', { waveId, state });
+      return;
+    }
+    this.deps.logger.warn('wave-state-unpublished', { waveId, state, reason: done.error.kind });
+    if (former) this.published.set(waveId, former);
+    else this.published.delete(waveId);
+  }
+}
--- a/packages/jobs/src/StepState.ts
+++ b/packages/jobs/src/StepState.ts
@@ -5,6 +5,8 @@
 export class StepState {
   readonly tasks: TaskState[];
 
+  private wasDone = false;
+
   constructor(
     readonly spec: StepSpec,
     readonly stepId: string,
@@ -16,8 +18,10 @@
     );
   }
 
+  /** Nothing undoes the end of a task, so a step that was done once stays done. */
   get isDone(): boolean {
-    return this.tasks.every((task) => task.done);
+    this.wasDone ||= this.tasks.every((task) => task.done);
+    return this.wasDone;
   }
 
   get waitingTasks(): TaskState[] {
--- /dev/null
+++ b/packages/placement/src/FleetDivider.test.ts
@@ -0,0 +1,37 @@
+/** Parts of a fleet that is too small for what its pools ask. */
+import { describe, it } from '@acaciadock/core/testing';
+import { FleetDivider, type PoolClaim } from './FleetDivider.js';
+
+function countsOf(needs: readonly number[], fleetSize: number): number[] {
+  const claims: PoolClaim[] = needs.map((needed, index) => ({ poolId: `p${index}`, needed }));
+  const parts = FleetDivider.divide(claims, fleetSize);
+  return claims.map(({ poolId }) => parts.find((part) => part.poolId === poolId)?.count ?? -1);
+}
+
+describe('FleetDivider', () => {
+  describe('when the fleet has enough', () => {
+    it('gives each pool what it needs and no more', (t) => {
+      t.same(countsOf([3, 10, 1], 35), [3, 10, 1]);
+    });
+  });
+
+  describe('when one backlog could use the whole fleet', () => {
+    it('small needs are met in full and the backlog gets the rest', (t) => {
+      t.same(countsOf([120, 3, 6, 1], 35), [25, 3, 6, 1]);
+    });
+  });
+
+  describe('when several ask for more than there is', () => {
+    it('they get equal parts', (t) => {
+      t.same(countsOf([100, 100], 30), [15, 15]);
+      t.same(countsOf([100, 100, 2], 30), [14, 14, 2]);
+    });
+
+    it('never gives out more instances than there are', (t) => {
+      for (let fleetSize = 0; fleetSize < 20; fleetSize += 1) {
+        const total = countsOf([7, 5, 9, 1], fleetSize).reduce((sum, count) => sum + count, 0);
+        t.equal(total, Math.min(fleetSize, 22));
+      }
+    });
+  });
+});
--- a/packages/placement/src/PoolSizer.test.ts
+++ b/packages/placement/src/PoolSizer.test.ts
@@ -10,6 +10,7 @@
     demandCpuMilli: 0,
     arrivingCpuMilli: 0,
     instanceCount: 8,
+    openCount: 8,
     cpuMilliPerInstance: INSTANCE_MILLI,
     hasHadTurn: true,
     hasServingWaiting: false,
@@ -39,8 +40,15 @@
   });
 
   it('asks for another instance while a task that lasts finds no room', (t) => {
-    const pool = demand({ instanceCount: 1, demandCpuMilli: 6_000, hasServingWaiting: true });
+    const pool = demand({
+      instanceCount: 1,
+      openCount: 1,
+      demandCpuMilli: 6_000,
+      hasServingWaiting: true,
+    });
     t.equal(sizeAfter(new PoolSizer(), pool, 0).needed, 2);
+    const expecting = { ...pool, instanceCount: 2 };
+    t.equal(sizeAfter(new PoolSizer(), expecting, 0).needed, 2, 'one on its way is enough');
     const empty = demand({ instanceCount: 0, demandCpuMilli: 6_000 });
     t.equal(sizeAfter(new PoolSizer(), empty, 0).needed, 1, 'its only one is being emptied');
   });
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -14,6 +14,8 @@
   readonly arrivingCpuMilli: number;
   /** Instances that take work or are on their way; one that is being emptied does not count. */
   readonly instanceCount: number;
+  /** Those of them that take work already. */
+  readonly openCount: number;
   readonly cpuMilliPerInstance: number;
   readonly hasHadTurn: boolean;
   /** Tasks that last wait for room, whatever the processor left over: they need another instance. */
@@ -77,7 +79,7 @@
     const history = this.historyOf(pool, nowMs);
     const perInstance = Math.max(1, pool.cpuMilliPerInstance * FILL_SHARE);
     const cpuMilli = Math.max(pool.demandCpuMilli, pool.arrivingCpuMilli);
-    const least = pool.hasServingWaiting ? pool.instanceCount + 1 : LEAST_INSTANCES;
+    const least = pool.hasServingWaiting ? pool.openCount + 1 : LEAST_INSTANCES;
     const present = Math.max(least, Math.ceil(cpuMilli / perInstance));
     const needed = present + PoolSizer.rise(history, present, nowMs);
     PoolSizer.update(history, needed, nowMs);
--- a/packages/placement/src/QueueOrder.ts
+++ b/packages/placement/src/QueueOrder.ts
@@ -27,7 +27,8 @@
  */
 const SAFETY_SHARE = 0.25;
 
-type Urgency = 'in-time' | 'late' | 'beyond-share' | 'worthless';
+/** How much an answer to a step's job is still worth. */
+export type Urgency = 'in-time' | 'late' | 'beyond-share' | 'worthless';
 
 const URGENCY_RANK: Record<Urgency, number> = {
   'in-time': 0,
@@ -46,12 +47,17 @@
   }
 
   private static keysOf(step: WaitingStep, nowUnixMs: number): number[] {
-    const slackMs = step.objectiveUnixMs - nowUnixMs - step.remainingMs;
-    const urgency = QueueOrder.urgencyOf(step, slackMs);
+    const urgency = QueueOrder.urgencyOf(step, nowUnixMs);
+    const slackMs = QueueOrder.slackMsOf(step, nowUnixMs);
     return [step.priority, step.isLongRunning ? 0 : 1, URGENCY_RANK[urgency], slackMs];
   }
 
-  private static urgencyOf(step: WaitingStep, slackMs: number): Urgency {
+  private static slackMsOf(step: WaitingStep, nowUnixMs: number): number {
+    return step.objectiveUnixMs - nowUnixMs - step.remainingMs;
+  }
+
+  static urgencyOf(step: WaitingStep, nowUnixMs: number): Urgency {
+    const slackMs = QueueOrder.slackMsOf(step, nowUnixMs);
     const graceMs = step.objectiveMs * (LATE_FACTOR - 1);
     if (slackMs + graceMs < 0) return 'worthless';
     if (step.isBeyondShare) return 'beyond-share';
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -8,5 +8,7 @@
 export * from './TargetChooser.js';
 export * from './TargetHealth.js';
 export * from './PaceController.js';
+export * from './FleetDivider.js';
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
+export * from './RoomBound.js';
--- a/packages/telemetry/src/BunyanLogger.ts
+++ b/packages/telemetry/src/BunyanLogger.ts
@@ -13,10 +13,24 @@
   readonly stream: NodeJS.WritableStream;
 }
 
+/** Names beyond these are judged each time: a caller may choose some. */
+const MOST_NAMES = 1_000;
+
 const WITHHELD_FIELD = /^(authorization|key|teamKey|token|secret|password|body|payload|answer)$/i;
 const WITHHELD = '[withheld]';
 const MAX_DEPTH = 6;
 
+/** Field names are few, so each is judged once. */
+const withheldNames = new Map<string, boolean>();
+
+function isWithheld(name: string): boolean {
+  const known = withheldNames.get(name);
+  if (known !== undefined) return known;
+  const judged = WITHHELD_FIELD.test(name);
+  if (withheldNames.size < MOST_NAMES) withheldNames.set(name, judged);
+  return judged;
+}
+
 /** A copy of `value` without secrets and bodies, at any depth. */
 export function withhold(value: unknown, depth = 0): unknown {
   if (typeof value !== 'object' || value === null) return value;
@@ -27,7 +41,7 @@
   return Object.fromEntries(
     Object.entries(value).map(([name, field]) => [
       name,
-      WITHHELD_FIELD.test(name) ? WITHHELD : withhold(field, depth + 1),
+      isWithheld(name) ? WITHHELD : withhold(field, depth + 1),
     ]),
   );
 }
@@ -45,7 +59,7 @@
   }
 
   override debug(event: string, fields: LogFields = {}): void {
-    this.bunyan.debug(withhold(fields) as object, event);
+    if (this.bunyan.debug()) this.bunyan.debug(withhold(fields) as object, event);
   }
 
   override info(event: string, fields: LogFields = {}): void {
