An instance takes one order at a time

Cause: an instance that was closed to be given to another pool is also empty for a wave, so its upkeep was ordered and a move took the place of that order in the table: the wave counted one instance too few as down. Ruled out: owner changes, a stale list, an order without an answer. Test: FleetOrders.test.ts, fails without the guard.

--- /dev/null
+++ b/packages/coordinator/src/FleetOrders.test.ts
@@ -0,0 +1,103 @@
+/** Orders to instances: one at a time each, journaled before they leave. */
+import { ManualClock, Random, SilentLogger } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { ok, type Result } from 'neverthrow';
+import { type FleetFailure, type FleetInstance, InstanceFleet } from './contracts/index.js';
+import { FleetOrders } from './FleetOrders.js';
+import { Ownership } from './Ownership.js';
+import { TargetTable } from './TargetTable.js';
+import { PausableClock } from './testing/PausableClock.js';
+import { SimulatedLog } from './testing/SimulatedLog.js';
+import { SimulatedStore } from './testing/SimulatedStore.js';
+
+const INSTANCE: FleetInstance = {
+  instanceId: 'm0',
+  poolId: 'p',
+  state: 'up',
+  zoneId: 'z',
+  rackId: 'r',
+  labels: [],
+  capacity: { cpuMilli: 16_000, memoryMb: 32_000, gpuCount: 0 },
+  targetId: '',
+};
+
+class RecordingFleet extends InstanceFleet {
+  readonly orders: string[] = [];
+
+  override list(): Promise<Result<readonly FleetInstance[], FleetFailure>> {
+    return Promise.resolve(ok([INSTANCE]));
+  }
+
+  override move(instanceId: string, poolId: string): Promise<Result<void, FleetFailure>> {
+    this.orders.push(`move ${instanceId} to ${poolId}`);
+    return Promise.resolve(ok(undefined));
+  }
+
+  override upkeep(instanceId: string): Promise<Result<void, FleetFailure>> {
+    this.orders.push(`upkeep ${instanceId}`);
+    return Promise.resolve(ok(undefined));
+  }
+}
+
+interface Rig {
+  readonly fleet: RecordingFleet;
+  readonly orders: FleetOrders;
+  readonly settle: () => Promise<void>;
+}
+
+async function newRig(): Promise<Rig> {
+  const base = new ManualClock();
+  const clock = new PausableClock(base);
+  const store = new SimulatedStore(base, new Random(1));
+  const faults = { isDown: false, lostAnswerShare: 0, latencyMs: 0 };
+  const owned = { epoch: 0, nextOffset: 0, records: [] };
+  const ownership = new Ownership(new SimulatedLog(store, clock, faults), owned, clock);
+  const targets = new TargetTable({ mostLeaseMs: 6_000, inheritedUntilMs: 0 });
+  const fleet = new RecordingFleet();
+  const options = {
+    holderId: 'e0',
+    bootMs: 1,
+    isProcessOver: () => false,
+    dutyHandoverMs: 3_000,
+    upkeepMs: 2_000,
+  };
+  const logger = new SilentLogger();
+  const orders = new FleetOrders(options, { fleet, targets, ownership, clock, logger });
+  await orders.refresh();
+  const settle = async (): Promise<void> => {
+    for (let step = 0; step < 20; step += 1) {
+      base.advance(5);
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  };
+  return { fleet, orders, settle };
+}
+
+describe('FleetOrders', () => {
+  describe('when a move follows an upkeep of the same instance', () => {
+    it('refuses the move, so the instance stays counted as down', async (t) => {
+      // Fails if a later order takes the place of the one that is on its way.
+      const { fleet, orders, settle } = await newRig();
+      const upkeep = orders.upkeep(INSTANCE, 1);
+      const move = orders.move(INSTANCE, 'other');
+      await settle();
+      t.same(await Promise.all([upkeep, move]), ['accepted', 'busy']);
+      t.same(fleet.orders, ['upkeep m0']);
+      t.ok(orders.hasUpkeepOrder('m0'));
+    });
+  });
+
+  describe('when an upkeep follows a move of the same instance', () => {
+    it('refuses the upkeep', async (t) => {
+      const { fleet, orders, settle } = await newRig();
+      const move = orders.move(INSTANCE, 'other');
+      const upkeep = orders.upkeep(INSTANCE, 1);
+      await settle();
+      t.same(await Promise.all([move, upkeep]), ['accepted', 'busy']);
+      t.same(fleet.orders, ['move m0 to other']);
+      t.equal(orders.poolAfterOrders(INSTANCE), 'other');
+    });
+  });
+});
--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -139,9 +139,13 @@
     this.settle(nowMs);
   }
 
-  /** Puts the instance into another pool. Nothing may be running there. */
+  /**
+   * Puts the instance into another pool. Nothing may be running there. An instance takes one order
+   * at a time: `busy` if another is on its way.
+   */
   async move(instance: FleetInstance, poolId: string): Promise<OrderOutcome> {
     const { instanceId, targetId } = instance;
+    if (this.pending.has(instanceId)) return 'busy';
     const target = this.deps.targets.get(targetId);
     if (target) target.isReserved = true;
     this.note(instanceId, poolId, false);
@@ -153,9 +157,10 @@
     return outcome;
   }
 
-  /** Takes the instance down for its upkeep. Nothing may be running there. */
+  /** Takes the instance down for its upkeep; otherwise as a move. */
   async upkeep(instance: FleetInstance, waveId: number): Promise<OrderOutcome> {
     const { instanceId, poolId } = instance;
+    if (this.pending.has(instanceId)) return 'busy';
     this.note(instanceId, poolId, true);
     if (!(await this.journalDuty())) return 'not-sent';
     const done = await this.deps.fleet.upkeep(instanceId, waveId, this.duty);
--- a/packages/coordinator/src/PoolSteward.ts
+++ b/packages/coordinator/src/PoolSteward.ts
@@ -222,12 +222,13 @@
     });
   }
 
-  /** Forgets instances that are gone, down or wanted for upkeep. */
+  /** Forgets instances that are gone, down, under another order or wanted for upkeep. */
   private forgetBroken(): void {
+    const { orders, isReservedForUpkeep } = this.deps;
     this.promised.forEach((_, instanceId) => {
-      const instance = this.deps.orders.instances.find((one) => one.instanceId === instanceId);
-      const isSound = instance?.state === 'up' && !this.deps.isReservedForUpkeep(instanceId);
-      if (!isSound) this.promised.delete(instanceId);
+      const instance = orders.instances.find((one) => one.instanceId === instanceId);
+      const isTaken = orders.hasOrder(instanceId) || isReservedForUpkeep(instanceId);
+      if (instance?.state !== 'up' || isTaken) this.promised.delete(instanceId);
     });
   }
 
