Entries cut off from the store learn the owner from peers; swings are no turns

They now ask three peers that were last listed. Ruled out: the takeover itself (1.0 s). Test: takeover.test.ts, fails without asking. Test: TurnForecast.test.ts.

--- a/packages/coordinator/src/PoolSteward.ts
+++ b/packages/coordinator/src/PoolSteward.ts
@@ -133,7 +133,9 @@
         void this.deps.orders.move(instance, poolId);
       });
     });
-    if (open > 0) this.reclaim(pools, lacking);
+    // While the fleet has enough, instances become empty by themselves as turns end.
+    const isScarce = pools.some(({ part, size }) => part < size.needed);
+    if (open > 0 && isScarce) this.reclaim(pools, lacking);
   }
 
   /** Instances that may be given away: spare ones first, then empty ones of pools with too many. */
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -14,6 +14,7 @@
   type OwnedJournal,
   type OwnerNotice,
   type OwnershipGroup,
+  type PeerNotices,
   type RecordLog,
 } from '@acaciadock/journal';
 
@@ -38,6 +39,9 @@
 /** After an outage of the store the others get this long to rejoin before anyone claims. */
 const REJOIN_GRACE_MS = 700;
 
+/** Peers asked at once who the owner is while the store can't tell. */
+const PEERS_ASKED = 3;
+
 /** Between two tries to announce the ownership, in milliseconds. */
 const ANNOUNCE_RETRY_MS = 150;
 
@@ -53,6 +57,8 @@
 
 export interface ElectionDeps {
   readonly group: OwnershipGroup;
+  /** The way to the other entries that does not lead over the store. */
+  readonly peers: PeerNotices;
   readonly log: RecordLog;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -81,6 +87,11 @@
   /** The newest start of each entry's process that was seen in the group. */
   private readonly newestBootMs = new Map<string, number>();
 
+  /** The other entries, as last listed. */
+  private peers: readonly GroupMember[] = [];
+
+  private peersAsked = 0;
+
   private storeLost = false;
 
   private storeBackMs = -Infinity;
@@ -136,24 +147,54 @@
     await this.readNotice();
   }
 
+  /** What this entry knows of the owner, for peers that can't reach the store. */
+  get knownNotice(): OwnerNotice | undefined {
+    return this.ownership?.isActive ? this.noticeOf(this.ownership, false) : this.notice;
+  }
+
+  /** Reads the announcement in the store; false if the store can't tell. */
   private async readNotice(): Promise<boolean> {
     const notice = await this.deps.group.announced();
-    if (notice.isErr()) return false;
-    const formerEpoch = this.notice?.epoch ?? -1;
-    const { value } = notice;
-    const isRelease = value?.isReleased === true && this.notice?.isReleased !== true;
-    const isNews = isRelease || (value?.epoch ?? -1) > formerEpoch;
-    if (value && isNews && value.epoch >= formerEpoch) {
-      this.notice = value;
-      this.deps.logger.info('owner-known', {
-        owner: value.owner.entryId,
-        epoch: value.epoch,
-        isReleased: value.isReleased,
-      });
+    if (notice.isErr()) {
+      void this.askPeers();
+      return false;
     }
+    this.take(notice.value, 'store');
     return true;
   }
 
+  /** An entry may be cut off from the store while the others have a new owner. */
+  private async askPeers(): Promise<void> {
+    const count = Math.min(PEERS_ASKED, this.peers.length);
+    const asked = Array.from({ length: count }, (_, index) => {
+      const peer = this.peers[(this.peersAsked + index) % this.peers.length];
+      return peer ? this.deps.peers.ask(peer.peerAddress) : undefined;
+    });
+    this.peersAsked += count;
+    (await Promise.all(asked)).forEach((notice) => this.take(notice, 'peer'));
+  }
+
+  private take(notice: OwnerNotice | undefined, source: 'store' | 'peer'): void {
+    if (!notice || this.isDisposed) return;
+    const formerEpoch = this.notice?.epoch ?? -1;
+    const isRelease = notice.isReleased && this.notice?.isReleased !== true;
+    const isNews = notice.epoch > formerEpoch || (isRelease && notice.epoch === formerEpoch);
+    if (!isNews) return;
+    this.notice = notice;
+    this.deps.logger.info('owner-known', {
+      owner: notice.owner.entryId,
+      epoch: notice.epoch,
+      isReleased: notice.isReleased,
+      source,
+    });
+  }
+
+  private async listPeers(): Promise<void> {
+    const members = await this.deps.group.members();
+    if (members.isErr()) return;
+    this.peers = members.value.filter((member) => member.entryId !== this.self.entryId);
+  }
+
   private async renew(): Promise<void> {
     const view = await this.deps.group.join(this.self);
     if (this.isDisposed) return;
@@ -161,7 +202,10 @@
     if (view.isErr()) return;
     const changed = view.value.generation !== this.view.generation;
     this.view = view.value;
-    if (changed) this.deps.logger.info('group-changed', { ...this.view });
+    if (changed) {
+      this.deps.logger.info('group-changed', { ...this.view });
+      void this.listPeers();
+    }
     if (this.isOwner) this.proveOwnership();
     else await this.watchOwner(changed);
   }
--- a/packages/jobdesk/src/PeerCallServer.ts
+++ b/packages/jobdesk/src/PeerCallServer.ts
@@ -1,4 +1,4 @@
-/** Takes the calls of other entries and hands them to this entry's own coordinator. */
+/** Takes the calls of other entries: for this entry's own coordinator, or who the owner is. */
 import { Disposable } from '@acaciadock/core';
 import { type JobCall, type JobReply, type JobService } from '@acaciadock/coordinator';
 import {
@@ -10,7 +10,7 @@
   type UntypedHandleCall,
 } from '@grpc/grpc-js';
 import { err, ok, type Result } from 'neverthrow';
-import { callMethod } from './PeerCalls.js';
+import { callMethod, noticeMethod, type NoticeReply } from './PeerCalls.js';
 
 export interface PeerListenFailure {
   readonly kind: 'peer-listen-failed';
@@ -21,7 +21,7 @@
 export class PeerCallServer extends Disposable {
   private readonly server = new Server();
 
-  constructor(service: JobService) {
+  constructor(service: JobService, notice: () => NoticeReply) {
     super();
     const handle: UntypedHandleCall = (
       call: ServerUnaryCall<JobCall, JobReply>,
@@ -32,7 +32,14 @@
         (cause: unknown) => done({ code: status.INTERNAL, details: String(cause) }),
       );
     };
-    this.server.addService({ call: callMethod }, { call: handle });
+    const tell: UntypedHandleCall = (
+      _call: ServerUnaryCall<null, NoticeReply>,
+      done: sendUnaryData<NoticeReply>,
+    ) => done(null, notice());
+    this.server.addService(
+      { call: callMethod, notice: noticeMethod },
+      { call: handle, notice: tell },
+    );
     this.register({ dispose: () => this.server.forceShutdown() });
   }
 
--- /dev/null
+++ b/packages/jobdesk/src/PeerNoticeClient.ts
@@ -0,0 +1,33 @@
+/** Asks other entries who owns the journal. Asked rarely, so each question has its own channel. */
+import { type Clock } from '@acaciadock/core';
+import { type OwnerNotice, PeerNotices } from '@acaciadock/journal';
+import { Client, credentials } from '@grpc/grpc-js';
+import { noticeMethod } from './PeerCalls.js';
+
+/** A peer that lives answers in a few milliseconds. */
+const ASK_TIMEOUT_MS = 300;
+
+export class PeerNoticeClient extends PeerNotices {
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
+  override ask(peerAddress: string): Promise<OwnerNotice | undefined> {
+    const client = new Client(peerAddress, credentials.createInsecure(), {
+      'grpc.use_local_subchannel_pool': 1,
+    });
+    return new Promise((resolve) => {
+      client.makeUnaryRequest(
+        noticeMethod.path,
+        noticeMethod.requestSerialize,
+        noticeMethod.responseDeserialize,
+        null,
+        { deadline: this.clock.unixMs() + ASK_TIMEOUT_MS },
+        (_error, reply) => {
+          client.close();
+          resolve(reply ?? undefined);
+        },
+      );
+    });
+  }
+}
--- a/packages/jobdesk/src/index.ts
+++ b/packages/jobdesk/src/index.ts
@@ -3,3 +3,4 @@
 export * from './JobDesk.js';
 export * from './PeerCallClient.js';
 export * from './PeerCallServer.js';
+export * from './PeerNoticeClient.js';
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -134,6 +134,27 @@
     });
   });
 
+  describe('when the store turns the owner and another entry away', () => {
+    it('the other entry learns from its peers who the new owner is', async (t) => {
+      // Fails if an entry learns of the owner only from the store.
+      const world = await newWorld({ entryCount: 5 });
+      await world.run(1_000);
+      const former = world.ownerId() ?? '';
+      const other = [...world.entries.keys()].find((entryId) => entryId !== former) ?? '';
+      [former, other].forEach((entryId) => {
+        Object.assign(world.entries.get(entryId)?.storeFaults ?? {}, { isDown: true });
+      });
+      const successor = (): string | undefined =>
+        [...world.entries].find(([entryId, entry]) => entryId !== former && entry.isOwner)?.[0];
+      t.ok(await world.runUntil(() => successor() !== undefined, 5_000), 'there is a new owner');
+      const isKnown = await world.runUntil(() => {
+        void world.entries.get(other)?.refreshOwner();
+        return world.entries.get(other)?.knownOwnerId === successor();
+      }, 1_000);
+      t.ok(isKnown, 'within a second of the claim');
+    });
+  });
+
   describe('when the store is away for all', () => {
     it('running work goes on and ends are told afterwards', async (t) => {
       const world = await newWorld({ runtimeMs: 1_000 });
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -19,16 +19,20 @@
 } from '@acaciadock/coordinator/testing';
 import { type ManualClock, type Random, SilentLogger } from '@acaciadock/core';
 import { type JobsConfigView } from '@acaciadock/jobs';
+import { type OwnerNotice } from '@acaciadock/journal';
 import { err, ok } from 'neverthrow';
 import { Election } from '../Election.js';
 
 export const MOST_LEASE_MS = 6_000;
+const PEER_LATENCY_MS = 2;
 const KEEP_FINISHED_MS = 120_000;
 
 export interface SimulatedSurroundings {
   readonly clock: ManualClock;
   readonly random: Random;
   readonly store: SimulatedStore;
+  /** The other processes, by entry. */
+  readonly entries: ReadonlyMap<string, SimulatedEntry>;
   readonly targets: ReadonlyMap<string, SimulatedTarget>;
   readonly config: JobsConfigView;
   /** Undefined where instances can't be moved. */
@@ -58,6 +62,7 @@
     const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1` };
     this.election = new Election(self, {
       group: new SimulatedGroup(store, clock, this.storeFaults),
+      peers: { ask: (address) => this.askPeer(address) },
       log: new SimulatedLog(store, clock, this.storeFaults),
       clock,
       logger,
@@ -95,6 +100,11 @@
     void this.election.run();
   }
 
+  /** The entry that this one takes for the owner. */
+  get knownOwnerId(): string | undefined {
+    return this.election.owner?.entryId;
+  }
+
   get isOwner(): boolean {
     return this.election.isOwner;
   }
@@ -105,6 +115,11 @@
     return this.coordinator?.call(call);
   }
 
+  /** Asks who the owner is, as a call that finds none does. */
+  refreshOwner(): Promise<void> {
+    return this.election.refreshOwner();
+  }
+
   kill(): void {
     this.clock.kill();
   }
@@ -114,6 +129,15 @@
     return this.election.leave();
   }
 
+  private askPeer(address: string): Promise<OwnerNotice | undefined> {
+    const peer = [...this.around.entries].find(([entryId]) => address === `${entryId}:1`)?.[1];
+    return new Promise((resolve) => {
+      this.clock.after(PEER_LATENCY_MS, () => {
+        resolve(peer && !peer.clock.isPaused ? peer.election.knownNotice : undefined);
+      });
+    });
+  }
+
   private listTargets(): ReturnType<TargetRegistry['list']> {
     return Promise.resolve(ok(this.entries()));
   }
--- a/packages/placement/src/TurnForecast.test.ts
+++ b/packages/placement/src/TurnForecast.test.ts
@@ -38,6 +38,23 @@
     t.equal(forecast.next(6 * TURN_MS), undefined);
   });
 
+  it('does not take a swing between two busy pools for turns', (t) => {
+    // Fails if each swing counts: then the pool of the last swing is foreseen again and again.
+    const forecast = new TurnForecast();
+    let nowMs = 0;
+    const playHot = (poolId: string, durationMs: number): void => {
+      for (const endMs = nowMs + durationMs; nowMs < endMs; nowMs += STEP_MS) {
+        forecast.observe([{ poolId, cpuMilli: 1_000 }], nowMs);
+      }
+    };
+    playHot('a', TURN_MS);
+    playHot('b', 1_000);
+    playHot('a', 1_000);
+    playHot('b', TURN_MS);
+    t.equal(forecast.currentPoolId, 'b');
+    t.equal(forecast.next(nowMs), undefined, 'no pool has had two turns');
+  });
+
   it('does not take a single burst for a turn', (t) => {
     const forecast = new TurnForecast();
     play(forecast, TURN_MS);
--- a/packages/placement/src/TurnForecast.ts
+++ b/packages/placement/src/TurnForecast.ts
@@ -20,6 +20,9 @@
 /** A turn counts once it has lasted this long, in milliseconds. */
 const SETTLE_MS = 600;
 
+/** A turn of less than this, in milliseconds, was a swing of its neighbour's arrivals. */
+const LEAST_TURN_MS = 2_000;
+
 /** A turn that is overdue by this share of its length is not expected any more. */
 const OVERDUE_SHARE = 0.4;
 
@@ -55,10 +58,18 @@
       this.candidate = { poolId: hot.poolId, startMs: nowMs };
     }
     if (nowMs - this.candidate.startMs < SETTLE_MS) return;
-    this.turns.push(this.candidate);
+    this.begin(this.candidate);
     this.candidate = undefined;
   }
 
+  /** A pool that is back after a moment has never stopped being the one whose turn it is. */
+  private begin(turn: Turn): void {
+    const current = this.turns.at(-1);
+    const isBack = this.turns.at(-2)?.poolId === turn.poolId;
+    if (current && isBack && turn.startMs - current.startMs < LEAST_TURN_MS) this.turns.pop();
+    else this.turns.push(turn);
+  }
+
   /** The next turn; undefined while it can't be told. */
   next(nowMs: number): NextTurn | undefined {
     const current = this.turns.at(-1);
