--- a/packages/coordinator/src/testing/SimulatedStore.ts
+++ b/packages/coordinator/src/testing/SimulatedStore.ts
@@ -6,7 +6,6 @@
 import {
   type GroupMember,
   type GroupView,
-  isSameMember,
   type KeyedRecord,
   type LogFailure,
   type NewestRecords,
@@ -68,10 +67,8 @@
     const key = `${member.entryId}/${member.bootMs}`;
     if (!this.members.has(key)) this.generation += 1;
     this.members.set(key, { member, seenMs: this.clock.monotonicMs() });
-    const live = this.liveMembers();
-    const successor = live[this.generation % Math.max(1, live.length)];
-    const isSuccessor = successor !== undefined && isSameMember(successor, member);
-    return { generation: this.generation, isSuccessor };
+    this.liveMembers();
+    return { generation: this.generation };
   }
 
   leave(member: GroupMember): void {
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -17,6 +17,7 @@
   type PeerNotices,
   type RecordLog,
 } from '@acaciadock/journal';
+import { Succession } from './Succession.js';
 
 /**
  * Between two renewals of the membership, in milliseconds: a few fit into the time to live, and
@@ -39,6 +40,9 @@
 /** After an outage of the store the others get this long to rejoin before anyone claims. */
 const REJOIN_GRACE_MS = 700;
 
+/** Nobody claims sooner after its start, in milliseconds, unless there has been an owner before. */
+const FIRST_CLAIM_AFTER_MS = 900;
+
 /** Peers asked at once who the owner is while the store can't tell. */
 const PEERS_ASKED = 3;
 
@@ -72,7 +76,7 @@
 
   private ownership: Ownership | undefined;
 
-  private view: GroupView = { generation: -1, isSuccessor: false };
+  private view: GroupView = { generation: -1 };
 
   private isClaiming = false;
 
@@ -87,8 +91,8 @@
   /** The newest start of each entry's process that was seen in the group. */
   private readonly newestBootMs = new Map<string, number>();
 
-  /** The other entries, as last listed. */
-  private peers: readonly GroupMember[] = [];
+  /** All entries, as last listed. */
+  private members: readonly GroupMember[] = [];
 
   private peersAsked = 0;
 
@@ -165,9 +169,10 @@
 
   /** An entry may be cut off from the store while the others have a new owner. */
   private async askPeers(): Promise<void> {
-    const count = Math.min(PEERS_ASKED, this.peers.length);
+    const peers = this.members.filter(({ entryId }) => entryId !== this.self.entryId);
+    const count = Math.min(PEERS_ASKED, peers.length);
     const asked = Array.from({ length: count }, (_, index) => {
-      const peer = this.peers[(this.peersAsked + index) % this.peers.length];
+      const peer = peers[(this.peersAsked + index) % peers.length];
       return peer ? this.deps.peers.ask(peer.peerAddress) : undefined;
     });
     this.peersAsked += count;
@@ -189,10 +194,21 @@
     });
   }
 
-  private async listPeers(): Promise<void> {
+  /** Reads who lives; false if the store can't tell. */
+  private async listMembers(): Promise<boolean> {
     const members = await this.deps.group.members();
-    if (members.isErr()) return;
-    this.peers = members.value.filter((member) => member.entryId !== this.self.entryId);
+    if (members.isErr()) return false;
+    this.members = members.value;
+    members.value.forEach(({ entryId, bootMs }) => {
+      const newest = this.newestBootMs.get(entryId) ?? 0;
+      this.newestBootMs.set(entryId, Math.max(newest, bootMs));
+    });
+    return true;
+  }
+
+  private get isSuccessor(): boolean {
+    const successor = Succession.successor(this.members, this.notice?.owner);
+    return successor !== undefined && isSameMember(successor, this.self);
   }
 
   private async renew(): Promise<void> {
@@ -204,7 +220,7 @@
     this.view = view.value;
     if (changed) {
       this.deps.logger.info('group-changed', { ...this.view });
-      void this.listPeers();
+      await this.listMembers();
     }
     if (this.isOwner) this.proveOwnership();
     else await this.watchOwner(changed);
@@ -222,7 +238,7 @@
     const nowMs = this.deps.clock.monotonicMs();
     const isDue = changed || this.notice === undefined || nowMs - this.lastCheckMs > OWNER_CHECK_MS;
     const isOwnNotice = this.notice !== undefined && isSameMember(this.notice.owner, this.self);
-    if (!this.view.isSuccessor && !isOwnNotice) {
+    if (!this.isSuccessor && !isOwnNotice) {
       if (changed || this.notice === undefined) void this.refreshOwner();
       return;
     }
@@ -235,15 +251,12 @@
   private async isOwnerGone(): Promise<boolean> {
     if (!(await this.readNotice())) return false;
     const { notice } = this;
-    if (!notice || notice.isReleased || isSameMember(notice.owner, this.self)) return true;
+    // Before the first owner the others get a moment to join, so that the strongest is known.
+    if (!notice) return this.deps.clock.unixMs() - this.self.bootMs > FIRST_CLAIM_AFTER_MS;
+    if (notice.isReleased || isSameMember(notice.owner, this.self)) return true;
     this.newestBootMs.set(this.self.entryId, this.self.bootMs);
-    const members = await this.deps.group.members();
-    if (members.isErr()) return false;
-    members.value.forEach((member) => {
-      const newest = this.newestBootMs.get(member.entryId) ?? 0;
-      this.newestBootMs.set(member.entryId, Math.max(newest, member.bootMs));
-    });
-    return !members.value.some((member) => isSameMember(member, notice.owner));
+    if (!(await this.listMembers())) return false;
+    return !this.members.some((member) => isSameMember(member, notice.owner));
   }
 
   private async claim(): Promise<void> {
--- /dev/null
+++ b/packages/jobdesk/src/Succession.test.ts
@@ -0,0 +1,30 @@
+/** Who claims next. */
+import { describe, it } from '@acaciadock/core/testing';
+import { type GroupMember } from '@acaciadock/journal';
+import { Succession } from './Succession.js';
+
+function member(entryId: string, cpuMilli: number): GroupMember {
+  return { entryId, bootMs: 1, peerAddress: `${entryId}:1`, cpuMilli };
+}
+
+describe('Succession', () => {
+  it('prefers the strongest member', (t) => {
+    const members = [member('a', 324), member('b', 1_350), member('c', 675)];
+    t.equal(Succession.successor(members, undefined)?.entryId, 'b');
+  });
+
+  it('passes over the former owner, also in its next process', (t) => {
+    const members = [member('a', 675), member('b', 1_350)];
+    t.equal(Succession.successor(members, { ...member('b', 1_350), bootMs: 0 })?.entryId, 'a');
+  });
+
+  it('is the same for every order of the list', (t) => {
+    const members = [member('c', 675), member('a', 675), member('b', 675)];
+    t.equal(Succession.successor(members, undefined)?.entryId, 'a');
+    t.equal(Succession.successor([...members].reverse(), undefined)?.entryId, 'a');
+  });
+
+  it('is nobody without members', (t) => {
+    t.equal(Succession.successor([], undefined), undefined);
+  });
+});
--- /dev/null
+++ b/packages/jobdesk/src/Succession.ts
@@ -0,0 +1,18 @@
+/**
+ * Who claims the journal when its owner is gone. The owner does the work of all pools, so the member
+ * with the most processor comes first; every member comes to the same answer from the same list.
+ */
+import { type GroupMember } from '@acaciadock/journal';
+
+export class Succession {
+  /** The member to claim after `former`, or undefined if there is none. */
+  static successor(
+    members: readonly GroupMember[],
+    former: GroupMember | undefined,
+  ): GroupMember | undefined {
+    return members
+      .filter((member) => member.entryId !== former?.entryId)
+      .sort((a, b) => b.cpuMilli - a.cpuMilli || a.entryId.localeCompare(b.entryId))
+      .at(0);
+  }
+}
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -59,7 +59,7 @@
     this.clock = new PausableClock(base);
     const { clock } = this;
     const logger = new SilentLogger();
-    const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1` };
+    const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1`, cpuMilli: 675 };
     this.election = new Election(self, {
       group: new SimulatedGroup(store, clock, this.storeFaults),
       peers: { ask: (address) => this.askPeer(address) },
--- a/packages/journal/src/OwnershipGroup.ts
+++ b/packages/journal/src/OwnershipGroup.ts
@@ -1,6 +1,5 @@
 /**
- * The live entries, which of them should claim the journal when its owner is gone, and who the
- * owner says it is. All of it is advice: two entries may both believe to be the owner for a
+ * The live entries, and who the owner of the journal says it is. All of it is advice: two entries may both believe to be the owner for a
  * moment, and only the claim in the journal decides.
  */
 import { type Result } from 'neverthrow';
@@ -12,13 +11,13 @@
   readonly bootMs: number;
   /** `host:port` where the member takes calls of other entries. */
   readonly peerAddress: string;
+  /** Processor that the member has, thousandths of a core. */
+  readonly cpuMilli: number;
 }
 
 export interface GroupView {
   /** Rises with every change of the membership. */
   readonly generation: number;
-  /** This member is the one to claim the journal if its owner is gone. */
-  readonly isSuccessor: boolean;
 }
 
 /** The owner as it has announced itself. */
