--- a/packages/coordinator/src/FleetOrders.test.ts
+++ b/packages/coordinator/src/FleetOrders.test.ts
@@ -3,13 +3,15 @@
 import { describe, it } from '@acaciadock/core/testing';
 import { ok, type Result } from 'neverthrow';
 import { type FleetFailure, type FleetInstance, InstanceFleet } from './contracts/index.js';
-import { FleetOrders } from './FleetOrders.js';
+import { DUTY_KEY, type DutyRecord, FleetOrders } from './FleetOrders.js';
 import { Ownership } from './Ownership.js';
 import { TargetTable } from './TargetTable.js';
 import { PausableClock } from './testing/PausableClock.js';
 import { SimulatedLog } from './testing/SimulatedLog.js';
 import { SimulatedStore } from './testing/SimulatedStore.js';
 
+const HANDOVER_MS = 3_000;
+
 const INSTANCE: FleetInstance = {
   instanceId: 'm0',
   poolId: 'p',
@@ -40,6 +42,8 @@
 }
 
 interface Rig {
+  readonly base: ManualClock;
+  readonly store: SimulatedStore;
   readonly fleet: RecordingFleet;
   readonly orders: FleetOrders;
   readonly settle: () => Promise<void>;
@@ -58,7 +62,7 @@
     holderId: 'e0',
     bootMs: 1,
     isProcessOver: () => false,
-    dutyHandoverMs: 3_000,
+    dutyHandoverMs: HANDOVER_MS,
     upkeepMs: 2_000,
   };
   const logger = new SilentLogger();
@@ -72,7 +76,7 @@
       });
     }
   };
-  return { fleet, orders, settle };
+  return { base, store, fleet, orders, settle };
 }
 
 describe('FleetOrders', () => {
@@ -85,7 +89,45 @@
       await settle();
       t.same(await Promise.all([upkeep, move]), ['accepted', 'busy']);
       t.same(fleet.orders, ['upkeep m0']);
-      t.ok(orders.hasUpkeepOrder('m0'));
+      t.ok(orders.mayBeInUpkeep('m0'));
+    });
+  });
+
+  describe('when a former holder has ordered lately', () => {
+    it('leaves its instances alone and orders the others at once', async (t) => {
+      // Fails if a new holder waits with all orders.
+      const { base, fleet, orders, settle } = await newRig();
+      orders.restoreDuty({ holderId: 'e1', bootMs: 1, instanceIds: ['m1'] });
+      const other = { ...INSTANCE, instanceId: 'm1' };
+      t.equal(await orders.move(other, 'x'), 'busy');
+      t.ok(orders.mayBeInUpkeep('m1'), 'the order that nobody here saw may be an upkeep');
+      const move = orders.move(INSTANCE, 'x');
+      await settle();
+      t.equal(await move, 'accepted');
+      base.advance(HANDOVER_MS);
+      t.ok(orders.isTaken('m1'), 'not before the platform time and a margin');
+      base.advance(1_000);
+      const late = orders.move(other, 'x');
+      await settle();
+      t.equal(await late, 'accepted');
+      t.same(fleet.orders, ['move m0 to x', 'move m1 to x']);
+    });
+
+    it('does not wait for a process that is over', async (t) => {
+      const { orders } = await newRig();
+      orders.restoreDuty({ holderId: 'e0', bootMs: 0, instanceIds: ['m0'] });
+      t.notOk(orders.isTaken('m0'));
+    });
+
+    it('passes what it has inherited on to its own successor', async (t) => {
+      const { orders, settle, store } = await newRig();
+      orders.restoreDuty({ holderId: 'e1', bootMs: 1, instanceIds: ['m1'] });
+      const move = orders.move(INSTANCE, 'x');
+      await settle();
+      await move;
+      const [record] = store.newest().records.filter(({ key }) => key === DUTY_KEY);
+      const duty = JSON.parse(String(record?.value)) as DutyRecord;
+      t.same([...duty.instanceIds].sort(), ['m0', 'm1']);
     });
   });
 
--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -1,7 +1,8 @@
 /**
  * The fleet's instances as last listed and the orders that are on their way to them. An order is
  * journaled before it leaves; only the owner of the journal orders, with its epoch as fencing
- * token, and only after the former owner's last order is long enough past.
+ * token. An instance that a former owner ordered lately is left alone for a while, because two
+ * holders must not take turns on it; the others can be ordered at once.
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
 import { type FleetFailure, type FleetInstance, type InstanceFleet } from './contracts/index.js';
@@ -26,11 +27,11 @@
   readonly sinceMs: number;
 }
 
-/** Who ordered last, and when. */
+/** Who orders, and which instances were ordered lately, by this holder or one before. */
 export interface DutyRecord {
   readonly holderId: string;
   readonly bootMs: number;
-  readonly lastOrderUnixMs: number;
+  readonly instanceIds: readonly string[];
 }
 
 export interface FleetOrdersOptions {
@@ -39,7 +40,7 @@
   readonly bootMs: number;
   /** Whether that process of an entry is certainly over. */
   readonly isProcessOver: (entryId: string, bootMs: number) => boolean;
-  /** Two holders keep at least this time between their orders, in milliseconds. */
+  /** Two holders keep at least this time between their orders to an instance, in milliseconds. */
   readonly dutyHandoverMs: number;
   readonly upkeepMs: number;
 }
@@ -61,15 +62,17 @@
 
   private readonly pending = new Map<string, PendingOrder>();
 
-  /** No order before this monotonic time. */
-  private notBeforeMs: number;
+  /** Monotonic time of the last order to an instance, own or inherited. */
+  private readonly orderedMs = new Map<string, number>();
+
+  /** Instances that a former holder ordered lately. */
+  private readonly inherited = new Set<string>();
 
   constructor(
     private readonly options: FleetOrdersOptions,
     private readonly deps: FleetOrdersDeps,
   ) {
     super();
-    this.notBeforeMs = deps.clock.monotonicMs();
   }
 
   get instances(): readonly FleetInstance[] {
@@ -86,24 +89,22 @@
 
   /** Whether orders may leave now. */
   get mayOrder(): boolean {
-    if (!this.isActive || this.listed.length === 0) return false;
-    return (
-      this.deps.clock.monotonicMs() >= this.notBeforeMs && this.deps.ownership.mayExtendLeases
-    );
+    return this.isActive && this.listed.length > 0 && this.deps.ownership.mayExtendLeases;
   }
 
   /**
-   * Takes up who ordered last and when. The record is durable before an order leaves, so nothing
-   * was ordered after it; the order itself took a moment. A holder whose process is over can't be
-   * heard of any more, so nobody has to wait for it.
+   * Takes up which instances a former holder ordered lately. The record is durable before an order
+   * leaves, so it names them all; how long ago that was is not asked, because clocks differ. A
+   * holder whose process is over can't be heard of any more, so nobody has to wait for it.
    */
-  restoreDuty(duty: DutyRecord): void {
-    const { clock } = this.deps;
-    const { holderId, bootMs, dutyHandoverMs } = this.options;
-    const isOver = duty.holderId === holderId && duty.bootMs !== bootMs;
-    if (isOver || this.options.isProcessOver(duty.holderId, duty.bootMs)) return;
-    const agoMs = Math.max(0, clock.unixMs() - duty.lastOrderUnixMs);
-    this.notBeforeMs = clock.monotonicMs() + dutyHandoverMs + HANDOVER_MARGIN_MS - agoMs;
+  restoreDuty({ holderId, bootMs, instanceIds }: DutyRecord): void {
+    const isOwnFormerLife = holderId === this.options.holderId && bootMs !== this.options.bootMs;
+    if (isOwnFormerLife || this.options.isProcessOver(holderId, bootMs)) return;
+    const nowMs = this.deps.clock.monotonicMs();
+    instanceIds.forEach((instanceId) => {
+      this.orderedMs.set(instanceId, nowMs);
+      this.inherited.add(instanceId);
+    });
   }
 
   get hasOrders(): boolean {
@@ -114,8 +115,17 @@
     return this.pending.has(instanceId);
   }
 
-  hasUpkeepOrder(instanceId: string): boolean {
-    return this.pending.get(instanceId)?.isUpkeep === true;
+  /** Whether the instance takes no order now: one is on its way, or a former holder's is recent. */
+  isTaken(instanceId: string): boolean {
+    if (this.pending.has(instanceId)) return true;
+    return this.inherited.has(instanceId) && this.isRecent(instanceId);
+  }
+
+  /** Whether the instance may be down for upkeep without the list showing it yet. */
+  mayBeInUpkeep(instanceId: string): boolean {
+    if (this.pending.get(instanceId)?.isUpkeep === true) return true;
+    // What a former holder ordered just before it ended may be an upkeep.
+    return this.inherited.has(instanceId) && this.isRecent(instanceId);
   }
 
   /** The pool that the instance is in, or will be once its order has been carried out. */
@@ -145,7 +155,7 @@
    */
   async move(instance: FleetInstance, poolId: string): Promise<OrderOutcome> {
     const { instanceId, targetId } = instance;
-    if (this.pending.has(instanceId)) return 'busy';
+    if (this.isTaken(instanceId)) return 'busy';
     const target = this.deps.targets.get(targetId);
     if (target) target.isReserved = true;
     this.note(instanceId, poolId, false);
@@ -160,7 +170,7 @@
   /** Takes the instance down for its upkeep; otherwise as a move. */
   async upkeep(instance: FleetInstance, waveId: number): Promise<OrderOutcome> {
     const { instanceId, poolId } = instance;
-    if (this.pending.has(instanceId)) return 'busy';
+    if (this.isTaken(instanceId)) return 'busy';
     this.note(instanceId, poolId, true);
     if (!(await this.journalDuty())) return 'not-sent';
     const done = await this.deps.fleet.upkeep(instanceId, waveId, this.duty);
@@ -195,15 +205,28 @@
 
   /** Journals that orders leave now; false if they must not. */
   private async journalDuty(): Promise<boolean> {
-    const { holderId, bootMs } = this.options;
     const outcome = await this.deps.ownership.writer.write(DUTY_KEY, () =>
-      Buffer.from(JSON.stringify({ holderId, bootMs, lastOrderUnixMs: this.deps.clock.unixMs() })),
+      Buffer.from(JSON.stringify(this.dutyRecord())),
     );
     return outcome === 'durable' && this.isActive;
   }
 
+  private dutyRecord(): DutyRecord {
+    const { holderId, bootMs } = this.options;
+    const instanceIds = [...this.orderedMs.keys()].filter((id) => this.isRecent(id));
+    return { holderId, bootMs, instanceIds };
+  }
+
+  private isRecent(instanceId: string): boolean {
+    const agoMs = this.deps.clock.monotonicMs() - (this.orderedMs.get(instanceId) ?? -Infinity);
+    return agoMs < this.options.dutyHandoverMs + HANDOVER_MARGIN_MS;
+  }
+
   private note(instanceId: string, poolId: string, isUpkeep: boolean): void {
-    this.pending.set(instanceId, { poolId, isUpkeep, sinceMs: this.deps.clock.monotonicMs() });
+    const nowMs = this.deps.clock.monotonicMs();
+    this.pending.set(instanceId, { poolId, isUpkeep, sinceMs: nowMs });
+    this.orderedMs.set(instanceId, nowMs);
+    this.inherited.delete(instanceId);
   }
 
   private conclude(
--- a/packages/coordinator/src/PoolSteward.ts
+++ b/packages/coordinator/src/PoolSteward.ts
@@ -275,7 +275,7 @@
 
   private isFree({ instanceId, state }: FleetInstance): boolean {
     if (state !== 'up' || this.promised.has(instanceId)) return false;
-    return !this.deps.orders.hasOrder(instanceId) && !this.deps.isReservedForUpkeep(instanceId);
+    return !this.deps.orders.isTaken(instanceId) && !this.deps.isReservedForUpkeep(instanceId);
   }
 
   private idleOf(poolId: string): FleetInstance[] {
--- a/packages/coordinator/src/UpkeepSteward.ts
+++ b/packages/coordinator/src/UpkeepSteward.ts
@@ -131,7 +131,7 @@
       poolId: instance.poolId,
       isEmpty: isSpare || (target?.isReserved === true && target.runs.size === 0),
       isReserved: this.reserved.has(instance.instanceId),
-      isBusy: instance.state !== 'up' || this.deps.orders.hasOrder(instance.instanceId),
+      isBusy: instance.state !== 'up' || this.deps.orders.isTaken(instance.instanceId),
       runCount: target?.runs.size ?? 0,
       isSpare,
     };
@@ -173,7 +173,7 @@
     return orders.instances
       .filter(({ instanceId, state }) => {
         if (!wave.instanceIds.includes(instanceId)) return false;
-        return state === 'upkeep' || orders.hasUpkeepOrder(instanceId);
+  return state === 'upkeep' || orders.mayBeInUpkeep(instanceId);
       })
       .map(({ instanceId }) => instanceId);
   }
