--- a/packages/coordinator/src/FleetOrders.test.ts
+++ b/packages/coordinator/src/FleetOrders.test.ts
@@ -97,7 +97,7 @@
     it('leaves its instances alone and orders the others at once', async (t) => {
       // Fails if a new holder waits with all orders.
       const { base, fleet, orders, settle } = await newRig();
-      orders.restoreDuty({ holderId: 'e1', bootMs: 1, instanceIds: ['m1'] });
+      orders.restoreDuty({ holderId: 'e1', bootMs: 1, orders: [{ instanceId: 'm1', agoMs: 0 }] });
       const other = { ...INSTANCE, instanceId: 'm1' };
       t.equal(await orders.move(other, 'x'), 'busy');
       t.ok(orders.mayBeInUpkeep('m1'), 'the order that nobody here saw may be an upkeep');
@@ -113,21 +113,34 @@
       t.same(fleet.orders, ['move m0 to x', 'move m1 to x']);
     });
 
+    it('waits less for an order that was old when it was journaled', async (t) => {
+      const { base, orders } = await newRig();
+      orders.restoreDuty({
+        holderId: 'e1',
+        bootMs: 1,
+        orders: [{ instanceId: 'm0', agoMs: HANDOVER_MS }],
+      });
+      t.ok(orders.isTaken('m0'));
+      base.advance(600);
+      t.notOk(orders.isTaken('m0'));
+    });
+
     it('does not wait for a process that is over', async (t) => {
       const { orders } = await newRig();
-      orders.restoreDuty({ holderId: 'e0', bootMs: 0, instanceIds: ['m0'] });
+      orders.restoreDuty({ holderId: 'e0', bootMs: 0, orders: [{ instanceId: 'm0', agoMs: 0 }] });
       t.notOk(orders.isTaken('m0'));
     });
 
     it('passes what it has inherited on to its own successor', async (t) => {
       const { orders, settle, store } = await newRig();
-      orders.restoreDuty({ holderId: 'e1', bootMs: 1, instanceIds: ['m1'] });
+      orders.restoreDuty({ holderId: 'e1', bootMs: 1, orders: [{ instanceId: 'm1', agoMs: 0 }] });
       const move = orders.move(INSTANCE, 'x');
       await settle();
       await move;
       const [record] = store.newest().records.filter(({ key }) => key === DUTY_KEY);
       const duty = JSON.parse(String(record?.value)) as DutyRecord;
-      t.same([...duty.instanceIds].sort(), ['m0', 'm1']);
+      t.same(duty.orders.map(({ instanceId }) => instanceId).sort(), ['m0', 'm1']);
+      t.ok(duty.orders.every(({ agoMs }) => agoMs >= 0 && agoMs < 200));
     });
   });
 
--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -18,6 +18,9 @@
 /** After the former owner's orders, beyond the platform's own time, in milliseconds. */
 const HANDOVER_MARGIN_MS = 500;
 
+/** Between two records of how old the recent orders are, in milliseconds. */
+const DUTY_REFRESH_MS = 500;
+
 /** An order that the list has not shown by then is forgotten, in milliseconds. */
 const ORDER_MEMORY_MS = 10_000;
 
@@ -27,11 +30,17 @@
   readonly sinceMs: number;
 }
 
+/** An order to an instance, and how long ago it left when the record was written. */
+export interface RecentOrder {
+  readonly instanceId: string;
+  readonly agoMs: number;
+}
+
 /** Who orders, and which instances were ordered lately, by this holder or one before. */
 export interface DutyRecord {
   readonly holderId: string;
   readonly bootMs: number;
-  readonly instanceIds: readonly string[];
+  readonly orders: readonly RecentOrder[];
 }
 
 export interface FleetOrdersOptions {
@@ -62,6 +71,8 @@
 
   private readonly pending = new Map<string, PendingOrder>();
 
+  private dutyWrittenMs = -Infinity;
+
   /** Monotonic time of the last order to an instance, own or inherited. */
   private readonly orderedMs = new Map<string, number>();
 
@@ -94,15 +105,15 @@
 
   /**
    * Takes up which instances a former holder ordered lately. The record is durable before an order
-   * leaves, so it names them all; how long ago that was is not asked, because clocks differ. A
-   * holder whose process is over can't be heard of any more, so nobody has to wait for it.
+   * leaves, so it names them all. Ages are the former holder's own, as of the record: wall clocks
+   * differ. A holder whose process is over can't be heard of any more, so nobody waits for it.
    */
-  restoreDuty({ holderId, bootMs, instanceIds }: DutyRecord): void {
+  restoreDuty({ holderId, bootMs, orders }: DutyRecord): void {
     const isOwnFormerLife = holderId === this.options.holderId && bootMs !== this.options.bootMs;
     if (isOwnFormerLife || this.options.isProcessOver(holderId, bootMs)) return;
     const nowMs = this.deps.clock.monotonicMs();
-    instanceIds.forEach((instanceId) => {
-      this.orderedMs.set(instanceId, nowMs);
+    orders.forEach(({ instanceId, agoMs }) => {
+      this.orderedMs.set(instanceId, nowMs - agoMs);
       this.inherited.add(instanceId);
     });
   }
@@ -133,6 +144,14 @@
     return this.pending.get(instanceId)?.poolId ?? poolId;
   }
 
+  /** Journals how old the recent orders are by now, so that a successor waits no longer than need be. */
+  refreshDuty(): void {
+    const nowMs = this.deps.clock.monotonicMs();
+    const hasRecent = [...this.orderedMs.keys()].some((instanceId) => this.isRecent(instanceId));
+    if (!hasRecent || nowMs - this.dutyWrittenMs < DUTY_REFRESH_MS) return;
+    void this.journalDuty();
+  }
+
   /** Reads the list again if it is due. */
   async refresh(): Promise<void> {
     const { clock, fleet, logger } = this.deps;
@@ -205,6 +224,7 @@
 
   /** Journals that orders leave now; false if they must not. */
   private async journalDuty(): Promise<boolean> {
+    this.dutyWrittenMs = this.deps.clock.monotonicMs();
     const outcome = await this.deps.ownership.writer.write(DUTY_KEY, () =>
       Buffer.from(JSON.stringify(this.dutyRecord())),
     );
@@ -213,8 +233,11 @@
 
   private dutyRecord(): DutyRecord {
     const { holderId, bootMs } = this.options;
-    const instanceIds = [...this.orderedMs.keys()].filter((id) => this.isRecent(id));
-    return { holderId, bootMs, instanceIds };
+    const nowMs = this.deps.clock.monotonicMs();
+    const orders = [...this.orderedMs]
+      .filter(([instanceId]) => this.isRecent(instanceId))
+      .map(([instanceId, orderedMs]) => ({ instanceId, agoMs: Math.floor(nowMs - orderedMs) }));
+    return { holderId, bootMs, orders };
   }
 
   private isRecent(instanceId: string): boolean {
--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -86,6 +86,7 @@
   private async round(): Promise<void> {
     await this.orders.refresh();
     if (!this.orders.mayOrder) return;
+    this.orders.refreshDuty();
     this.upkeep.work(this.deps.waves());
     this.pools.work();
   }
