--- a/packages/coordinator/src/FleetOrders.test.ts
+++ b/packages/coordinator/src/FleetOrders.test.ts
@@ -55,7 +55,8 @@
   const store = new SimulatedStore(base, new Random(1));
   const faults = { isDown: false, lostAnswerShare: 0, latencyMs: 0 };
   const owned = { epoch: 0, nextOffset: 0, records: [] };
-  const ownership = new Ownership(new SimulatedLog(store, clock, faults), owned, clock);
+  const log = new SimulatedLog(store, clock, faults);
+  const ownership = new Ownership(log, owned, { entryId: 'e0', bootMs: 1 }, clock);
   const targets = new TargetTable({ mostLeaseMs: 6_000, inheritedUntilMs: 0 });
   const fleet = new RecordingFleet();
   const options = {
--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -14,6 +14,23 @@
 /** An append that takes longer than this means the store can't be counted on, in milliseconds. */
 const STORE_STALL_MS = 1_000;
 
+/** The record in which each owner names itself, before anything else of its period. */
+export const INCUMBENT_KEY = 'incumbent';
+
+/** The owner whose period wrote the newest records. */
+export interface Incumbent {
+  readonly entryId: string;
+  /** Start of its process, Unix milliseconds. */
+  readonly bootMs: number;
+  readonly epoch: number;
+}
+
+/** The owner before the claim that `owned` stands for, as far as it has written anything. */
+export function incumbentOf({ records }: OwnedJournal): Incumbent | undefined {
+  const value = records.find(({ key }) => key === INCUMBENT_KEY)?.value;
+  return value ? (JSON.parse(value.toString('utf8')) as Incumbent) : undefined;
+}
+
 /** A wall clock that ran ahead of the steady one by this much means a suspension. */
 const SUSPENSION_MS = 300;
 
@@ -31,15 +48,20 @@
 
   private ended = false;
 
+  /** Whether a successor would find out whose period this is. */
+  private isNamed = false;
+
   constructor(
     log: RecordLog,
     owned: OwnedJournal,
+    holder: Omit<Incumbent, 'epoch'>,
     private readonly clock: Clock,
   ) {
     super();
     this.epoch = owned.epoch;
     this.writer = this.register(new JournalWriter(log, owned, clock));
     this.writer.onLost(() => this.end('journal-lost'));
+    this.writeName(holder);
   }
 
   get isActive(): boolean {
@@ -51,15 +73,27 @@
     return this.writer.stalledMs < STORE_STALL_MS;
   }
 
-  /** Whether leases may be extended; also false right after a suspension. */
+  /**
+   * Whether leases may be extended: not before a successor would know of this period, not long
+   * after the last proof of it, and not right after a suspension.
+   */
   get mayExtendLeases(): boolean {
-    if (this.ended) return false;
+    if (this.ended || !this.isNamed) return false;
     const steadyMs = this.clock.monotonicMs() - this.writer.lastDurableMs;
     const wallMs = this.clock.unixMs() - this.writer.lastDurableUnixMs;
     if (wallMs - steadyMs > SUSPENSION_MS) return false;
     return steadyMs < EXTENSION_BOUND_MS;
   }
 
+  private writeName(holder: Omit<Incumbent, 'epoch'>): void {
+    const named = this.writer.write(INCUMBENT_KEY, () =>
+      Buffer.from(JSON.stringify({ ...holder, epoch: this.epoch })),
+    );
+    void named.then((outcome) => {
+      this.isNamed = outcome === 'durable';
+    });
+  }
+
   end(reason: OwnershipEnd): void {
     if (this.ended) return;
     this.ended = true;
--- a/packages/coordinator/src/testing/SimulatedGroup.ts
+++ b/packages/coordinator/src/testing/SimulatedGroup.ts
@@ -6,7 +6,7 @@
   type OwnerNotice,
   OwnershipGroup,
 } from '@acaciadock/journal';
-import { ok, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { type PausableClock } from './PausableClock.js';
 import { type SimulatedStore, type StoreFaults } from './SimulatedStore.js';
 
@@ -32,7 +32,10 @@
   }
 
   override announce(notice: OwnerNotice): Promise<Result<void, LogFailure>> {
-    return this.store.call(this.clock, this.faults, () => ok(this.store.announce(notice)));
+    return this.store.call(this.clock, this.faults, () => {
+      if (this.store.faults.losesNotices) return err({ kind: 'rejected', detail: 'lost' });
+      return ok(this.store.announce(notice));
+    });
   }
 
   override announced(): Promise<Result<OwnerNotice | undefined, LogFailure>> {
--- a/packages/coordinator/src/testing/SimulatedStore.ts
+++ b/packages/coordinator/src/testing/SimulatedStore.ts
@@ -23,6 +23,8 @@
   isDown: boolean;
   lostAnswerShare: number;
   latencyMs: number;
+  /** Announcements of owners get lost. */
+  losesNotices?: boolean;
 }
 
 export class SimulatedStore {
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -4,7 +4,7 @@
  * the group is dealt anew.
  */
 import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
-import { Ownership } from '@acaciadock/coordinator';
+import { type Incumbent, incumbentOf, Ownership } from '@acaciadock/coordinator';
 import {
   CLAIM_KEY,
   type GroupMember,
@@ -283,8 +283,9 @@
 
   private own(owned: OwnedJournal): void {
     const { clock, log, logger } = this.deps;
-    const isFormerOwnerOver = this.isFormerOwnerOver();
-    const ownership = new Ownership(log, owned, clock);
+    const isFormerOwnerOver = this.isOver(incumbentOf(owned));
+    const { entryId, bootMs } = this.self;
+    const ownership = new Ownership(log, owned, { entryId, bootMs }, clock);
     this.ownership = ownership;
     ownership.onEnd((reason) => {
       logger.info('ownership-ended', { epoch: owned.epoch, reason });
@@ -303,11 +304,16 @@
     }
   }
 
-  /** Whether the owner before this claim has stopped for certain; known from what it announced. */
-  private isFormerOwnerOver(): boolean {
+  /**
+   * Whether the owner before this claim has stopped for certain: its process is over, or it has
+   * announced the release of that very period. An owner that never got to announce itself counts
+   * by what it wrote into the journal.
+   */
+  private isOver(former: Incumbent | undefined): boolean {
+    if (!former || this.isProcessOver(former.entryId, former.bootMs)) return true;
+    const isOwn = former.entryId === this.self.entryId && former.bootMs === this.self.bootMs;
     const { notice } = this;
-    if (!notice || notice.isReleased || isSameMember(notice.owner, this.self)) return true;
-    return this.isProcessOver(notice.owner.entryId, notice.owner.bootMs);
+    return isOwn || (notice?.isReleased === true && notice.epoch === former.epoch);
   }
 
   private noticeOf({ epoch }: Ownership, isReleased: boolean): OwnerNotice {
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -134,6 +134,32 @@
     });
   });
 
+  describe('when an owner could never announce itself', () => {
+    it('its extensions of leases are waited for all the same', async (t) => {
+      // Fails if the former owner is taken from the announcements: the last one is a release.
+      const world = await newWorld({ targetCount: 2, runtimeMs: 30_000 });
+      const first = world.ownerId() ?? '';
+      const leaving = world.entries.get(first)?.leave();
+      await world.runUntil(() => world.store.announced?.isReleased === true, 1_000);
+      world.store.faults.losesNotices = true;
+      await world.run(20);
+      await leaving;
+      world.killEntry(first);
+      await world.runUntil(() => world.owner !== undefined, 3_000);
+      const silent = world.ownerId() ?? '';
+      await submit(world, 'a');
+      await world.run(200);
+      const busy = [...world.targets.values()].find((target) => target.runningCount > 0);
+      Object.assign(world.entries.get(silent)?.storeFaults ?? {}, { isDown: true });
+      world.entries.forEach((entry, entryId) => {
+        if (entryId !== silent) entry.portFaults.cutTargets.add(busy?.targetId ?? '');
+      });
+      await world.run(12_000);
+      t.ok([...world.entries].some(([entryId, entry]) => entryId !== silent && entry.isOwner));
+      t.same(world.observer.broken, [], 'no task beside another run of it');
+    });
+  });
+
   describe('when the store turns the owner and another entry away', () => {
     it('the other entry learns from its peers who the new owner is', async (t) => {
       // Fails if an entry learns of the owner only from the store.
