--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -34,7 +34,7 @@
 /** A wall clock that ran ahead of the steady one by this much means a suspension. */
 const SUSPENSION_MS = 300;
 
-export type OwnershipEnd = 'journal-lost' | 'fenced' | 'shutdown';
+export type OwnershipEnd = 'journal-lost' | 'fenced' | 'shutdown' | 'handover';
 
 export class Ownership extends Disposable {
   readonly writer: JournalWriter;
--- a/packages/coordinator/src/RunBook.ts
+++ b/packages/coordinator/src/RunBook.ts
@@ -141,7 +141,8 @@
     const verdict = RunBook.verdictOf(place);
     if (verdict) return this.finishJob(entry, verdict);
     if (place.task.done) this.stopCopies(place);
-    if (place.step.isDone) this.logger.info('step-done', { jobId: job.jobId, stepId: place.step.stepId });
+    if (place.step.isDone)
+      this.logger.info('step-done', { jobId: job.jobId, stepId: place.step.stepId });
     this.changeEmitter.fire(entry);
     return this.jobs.writeProgress(entry);
   }
--- a/packages/coordinator/src/UpkeepSteward.ts
+++ b/packages/coordinator/src/UpkeepSteward.ts
@@ -173,7 +173,7 @@
     return orders.instances
       .filter(({ instanceId, state }) => {
         if (!wave.instanceIds.includes(instanceId)) return false;
-  return state === 'upkeep' || orders.mayBeInUpkeep(instanceId);
+        return state === 'upkeep' || orders.mayBeInUpkeep(instanceId);
       })
       .map(({ instanceId }) => instanceId);
   }
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -40,6 +40,10 @@
 /** After an outage of the store the others get this long to rejoin before anyone claims. */
 const REJOIN_GRACE_MS = 700;
 
+/** An owner hands over to a member with this many times its processor, after this many ms. */
+const MUCH_STRONGER = 1.5;
+const HANDOVER_AFTER_MS = 1_500;
+
 /** Nobody claims sooner after its start, in milliseconds, unless there has been an owner before. */
 const FIRST_CLAIM_AFTER_MS = 900;
 
@@ -133,13 +137,7 @@
   /** Gives up the journal and leaves the group, so that the successor claims at once. */
   async leave(): Promise<void> {
     this.dispose();
-    const { ownership } = this;
-    if (ownership?.isActive) {
-      const flushed = ownership.writer.write(CLAIM_KEY, () => this.claimValue());
-      await Promise.race([flushed, this.deps.clock.sleep(FLUSH_WAIT_MS)]);
-      ownership.end('shutdown');
-      await this.deps.group.announce(this.noticeOf(ownership, true));
-    }
+    await this.release('shutdown');
     await this.deps.group.leave(this.self);
   }
 
@@ -222,8 +220,35 @@
       this.deps.logger.info('group-changed', { ...this.view });
       await this.listMembers();
     }
-    if (this.isOwner) this.proveOwnership();
-    else await this.watchOwner(changed);
+    if (!this.isOwner) await this.watchOwner(changed);
+    else if (this.hasMuchStrongerPeer) await this.handOver();
+    else this.proveOwnership();
+  }
+
+  /** Ends the ownership, if any, once what is being journaled is durable. */
+  private async release(reason: 'shutdown' | 'handover'): Promise<void> {
+    const { ownership } = this;
+    if (!ownership?.isActive) return;
+    const flushed = ownership.writer.write(CLAIM_KEY, () => this.claimValue());
+    await Promise.race([flushed, this.deps.clock.sleep(FLUSH_WAIT_MS)]);
+    ownership.end(reason);
+    this.notice = this.noticeOf(ownership, true);
+    await this.deps.group.announce(this.notice);
+  }
+
+  /** Whether a member could do the work of all pools much better. */
+  private get hasMuchStrongerPeer(): boolean {
+    const ownedMs = this.deps.clock.monotonicMs() - this.lastClaimMs;
+    if (ownedMs < HANDOVER_AFTER_MS) return false;
+    const successor = Succession.successor(this.members, this.self);
+    return (successor?.cpuMilli ?? 0) >= this.self.cpuMilli * MUCH_STRONGER;
+  }
+
+  /** Leaving and joining again tells everybody that there is something to take over. */
+  private async handOver(): Promise<void> {
+    this.deps.logger.info('handover', { cpuMilli: this.self.cpuMilli });
+    await this.release('handover');
+    await this.deps.group.leave(this.self);
   }
 
   /** An acknowledged append is the only proof that nobody else has claimed. */
@@ -237,7 +262,8 @@
   private async watchOwner(changed: boolean): Promise<void> {
     const nowMs = this.deps.clock.monotonicMs();
     const isDue = changed || this.notice === undefined || nowMs - this.lastCheckMs > OWNER_CHECK_MS;
-    const isOwnNotice = this.notice !== undefined && isSameMember(this.notice.owner, this.self);
+    const isOwnNotice =
+      this.notice?.isReleased === false && isSameMember(this.notice.owner, this.self);
     if (!this.isSuccessor && !isOwnNotice) {
       if (changed || this.notice === undefined) void this.refreshOwner();
       return;
--- a/packages/jobdesk/src/PeerCalls.ts
+++ b/packages/jobdesk/src/PeerCalls.ts
@@ -22,7 +22,12 @@
 };
 
 const noticeSchema = z.object({
-  owner: z.object({ entryId: z.string(), bootMs: z.number(), peerAddress: z.string(), cpuMilli: z.number() }),
+  owner: z.object({
+    entryId: z.string(),
+    bootMs: z.number(),
+    peerAddress: z.string(),
+    cpuMilli: z.number(),
+  }),
   epoch: z.number(),
   isReleased: z.boolean(),
 });
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -134,6 +134,36 @@
     });
   });
 
+  describe('when the owner is much weaker than another entry', () => {
+    it('it hands over, once, and running work goes on', async (t) => {
+      const world = await newWorld({ runtimeMs: 4_000 });
+      const weak = world.ownerId() ?? '';
+      await submit(world, 'a');
+      world.startEntry('strong', 2_000);
+      const startedMs = world.clock.monotonicMs();
+      t.ok(
+        await world.runUntil(() => world.ownerId() === 'strong', 5_000),
+        `${weak} has handed over`,
+      );
+      t.ok(world.clock.monotonicMs() - startedMs < 3_000);
+      await assertCompletes(t, world, ['a']);
+      t.equal(world.observer.startsOf('a.0.0.0'), 1);
+      t.equal(world.ownerId(), 'strong');
+    });
+
+    it('the gap between the two is short', async (t) => {
+      const world = await newWorld();
+      world.startEntry('strong', 2_000);
+      let gapMs = 0;
+      for (let elapsedMs = 0; elapsedMs < 4_000; elapsedMs += 20) {
+        await world.run(20);
+        if (world.owner === undefined) gapMs += 20;
+      }
+      t.equal(world.ownerId(), 'strong');
+      t.ok(gapMs <= 400, `${gapMs} ms without an owner`);
+    });
+  });
+
   describe('when an owner could never announce itself', () => {
     it('its extensions of leases are waited for all the same', async (t) => {
       // Fails if the former owner is taken from the announcements: the last one is a release.
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -52,6 +52,8 @@
   readonly steps: readonly z.input<typeof stepSpecSchema>[];
 }
 
+const ENTRY_CPU_MILLI = 675;
+
 const POOL_ID = 'pool';
 const SPARE_POOL_ID = 'spare';
 const QUEUE_ID = 'queue';
@@ -112,8 +114,8 @@
     return [...this.entries.values()].find((entry) => entry.isOwner);
   }
 
-  startEntry(entryId: string): SimulatedEntry {
-    const entry = new SimulatedEntry(entryId, this);
+  startEntry(entryId: string, cpuMilli = ENTRY_CPU_MILLI): SimulatedEntry {
+    const entry = new SimulatedEntry(entryId, this, cpuMilli);
     this.entries.set(entryId, entry);
     return entry;
   }
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -54,12 +54,13 @@
   constructor(
     entryId: string,
     private readonly around: SimulatedSurroundings,
+    cpuMilli: number,
   ) {
     const { clock: base, store, random, targets, config } = around;
     this.clock = new PausableClock(base);
     const { clock } = this;
     const logger = new SilentLogger();
-    const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1`, cpuMilli: 675 };
+    const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1`, cpuMilli };
     this.election = new Election(self, {
       group: new SimulatedGroup(store, clock, this.storeFaults),
       peers: { ask: (address) => this.askPeer(address) },
--- a/packages/placement/src/RoomBound.ts
+++ b/packages/placement/src/RoomBound.ts
@@ -27,8 +27,6 @@
 
   /** Whether nothing but room can have been the reason. */
   private static isPlain(step: StepSpec): boolean {
-    return (
-      !step.filler && !step.gang && step.requiredLabel === '' && step.mostPerTarget === 0
-    );
+    return !step.filler && !step.gang && step.requiredLabel === '' && step.mostPerTarget === 0;
   }
 }
