--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -5,7 +5,7 @@
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
 import { SLOWEST_CLOCK_RATE, type TargetPort } from '@acaciadock/execution';
 import { type JobDefinition, type JobsConfigView } from '@acaciadock/jobs';
-import { type OwnedJournal } from '@acaciadock/journal';
+import { type CommitOutcome, type OwnedJournal } from '@acaciadock/journal';
 import { RuntimeEstimates, ShareMeter } from '@acaciadock/placement';
 import {
   type AdviceService,
@@ -42,6 +42,9 @@
 /** Callers are told to come back after this, in milliseconds: a change of owner takes about it. */
 const RETRY_AFTER_MS = 1_000;
 
+/** A caller is told that the outcome is unknown after this wait for the store, in milliseconds. */
+const COMMIT_WAIT_MS = 1_500;
+
 /** Restart pause of a task that lasts after its first failure; doubles up to the largest. */
 const RESTART_PAUSE_MS = 100;
 const LARGEST_RESTART_PAUSE_MS = 1_600;
@@ -314,7 +317,7 @@
     if (!known && !ownership.isStoreResponsive) return Coordinator.refuse('store-stalled');
     const entry = known ?? this.accept(this.definitionOf(call));
     const startedMs = clock.monotonicMs();
-    const outcome = await entry.acceptance;
+    const outcome = await this.within(entry.acceptance);
     logger.info('job-accepted', {
       jobId: call.jobId,
       queueId: call.context.queueId,
@@ -328,6 +331,18 @@
     return { kind: 'unknown-outcome', reason: outcome };
   }
 
+  /** The outcome, or that it is not known yet: a caller is not kept until its time is over. */
+  private within(commit: Promise<CommitOutcome>): Promise<CommitOutcome | 'store-stalled'> {
+    const { clock } = this.deps;
+    return new Promise((resolve) => {
+      const timer = clock.after(COMMIT_WAIT_MS, () => resolve('store-stalled'));
+      void commit.then((outcome) => {
+        timer.dispose();
+        resolve(outcome);
+      });
+    });
+  }
+
   private accept(definition: JobDefinition): JobEntry {
     const entry = this.jobs.accept(definition);
     this.openDue(entry);
@@ -360,25 +375,31 @@
 
   private async cancel(jobId: string, teamId: string): Promise<JobReply> {
     const entry = this.visible(jobId, teamId);
-    if (!entry) return { kind: 'unknown-job' };
+    if (!entry) return this.unknownJob();
     if (entry.job.isFinished && !entry.cancellation) return { kind: 'cancelled' };
     if (!entry.cancellation) {
       if (!this.deps.ownership.isStoreResponsive) return Coordinator.refuse('store-stalled');
       entry.cancellation = this.book.finishJob(entry, 'cancelled');
     }
-    const outcome = await entry.cancellation;
+    const outcome = await this.within(entry.cancellation);
     if (outcome === 'durable') return { kind: 'cancelled' };
     return { kind: 'unknown-outcome', reason: outcome };
   }
 
   private state(jobId: string, teamId: string): JobReply {
     const entry = this.visible(jobId, teamId);
-    if (!entry) return { kind: 'unknown-job' };
+    if (!entry) return this.unknownJob();
     const { job, shownStatus } = entry;
     const isShown = shownStatus === job.status || job.isFinished;
     return { kind: 'state', status: isShown ? shownStatus : job.status };
   }
 
+  /** An owner that the store turns away may have a successor that has accepted the job. */
+  private unknownJob(): JobReply {
+    if (this.deps.ownership.isProven) return { kind: 'unknown-job' };
+    return Coordinator.refuse('ownership-unproven');
+  }
+
   private waiting(queueId: string): JobReply {
     let count = 0;
     for (const { job } of this.jobs.activeJobs) {
--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -11,6 +11,12 @@
  */
 export const EXTENSION_BOUND_MS = 4_000;
 
+/**
+ * A job that is not known here may be called unknown this long after the last acknowledged append,
+ * in milliseconds: an idle owner proves itself every second.
+ */
+const PROOF_BOUND_MS = 2_000;
+
 /** An append that takes longer than this means the store can't be counted on, in milliseconds. */
 const STORE_STALL_MS = 1_000;
 
@@ -34,7 +40,7 @@
 /** A wall clock that ran ahead of the steady one by this much means a suspension. */
 const SUSPENSION_MS = 300;
 
-export type OwnershipEnd = 'journal-lost' | 'fenced' | 'shutdown' | 'handover';
+export type OwnershipEnd = 'journal-lost' | 'fenced' | 'shutdown' | 'handover' | 'superseded';
 
 export class Ownership extends Disposable {
   readonly writer: JournalWriter;
@@ -68,6 +74,11 @@
     return !this.ended;
   }
 
+  /** Whether nobody else can have accepted work that is unknown here, but for the last moment. */
+  get isProven(): boolean {
+    return this.isProvenWithin(PROOF_BOUND_MS);
+  }
+
   /** Whether the store acknowledges promptly enough to accept work. */
   get isStoreResponsive(): boolean {
     return this.writer.stalledMs < STORE_STALL_MS;
@@ -78,11 +89,15 @@
    * after the last proof of it, and not right after a suspension.
    */
   get mayExtendLeases(): boolean {
-    if (this.ended || !this.isNamed) return false;
+    return this.isNamed && this.isProvenWithin(EXTENSION_BOUND_MS);
+  }
+
+  private isProvenWithin(boundMs: number): boolean {
+    if (this.ended) return false;
     const steadyMs = this.clock.monotonicMs() - this.writer.lastDurableMs;
     const wallMs = this.clock.unixMs() - this.writer.lastDurableUnixMs;
     if (wallMs - steadyMs > SUSPENSION_MS) return false;
-    return steadyMs < EXTENSION_BOUND_MS;
+    return steadyMs < boundMs;
   }
 
   private writeName(holder: Omit<Incumbent, 'epoch'>): void {
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -184,6 +184,7 @@
     const isNews = notice.epoch > formerEpoch || (isRelease && notice.epoch === formerEpoch);
     if (!isNews) return;
     this.notice = notice;
+    if (this.ownership && notice.epoch > this.ownership.epoch) this.ownership.end('superseded');
     this.deps.logger.info('owner-known', {
       owner: notice.owner.entryId,
       epoch: notice.epoch,
@@ -213,7 +214,11 @@
     const view = await this.deps.group.join(this.self);
     if (this.isDisposed) return;
     this.noteStore(view.isOk(), view.isErr() ? view.error.kind : '');
-    if (view.isErr()) return;
+    if (view.isErr()) {
+      // The store may serve the others, and they may have a new owner.
+      if (this.isOwner) void this.askPeers();
+      return;
+    }
     const changed = view.value.generation !== this.view.generation;
     this.view = view.value;
     if (changed) {
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -3,10 +3,11 @@
  * coordinators against stand-ins in virtual time.
  */
 import { describe, it } from '@acaciadock/core/testing';
-import { type stepSpecSchema } from '@acaciadock/jobs';
+import { jobSpecSchema, type stepSpecSchema } from '@acaciadock/jobs';
 import { type Test } from 'tap';
 import { type z } from 'zod';
 import { DEFAULT_WORLD, JobWorld, type JobWorldOptions } from './testing/JobWorld.js';
+import { type SimulatedEntry } from './testing/SimulatedEntry.js';
 
 type StepWish = z.input<typeof stepSpecSchema>;
 
@@ -211,6 +212,57 @@
     });
   });
 
+  describe('when an owner that is cut off from the store has a successor', () => {
+    async function newCutWorld(): Promise<{ world: JobWorld; former: SimulatedEntry }> {
+      const world = await newWorld({ entryCount: 4 });
+      await world.run(1_000);
+      const formerId = world.ownerId() ?? '';
+      const former = world.entries.get(formerId);
+      if (!former) throw new Error('no owner');
+      Object.assign(former.storeFaults, { isDown: true });
+      await world.runUntil(
+        () => [...world.entries].some(([id, entry]) => id !== formerId && entry.isOwner),
+        5_000,
+      );
+      return { world, former };
+    }
+
+    it('it steps down once its peers know the successor', async (t) => {
+      // Soak seed 22: it answered 410 for jobs of its successor for 5 s.
+      const { world, former } = await newCutWorld();
+      t.ok(await world.runUntil(() => !former.isOwner, 1_000));
+      t.same(world.observer.broken, []);
+    });
+
+    it('it calls no job unknown that its successor may have accepted', async (t) => {
+      const world = await newWorld();
+      const formerId = world.ownerId() ?? '';
+      const former = world.entries.get(formerId);
+      Object.assign(former?.storeFaults ?? {}, { isDown: true });
+      former?.isolate();
+      await world.run(2_500);
+      const asked = former?.call({ kind: 'state', context: JobWorld.context(), jobId: 'b' });
+      await world.run(20);
+      t.match(await asked, { kind: 'refused', reason: 'ownership-unproven' });
+    });
+
+    it('it tells callers within two seconds that the outcome is unknown', async (t) => {
+      const world = await newWorld();
+      const former = world.entries.get(world.ownerId() ?? '');
+      Object.assign(former?.storeFaults ?? {}, { isDown: true });
+      former?.isolate();
+      const submitted = former?.call({
+        kind: 'submit',
+        context: JobWorld.context(),
+        jobId: 'b',
+        spec: jobSpecSchema.parse({ spec: '', steps: ONE_STEP }),
+      });
+      await world.run(2_000);
+      const reply = await Promise.race([submitted, Promise.resolve('still waiting')]);
+      t.match(reply, { kind: 'unknown-outcome' });
+    });
+  });
+
   describe('when the store is away for all', () => {
     it('running work goes on and ends are told afterwards', async (t) => {
       const world = await newWorld({ runtimeMs: 1_000 });
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -196,7 +196,7 @@
     );
   }
 
-  private static context(): CallContext {
+  static context(): CallContext {
     return {
       access: { host: 'h', path: '/', key: 'key' },
       configVersion: 1,
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -51,6 +51,8 @@
 
   private coordinator: Coordinator | undefined;
 
+  private isIsolated = false;
+
   constructor(
     entryId: string,
     private readonly around: SimulatedSurroundings,
@@ -121,6 +123,11 @@
     return this.election.refreshOwner();
   }
 
+  /** No peer answers it any more. */
+  isolate(): void {
+    this.isIsolated = true;
+  }
+
   kill(): void {
     this.clock.kill();
   }
@@ -134,7 +141,9 @@
     const peer = [...this.around.entries].find(([entryId]) => address === `${entryId}:1`)?.[1];
     return new Promise((resolve) => {
       this.clock.after(PEER_LATENCY_MS, () => {
-        resolve(peer && !peer.clock.isPaused ? peer.election.knownNotice : undefined);
+        resolve(
+          peer && !this.isIsolated && !peer.clock.isPaused ? peer.election.knownNotice : undefined,
+        );
       });
     });
   }
--- a/packages/journal/src/OwnershipGroup.ts
+++ b/packages/journal/src/OwnershipGroup.ts
@@ -45,9 +45,3 @@
   /** The newest announcement; undefined if there has been none. */
   abstract announced(): Promise<Result<OwnerNotice | undefined, LogFailure>>;
 }
-
-/** Asks another entry, past the store, who owns the journal as far as it knows. */
-export abstract class PeerNotices {
-  /** Undefined if the peer does not answer or knows of no owner. */
-  abstract ask(peerAddress: string): Promise<OwnerNotice | undefined>;
-}
