--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -16,6 +16,7 @@
 } from './contracts/index.js';
 import { FleetSteward, type FleetStewardOptions } from './FleetSteward.js';
 import { type FleetTarget } from './FleetTarget.js';
+import { DemandMeter } from './DemandMeter.js';
 import { HealthWatch } from './HealthWatch.js';
 import { type JobEntry } from './JobEntry.js';
 import { type JobCall, type JobReply, type JobService, type SubmitCall } from './JobService.js';
@@ -83,6 +84,8 @@
 
   readonly scheduler: JobScheduler;
 
+  private readonly demand: DemandMeter;
+
   private readonly steward: FleetSteward | undefined;
 
   private readonly tickets: TicketBook;
@@ -117,6 +120,7 @@
     this.health = this.register(
       new HealthWatch({ targets: this.targets, book: this.book, estimates, clock, logger }),
     );
+    this.demand = new DemandMeter(estimates, clock);
     this.scheduler = this.register(
       new JobScheduler({
         jobs: this.jobs,
@@ -124,6 +128,7 @@
         usage: this.usage,
         book: this.book,
         estimates,
+        demand: this.demand,
         tickets: this.tickets,
         health: this.health,
         ownership,
@@ -175,7 +180,7 @@
   private newSteward(): FleetSteward | undefined {
     const { fleet, reports, waves, ownership, clock, logger, config } = this.deps;
     if (!fleet) return undefined;
-    const { targets, book, scheduler } = this;
+    const { targets, book, demand } = this;
     return this.register(
       new FleetSteward(this.options, {
         fleet,
@@ -183,7 +188,7 @@
         waves,
         targets,
         book,
-        scheduler,
+        demand,
         ownership,
         clock,
         logger,
@@ -346,7 +351,7 @@
   private accept(definition: JobDefinition): JobEntry {
     const entry = this.jobs.accept(definition);
     this.openDue(entry);
-    this.scheduler.noteArrival(entry);
+    this.demand.noteArrival(this.scheduler.poolOf(entry), entry);
     this.wakeFor(entry);
     return entry;
   }
--- a/packages/coordinator/src/FleetSteward.ts
+++ b/packages/coordinator/src/FleetSteward.ts
@@ -5,8 +5,8 @@
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
 import { type JobsConfigView } from '@acaciadock/jobs';
 import { type InstanceFleet, type UpkeepWave, type WaveReports } from './contracts/index.js';
+import { type DemandMeter } from './DemandMeter.js';
 import { DUTY_KEY, type DutyRecord, FleetOrders, type FleetOrdersOptions } from './FleetOrders.js';
-import { type JobScheduler } from './JobScheduler.js';
 import { type Ownership } from './Ownership.js';
 import { PoolSteward } from './PoolSteward.js';
 import { type RunBook } from './RunBook.js';
@@ -24,7 +24,7 @@
   readonly waves: () => readonly UpkeepWave[];
   readonly targets: TargetTable;
   readonly book: RunBook;
-  readonly scheduler: JobScheduler;
+  readonly demand: DemandMeter;
   readonly ownership: Ownership;
   readonly clock: Clock;
   readonly logger: Logger;
--- /dev/null
+++ b/packages/coordinator/src/OpenStep.ts
@@ -0,0 +1,10 @@
+/** A step with tasks that wait for a start, and what its order in the queue depends on. */
+import { type Occurrence, type StepState } from '@acaciadock/jobs';
+import { type WaitingStep } from '@acaciadock/placement';
+import { type JobEntry } from './JobEntry.js';
+
+export interface OpenStep extends WaitingStep {
+  readonly entry: JobEntry;
+  readonly occurrence: Occurrence;
+  readonly step: StepState;
+}
--- a/packages/coordinator/src/PoolSteward.ts
+++ b/packages/coordinator/src/PoolSteward.ts
@@ -14,9 +14,9 @@
   PoolSizer,
   TurnForecast,
 } from '@acaciadock/placement';
+import { type DemandMeter } from './DemandMeter.js';
 import { type FleetInstance } from './contracts/index.js';
 import { type FleetOrders } from './FleetOrders.js';
-import { type JobScheduler } from './JobScheduler.js';
 import { type TargetTable } from './TargetTable.js';
 
 /** An instance is given away after it has been empty this long, in milliseconds. */
@@ -31,7 +31,7 @@
 export interface PoolStewardDeps {
   readonly orders: FleetOrders;
   readonly targets: TargetTable;
-  readonly scheduler: JobScheduler;
+  readonly demand: DemandMeter;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
@@ -91,7 +91,7 @@
           openCount: this.deps.targets.ofPool(poolId).filter((target) => target.isOpen(nowMs))
             .length,
           hasWaitingWork:
-            this.deps.scheduler.waitingCpuMilli(poolId) > 0 || this.isInTurn(poolId, nowMs),
+            this.deps.demand.waitingCpuMilli(poolId) > 0 || this.isInTurn(poolId, nowMs),
         },
       ]),
     );
@@ -242,17 +242,17 @@
   }
 
   private demandOf(poolId: string): PoolDemand {
-    const { clock, orders, scheduler, targets, upkeepLacksRoom } = this.deps;
+    const { clock, orders, demand, targets, upkeepLacksRoom } = this.deps;
     const present = orders.instances.filter(
       (one) => this.poolToBe(one) === poolId && this.isOfUse(one),
     );
     const running = targets.ofPool(poolId).reduce((sum, target) => sum + target.usedCpuMilli, 0);
     return {
       poolId,
-      demandCpuMilli: scheduler.neededCpuMilli(poolId) + running,
-      arrivingCpuMilli: scheduler.arrivingCpuMilli(poolId),
+      demandCpuMilli: demand.neededCpuMilli(poolId) + running,
+      arrivingCpuMilli: demand.arrivingCpuMilli(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
-      hasServingWaiting: scheduler.hasServingWaiting(poolId) || upkeepLacksRoom(poolId),
+      hasServingWaiting: demand.hasServingWaiting(poolId) || upkeepLacksRoom(poolId),
       instanceCount: present.length,
       openCount: targets.ofPool(poolId).filter((target) => target.isOpen(clock.monotonicMs()))
         .length,
--- /dev/null
+++ b/packages/coordinator/src/TaskPlacer.ts
@@ -0,0 +1,176 @@
+/**
+ * Places the waiting tasks of one step: on the target that the chooser names, within the team's
+ * limit, gangs all at once. A placing is journaled before its orders leave.
+ */
+import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
+import { type AdviceRule, type JobsConfigView, type TaskState } from '@acaciadock/jobs';
+import { QueueOrder, type RoomBound, TargetChooser } from '@acaciadock/placement';
+import { type FleetTarget } from './FleetTarget.js';
+import { type LiveRun } from './LiveRun.js';
+import { type OpenStep } from './OpenStep.js';
+import { type RunBook } from './RunBook.js';
+import { type TeamUsage } from './TeamUsage.js';
+import { type TicketBook } from './TicketBook.js';
+
+/** Whether a step's waiting tasks got room, and if not, why. */
+export type PlaceOutcome = 'placed' | 'no-room' | 'team-limit';
+
+export interface TaskPlacerDeps {
+  readonly usage: TeamUsage;
+  readonly book: RunBook;
+  readonly tickets: TicketBook;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly config: () => JobsConfigView;
+}
+
+export class TaskPlacer extends Disposable {
+  private readonly placedEmitter = this.register(new EventEmitter<LiveRun>());
+
+  /** Fires when a planned run is durable and its order may leave. */
+  readonly onPlaced = this.placedEmitter.event;
+
+  constructor(private readonly deps: TaskPlacerDeps) {
+    super();
+  }
+
+  /** Gives room to the waiting tasks of a step, as far as there is some. */
+  placeStep(open: OpenStep, targets: readonly FleetTarget[], tooLarge: RoomBound): PlaceOutcome {
+    if (tooLarge.excludes(open.step.spec)) return 'no-room';
+    const placed: LiveRun[] = [];
+    const outcome = open.step.spec.gang
+      ? this.placeGang(open, targets, placed)
+      : this.placeTasks(open, targets, placed);
+    // Where advice is asked, a target may have room and still not be allowed.
+    if (outcome === 'no-room' && !this.adviceFor(open)) tooLarge.note(open.step.spec);
+    if (placed.length > 0) this.logPlaced(open, placed, targets.length);
+    return outcome;
+  }
+
+  private placeTasks(
+    open: OpenStep,
+    targets: readonly FleetTarget[],
+    placed: LiveRun[],
+  ): PlaceOutcome {
+    const nowMs = this.deps.clock.monotonicMs();
+    for (const task of open.step.tasks) {
+      if (!task.isWaiting || task.notBeforeMs > nowMs) continue;
+      const outcome = this.placeTask(open, task, targets, placed);
+      if (outcome !== 'placed') return outcome;
+    }
+    return 'placed';
+  }
+
+  private logPlaced(open: OpenStep, placed: readonly LiveRun[], openTargets: number): void {
+    const nowUnixMs = this.deps.clock.unixMs();
+    this.deps.logger.info('tasks-placed', {
+      jobId: open.entry.job.jobId,
+      stepId: open.step.stepId,
+      urgency: QueueOrder.urgencyOf(open, nowUnixMs),
+      toObjectiveMs: Math.round(open.objectiveUnixMs - nowUnixMs),
+      remainingMs: Math.round(open.remainingMs),
+      openTargets,
+      runs: placed.map((live) => `${live.place.task.index}#${live.run}@${live.targetId}`).join(' '),
+    });
+  }
+
+  private placeTask(
+    open: OpenStep,
+    task: TaskState,
+    targets: readonly FleetTarget[],
+    placed: LiveRun[],
+  ): PlaceOutcome {
+    if (!this.teamAllows(open, 1)) return 'team-limit';
+    const target = this.choose(open, task, targets, '');
+    if (!target) return 'no-room';
+    placed.push(this.plan(open, task, target));
+    return 'placed';
+  }
+
+  private teamAllows({ entry, step }: OpenStep, taskCount: number): boolean {
+    const { teamId } = entry.job.definition;
+    const limit = this.deps.config().team(teamId)?.limit;
+    return this.deps.usage.allows(teamId, step.spec, limit, taskCount);
+  }
+
+  private choose(
+    open: OpenStep,
+    task: TaskState,
+    targets: readonly FleetTarget[],
+    onlyRackId: string,
+  ): FleetTarget | undefined {
+    const wish = {
+      step: open.step.spec,
+      stepId: open.step.stepId,
+      avoidTargetId: task.avoidTargetId,
+      onlyRackId,
+    };
+    if (!this.adviceFor(open)) return TargetChooser.choose(targets, wish);
+    const roomy = targets.filter((target) => TargetChooser.fits(target, wish));
+    const allowed = this.deps.tickets.allowed(open.step.stepId, roomy);
+    if (allowed.length === 0) {
+      this.deps.tickets.request(open.step.stepId, roomy);
+      return undefined;
+    }
+    return TargetChooser.choose(allowed, wish);
+  }
+
+  private adviceFor({ entry }: OpenStep): AdviceRule | undefined {
+    return this.deps.config().queue(entry.job.definition.queueId)?.advice;
+  }
+
+  private plan(open: OpenStep, task: TaskState, target: FleetTarget): LiveRun {
+    const { entry, occurrence, step } = open;
+    const place = { job: entry.job, occurrence, step, task };
+    const live = this.deps.book.plan(place, target);
+    live.ticket = this.deps.tickets.ticketFor(step.stepId, target);
+    void this.deps.book.journal(place).then((outcome) => {
+      if (outcome === 'durable') this.placedEmitter.fire(live);
+    });
+    return live;
+  }
+
+  /** All members or none, with one run number and one checkpoint. */
+  private placeGang(
+    open: OpenStep,
+    targets: readonly FleetTarget[],
+    placed: LiveRun[],
+  ): PlaceOutcome {
+    const { step } = open;
+    if (!step.tasks.every((task) => task.isWaiting)) return 'placed';
+    if (!this.teamAllows(open, step.tasks.length)) return 'team-limit';
+    const racks = step.spec.sameRack ? [...new Set(targets.map((target) => target.rackId))] : [''];
+    for (const rackId of racks) {
+      const members = this.placeGangIn(open, targets, rackId);
+      if (members.length === 0) continue;
+      placed.push(...members);
+      return 'placed';
+    }
+    return 'no-room';
+  }
+
+  private placeGangIn(
+    open: OpenStep,
+    targets: readonly FleetTarget[],
+    rackId: string,
+  ): readonly LiveRun[] {
+    const { step } = open;
+    const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
+    const checkpoint =
+      step.tasks
+        .map((task) => task.checkpoint)
+        .sort()
+        .at(-1) ?? '';
+    const placed: LiveRun[] = [];
+    for (const task of step.tasks) {
+      const target = this.choose(open, task, targets, rackId);
+      if (!target) {
+        placed.forEach((live) => this.deps.book.stop(live));
+        return [];
+      }
+      Object.assign(task, { lastRun, checkpoint });
+      placed.push(this.plan(open, task, target));
+    }
+    return placed;
+  }
+}
