--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -287,6 +287,8 @@
     if (notice.isReleased || isSameMember(notice.owner, this.self)) return true;
     this.newestBootMs.set(this.self.entryId, this.self.bootMs);
     if (!(await this.listMembers())) return false;
+    // A later process of the entry proves the end of the owner's sooner than its membership lapses.
+    if (this.isProcessOver(notice.owner.entryId, notice.owner.bootMs)) return true;
     return !this.members.some((member) => isSameMember(member, notice.owner));
   }
 
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -76,6 +76,19 @@
     });
   });
 
+  describe('when the owner is killed and its entry is back at once', () => {
+    it('the next owner does not wait for the old membership to lapse', async (t) => {
+      const world = await newWorld();
+      const former = world.ownerId() ?? '';
+      world.killEntry(former);
+      await world.run(50);
+      world.startEntry(former);
+      const startedMs = world.clock.monotonicMs();
+      t.ok(await world.runUntil(() => world.owner !== undefined, 3_000));
+      t.ok(world.clock.monotonicMs() - startedMs < 600, 'two renewals of the membership at most');
+    });
+  });
+
   describe('when the owner stops as planned', () => {
     it('the successor starts work within a second', async (t) => {
       const world = await newWorld();
