--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -67,7 +67,10 @@
       written = job.status;
       return JobCodec.encodeProgress(job);
     });
-    if (job.isFinished) this.active.delete(job.jobId);
+    if (job.isFinished) {
+      this.active.delete(job.jobId);
+      this.trimDefinition(entry);
+    }
     if (job.status === entry.shownStatus) return commit;
     return commit.then((outcome) => {
       if (outcome === 'durable') Object.assign(entry, { shownStatus: written });
@@ -87,6 +90,16 @@
     }
   }
 
+  /** Of a job that runs nothing any more only its state is asked for: a successor loads less. */
+  private trimDefinition({ job }: JobEntry): void {
+    if (job.definition.spec.steps.length === 0 || job.liveTasks().length > 0) return;
+    const trimmed = { ...job.definition, spec: { spec: '', steps: [] } };
+    Object.assign(job, { definition: trimmed });
+    void this.ownership.writer.write(`${DEFINITION_PREFIX}${job.jobId}`, () =>
+      JobCodec.encodeDefinition(trimmed),
+    );
+  }
+
   private restoreOne(definition: Buffer, progress: Buffer | undefined): boolean {
     const decoded = JobCodec.decodeDefinition(definition);
     if (decoded.isErr()) return false;
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -28,6 +28,12 @@
 /** Between two claims of this process, in milliseconds, so that two claimants don't spin. */
 const CLAIM_PAUSE_MS = 300;
 
+/**
+ * After another entry's claim came in between, in milliseconds: it must be able to load the journal
+ * over the thinnest link before anyone claims again.
+ */
+const SUPERSEDED_PAUSE_MS = 3_000;
+
 /** Between two questions for the owner while it is not known or does not answer. */
 const OWNER_REFRESH_MS = 200;
 
@@ -88,6 +94,11 @@
 
   private lastClaimMs = -Infinity;
 
+  /** What this entry has announced of a claim whose journal is being loaded. */
+  private claimedNotice: OwnerNotice | undefined;
+
+  private supersededMs = -Infinity;
+
   private lastNoticeMs = -Infinity;
 
   private lastCheckMs = -Infinity;
@@ -151,6 +162,7 @@
 
   /** What this entry knows of the owner, for peers that can't reach the store. */
   get knownNotice(): OwnerNotice | undefined {
+    if (this.isClaiming && this.claimedNotice) return this.claimedNotice;
     return this.ownership?.isActive ? this.noticeOf(this.ownership, false) : this.notice;
   }
 
@@ -227,7 +239,10 @@
     }
     if (!this.isOwner) await this.watchOwner(changed);
     else if (this.hasMuchStrongerPeer) await this.handOver();
-    else this.proveOwnership();
+    else {
+      this.proveOwnership();
+      await this.confirmAnnouncement();
+    }
   }
 
   /** Ends the ownership, if any, once what is being journaled is durable. */
@@ -241,6 +256,18 @@
     await this.deps.group.announce(this.notice);
   }
 
+  /** A late announcement of an earlier claim may have covered this owner's. */
+  private async confirmAnnouncement(): Promise<void> {
+    const nowMs = this.deps.clock.monotonicMs();
+    if (nowMs - this.lastCheckMs < OWNER_CHECK_MS) return;
+    this.lastCheckMs = nowMs;
+    const stored = await this.deps.group.announced();
+    const { ownership } = this;
+    if (stored.isErr() || !ownership?.isActive) return;
+    if ((stored.value?.epoch ?? -1) < ownership.epoch) await this.announce(ownership);
+    else this.take(stored.value, 'store');
+  }
+
   /** Whether a member could do the work of all pools much better. */
   private get hasMuchStrongerPeer(): boolean {
     const ownedMs = this.deps.clock.monotonicMs() - this.lastClaimMs;
@@ -296,16 +323,24 @@
     const { clock, log, logger } = this.deps;
     if (this.isClaiming || this.isOwner) return;
     if (clock.monotonicMs() - this.lastClaimMs < CLAIM_PAUSE_MS) return;
+    if (clock.monotonicMs() - this.supersededMs < SUPERSEDED_PAUSE_MS) return;
     this.isClaiming = true;
+    this.claimedNotice = undefined;
     this.lastClaimMs = clock.monotonicMs();
     this.claims += 1;
     const { entryId, bootMs } = this.self;
     const owned = await new JournalClaim(log, clock).take(
       { entryId, bootMs, nonce: `${bootMs}-${this.claims}` },
       () => !this.isDisposed && !this.storeLost,
+      (epoch) => this.onClaimed(epoch),
     );
     this.isClaiming = false;
-    if (!owned || this.isDisposed) return;
+    if (this.isDisposed) return;
+    if (!owned) {
+      this.supersededMs = clock.monotonicMs();
+      logger.info('claim-superseded', {});
+      return;
+    }
     logger.info('ownership-claimed', {
       epoch: owned.epoch,
       records: owned.records.length,
@@ -314,6 +349,13 @@
     this.own(owned);
   }
 
+  /** The others are told before the journal is loaded, so that nobody else claims meanwhile. */
+  private onClaimed(epoch: number): void {
+    const notice = { owner: this.self, epoch, isReleased: false };
+    this.claimedNotice = notice;
+    void this.deps.group.announce(notice);
+  }
+
   private own(owned: OwnedJournal): void {
     const { clock, log, logger } = this.deps;
     const isFormerOwnerOver = this.isOver(incumbentOf(owned));
--- /dev/null
+++ b/packages/journal/src/JournalClaim.test.ts
@@ -0,0 +1,71 @@
+/** Claims that meet other claims. */
+import { ManualClock } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { err, ok, type Result } from 'neverthrow';
+import { JournalClaim } from './JournalClaim.js';
+import {
+  type KeyedRecord,
+  type LogFailure,
+  type LogSlice,
+  type NewestRecords,
+  RecordLog,
+} from './RecordLog.js';
+
+const HOLDER = { entryId: 'e0', bootMs: 1, nonce: '1' };
+
+/** Another claim may come in before the first loading. */
+class ContestedLog extends RecordLog {
+  readonly records: KeyedRecord[] = [];
+
+  constructor(private hasRival: boolean) {
+    super();
+  }
+
+  override append(at: number, records: readonly KeyedRecord[]): Promise<Result<void, LogFailure>> {
+    if (at !== this.records.length) {
+      const failure = { kind: 'offset-mismatch' as const, endOffset: this.records.length };
+      return Promise.resolve(err(failure));
+    }
+    this.records.push(...records);
+    return Promise.resolve(ok(undefined));
+  }
+
+  override readNewest(): Promise<Result<NewestRecords, LogFailure>> {
+    if (this.hasRival) this.records.push({ key: 'claim', value: Buffer.from('rival') });
+    this.hasRival = false;
+    return Promise.resolve(ok({ records: [], endOffset: this.records.length }));
+  }
+
+  override readFrom(offset: number): Promise<Result<LogSlice, LogFailure>> {
+    const records = this.records
+      .slice(offset)
+      .map((record, index) => ({ ...record, offset: offset + index }));
+    return Promise.resolve(ok({ records, nextOffset: this.records.length }));
+  }
+}
+
+describe('JournalClaim', () => {
+  it('tells the epoch before it loads', async (t) => {
+    const log = new ContestedLog(false);
+    const epochs: number[] = [];
+    const owned = await new JournalClaim(log, new ManualClock()).take(
+      HOLDER,
+      () => true,
+      (epoch) => epochs.push(epoch),
+    );
+    t.equal(owned?.epoch, 0);
+    t.same(epochs, [0]);
+  });
+
+  it('gives way to a claim that came in while it loaded', async (t) => {
+    // Fails if it claims again: two claimants that load slowly then never finish.
+    const log = new ContestedLog(true);
+    const owned = await new JournalClaim(log, new ManualClock()).take(
+      HOLDER,
+      () => true,
+      () => undefined,
+    );
+    t.equal(owned, undefined);
+    t.equal(log.records.length, 2, 'one claim each');
+  });
+});
--- a/packages/journal/src/JournalClaim.ts
+++ b/packages/journal/src/JournalClaim.ts
@@ -32,19 +32,26 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Claims and loads; undefined once `isWanted` turns false. */
-  async take(holder: ClaimHolder, isWanted: () => boolean): Promise<OwnedJournal | undefined> {
+  /**
+   * Claims and loads; undefined once `isWanted` turns false, or if another claim came in between:
+   * claiming again at once would only keep that claimant from loading. `onClaimed` is told the epoch
+   * before the loading, which may take seconds over a thin link.
+   */
+  async take(
+    holder: ClaimHolder,
+    isWanted: () => boolean,
+    onClaimed: (epoch: number) => void,
+  ): Promise<OwnedJournal | undefined> {
     const value = Buffer.from(JSON.stringify(holder));
     // A wrong guess costs little: the refusal tells where the log ends.
     let expectedOffset = 0;
     while (isWanted()) {
       const endOffset = await this.appendClaim(expectedOffset, value, isWanted);
-      if (endOffset !== undefined) {
-        expectedOffset = endOffset;
-        continue;
+      if (endOffset === undefined) {
+        onClaimed(expectedOffset);
+        return this.load(expectedOffset, isWanted);
       }
-      const loaded = await this.load(expectedOffset, isWanted);
-      if (loaded) return loaded;
+      expectedOffset = endOffset;
     }
     return undefined;
   }
@@ -84,7 +91,7 @@
         continue;
       }
       const { records, endOffset } = newest.value;
-      // Another claim came in between: start again.
+      // Another claim came in between.
       if (endOffset !== epoch + 1) return undefined;
       return { epoch, nextOffset: endOffset, records };
     }
