Peers answer who the owner is: the question was empty and the library dropped it

Cause: an empty request counts as no request to the gRPC library, the error was dropped without a line, and the test asked through a stand-in. Ruled out: the members' list, the links between entries. Now request and reply are objects, a failed question is logged, and the peers are asked beside a lost store instead of after its time-out. Test: PeerNoticeClient.test.ts over real channels, fails with the empty request.

--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -157,6 +157,8 @@
     const nowMs = this.deps.clock.monotonicMs();
     if (nowMs - this.lastNoticeMs < OWNER_REFRESH_MS) return;
     this.lastNoticeMs = nowMs;
+    // A silent store is noticed only after seconds; once lost, the peers are asked beside it.
+    if (this.storeLost) void this.askPeers();
     await this.readNotice();
   }
 
--- a/packages/jobdesk/src/PeerCallServer.ts
+++ b/packages/jobdesk/src/PeerCallServer.ts
@@ -1,6 +1,7 @@
 /** Takes the calls of other entries: for this entry's own coordinator, or who the owner is. */
 import { Disposable } from '@acaciadock/core';
 import { type JobCall, type JobReply, type JobService } from '@acaciadock/coordinator';
+import { type OwnerNotice } from '@acaciadock/journal';
 import {
   type sendUnaryData,
   Server,
@@ -10,7 +11,7 @@
   type UntypedHandleCall,
 } from '@grpc/grpc-js';
 import { err, ok, type Result } from 'neverthrow';
-import { callMethod, noticeMethod, type NoticeReply } from './PeerCalls.js';
+import { callMethod, noticeMethod, type NoticeReply, type NoticeRequest } from './PeerCalls.js';
 
 export interface PeerListenFailure {
   readonly kind: 'peer-listen-failed';
@@ -21,7 +22,7 @@
 export class PeerCallServer extends Disposable {
   private readonly server = new Server();
 
-  constructor(service: JobService, notice: () => NoticeReply) {
+  constructor(service: JobService, notice: () => OwnerNotice | undefined) {
     super();
     const handle: UntypedHandleCall = (
       call: ServerUnaryCall<JobCall, JobReply>,
@@ -33,9 +34,9 @@
       );
     };
     const tell: UntypedHandleCall = (
-      _call: ServerUnaryCall<null, NoticeReply>,
+      _call: ServerUnaryCall<NoticeRequest, NoticeReply>,
       done: sendUnaryData<NoticeReply>,
-    ) => done(null, notice());
+    ) => done(null, { notice: notice() ?? null });
     this.server.addService(
       { call: callMethod, notice: noticeMethod },
       { call: handle, notice: tell },
--- a/packages/jobdesk/src/PeerCalls.ts
+++ b/packages/jobdesk/src/PeerCalls.ts
@@ -5,7 +5,6 @@
   type JobReply,
   jobReplySchema,
 } from '@acaciadock/coordinator';
-import { type OwnerNotice } from '@acaciadock/journal';
 import { type MethodDefinition } from '@grpc/grpc-js';
 import * as z from 'zod';
 
@@ -32,15 +31,22 @@
   isReleased: z.boolean(),
 });
 
-/** What an entry knows of the owner; null if nothing. */
-export type NoticeReply = OwnerNotice | null;
+/** The library takes no empty request or reply, so both are objects. */
+export const noticeRequestSchema = z.object({});
+export const noticeReplySchema = z.object({
+  /** Null if the entry knows of no owner. */
+  notice: noticeSchema.nullable(),
+});
+
+export type NoticeRequest = z.infer<typeof noticeRequestSchema>;
+export type NoticeReply = z.infer<typeof noticeReplySchema>;
 
-export const noticeMethod: MethodDefinition<null, NoticeReply> = {
+export const noticeMethod: MethodDefinition<NoticeRequest, NoticeReply> = {
   path: '/acaciadock.jobs.Coordinator/Notice',
   requestStream: false,
   responseStream: false,
   requestSerialize: serialize,
-  requestDeserialize: () => null,
+  requestDeserialize: (bytes) => noticeRequestSchema.parse(JSON.parse(bytes.toString('utf8'))),
   responseSerialize: serialize,
-  responseDeserialize: (bytes) => noticeSchema.nullable().parse(JSON.parse(bytes.toString('utf8'))),
+  responseDeserialize: (bytes) => noticeReplySchema.parse(JSON.parse(bytes.toString('utf8'))),
 };
--- /dev/null
+++ b/packages/jobdesk/src/PeerNoticeClient.test.ts
@@ -0,0 +1,37 @@
+/** Questions between entries over real channels. */
+import { SilentLogger, SystemClock } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { type OwnerNotice } from '@acaciadock/journal';
+import { PeerCallServer } from './PeerCallServer.js';
+import { PeerNoticeClient } from './PeerNoticeClient.js';
+
+const NOTICE: OwnerNotice = {
+  owner: { entryId: 'e1', bootMs: 1, peerAddress: '127.0.0.1:1', cpuMilli: 675 },
+  epoch: 7,
+  isReleased: false,
+};
+
+async function answerOf(known: OwnerNotice | undefined): Promise<OwnerNotice | undefined> {
+  const service = { call: () => Promise.resolve({ kind: 'cancelled' as const }) };
+  const server = new PeerCallServer(service, () => known);
+  const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
+  const notice = await new PeerNoticeClient(new SystemClock(), new SilentLogger()).ask(address);
+  server.dispose();
+  return notice;
+}
+
+describe('PeerNoticeClient', () => {
+  it('brings home what the peer knows of the owner', async (t) => {
+    // Fails with an empty request, which the library takes for none.
+    t.same(await answerOf(NOTICE), NOTICE);
+  });
+
+  it('is told nothing by a peer that knows of none', async (t) => {
+    t.equal(await answerOf(undefined), undefined);
+  });
+
+  it('gives up on a peer that is not there', async (t) => {
+    const client = new PeerNoticeClient(new SystemClock(), new SilentLogger());
+    t.equal(await client.ask('127.0.0.1:1'), undefined);
+  });
+});
--- a/packages/jobdesk/src/PeerNoticeClient.ts
+++ b/packages/jobdesk/src/PeerNoticeClient.ts
@@ -1,5 +1,5 @@
 /** Asks other entries who owns the journal. Asked rarely, so each question has its own channel. */
-import { type Clock } from '@acaciadock/core';
+import { type Clock, type Logger } from '@acaciadock/core';
 import { type OwnerNotice, PeerNotices } from '@acaciadock/journal';
 import { Client, credentials } from '@grpc/grpc-js';
 import { noticeMethod } from './PeerCalls.js';
@@ -8,7 +8,10 @@
 const ASK_TIMEOUT_MS = 300;
 
 export class PeerNoticeClient extends PeerNotices {
-  constructor(private readonly clock: Clock) {
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
     super();
   }
 
@@ -21,11 +24,12 @@
         noticeMethod.path,
         noticeMethod.requestSerialize,
         noticeMethod.responseDeserialize,
-        null,
+        {},
         { deadline: this.clock.unixMs() + ASK_TIMEOUT_MS },
-        (_error, reply) => {
+        (error, reply) => {
           client.close();
-          resolve(reply ?? undefined);
+          if (error) this.logger.info('peer-unasked', { peerAddress, reason: error.message });
+          resolve(reply?.notice ?? undefined);
         },
       );
     });
