--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -67,6 +67,17 @@
     this.passTimer ??= this.deps.clock.after(PASS_DELAY_MS, () => this.runPass());
   }
 
+  /** Asks for a pass over the job's pool. */
+  wakeFor(entry: JobEntry): void {
+    this.wake(this.poolOf(entry));
+  }
+
+  /** Opens the occurrences of a scheduled job that are due. */
+  openDue(entry: JobEntry): void {
+    if (!entry.job.isScheduled) return;
+    if (entry.job.openDue(this.deps.clock.unixMs()).length > 0) this.wakeFor(entry);
+  }
+
   wakeAll(): void {
     this.deps.config().config.pools.forEach((pool) => this.wake(pool.poolId));
   }
--- /dev/null
+++ b/packages/coordinator/src/TargetDrivers.ts
@@ -0,0 +1,111 @@
+/** One driver for each listed target: begins with the target's listing and ends with its removal. */
+import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { type TargetPort } from '@acaciadock/execution';
+import { type TargetRegistry } from './contracts/index.js';
+import { type FleetTarget } from './FleetTarget.js';
+import { type LiveRun } from './LiveRun.js';
+import { type Ownership } from './Ownership.js';
+import { type ReportReader } from './ReportReader.js';
+import { type RunBook } from './RunBook.js';
+import { TargetDriver } from './TargetDriver.js';
+import { type TargetTable } from './TargetTable.js';
+
+/** Between two readings of the list of targets, in milliseconds: well under a heartbeat. */
+const REGISTRY_PERIOD_MS = 300;
+
+/** The same while instances are on their way to a pool that waits for them, in milliseconds. */
+const BUSY_REGISTRY_PERIOD_MS = 100;
+
+export interface TargetDriversDeps {
+  readonly registry: TargetRegistry;
+  readonly port: TargetPort;
+  readonly targets: TargetTable;
+  readonly book: RunBook;
+  readonly reader: ReportReader;
+  readonly ownership: Ownership;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** The target takes new work from now on. */
+  readonly onConfirmed: (target: FleetTarget) => void;
+  readonly areInstancesMoving: () => boolean;
+}
+
+export class TargetDrivers extends Disposable {
+  private readonly drivers = new Map<string, TargetDriver>();
+
+  constructor(private readonly deps: TargetDriversDeps) {
+    super();
+    const { targets, book } = deps;
+    this.register(targets.onListed((target) => this.onListed(target)));
+    this.register(targets.onDraining((target) => this.onDraining(target)));
+    this.register(targets.onRemoved((target) => this.onRemoved(target)));
+    this.register(
+      book.onStopWanted((live) => {
+        void this.drivers.get(live.targetId)?.stop(live);
+      }),
+    );
+  }
+
+  /** Sends the order of a run that is durable. */
+  order(live: LiveRun): void {
+    const driver = this.drivers.get(live.targetId);
+    if (driver) void driver.start(live);
+    else this.deps.book.stop(live);
+  }
+
+  private onListed(target: FleetTarget): void {
+    const known = this.drivers.get(target.targetId);
+    if (known) {
+      known.wake();
+      return;
+    }
+    const driver = new TargetDriver(target, {
+      port: this.deps.port,
+      book: this.deps.book,
+      reader: this.deps.reader,
+      ownership: this.deps.ownership,
+      clock: this.deps.clock,
+      logger: this.deps.logger,
+      onConfirmed: () => this.deps.onConfirmed(target),
+    });
+    this.drivers.set(target.targetId, this.register(driver));
+    void driver.run();
+  }
+
+  private onRemoved({ targetId, address }: FleetTarget): void {
+    this.drivers.get(targetId)?.dispose();
+    this.drivers.delete(targetId);
+    this.deps.port.forget(address);
+  }
+
+  /** What lasts leaves a draining target at once; the rest may end there. */
+  private onDraining(target: FleetTarget): void {
+    this.deps.logger.info('target-draining', {
+      targetId: target.targetId,
+      runs: target.runs.size,
+      remainingMs: target.entry?.remainingMs,
+    });
+    [...target.runs.values()]
+      .filter((live) => live.place.step.spec.longRunning)
+      .forEach((live) => this.deps.book.stop(live));
+  }
+
+  /** Follows the list of targets until disposed. */
+  async followRegistry(): Promise<void> {
+    const { registry, clock, logger } = this.deps;
+    let lost = false;
+    while (!this.isDisposed) {
+      const entries = await registry.list();
+      if (this.isDisposed) return;
+      if (entries.isOk()) this.deps.targets.update(entries.value);
+      if (entries.isErr() !== lost) {
+        lost = entries.isErr();
+        logger.warn(lost ? 'registry-lost' : 'registry-back', {
+          reason: entries.isErr() ? entries.error.kind : '',
+        });
+      }
+      const isBusy = this.deps.areInstancesMoving();
+      await clock.sleep(isBusy ? BUSY_REGISTRY_PERIOD_MS : REGISTRY_PERIOD_MS);
+    }
+  }
+}
