--- a/packages/coordinator/src/testing/RunObserver.ts
+++ b/packages/coordinator/src/testing/RunObserver.ts
@@ -16,6 +16,8 @@
 
   private readonly tasks = new Map<string, SeenTask>();
 
+  private readonly startsByTarget = new Map<string, number>();
+
   constructor(private readonly mostAttempts: number) {}
 
   get startCount(): number {
@@ -26,6 +28,11 @@
     return this.tasks.get(taskId)?.starts ?? 0;
   }
 
+  /** Starts of any task on the target. */
+  startsOn(targetId: string): number {
+    return this.startsByTarget.get(targetId) ?? 0;
+  }
+
   isDone(taskId: string): boolean {
     return this.tasks.get(taskId)?.isDone ?? false;
   }
@@ -33,6 +40,7 @@
   started(taskId: string, run: number, targetId: string): void {
     const task = this.ensure(taskId);
     task.starts += 1;
+    this.startsByTarget.set(targetId, this.startsOn(targetId) + 1);
     if (task.running.size > 0) this.broken.push(`${taskId} run ${run} beside another run`);
     if (task.isDoneAcknowledged) this.broken.push(`${taskId} run ${run} after an acknowledged end`);
     if (task.acknowledgedFailures >= this.mostAttempts) {
--- /dev/null
+++ b/packages/jobdesk/src/JobDesk.test.ts
@@ -0,0 +1,89 @@
+/** Calls that arrive at the owner with the verdict of another entry's configuration. */
+import { type JobCall, type JobReply } from '@acaciadock/coordinator';
+import {
+  PausableClock,
+  SimulatedGroup,
+  SimulatedLog,
+  SimulatedStore,
+} from '@acaciadock/coordinator/testing';
+import { ManualClock, Random, SilentLogger } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { jobsConfigSchema, JobsConfigView } from '@acaciadock/jobs';
+import { Election } from './Election.js';
+import { contextOf, JobDesk } from './JobDesk.js';
+
+function viewOf(version: number, keys: readonly string[], hasQueue = true): JobsConfigView {
+  const queue = { queueId: 'q', host: 'h', pathPrefix: '/q/', poolId: `pool-${version}` };
+  return new JobsConfigView(
+    jobsConfigSchema.parse({
+      version,
+      queues: hasQueue ? [queue] : [],
+      pools: [{ poolId: `pool-${version}` }],
+      teams: [{ teamId: 't', keys }],
+    }),
+  );
+}
+
+const ACCESS = { host: 'h', path: '/q/5c0e7a21d94b36f8', key: 'key' };
+
+/** A call as an entry sends it that knows `view`. */
+function callUnder(view: JobsConfigView): JobCall {
+  const allowed = view.resolve(ACCESS)._unsafeUnwrap();
+  return { kind: 'state', context: contextOf(ACCESS, allowed, view.version), jobId: 'j' };
+}
+
+interface Rig {
+  readonly desk: JobDesk;
+  readonly calls: JobCall[];
+}
+
+function newRig(view: JobsConfigView): Rig {
+  const base = new ManualClock();
+  const clock = new PausableClock(base);
+  const store = new SimulatedStore(base, new Random(1));
+  const faults = { isDown: false, lostAnswerShare: 0, latencyMs: 0 };
+  const logger = new SilentLogger();
+  const self = { entryId: 'e0', bootMs: 1, peerAddress: 'e0:1', cpuMilli: 675 };
+  const election = new Election(self, {
+    group: new SimulatedGroup(store, clock, faults),
+    log: new SimulatedLog(store, clock, faults),
+    peers: { ask: () => Promise.resolve(undefined) },
+    clock,
+    logger,
+  });
+  const calls: JobCall[] = [];
+  const service = {
+    call: (call: JobCall): Promise<JobReply> => {
+      calls.push(call);
+      return Promise.resolve({ kind: 'cancelled' });
+    },
+  };
+  const desk = new JobDesk({ election, clock, logger, local: () => service, config: () => view });
+  return { desk, calls };
+}
+
+describe('JobDesk at the owner', () => {
+  it('refuses a key that its newer configuration has withdrawn', async (t) => {
+    // Fails if the verdict of the entry that took the call is believed.
+    const { desk, calls } = newRig(viewOf(2, []));
+    t.same(await desk.callLocal(callUnder(viewOf(1, ['key']))), { kind: 'unknown-key' });
+    t.equal(calls.length, 0);
+  });
+
+  it('refuses a queue that its newer configuration has removed', async (t) => {
+    const { desk } = newRig(viewOf(2, ['key'], false));
+    t.same(await desk.callLocal(callUnder(viewOf(1, ['key']))), { kind: 'no-such-queue' });
+  });
+
+  it('sends work to the pool of its newer configuration', async (t) => {
+    const { desk, calls } = newRig(viewOf(2, ['key']));
+    await desk.callLocal(callUnder(viewOf(1, ['key'])));
+    t.equal(calls[0]?.context.poolId, 'pool-2');
+  });
+
+  it('keeps the verdict of an entry that knows a newer configuration', async (t) => {
+    const { desk, calls } = newRig(viewOf(2, []));
+    await desk.callLocal(callUnder(viewOf(3, ['key'])));
+    t.equal(calls[0]?.context.poolId, 'pool-3');
+  });
+});
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -214,8 +214,7 @@
       await world.runUntil(() => world.owner !== undefined, 5_000);
       await world.run(3_000);
       t.equal(await statusOf(world, 'a'), 'cancelled');
-      const running = [...world.targets.values()].reduce((sum, one) => sum + one.runningCount, 0);
-      t.equal(running, 0, 'what ran was stopped');
+      t.equal(world.runningCount, 0, 'what ran was stopped');
       t.equal(world.observer.startsOf('a.0.0.0'), 1);
     });
   });
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -33,6 +33,8 @@
   /** Instances of the fleet; then targets come from them. 0 means a fixed set of targets. */
   readonly instanceCount: number;
   readonly spareCount: number;
+  /** What the team may have running over all targets, thousandths of a core; 0 means no limit. */
+  readonly teamLimitCpuMilli: number;
 }
 
 export const DEFAULT_WORLD: JobWorldOptions = {
@@ -44,6 +46,7 @@
   maxAttempts: 3,
   instanceCount: 0,
   spareCount: 0,
+  teamLimitCpuMilli: 0,
 };
 
 /** A job as callers write it, without what has defaults. */
@@ -102,7 +105,13 @@
           { poolId: POOL_ID, rejectsOverload: true },
           { poolId: SPARE_POOL_ID, isSpare: true },
         ],
-        teams: [{ teamId: 'team', keys: ['key'] }],
+        teams: [
+          {
+            teamId: 'team',
+            keys: ['key'],
+            limit: { cpuMilli: options.teamLimitCpuMilli },
+          },
+        ],
       }),
     );
     this.fleet = options.instanceCount > 0 ? this.newFleet() : undefined;
@@ -114,6 +123,11 @@
     return [...this.entries.values()].find((entry) => entry.isOwner);
   }
 
+  /** Runs on all targets that are up. */
+  get runningCount(): number {
+    return [...this.targets.values()].reduce((sum, target) => sum + target.runningCount, 0);
+  }
+
   startEntry(entryId: string, cpuMilli = ENTRY_CPU_MILLI): SimulatedEntry {
     const entry = new SimulatedEntry(entryId, this, cpuMilli);
     this.entries.set(entryId, entry);
--- a/packages/jobdesk/src/upkeep.test.ts
+++ b/packages/jobdesk/src/upkeep.test.ts
@@ -25,17 +25,13 @@
   return world;
 }
 
-function runningCount(world: JobWorld): number {
-  return [...world.targets.values()].reduce((sum, target) => sum + target.runningCount, 0);
-}
-
 /** The longest time on end for which fewer than `least` tasks ran, in milliseconds. */
 async function longestBelow(world: JobWorld, least: number, forMs: number): Promise<number> {
   let longest = 0;
   let current = 0;
   for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += STEP_MS) {
     await world.run(STEP_MS);
-    current = runningCount(world) < least ? current + STEP_MS : 0;
+    current = world.runningCount < least ? current + STEP_MS : 0;
     longest = Math.max(longest, current);
   }
   return longest;
@@ -47,12 +43,12 @@
       // Fails if the instance that is being emptied counts for its pool, or if a task is stopped
       // before another target can take it.
       const world = await newWorld(1, 2);
-      t.equal(runningCount(world), 3, 'all serve');
+      t.equal(world.runningCount, 3, 'all serve');
       world.waves.push({ waveId: 1, instanceIds: ['m0'], dueMs: 30_000, mostAtOnce: 1 });
       const belowMs = await longestBelow(world, 2, 20_000);
       t.same(world.fleet?.upkeeps, ['m0'], 'the upkeep has begun');
       t.equal(belowMs, 0, 'never more than one away');
-      t.equal(runningCount(world), 3, 'all serve again');
+      t.equal(world.runningCount, 3, 'all serve again');
       t.same(world.observer.broken, []);
     });
   });
@@ -66,7 +62,7 @@
       t.same([...(world.fleet?.upkeeps ?? [])].sort(), instanceIds, 'each once');
       t.ok((world.fleet?.mostDown ?? 9) <= 2);
       t.equal(belowMs, 0, 'never more than one away');
-      t.equal(runningCount(world), 3);
+      t.equal(world.runningCount, 3);
     });
   });
 
