Processes of tests listen at ports that nobody else is given; a later owner that died is made known

Cause: an address was asked for and given back before the entry listened. Addresses for processes now come from one function, below the ports that the system hands out; a fleet that can't start ends what it had started instead of hanging for 240 s.

--- a/platform/src/soak/freeAddresses.ts
+++ b/packages/core/src/testing/freeAddresses.ts
@@ -1,4 +1,7 @@
-/** Loopback addresses that nobody listens at, below the ports that systems hand out by themselves. */
+/**
+ * Loopback addresses that nobody listens at, for processes that are told theirs. They lie below the
+ * ports that systems hand out by themselves: one of those may be gone again before it is used.
+ */
 import { createServer } from 'node:net';
 
 const FIRST_PORT = 20_000;
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -89,7 +89,7 @@
 
   private lastCheckMs = -Infinity;
 
-  private lastReleaseCheckMs = -Infinity;
+  private lastCorrectionMs = -Infinity;
 
   private storeLost = false;
 
@@ -171,7 +171,7 @@
     if (changed) this.deps.logger.info('group-changed', { ...this.view });
     await this.directory.refreshMembers(changed);
     if (!this.isOwner) {
-      await this.confirmRelease();
+      await this.correctAnnouncement();
       await this.watchOwner(changed);
       return;
     }
@@ -207,19 +207,25 @@
     else this.directory.take(stored.value, 'store');
   }
 
-  /** The others wait for an owner that lives, so they must hear that this one has released. */
-  private async confirmRelease(): Promise<void> {
-    const { notice } = this.directory;
+  /**
+   * The others wait for an owner that lives. While they take this entry for it, and it is not, they
+   * must hear of its release or of the later owner that it knows of.
+   */
+  private async correctAnnouncement(): Promise<void> {
     const nowMs = this.deps.clock.monotonicMs();
-    if (!notice?.isReleased || !isSameMember(notice.owner, this.self)) return;
-    if (nowMs - this.lastReleaseCheckMs < OWNER_CHECK_MS) return;
-    this.lastReleaseCheckMs = nowMs;
+    const hasEverClaimed = this.claims > 0;
+    if (!hasEverClaimed || this.isClaiming) return;
+    if (nowMs - this.lastCorrectionMs < OWNER_CHECK_MS) return;
+    this.lastCorrectionMs = nowMs;
     const stored = await this.deps.group.announced();
-    if (stored.isErr()) return;
+    if (stored.isErr() || !stored.value || this.isClaiming) return;
     this.directory.take(stored.value, 'store');
-    const storedEpoch = stored.value?.epoch ?? -1;
-    const isHeard = storedEpoch === notice.epoch && stored.value?.isReleased === true;
-    if (storedEpoch <= notice.epoch && !isHeard) await this.deps.group.announce(notice);
+    const isTakenForOwner = isSameMember(stored.value.owner, this.self);
+    if (!isTakenForOwner || stored.value.isReleased) return;
+    const { notice } = this.directory;
+    const isLater = notice !== undefined && notice.epoch > stored.value.epoch;
+    const isReleased = notice?.epoch === stored.value.epoch && notice.isReleased;
+    if (isLater || isReleased) await this.deps.group.announce(notice);
   }
 
   /** Whether a member could do the work of all pools much better. */
--- a/packages/scenarios/src/processes/EntryProcess.ts
+++ b/packages/scenarios/src/processes/EntryProcess.ts
@@ -12,6 +12,9 @@
 
 const PROGRAM = fileURLToPath(new URL('../../../daemon/bin/acaciadockd.js', import.meta.url));
 
+/** Lines of a process that ended early which a failing test shows. */
+const MOST_LINES_TOLD = 3;
+
 export interface ProcessExit {
   readonly code: number | null;
   readonly signal: NodeJS.Signals | null;
@@ -64,13 +67,18 @@
     for (;;) {
       const line = this.logLines.find(({ msg }) => msg === event);
       if (line) return line;
-      if (ended) throw new Error(`the entry ended before it logged ${event}`);
+      if (ended) throw new Error(`the entry ended before it logged ${event}: ${this.lastLines()}`);
       await new Promise((resolve) => {
         setTimeout(resolve, 10);
       });
     }
   }
 
+  /** What the process logged last, for the message of a test that fails. */
+  private lastLines(): string {
+    return JSON.stringify(this.logLines.slice(-MOST_LINES_TOLD));
+  }
+
   get pid(): number {
     return this.child.pid ?? 0;
   }
--- a/packages/scenarios/src/processes/ProcessFleet.ts
+++ b/packages/scenarios/src/processes/ProcessFleet.ts
@@ -2,9 +2,8 @@
  * A whole deployment for tests: the stand-ins and targets in this process, every entry as a
  * process of its own, all on loopback.
  */
-import { createServer } from 'node:net';
-import { type AddressInfo } from 'node:net';
 import { SystemClock } from '@acaciadock/core';
+import { freeAddresses } from '@acaciadock/core/testing/addresses';
 import { type ConfigDocument, TeamKey } from '@acaciadock/config';
 import { CONFIG_STREAM } from '@acaciadock/platform';
 import {
@@ -19,7 +18,6 @@
 import { request } from 'undici';
 import { EntryProcess } from './EntryProcess.js';
 
-const LOOPBACK = '127.0.0.1';
 const READY_POLL_MS = 20;
 
 export interface FleetOptions {
@@ -35,18 +33,6 @@
   readonly body: unknown;
 }
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, LOOPBACK, resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise<void>((resolve) => {
-    server.close(() => resolve());
-  });
-  return `${LOOPBACK}:${port}`;
-}
-
 export class ProcessFleet {
   readonly clock = new SystemClock();
 
@@ -68,9 +54,15 @@
   static async start(options: FleetOptions): Promise<ProcessFleet> {
     const fleet = new ProcessFleet(options);
     await Promise.all([fleet.log.listen(), fleet.directory.listen(), fleet.control.listen()]);
-    await fleet.startTargets();
-    fleet.publish(fleet.document());
-    await fleet.startEntries();
+    try {
+      await fleet.startTargets();
+      fleet.publish(fleet.document());
+      await fleet.startEntries();
+    } catch (cause) {
+      // What did start would keep the test's process alive until its time-out.
+      await fleet.stop();
+      throw cause;
+    }
     return fleet;
   }
 
@@ -137,17 +129,17 @@
 
   private async startEntries(): Promise<void> {
     const entryIds = Array.from({ length: this.options.entryCount }, (_, index) => `e${index}`);
-    const peers = await Promise.all(
-      entryIds.map(async (entryId) => ({ entryId, address: await freeAddress() })),
-    );
+    const addresses = await freeAddresses(entryIds.length);
+    const peers = entryIds.map((entryId, index) => ({ entryId, address: addresses[index] ?? '' }));
     for (const { entryId, address } of peers) {
+      const [callerAddress = '', operatorAddress = ''] = await freeAddresses(2);
       this.directory.set({ instanceId: entryId, role: 'entry', state: 'live' });
       const entry = await EntryProcess.start({
         schemaVersion: 1,
         entryId,
         zoneId: 'zone-a',
-        callerAddress: await freeAddress(),
-        operatorAddress: await freeAddress(),
+        callerAddress,
+        operatorAddress,
         peerAddress: address,
         platform: {
           logUrl: `http://${this.log.address}`,
