--- a/packages/jobdesk/src/lostAnswers.test.ts
+++ b/packages/jobdesk/src/lostAnswers.test.ts
@@ -21,6 +21,28 @@
 /** Share of jobs that must meet their objective; a lost call may hit the same job twice. */
 const IN_TIME_SHARE = 0.95;
 
+/** No process is back sooner after its end, in milliseconds. */
+const LEAST_START_MS = 150;
+
+/** Watches what the owner sends; returns the longest time from an answer to an acknowledgement. */
+function watchAcknowledgements(world: JobWorld): () => number {
+  const answeredMs = new Map<string, number>();
+  let oldestMs = 0;
+  world.entries.forEach(({ port }) => {
+    const hold = port.hold.bind(port);
+    Object.assign(port, {
+      hold: async (...[target, request]: Parameters<typeof hold>): ReturnType<typeof hold> => {
+        const agoMs = world.clock.monotonicMs() - (answeredMs.get(target.targetId) ?? -Infinity);
+        if (request.lastSeenEnd > 0) oldestMs = Math.max(oldestMs, agoMs);
+        const answer = await hold(target, request);
+        if (answer.isOk()) answeredMs.set(target.targetId, world.clock.monotonicMs());
+        return answer;
+      },
+    });
+  });
+  return () => oldestMs;
+}
+
 /** How long each job took until its caller is told that it has completed, in milliseconds. */
 async function completionTimes(world: JobWorld): Promise<number[]> {
   const times: number[] = [];
@@ -58,4 +80,17 @@
     t.ok(inTime >= JOBS * IN_TIME_SHARE, `${inTime} of ${JOBS} in time`);
     t.same(world.observer.broken, []);
   });
+
+  it('are told to forget ends only right after they were heard of', async (t) => {
+    // Fails if reports beside the driver's loop acknowledge, too: a target that was silent for a
+    // moment may have begun a new lifetime under the same id, whose ends are numbered anew.
+    const world = new JobWorld({ ...DEFAULT_WORLD, runtimeMs: RUNTIME_MS });
+    await world.runUntil(() => world.owner !== undefined, 5_000);
+    await world.run(400);
+    const oldestMs = watchAcknowledgements(world);
+    world.entries.forEach((entry) => Object.assign(entry.portFaults, { lateOrderShare: 0.15 }));
+    await completionTimes(world);
+    t.ok(oldestMs() > 0, 'some ends were acknowledged');
+    t.ok(oldestMs() <= LEAST_START_MS, `at most ${Math.round(oldestMs())} ms after an answer`);
+  });
 });
--- a/packages/jobdesk/src/schedules.test.ts
+++ b/packages/jobdesk/src/schedules.test.ts
@@ -11,6 +11,7 @@
  * 11636, 20746, 20912: an announced claim whose journal was not loaded was never tried again.
  * 32205, 42599: a release that nobody heard of was not announced again
  * (as were 52971, 53109 and 53387). 47443: a later owner that died was known to the former alone.
+ * 200203: a start to a reborn target was given up before its lease had ended.
  */
 const FORMER_FAILURES = [
   2_000, 11_636, 20_746, 20_912, 32_205, 42_599, 52_971, 53_109, 53_387, 47_443,
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -47,6 +47,9 @@
 
   readonly clock: PausableClock;
 
+  /** Its way to the targets. */
+  readonly port: SimulatedPort;
+
   private readonly election: Election;
 
   private coordinator: Coordinator | undefined;
@@ -61,6 +64,7 @@
     const { clock: base, store, random, targets, config } = around;
     this.clock = new PausableClock(base);
     const { clock } = this;
+    this.port = new SimulatedPort(targets, this.portFaults, clock, base, random);
     const logger = new SilentLogger();
     const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1`, cpuMilli };
     this.election = new Election(self, {
@@ -86,7 +90,7 @@
         {
           ownership,
           registry: { list: () => this.listTargets() },
-          port: new SimulatedPort(targets, this.portFaults, clock, base, random),
+          port: this.port,
           advice: {
             advise: () => Promise.resolve(err({ kind: 'advice-unavailable', detail: 'none' })),
           },
--- a/packages/telemetry/src/EventMetrics.ts
+++ b/packages/telemetry/src/EventMetrics.ts
@@ -3,13 +3,11 @@
  * how long what it tells of took. Prometheus text by `prom-client`, latencies by HDR histograms.
  */
 import { type LogFields } from '@acaciadock/core';
-import hdr from 'hdr-histogram-js';
 import { Counter, Gauge, Registry } from 'prom-client';
 import { type EventSink } from './BoundedLogger.js';
+import { LatencyQuantiles } from './LatencyQuantiles.js';
 
 const HIGHEST_LATENCY_MS = 600_000;
-const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [50, 90, 99, 100];
 
 /** Fields that tell an outcome, in the order in which they are looked for. */
 const OUTCOME_FIELDS = ['outcome', 'status', 'end', 'state', 'verdict', 'reason'];
@@ -20,8 +18,6 @@
 export class EventMetrics implements EventSink {
   private readonly registry = new Registry();
 
-  private readonly histograms = new Map<string, hdr.Histogram>();
-
   private readonly events = new Counter({
     name: 'acaciadock_events_total',
     help: 'Events by name and outcome.',
@@ -29,12 +25,12 @@
     registers: [this.registry],
   });
 
-  private readonly latencies: Gauge = new Gauge({
+  private readonly latencies = new LatencyQuantiles({
     name: 'acaciadock_event_latency_ms',
     help: 'Quantiles of what events took, in milliseconds, since the start.',
-    labelNames: ['event', 'quantile'],
-    registers: [this.registry],
-    collect: () => this.collectLatencies(),
+    labelNames: ['event'],
+    registry: this.registry,
+    highestMs: HIGHEST_LATENCY_MS,
   });
 
   private readonly memory: Gauge = new Gauge({
@@ -53,33 +49,11 @@
     this.events.inc({ event, outcome: field === undefined ? '' : String(fields[field]) });
     const latency = LATENCY_FIELDS.find((name) => typeof fields[name] === 'number');
     if (latency === undefined) return;
-    this.histogramOf(event).recordValue(Math.max(0, Math.round(fields[latency] as number)));
+    this.latencies.record({ event }, fields[latency] as number);
   }
 
   /** All metrics in the Prometheus text format. */
   text(): Promise<string> {
     return this.registry.metrics();
   }
-
-  private histogramOf(event: string): hdr.Histogram {
-    const known = this.histograms.get(event);
-    if (known) return known;
-    const created = hdr.build({
-      lowestDiscernibleValue: 1,
-      highestTrackableValue: HIGHEST_LATENCY_MS,
-      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-      autoResize: true,
-    });
-    this.histograms.set(event, created);
-    return created;
-  }
-
-  private collectLatencies(): void {
-    this.histograms.forEach((histogram, event) => {
-      QUANTILES.forEach((percentile) => {
-        const labels = { event, quantile: String(percentile / 100) };
-        this.latencies.set(labels, histogram.getValueAtPercentile(percentile));
-      });
-    });
-  }
 }
