Callers in an outage of the store: certain refusals, returns that outlast it, lost answers repeated

Cause: an append without an answer held all accepting and starting for 2 s; a submission whose append the store had rejected was reported as unknown (502), after which a caller may not try again; a call that could not even be sent to the owner was reported as unknown, too; the delay of 1 s for every refusal let callers use up five tries within 4 s of an outage.

Change: CallRepeater repeats an append or read while its answer is overdue by the store's usual answer time (AnswerTimeEstimate). JournalWriter dissolves a batch that the store has certainly not taken, so JobCallHandler takes such jobs back and refuses. PeerCallClient sends only over a ready channel. JobCallRouter repeats a call with an unknown outcome, which is idempotent, for up to 1.3 s. RetryAfter (placement) decides the delay by the age of the outage.

--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -5,7 +5,7 @@
 import { type Clock, type Logger } from '@acaciadock/core';
 import { type JobDefinition, type JobsConfigView } from '@acaciadock/jobs';
 import { type CommitOutcome } from '@acaciadock/journal';
-import { ShareMeter } from '@acaciadock/placement';
+import { RetryAfter, ShareMeter } from '@acaciadock/placement';
 import { type DemandMeter } from './DemandMeter.js';
 import { type JobEntry } from './JobEntry.js';
 import { type JobScheduler } from './JobScheduler.js';
@@ -14,12 +14,14 @@
 import { type Ownership } from './Ownership.js';
 import { type RunTracker } from './RunTracker.js';
 
-/** Retry delay sent with a refusal, in milliseconds: about the duration of a change of owner. */
-const RETRY_AFTER_MS = 1_000;
-
 /** The outcome is reported as unknown after this wait for the store, in milliseconds. */
 const COMMIT_WAIT_MS = 1_500;
 
+/** How often a waiting submission is checked against the state of the store, in milliseconds. */
+const STALL_CHECK_MS = 50;
+
+type CommitWaitOutcome = CommitOutcome | 'store-stalled' | 'withdrawn';
+
 export interface JobCallHandlerDeps {
   readonly jobs: JobTable;
   readonly runTracker: RunTracker;
@@ -53,10 +55,10 @@
   private async submit(call: SubmitCall): Promise<JobReply> {
     const { ownership, clock, logger } = this.deps;
     const known = this.deps.jobs.get(call.jobId);
-    if (!known && !ownership.mayAcceptWork) return JobCallHandler.refuse('store-stalled');
+    if (!known && !ownership.mayAcceptWork) return this.refuse('store-stalled');
     const entry = known ?? this.accept(this.definitionOf(call));
     const startedMs = clock.monotonicMs();
-    const outcome = await this.withTimeout(entry.acceptance);
+    const outcome = await this.awaitAcceptance(entry);
     logger.info('job-accepted', {
       jobId: call.jobId,
       queueId: call.context.queueId,
@@ -67,9 +69,28 @@
       appendMs: Math.round(clock.monotonicMs() - startedMs),
     });
     if (outcome === 'durable') return { kind: 'accepted' };
+    if (outcome === 'withdrawn') return this.refuse('store-stalled');
     return { kind: 'unknown-outcome', reason: outcome };
   }
 
+  /**
+   * Waits until the acceptance is durable. Once the store stalls, the acceptance is taken back if that
+   * is still possible: then the job certainly has not run, and the caller may be told so at once.
+   */
+  private awaitAcceptance(entry: JobEntry): Promise<CommitWaitOutcome> {
+    const { clock, ownership, runTracker } = this.deps;
+    return new Promise((resolve) => {
+      const check = clock.every(STALL_CHECK_MS, () => {
+        if (!ownership.mayAcceptWork && !entry.isWithdrawn) runTracker.withdrawJob(entry);
+        if (entry.isWithdrawn) resolve('withdrawn');
+      });
+      void this.withTimeout(entry.acceptance).then((outcome) => {
+        check.dispose();
+        resolve(entry.isWithdrawn ? 'withdrawn' : outcome);
+      });
+    });
+  }
+
   /** Waits for the commit with a timeout, so that callers get an answer before they time out. */
   private withTimeout(commit: Promise<CommitOutcome>): Promise<CommitOutcome | 'store-stalled'> {
     const { clock } = this.deps;
@@ -117,7 +138,7 @@
     if (!entry) return this.unknownJob();
     if (entry.job.isFinished && !entry.cancellation) return { kind: 'cancelled' };
     if (!entry.cancellation) {
-      if (!this.deps.ownership.mayAcceptWork) return JobCallHandler.refuse('store-stalled');
+      if (!this.deps.ownership.mayAcceptWork) return this.refuse('store-stalled');
       entry.cancellation = this.deps.runTracker.finishJob(entry, 'cancelled');
     }
     const outcome = await this.withTimeout(entry.cancellation);
@@ -139,7 +160,7 @@
    */
   private unknownJob(): JobReply {
     if (this.deps.ownership.isProven) return { kind: 'unknown-job' };
-    return JobCallHandler.refuse('ownership-unproven');
+    return this.refuse('ownership-unproven');
   }
 
   private waiting(queueId: string): JobReply {
@@ -159,7 +180,8 @@
     return this.deps.config().queue(queueId)?.isPublic ? entry : undefined;
   }
 
-  private static refuse(reason: string): JobReply {
-    return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS };
+  private refuse(reason: string): JobReply {
+    const outageMs = this.deps.ownership.writer.stalledMs;
+    return { kind: 'refused', reason, retryAfterMs: RetryAfter.duringOutageMs(outageMs) };
   }
 }
--- a/packages/coordinator/src/JobEntry.ts
+++ b/packages/coordinator/src/JobEntry.ts
@@ -12,5 +12,8 @@
   /** Settles once the cancellation is durable; undefined if the job was not cancelled. */
   cancellation: Promise<CommitOutcome> | undefined;
 
+  /** The acceptance was taken back before it reached the store; the job never runs. */
+  isWithdrawn = false;
+
   constructor(readonly job: Job) {}
 }
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -59,6 +59,21 @@
     return entry;
   }
 
+  /**
+   * Takes back the acceptance of a job whose records certainly are not in the store and will not be.
+   * Returns false if they may be.
+   */
+  withdraw(entry: JobEntry): boolean {
+    const { jobId } = entry.job;
+    const { writer } = this.ownership;
+    if (!writer.withdraw(`${DEFINITION_PREFIX}${jobId}`)) return false;
+    writer.withdraw(`${PROGRESS_PREFIX}${jobId}`);
+    this.entries.delete(jobId);
+    this.active.delete(jobId);
+    Object.assign(entry, { isWithdrawn: true });
+    return true;
+  }
+
   /**
    * Journals the progress that the job has when the next batch is formed, and updates
    * `durableStatus` once it is durable.
--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -20,8 +20,16 @@
  */
 const PROOF_BOUND_MS = 2_000;
 
-/** After an append has waited this long, in milliseconds, no new work is accepted or placed. */
-const STORE_STALL_MS = 1_000;
+/**
+ * No new work is accepted or placed once an append has been without an answer for this many times
+ * the time after which its answer is overdue, within the bounds below, in milliseconds.
+ */
+const STALL_OVERDUE_TIMES = 6;
+const MIN_STALL_MS = 1_000;
+const MAX_STALL_MS = 1_500;
+
+/** The same for an append that the store rejects, in milliseconds: brief rejections are ridden out. */
+const REJECTED_STALL_MS = 300;
 
 /**
  * An owner whose current append has waited less than this, in milliseconds, is not replaced. An
@@ -138,7 +146,13 @@
 
   /** Whether the store acknowledges appends fast enough for new work to be accepted and placed. */
   get mayAcceptWork(): boolean {
-    return this.writer.stalledMs < STORE_STALL_MS;
+    return this.writer.stalledMs < this.stallLimitMs;
+  }
+
+  private get stallLimitMs(): number {
+    if (this.writer.isRejected) return REJECTED_STALL_MS;
+    const overdueMs = STALL_OVERDUE_TIMES * this.writer.overdueMs;
+    return Math.min(Math.max(overdueMs, MIN_STALL_MS), MAX_STALL_MS);
   }
 
   /**
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -137,6 +137,21 @@
     return commit;
   }
 
+  /**
+   * Takes back the acceptance of a job, with its planned runs. Returns false if its records may be in
+   * the store.
+   */
+  withdrawJob(entry: JobEntry): boolean {
+    if (!this.jobs.withdraw(entry)) return false;
+    entry.job.liveTasks().forEach(({ task }) => {
+      task.runs.forEach((run) => {
+        const live = this.liveRunOf(task.taskId, run.targetId);
+        if (live) void this.finish(live, 'lost', '');
+      });
+    });
+    return true;
+  }
+
   liveRunOf(taskId: string, targetId: string): LiveRun | undefined {
     return this.targets.get(targetId)?.runs.get(taskId);
   }
--- a/packages/coordinator/src/testing/SimulatedStore.ts
+++ b/packages/coordinator/src/testing/SimulatedStore.ts
@@ -18,9 +18,15 @@
 const MEMBER_TTL_MS = 1_000;
 const MAX_LATE_MS = 4_000;
 
+/** Time limit of a call without an answer, in milliseconds. */
+const CALL_TIMEOUT_MS = 2_000;
+
 /** Injected faults of the store, for all entries or for one. */
 export interface StoreFaults {
+  /** Every call is rejected without effect. */
   isDown: boolean;
+  /** Every call is left without an answer and without effect. */
+  isSilent?: boolean;
   lostAnswerShare: number;
   latencyMs: number;
   /** Whether announcements of owners get lost. */
@@ -117,6 +123,10 @@
         this.clock.after(latencyMs, () => answer(err({ kind: 'rejected', detail: 'down' })));
         return;
       }
+      if (this.faults.isSilent === true || entryFaults.isSilent === true) {
+        this.clock.after(CALL_TIMEOUT_MS, () => answer(SimulatedStore.noAnswer()));
+        return;
+      }
       const isLost = this.random.chance(this.faults.lostAnswerShare + entryFaults.lostAnswerShare);
       if (!isLost) {
         this.clock.after(latencyMs, () => answer(action()));
@@ -124,7 +134,11 @@
       }
       const isLate = this.random.chance(0.5);
       this.clock.after(isLate ? this.random.next() * MAX_LATE_MS : latencyMs, () => action());
-      this.clock.after(500, () => answer(err({ kind: 'unknown-outcome', detail: 'lost' })));
+      this.clock.after(CALL_TIMEOUT_MS, () => answer(SimulatedStore.noAnswer()));
     });
   }
+
+  private static noAnswer(): Result<never, LogFailure> {
+    return err({ kind: 'unknown-outcome', detail: 'lost' });
+  }
 }
--- a/packages/jobdesk/src/JobCallRouter.ts
+++ b/packages/jobdesk/src/JobCallRouter.ts
@@ -1,6 +1,7 @@
 /**
  * Routes the calls of an entry's callers to the coordinator, in this process or on the entry that
- * owns the journal. During a change of owner a call is retried for up to `OWNER_CHANGE_WAIT_MS`.
+ * owns the journal. During a change of owner a call is retried for up to `OWNER_CHANGE_WAIT_MS`. A
+ * call without an answer is repeated, because all calls are idempotent and the next answer resolves it.
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
 import {
@@ -11,14 +12,22 @@
 } from '@acaciadock/coordinator';
 import { type AllowedCall, type CallAccess, type JobsConfigView } from '@acaciadock/jobs';
 import { type Election } from './Election.js';
-import { PeerCallClient } from './PeerCallClient.js';
+import { RetryAfter } from '@acaciadock/placement';
+import { PeerCallClient, UNREACHABLE } from './PeerCallClient.js';
 
 /** How long a call waits for a new owner, in milliseconds; a planned change takes less. */
 const OWNER_CHANGE_WAIT_MS = 400;
 
 const OWNER_CHANGE_RETRY_MS = 50;
 
-const RETRY_AFTER_MS = 1_000;
+/**
+ * A call whose outcome is unknown is repeated until this long after its start, in milliseconds, so
+ * that the caller still gets an answer before its own time limit.
+ */
+const RESOLVE_WAIT_MS = 1_300;
+
+/** The owner counts as absent only while calls have failed within this time, in milliseconds. */
+const ABSENCE_MEMORY_MS = 3_000;
 
 /** Refusal reason while there is no coordinator; it goes away once there is a new owner. */
 export const NO_COORDINATOR = 'no-coordinator';
@@ -55,6 +64,9 @@
 export class JobCallRouter extends Disposable implements JobService {
   private peer: PeerCallClient | undefined;
 
+  /** First and last failure of the current absence of an owner, on the monotonic clock. */
+  private absence: { readonly sinceMs: number; readonly lastMs: number } | undefined;
+
   constructor(private readonly deps: JobCallRouterDeps) {
     super();
     this.register({ dispose: () => this.peer?.dispose() });
@@ -66,14 +78,48 @@
   }
 
   async call(call: JobCall): Promise<JobReply> {
-    const untilMs = this.deps.clock.monotonicMs() + OWNER_CHANGE_WAIT_MS;
+    const startedMs = this.deps.clock.monotonicMs();
     let reply = await this.callOnce(call);
-    while (JobCallRouter.isTransient(reply) && this.deps.clock.monotonicMs() < untilMs) {
+    let unresolved: JobReply | undefined;
+    for (;;) {
+      if (reply.kind === 'unknown-outcome') unresolved = reply;
+      const elapsedMs = this.deps.clock.monotonicMs() - startedMs;
+      if (elapsedMs >= JobCallRouter.retryWaitMs(reply, unresolved)) break;
       void this.deps.election.refreshOwner();
       await this.deps.clock.sleep(OWNER_CHANGE_RETRY_MS);
       reply = await this.callOnce(call);
     }
-    return reply;
+    this.recordAbsence(reply);
+    return this.finalReply(reply, unresolved);
+  }
+
+  /** How long after its start a call with this reply is repeated, in milliseconds; 0 for never. */
+  private static retryWaitMs(reply: JobReply, unresolved: JobReply | undefined): number {
+    if (reply.kind !== 'refused' && reply.kind !== 'unknown-outcome') return 0;
+    if (unresolved) return RESOLVE_WAIT_MS;
+    return JobCallRouter.isTransient(reply) ? OWNER_CHANGE_WAIT_MS : 0;
+  }
+
+  /** A refusal after an attempt with an unknown outcome does not prove that the call had no effect. */
+  private finalReply(reply: JobReply, unresolved: JobReply | undefined): JobReply {
+    if (reply.kind !== 'refused') return reply;
+    if (unresolved) return unresolved;
+    if (!JobCallRouter.isTransient(reply)) return reply;
+    const outageMs = this.deps.clock.monotonicMs() - (this.absence?.sinceMs ?? 0);
+    return { ...reply, retryAfterMs: RetryAfter.duringOutageMs(outageMs) };
+  }
+
+  private recordAbsence(reply: JobReply): void {
+    const nowMs = this.deps.clock.monotonicMs();
+    if (!JobCallRouter.isTransient(reply)) {
+      this.absence = undefined;
+      return;
+    }
+    const isContinuing = this.absence && nowMs - this.absence.lastMs < ABSENCE_MEMORY_MS;
+    this.absence = {
+      sinceMs: isContinuing ? (this.absence?.sinceMs ?? nowMs) : nowMs,
+      lastMs: nowMs,
+    };
   }
 
   /** Answers a call sent to this process because it is believed to be the coordinator. */
@@ -119,10 +165,11 @@
   }
 
   private static isTransient(reply: JobReply): boolean {
-    return reply.kind === 'refused' && reply.reason === NO_COORDINATOR;
+    if (reply.kind !== 'refused') return false;
+    return reply.reason === NO_COORDINATOR || reply.reason === UNREACHABLE;
   }
 
   private static noCoordinatorReply(): JobReply {
-    return { kind: 'refused', reason: NO_COORDINATOR, retryAfterMs: RETRY_AFTER_MS };
+    return { kind: 'refused', reason: NO_COORDINATOR, retryAfterMs: RetryAfter.duringOutageMs(0) };
   }
 }
--- a/packages/jobdesk/src/PeerCallClient.ts
+++ b/packages/jobdesk/src/PeerCallClient.ts
@@ -1,14 +1,23 @@
-/** Calls the coordinator on another entry over a single gRPC channel. */
+/**
+ * Calls the coordinator on another entry over a single gRPC channel. A call is sent only over a ready
+ * channel, so that a call to an entry that can't be reached certainly had no effect.
+ */
 import { type Clock, Disposable } from '@acaciadock/core';
 import { type JobCall, type JobReply, type JobService } from '@acaciadock/coordinator';
-import { Client, credentials, type ServiceError, status } from '@grpc/grpc-js';
+import { Client, connectivityState, credentials, type ServiceError, status } from '@grpc/grpc-js';
 import { callMethod } from './PeerCalls.js';
 
 /** Call timeout in milliseconds; a running coordinator answers well within it. */
 const CALL_TIMEOUT_MS = 1_200;
 
+/** How long a call waits for a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 300;
+
 const RETRY_AFTER_MS = 1_000;
 
+/** Refusal reason if there is no connection to the owner; it goes away with a new one. */
+export const UNREACHABLE = 'coordinator-unreachable';
+
 const CHANNEL_OPTIONS = {
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 500,
@@ -26,9 +35,23 @@
     this.register({ dispose: () => this.close() });
   }
 
-  call(call: JobCall): Promise<JobReply> {
+  async call(call: JobCall): Promise<JobReply> {
     this.client ??= new Client(this.address, credentials.createInsecure(), CHANNEL_OPTIONS);
     const { client } = this;
+    if (await this.isReady(client)) return this.send(client, call);
+    return { kind: 'refused', reason: UNREACHABLE, retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  private isReady(client: Client): Promise<boolean> {
+    const isReady = client.getChannel().getConnectivityState(true) === connectivityState.READY;
+    if (isReady) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const deadline = this.clock.unixMs() + CONNECT_TIMEOUT_MS;
+      client.waitForReady(deadline, (failure) => resolve(!failure));
+    });
+  }
+
+  private send(client: Client, call: JobCall): Promise<JobReply> {
     return new Promise((resolve) => {
       client.makeUnaryRequest(
         callMethod.path,
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -158,14 +158,18 @@
 
   /** Submits a job to the owner, if there is one, and records whether it was accepted. */
   async submit(jobId: string, spec: JobInput): Promise<void> {
-    const call = {
+    const reply = await this.call(jobId, spec);
+    if (reply?.kind === 'accepted') this.accepted.add(jobId);
+  }
+
+  /** Submits a job to the owner; undefined if there is none. */
+  call(jobId: string, spec: JobInput): Promise<JobReply> | undefined {
+    return this.entries.get(this.ownerId() ?? '')?.call({
       kind: 'submit' as const,
       context: JobWorld.context(),
       jobId,
       spec: jobSpecSchema.parse({ spec: '', ...spec }),
-    };
-    const reply = await this.entries.get(this.ownerId() ?? '')?.call(call);
-    if (reply?.kind === 'accepted') this.accepted.add(jobId);
+    });
   }
 
   stateOf(jobId: string): Promise<JobReply> | undefined {
--- a/packages/jobdesk/src/testing/takeoverHelpers.ts
+++ b/packages/jobdesk/src/testing/takeoverHelpers.ts
@@ -10,6 +10,7 @@
 export type StepInput = z.input<typeof stepSpecSchema>;
 
 export const ONE_STEP: readonly StepInput[] = [{ taskCount: 4, cpuMilli: 1_000 }];
+export const ONE_TASK: readonly StepInput[] = [{ taskCount: 1, cpuMilli: 100 }];
 export const TWO_STEPS: readonly StepInput[] = [
   { taskCount: 3, cpuMilli: 1_000 },
   { taskCount: 2, cpuMilli: 1_000, afterSteps: [0] },
--- a/packages/journal/src/JournalClaim.ts
+++ b/packages/journal/src/JournalClaim.ts
@@ -4,6 +4,7 @@
  * of earlier owners fail once the claim is in the log.
  */
 import { type Clock } from '@acaciadock/core';
+import { CallRepeater } from './CallRepeater.js';
 import { type LogFailure, type RecordLog, type StoredRecord } from './RecordLog.js';
 
 export const CLAIM_KEY = 'claim';
@@ -30,10 +31,14 @@
 }
 
 export class JournalClaim {
+  private readonly repeater: CallRepeater;
+
   constructor(
     private readonly log: RecordLog,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.repeater = new CallRepeater(clock);
+  }
 
   /**
    * Claims the journal and loads it. Returns undefined once `isWanted` returns false, or if another
@@ -69,7 +74,8 @@
     isWanted: () => boolean,
   ): Promise<number | undefined> {
     while (isWanted()) {
-      const done = await this.log.append(epoch, [{ key: CLAIM_KEY, value }]);
+      const records = [{ key: CLAIM_KEY, value }];
+      const done = await this.repeater.call((signal) => this.log.append(epoch, records, signal));
       if (done.isOk()) return undefined;
       if (done.error.kind === 'offset-mismatch') {
         const { endOffset } = done.error;
@@ -83,7 +89,7 @@
 
   /** Whether the record at `epoch` is this claim: an append without an answer was carried out. */
   private async isOwnClaim(epoch: number, value: Buffer): Promise<boolean> {
-    const slice = await this.log.readFrom(epoch, 0);
+    const slice = await this.repeater.call((signal) => this.log.readFrom(epoch, 0, signal));
     if (slice.isErr()) return false;
     const [claim] = slice.value.records;
     return claim?.key === CLAIM_KEY && claim.value?.equals(value) === true;
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -1,10 +1,12 @@
 /**
  * Group commit for the owner of the journal. At most one append is in flight; keys that change
  * meanwhile are collected for the next one. Each append names the offset that it expects, so the
- * claim of a new owner fences this writer. An append without an answer is resolved by reading the
- * log.
+ * claim of a new owner fences this writer. An append without an answer is repeated and, if it had an
+ * effect, resolved by reading the log. A batch that the store has certainly not taken is dissolved,
+ * so that its keys can still be withdrawn.
  */
 import { type Clock, Disposable, EventEmitter } from '@acaciadock/core';
+import { CallRepeater } from './CallRepeater.js';
 import { type KeyedRecord, type LogFailure, type RecordLog } from './RecordLog.js';
 import { type OwnedJournal } from './JournalClaim.js';
 
@@ -27,6 +29,18 @@
   readonly settle: (outcome: CommitOutcome) => void;
 }
 
+/** The records of one append, and what is needed to dissolve it. */
+interface Batch {
+  readonly records: readonly KeyedRecord[];
+  readonly encoders: ReadonlyMap<string, RecordEncoder>;
+  readonly bytes: number;
+  /** Settled once the batch is; empty if records of the same commits follow in a later batch. */
+  readonly commits: readonly Commit[];
+}
+
+/** `rejected`: no attempt had an effect. */
+type AppendOutcome = CommitOutcome | 'rejected';
+
 function createCommit(): Commit {
   let settle: (outcome: CommitOutcome) => void = () => undefined;
   const promise = new Promise<CommitOutcome>((resolve) => {
@@ -36,10 +50,15 @@
 }
 
 export class JournalWriter extends Disposable {
-  private readonly dirty = new Map<string, RecordEncoder>();
+  private dirty = new Map<string, RecordEncoder>();
 
   private nextCommit = createCommit();
 
+  /** Commits of dissolved batches; they settle together with `nextCommit`. */
+  private dissolvedCommits: readonly Commit[] = [];
+
+  private readonly repeater: CallRepeater;
+
   private isWriting = false;
 
   private nextOffset: number;
@@ -54,6 +73,9 @@
    */
   readonly onLost = this.lostEmitter.event;
 
+  /** Whether the store has rejected the last attempt, so that nothing is in flight. */
+  isRejected = false;
+
   /** Monotonic time of the last acknowledged append. */
   lastDurableMs: number;
 
@@ -75,6 +97,7 @@
     private readonly clock: Clock,
   ) {
     super();
+    this.repeater = new CallRepeater(clock);
     this.nextOffset = owned.nextOffset;
     this.lastDurableMs = clock.monotonicMs();
     this.lastDurableUnixMs = clock.unixMs();
@@ -86,6 +109,11 @@
     return this.clock.monotonicMs() - this.appendingSinceMs;
   }
 
+  /** Time after which the answer to an append is overdue, in milliseconds. */
+  get overdueMs(): number {
+    return this.repeater.overdueMs;
+  }
+
   /**
    * Adds the key to the next batch, and replaces an earlier write of the key that is not in a batch
    * yet. The promise resolves once the batch is durable or the ownership is lost.
@@ -105,7 +133,7 @@
 
   override dispose(): void {
     this.lost = true;
-    this.nextCommit.settle('ownership-lost');
+    this.settleUnwritten();
     super.dispose();
   }
 
@@ -120,64 +148,93 @@
 
   private async run(): Promise<void> {
     while (this.dirty.size > 0 && !this.lost) {
-      const commit = this.nextCommit;
-      const records = this.takeBatch();
-      if (this.dirty.size === 0) this.nextCommit = createCommit();
-      const durable = await this.appendUntilSettled(records);
-      if (!durable) {
-        commit.settle('ownership-lost');
-        break;
+      const batch = this.takeBatch();
+      const outcome = await this.appendUntilSettled(batch);
+      this.isRejected = outcome === 'rejected';
+      if (outcome === 'rejected') {
+        this.dissolve(batch);
+        await this.clock.sleep(RETRY_DELAY_MS);
+        continue;
       }
-      // Records that did not fit into the batch share its commit, which settles with the last one.
-      if (commit !== this.nextCommit) commit.settle('durable');
+      batch.commits.forEach((commit) => commit.settle(outcome));
     }
     this.isWriting = false;
   }
 
-  private takeBatch(): KeyedRecord[] {
+  private takeBatch(): Batch {
     const records: KeyedRecord[] = [];
+    const encoders = new Map<string, RecordEncoder>();
     let bytes = 0;
     for (const [key, encode] of this.dirty) {
       if (bytes > MAX_BATCH_BYTES) break;
       const value = encode();
       records.push({ key, value });
+      encoders.set(key, encode);
       bytes += key.length + (value?.length ?? 0);
       this.dirty.delete(key);
     }
     this.appendedBytes += bytes;
-    return records;
+    // Records that did not fit share the commits, which settle with the last batch.
+    const commits = this.dirty.size === 0 ? this.takeCommits() : [];
+    return { records, encoders, bytes, commits };
+  }
+
+  private takeCommits(): readonly Commit[] {
+    const commits = [...this.dissolvedCommits, this.nextCommit];
+    this.dissolvedCommits = [];
+    this.nextCommit = createCommit();
+    return commits;
+  }
+
+  /** Returns the records of a batch that had no effect to those that wait for an append. */
+  private dissolve({ encoders, commits }: Batch): void {
+    this.dirty = new Map([...encoders, ...this.dirty]);
+    this.dissolvedCommits = [...this.dissolvedCommits, ...commits];
+    if (this.lost) this.settleUnwritten();
+  }
+
+  private settleUnwritten(): void {
+    this.takeCommits().forEach((commit) => commit.settle('ownership-lost'));
   }
 
-  private async appendUntilSettled(records: readonly KeyedRecord[]): Promise<boolean> {
-    this.appendingSinceMs = this.clock.monotonicMs();
+  /** Repeats the append until its outcome is certain. */
+  private async appendUntilSettled({ records, bytes }: Batch): Promise<AppendOutcome> {
+    this.appendingSinceMs ??= this.clock.monotonicMs();
+    let mayHaveEffect = false;
     while (!this.lost) {
-      this.appendCount += 1;
-      const done = await this.log.append(this.nextOffset, records);
-      if (this.lost) return false;
+      const done = await this.repeater.call((signal) => {
+        this.appendCount += 1;
+        return this.log.append(this.nextOffset, records, signal);
+      }, bytes);
+      if (this.lost) return 'ownership-lost';
       if (done.isOk()) return this.advance(records.length);
-      if (done.error.kind === 'offset-mismatch') {
+      const { error } = done;
+      if (error.kind === 'rejected' && !mayHaveEffect) return 'rejected';
+      mayHaveEffect ||= error.kind === 'unknown-outcome';
+      if (error.kind === 'offset-mismatch') {
         const isOwn = await this.hasOwnRecords(records);
         if (isOwn === true) return this.advance(records.length);
-        if (isOwn === false) return this.endOwnership(done.error);
+        if (isOwn === false) return this.endOwnership(error);
+        mayHaveEffect = true;
       }
       await this.clock.sleep(RETRY_DELAY_MS);
     }
-    return false;
+    return 'ownership-lost';
   }
 
-  private advance(count: number): boolean {
+  private advance(count: number): CommitOutcome {
     this.nextOffset += count;
     this.lastDurableMs = this.clock.monotonicMs();
     this.lastDurableUnixMs = this.clock.unixMs();
     this.appendingSinceMs = undefined;
-    return true;
+    return 'durable';
   }
 
-  private endOwnership(failure: LogFailure): boolean {
+  private endOwnership(failure: LogFailure): CommitOutcome {
     this.lost = true;
-    this.nextCommit.settle('ownership-lost');
+    this.settleUnwritten();
     this.lostEmitter.fire(failure);
-    return false;
+    return 'ownership-lost';
   }
 
   /**
@@ -185,7 +242,9 @@
    * append has to be repeated. Also false if that offset has expired.
    */
   private async hasOwnRecords(records: readonly KeyedRecord[]): Promise<boolean | undefined> {
-    const slice = await this.log.readFrom(this.nextOffset, 0);
+    const slice = await this.repeater.call((signal) =>
+      this.log.readFrom(this.nextOffset, 0, signal),
+    );
     if (slice.isErr()) return slice.error.kind === 'history-gone' ? false : undefined;
     return records.every((record, index) => {
       const stored = slice.value.records[index];
--- a/packages/journal/src/RecordLog.ts
+++ b/packages/journal/src/RecordLog.ts
@@ -36,15 +36,23 @@
   | { readonly kind: 'history-gone' };
 
 export abstract class RecordLog {
-  /** Appends all records if the log ends at `expectedOffset`, otherwise none. */
+  /**
+   * Appends all records if the log ends at `expectedOffset`, otherwise none. Aborting frees what the
+   * call holds; whether it had an effect is then unknown.
+   */
   abstract append(
     expectedOffset: number,
     records: readonly KeyedRecord[],
+    signal?: AbortSignal,
   ): Promise<Result<void, LogFailure>>;
 
   /** Returns the newest record of each key. */
   abstract readNewest(): Promise<Result<NewestRecords, LogFailure>>;
 
   /** Returns records from `offset` on; waits up to `waitMs` for the first one. */
-  abstract readFrom(offset: number, waitMs: number): Promise<Result<LogSlice, LogFailure>>;
+  abstract readFrom(
+    offset: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<LogSlice, LogFailure>>;
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,6 +2,7 @@
 export * from './ArrivalMeter.js';
 export * from './TurnForecast.js';
 export * from './QueueOrder.js';
+export * from './RetryAfter.js';
 export * from './RuntimeEstimates.js';
 export * from './ShareMeter.js';
 export * from './StragglerDetector.js';
