--- a/packages/jobdesk/src/JobCallRouter.ts
+++ b/packages/jobdesk/src/JobCallRouter.ts
@@ -11,8 +11,8 @@
   type JobService,
 } from '@acaciadock/coordinator';
 import { type AllowedCall, type CallAccess, type JobsConfigView } from '@acaciadock/jobs';
-import { type Election } from './Election.js';
 import { RetryAfter } from '@acaciadock/placement';
+import { type Election } from './Election.js';
 import { PeerCallClient, UNREACHABLE } from './PeerCallClient.js';
 
 /** How long a call waits for a new owner, in milliseconds; a planned change takes less. */
