The successor notices the end of the owner's process at once

Change: the successor, and only it, holds an idle connection to the owner's peer port (ProcessWatch). When the process ends, the connection closes and the next one is refused; then the successor claims. A reset connection or a silent machine proves nothing and is left to the membership. Fencing is unchanged: a claim in error costs a change of owner, never a second run.

--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -18,6 +18,7 @@
   type RecordLog,
 } from '@acaciadock/journal';
 import { OwnerDirectory, type OwnerDirectoryDeps } from './OwnerDirectory.js';
+import { OwnerWatch } from './OwnerWatch.js';
 
 /**
  * Interval between renewals of the membership, in milliseconds. Several renewals fit into the
@@ -115,6 +116,8 @@
 
   private readonly directory: OwnerDirectory;
 
+  private readonly ownerWatch: OwnerWatch;
+
   constructor(
     private readonly self: GroupMember,
     private readonly deps: ElectionDeps,
@@ -122,6 +125,12 @@
     super();
     this.directory = this.register(new OwnerDirectory(self, deps));
     this.register(this.directory.onNotice((notice) => this.onNotice(notice)));
+    this.ownerWatch = this.register(new OwnerWatch(deps.peers, deps.logger));
+    this.register(
+      this.ownerWatch.onGone(() => {
+        void this.renew();
+      }),
+    );
   }
 
   /** The owner of the journal as far as this entry knows. */
@@ -207,6 +216,7 @@
     await this.directory.refreshMembers(changed);
     if (!this.isOwner) {
       await this.correctAnnouncement();
+      this.ownerWatch.set(this.isSuccessor ? this.directory.notice : undefined);
       await this.watchOwner(changed);
       return;
     }
@@ -301,7 +311,10 @@
     const nowMs = this.deps.clock.monotonicMs();
     const { notice } = this.directory;
     const isDue =
-      changed || notice === undefined || nowMs - this.lastOwnerCheckMs > OWNER_CHECK_PERIOD_MS;
+      changed ||
+      notice === undefined ||
+      this.ownerWatch.isGone(notice.owner) ||
+      nowMs - this.lastOwnerCheckMs > OWNER_CHECK_PERIOD_MS;
     // A claim of this entry failed after its announcement, or its ownership ended without a
     // release. The other entries then wait for this one, so it claims again.
     const isOwnNotice = notice?.isReleased === false && isSameMember(notice.owner, this.self);
@@ -322,6 +335,7 @@
     // Before the first claim, the other entries get time to join, so that the strongest one claims.
     if (!notice) return this.deps.clock.unixMs() - this.self.bootMs > FIRST_CLAIM_DELAY_MS;
     if (notice.isReleased || isSameMember(notice.owner, this.self)) return true;
+    if (this.ownerWatch.isGone(notice.owner)) return true;
     if (!(await directory.listMembers())) return false;
     // A later process of the owner's entry proves the owner's end before its membership expires.
     if (directory.hasProcessExited(notice.owner.entryId, notice.owner.bootMs)) return true;
--- a/packages/jobdesk/src/JobCallRouter.test.ts
+++ b/packages/jobdesk/src/JobCallRouter.test.ts
@@ -6,7 +6,7 @@
   SimulatedLog,
   SimulatedStore,
 } from '@acaciadock/coordinator/testing';
-import { ManualClock, Random, SilentLogger } from '@acaciadock/core';
+import { ManualClock, Random, SilentLogger, toDisposable } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { jobsConfigSchema, JobsConfigView } from '@acaciadock/jobs';
 import { Election } from './Election.js';
@@ -47,7 +47,10 @@
   const election = new Election(self, {
     group: new SimulatedGroup(store, clock, faults),
     log: new SimulatedLog(store, clock, faults),
-    peers: { exchangeNotice: () => Promise.resolve(undefined) },
+    peers: {
+      exchangeNotice: () => Promise.resolve(undefined),
+      watch: () => toDisposable(() => undefined),
+    },
     clock,
     logger,
   });
--- a/packages/jobdesk/src/PeerNoticeClient.ts
+++ b/packages/jobdesk/src/PeerNoticeClient.ts
@@ -1,8 +1,9 @@
 /** Asks other entries who owns the journal. Queries are rare, so each opens its own channel. */
-import { type Clock, type Logger } from '@acaciadock/core';
+import { type Clock, type IDisposable, type Logger } from '@acaciadock/core';
 import { type OwnerNotice, type PeerAnswer, PeerNotices } from '@acaciadock/journal';
 import { Client, credentials } from '@grpc/grpc-js';
 import { noticeMethod } from './PeerCalls.js';
+import { ProcessWatch } from './ProcessWatch.js';
 
 /** Query timeout in milliseconds; a running peer answers within a few. */
 const ASK_TIMEOUT_MS = 200;
@@ -15,6 +16,12 @@
     super();
   }
 
+  override watch(peerAddress: string, onRefused: () => void): IDisposable {
+    const watch = new ProcessWatch(peerAddress, this.clock);
+    watch.onRefused(onRefused);
+    return watch;
+  }
+
   override exchangeNotice(
     peerAddress: string,
     knownNotice?: OwnerNotice,
--- a/packages/jobdesk/src/schedules.test.ts
+++ b/packages/jobdesk/src/schedules.test.ts
@@ -15,7 +15,7 @@
  * 200203: a start order to a restarted target was given up before its lease had expired.
  */
 const REGRESSION_SEEDS = [
-  2_000, 11_636, 20_746, 20_912, 32_205, 42_599, 52_971, 53_109, 53_387, 47_443,
+  2_000, 11_636, 20_746, 20_912, 32_205, 42_599, 52_971, 53_109, 53_387, 47_443, 200_203,
 ];
 
 describe('random schedules', () => {
--- a/packages/jobdesk/src/takeover.test.ts
+++ b/packages/jobdesk/src/takeover.test.ts
@@ -27,6 +27,16 @@
       await assertCompletes(t, world, ['a', 'b']);
     });
 
+    it('lets the successor accept work again within 0.5 seconds, at any moment', async (t) => {
+      // Fails if the death is noticed only by the expiry of the membership.
+      for (let phaseMs = 0; phaseMs < 1_500; phaseMs += 130) {
+        const world = await createWorld({ entryCount: 5 });
+        await world.run(phaseMs);
+        world.killEntry(world.ownerId() ?? '');
+        t.ok(await world.runUntil(() => world.owner !== undefined, 500), `after ${phaseMs} ms`);
+      }
+    });
+
     it('adopts running tasks instead of running them again', async (t) => {
       const world = await createWorld({ runtimeMs: 3_000 });
       await submit(world, 'a');
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -20,7 +20,7 @@
   type SimulatedTarget,
   type StoreFaults,
 } from '@acaciadock/coordinator/testing';
-import { type ManualClock, type Random, SilentLogger } from '@acaciadock/core';
+import { type IDisposable, type ManualClock, type Random, SilentLogger } from '@acaciadock/core';
 import { type JobsConfigView } from '@acaciadock/jobs';
 import { type OwnerNotice, type PeerAnswer } from '@acaciadock/journal';
 import { err, ok } from 'neverthrow';
@@ -28,6 +28,7 @@
 
 export const MAX_LEASE_MS = 6_000;
 const PEER_LATENCY_MS = 2;
+const WATCH_PERIOD_MS = 20;
 const KEEP_FINISHED_MS = 120_000;
 
 export interface SimulatedEnvironment {
@@ -72,7 +73,10 @@
     const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1`, cpuMilli };
     this.election = new Election(self, {
       group: new SimulatedGroup(store, clock, this.storeFaults),
-      peers: { exchangeNotice: (address, knownNotice) => this.askPeer(address, knownNotice) },
+      peers: {
+        exchangeNotice: (address, knownNotice) => this.askPeer(address, knownNotice),
+        watch: (address, onRefused) => this.watchPeer(address, onRefused),
+      },
       log: new SimulatedLog(store, clock, this.storeFaults),
       clock,
       logger,
@@ -154,6 +158,16 @@
     });
   }
 
+  /** A killed process is missing among the entries until its entry starts again. */
+  private watchPeer(address: string, onRefused: () => void): IDisposable {
+    return this.clock.every(WATCH_PERIOD_MS, () => {
+      const isListening = [...this.environment.entries.keys()].includes(
+        address.split(':')[0] ?? '',
+      );
+      if (!isListening) onRefused();
+    });
+  }
+
   private listTargets(): ReturnType<TargetRegistry['list']> {
     return Promise.resolve(ok(this.entries()));
   }
--- a/packages/journal/src/PeerNotices.ts
+++ b/packages/journal/src/PeerNotices.ts
@@ -1,4 +1,5 @@
 /** Exchanges owner announcements with other entries directly, without the store. */
+import { type IDisposable } from '@acaciadock/core';
 import { type OwnerNotice } from './OwnershipGroup.js';
 
 /** What an entry reports about the owner and about itself. */
@@ -12,5 +13,14 @@
 /** Queries which owner another entry knows, and sends it the announcement known here. */
 export abstract class PeerNotices {
   /** Returns undefined if the peer does not answer. */
-  abstract exchangeNotice(peerAddress: string, knownNotice?: OwnerNotice): Promise<PeerAnswer | undefined>;
+  abstract exchangeNotice(
+    peerAddress: string,
+    knownNotice?: OwnerNotice,
+  ): Promise<PeerAnswer | undefined>;
+
+  /**
+   * Watches the process at the address. Calls `onRefused` each time that nothing listens there any
+   * more; a process that merely doesn't answer is not reported.
+   */
+  abstract watch(peerAddress: string, onRefused: () => void): IDisposable;
 }
