Moves at the rate that the platform accepts; logs of stalled appends

Cause: at most 8 moves were ordered in a round of 150 ms, about 45 a second, whatever the size of the fleet.

--- a/packages/coordinator/src/FleetOrders.test.ts
+++ b/packages/coordinator/src/FleetOrders.test.ts
@@ -66,6 +66,7 @@
     bootMs: 1,
     hasProcessExited: () => false,
     orderSeparationMs: ORDER_SEPARATION_MS,
+    ordersPerS: 64,
     upkeepMs: 2_000,
   };
   const logger = new SilentLogger();
--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -6,6 +6,7 @@
  * order to recently gets none until that time has passed; all others can be ordered at once.
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { OrderBudget } from '@acaciadock/placement';
 import { type FleetFailure, type FleetInstance, type InstanceFleet } from './contracts/index.js';
 import { type Ownership } from './Ownership.js';
 import { type TargetTable } from './TargetTable.js';
@@ -57,6 +58,8 @@
   /** Minimum time between the orders of two different holders to an instance, in milliseconds. */
   readonly orderSeparationMs: number;
   readonly upkeepMs: number;
+  /** Orders that the platform accepts in a second, from all entries together. */
+  readonly ordersPerS: number;
 }
 
 export interface FleetOrdersDeps {
@@ -81,6 +84,8 @@
   /** Monotonic time of the last order to each instance, own or inherited. */
   private readonly lastOrderedMs = new Map<string, number>();
 
+  private readonly budget: OrderBudget;
+
   /** Instances whose last order came from a previous holder. */
   private readonly inherited = new Set<string>();
 
@@ -89,6 +94,12 @@
     private readonly deps: FleetOrdersDeps,
   ) {
     super();
+    this.budget = new OrderBudget(options.ordersPerS, deps.clock.monotonicMs());
+  }
+
+  /** Number of moves that may be ordered now. */
+  get allowance(): number {
+    return this.budget.available(this.deps.clock.monotonicMs());
   }
 
   get instances(): readonly FleetInstance[] {
@@ -270,6 +281,7 @@
 
   private note(instanceId: string, poolId: string, isUpkeep: boolean): void {
     const nowMs = this.deps.clock.monotonicMs();
+    this.budget.spend();
     this.pending.set(instanceId, { poolId, isUpkeep, sinceMs: nowMs });
     this.lastOrderedMs.set(instanceId, nowMs);
     this.inherited.delete(instanceId);
--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -26,9 +26,6 @@
 /** Interval of the log line with the sizes of pools, in milliseconds. */
 const SIZES_LOG_MS = 1_000;
 
-/** Maximum number of orders sent at the same time. */
-const MAX_ORDERS = 8;
-
 export interface PoolControllerDeps {
   readonly orders: FleetOrders;
   readonly targets: TargetTable;
@@ -131,6 +128,7 @@
       return;
     }
     donors.push(...this.idleBeyondShare(pools, donors));
+    donors.splice(this.deps.orders.allowance);
     // Instances that the pools still lack.
     let open = lacking.reduce((sum, { missing }) => sum + missing, 0);
     lacking.forEach(({ poolId, missing }) => {
@@ -153,7 +151,7 @@
     const surplus = pools.flatMap(({ size, count }) =>
       this.idleOf(size.poolId).slice(0, Math.max(0, count - size.kept)),
     );
-    return [...spare, ...surplus].slice(0, MAX_ORDERS);
+    return [...spare, ...surplus].slice(0, this.deps.orders.allowance);
   }
 
   /**
@@ -194,7 +192,8 @@
     );
     // Instances that run tasks.
     const busy = pools.flatMap((pool) => this.drainableOf(pool));
-    busy.slice(0, Math.min(MAX_ORDERS, wanted.length)).forEach((instance, index) => {
+    const maxReclaims = Math.min(this.deps.orders.allowance, wanted.length);
+    busy.slice(0, maxReclaims).forEach((instance, index) => {
       const poolId = wanted[index];
       const target = this.deps.targets.get(instance.targetId);
       if (poolId === undefined || !target) return;
@@ -236,7 +235,7 @@
         this.pendingMoves.delete(instanceId);
         return;
       }
-      if (target.runs.size > 0) return;
+      if (target.runs.size > 0 || this.deps.orders.allowance === 0) return;
       this.pendingMoves.delete(instanceId);
       void this.deps.orders.move(instance, poolId);
     });
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -401,6 +401,8 @@
     this.ownership = ownership;
     // Kept so that this entry can correct the announcement if nobody learns of the ownership's end.
     this.directory.accept(this.createNotice(ownership, false), 'self');
+    ownership.writer.onStalled((failure) => logger.warn('append-stalled', { ...failure }));
+    ownership.writer.onResumed((stall) => logger.info('append-resumed', { ...stall }));
     ownership.onEnd((reason) => {
       logger.info('ownership-ended', { epoch: owned.epoch, reason });
     });
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -33,6 +33,8 @@
   /** Number of instances that run targets. 0 means no fleet, only `targetCount` fixed targets. */
   readonly instanceCount: number;
   readonly spareCount: number;
+  /** Orders to instances that the platform accepts in a second. */
+  readonly ordersPerS: number;
   /** CPU limit of the team over all targets, in thousandths of a core; 0 means no limit. */
   readonly teamLimitCpuMilli: number;
 }
@@ -46,6 +48,7 @@
   maxAttempts: 3,
   instanceCount: 0,
   spareCount: 0,
+  ordersPerS: 64,
   teamLimitCpuMilli: 0,
 };
 
@@ -81,11 +84,14 @@
 
   readonly fleet: SimulatedFleet | undefined;
 
+  readonly ordersPerS: number;
+
   /** Upkeep waves that the operator has published. */
   readonly waves: UpkeepWave[] = [];
 
   constructor(readonly options: JobWorldOptions) {
     this.random = new Random(options.seed);
+    this.ordersPerS = options.ordersPerS;
     this.store = new SimulatedStore(this.clock, this.random);
     this.observer = new RunObserver(options.maxAttempts);
     this.config = new JobsConfigView(
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -42,6 +42,8 @@
   /** Undefined if instances can't be moved. */
   readonly fleet: InstanceFleet | undefined;
   readonly waves: readonly UpkeepWave[];
+  /** Orders to instances that the platform accepts in a second. */
+  readonly ordersPerS: number;
 }
 
 export class SimulatedEntry {
@@ -93,6 +95,7 @@
           hasProcessExited: () => false,
           orderSeparationMs: 3_000,
           upkeepMs: 2_000,
+          ordersPerS: environment.ordersPerS,
         },
         {
           ownership,
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -38,6 +38,15 @@
   readonly commits: readonly Commit[];
 }
 
+/** A span without an acknowledged append. */
+export interface AppendStall {
+  readonly stalledMs: number;
+  readonly failures: number;
+  /** Number and size of the records in the append that succeeded. */
+  readonly records: number;
+  readonly bytes: number;
+}
+
 /** `rejected`: no attempt had an effect. */
 type AppendOutcome = CommitOutcome | 'rejected';
 
@@ -73,6 +82,19 @@
    */
   readonly onLost = this.lostEmitter.event;
 
+  private readonly stalledEmitter = this.register(new EventEmitter<LogFailure>());
+
+  /** Fires at the first failure of an append. */
+  readonly onStalled = this.stalledEmitter.event;
+
+  private readonly resumedEmitter = this.register(new EventEmitter<AppendStall>());
+
+  /** Fires when an append has succeeded after failures. */
+  readonly onResumed = this.resumedEmitter.event;
+
+  /** Failures since the last acknowledged append. */
+  private failures = 0;
+
   /** Whether the store has rejected the last attempt, so that nothing is in flight. */
   isRejected = false;
 
@@ -207,13 +229,14 @@
         return this.log.append(this.nextOffset, records, signal);
       }, bytes);
       if (this.lost) return 'ownership-lost';
-      if (done.isOk()) return this.advance(records.length);
+      if (done.isOk()) return this.advance(records.length, bytes);
       const { error } = done;
+      this.recordFailure(error);
       if (error.kind === 'rejected' && !mayHaveEffect) return 'rejected';
       mayHaveEffect ||= error.kind === 'unknown-outcome';
       if (error.kind === 'offset-mismatch') {
         const isOwn = await this.hasOwnRecords(records);
-        if (isOwn === true) return this.advance(records.length);
+        if (isOwn === true) return this.advance(records.length, bytes);
         if (isOwn === false) return this.endOwnership(error);
         mayHaveEffect = true;
       }
@@ -222,8 +245,18 @@
     return 'ownership-lost';
   }
 
-  private advance(count: number): CommitOutcome {
-    this.nextOffset += count;
+  private recordFailure(failure: LogFailure): void {
+    this.failures += 1;
+    if (this.failures === 1) this.stalledEmitter.fire(failure);
+  }
+
+  private advance(records: number, bytes: number): CommitOutcome {
+    if (this.failures > 0) {
+      const { stalledMs, failures } = this;
+      this.resumedEmitter.fire({ stalledMs, failures, records, bytes });
+    }
+    this.failures = 0;
+    this.nextOffset += records;
     this.lastDurableMs = this.clock.monotonicMs();
     this.lastDurableUnixMs = this.clock.unixMs();
     this.appendingSinceMs = undefined;
--- a/packages/journal/src/RepeatedCall.ts
+++ b/packages/journal/src/RepeatedCall.ts
@@ -1,5 +1,6 @@
 /** One call to the store with its attempts in flight; see `CallRepeater`. */
 import { type Clock, type IDisposable } from '@acaciadock/core';
+import { setMaxListeners } from 'node:events';
 import { err, type Result } from 'neverthrow';
 import { type AnswerTimeEstimate } from './AnswerTimeEstimate.js';
 import { type CallAttempt } from './CallRepeater.js';
@@ -33,6 +34,8 @@
     private readonly settle: (result: Result<T, LogFailure>) => void,
   ) {
     this.overdueMs = estimate.overdueMs(sentBytes);
+    // Every attempt listens; the default limit of ten warns of a leak.
+    setMaxListeners(0, this.abortController.signal);
   }
 
   /** Sends an attempt, and another one once its answer is overdue. */
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -8,6 +8,7 @@
 export * from './StragglerDetector.js';
 export * from './TargetChooser.js';
 export * from './TargetHealth.js';
+export * from './OrderBudget.js';
 export * from './PaceController.js';
 export * from './FleetDivider.js';
 export * from './PoolSizer.js';
