Idle instances are parked whatever the number of spare ones

Cause: the instances to be parked were taken from a list cut at the orders of a round, and the spare instances, which can't be parked, came first in it.

Change: only the surplus of pools is parked.

--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -122,11 +122,12 @@
       .map((pool) => ({ poolId: pool.size.poolId, missing: pool.part - pool.count }))
       .filter(({ missing }) => missing > 0)
       .sort((a, b) => b.missing - a.missing);
-    const donors = this.donors(pools);
+    const surplus = this.surplusOf(pools);
     if (lacking.length === 0) {
-      this.moveToSparePool(donors);
+      this.moveToSparePool(surplus);
       return;
     }
+    const donors = [...this.availableSpares(), ...surplus];
     donors.push(...this.idleBeyondShare(pools, donors));
     donors.splice(this.deps.orders.allowance);
     // Instances that the pools still lack.
@@ -144,14 +145,17 @@
     if (open > 0 && isScarce) this.reclaim(pools, lacking);
   }
 
-  /** Instances that may be moved: spare ones first, then idle ones of pools with a surplus. */
-  private donors(pools: readonly PoolState[]): FleetInstance[] {
-    const { instances } = this.deps.orders;
-    const spare = instances.filter((one) => this.isSpare(one.poolId) && this.isAvailable(one));
-    const surplus = pools.flatMap(({ size, count }) =>
+  private availableSpares(): FleetInstance[] {
+    return this.deps.orders.instances.filter(
+      (one) => this.isSpare(one.poolId) && this.isAvailable(one),
+    );
+  }
+
+  /** Idle instances in excess of what their pools keep. */
+  private surplusOf(pools: readonly PoolState[]): FleetInstance[] {
+    return pools.flatMap(({ size, count }) =>
       this.idleOf(size.poolId).slice(0, Math.max(0, count - size.kept)),
     );
-    return [...spare, ...surplus].slice(0, this.deps.orders.allowance);
   }
 
   /**
@@ -169,14 +173,12 @@
     });
   }
 
-  private moveToSparePool(donors: readonly FleetInstance[]): void {
+  private moveToSparePool(surplus: readonly FleetInstance[]): void {
     const [sparePoolId] = this.deps.config().sparePoolIds;
     if (sparePoolId === undefined) return;
-    donors
-      .filter((instance) => !this.isSpare(instance.poolId))
-      .forEach((instance) => {
-        void this.deps.orders.move(instance, sparePoolId);
-      });
+    surplus.slice(0, this.deps.orders.allowance).forEach((instance) => {
+      void this.deps.orders.move(instance, sparePoolId);
+    });
   }
 
   /**
@@ -313,6 +315,22 @@
     return this.forecast.currentPoolId === poolId || this.forecast.next(nowMs)?.poolId === poolId;
   }
 
+  /** Numbers of the pool's instances by what they do, for the log. */
+  private useOf(poolId: string): { busy: number; idle: number; closed: number; unknown: number } {
+    const use = { busy: 0, idle: 0, closed: 0, unknown: 0 };
+    const nowMs = this.deps.clock.monotonicMs();
+    this.deps.orders.instances
+      .filter((instance) => instance.poolId === poolId)
+      .forEach(({ targetId }) => {
+        const target = this.deps.targets.get(targetId);
+        if (!target) use.unknown += 1;
+        else if (!target.isOpen(nowMs)) use.closed += 1;
+        else if (target.runs.size > 0) use.busy += 1;
+        else use.idle += 1;
+      });
+    return use;
+  }
+
   private logSizes(
     demands: readonly PoolDemand[],
     pools: readonly PoolState[],
@@ -327,6 +345,7 @@
         needed: pools[index]?.size.needed,
         kept: pools[index]?.size.kept,
         part: pools[index]?.part,
+        ...this.useOf(demand.poolId),
         demandCpuMilli: demand.demandCpuMilli,
         arrivingCpuMilli: Math.round(demand.arrivingCpuMilli),
       })),
--- a/packages/coordinator/src/testing/SimulatedFleet.ts
+++ b/packages/coordinator/src/testing/SimulatedFleet.ts
@@ -57,6 +57,11 @@
     this.boot(instance);
   }
 
+  /** Number of instances that are in the pool or are moving to it. */
+  countIn(poolId: string): number {
+    return [...this.instances.values()].filter((one) => one.poolId === poolId).length;
+  }
+
   override list(): Promise<Result<readonly FleetInstance[], FleetFailure>> {
     const { cpuMilli } = this.deps.options;
     const listed = [...this.instances.values()].map((instance) => ({
--- a/packages/jobdesk/src/turnOfAPool.test.ts
+++ b/packages/jobdesk/src/turnOfAPool.test.ts
@@ -15,6 +15,9 @@
 /** Notice of the need, the last instance's registration and the run itself, in milliseconds. */
 const SLACK_MS = 1_000;
 
+/** Time after which a pool without work has parked what it doesn't keep, in milliseconds. */
+const IDLE_MS = 6_000;
+
 describe('the start of a turn on a fleet of hundreds', () => {
   it('lets callers wait for one move and the orders at the rate that the platform accepts', async (t) => {
     // Fails if a fixed number of orders is sent in each round, however many the platform accepts.
@@ -40,4 +43,20 @@
     t.ok(tookMs <= maxMs, `the last start after ${Math.round(tookMs)} ms, at most ${maxMs}`);
     t.same(world.observer.broken, []);
   });
+
+  it('parks all instances of the pool once its turn is over', async (t) => {
+    // Fails if spare instances count among those that are to be parked: with more of them than may be
+    // ordered in a round, no idle instance was ever parked.
+    const world = await createWorld({
+      targetCount: 0,
+      instanceCount: 100,
+      spareCount: SPARE_COUNT,
+      ordersPerS: ORDERS_PER_S,
+      runtimeMs: RUNTIME_MS,
+    });
+    void world.submit('j', { steps: [{ taskCount: 1, cpuMilli: 1_000 }] });
+    await world.run(IDLE_MS);
+    const parked = world.fleet?.countIn('spare') ?? 0;
+    t.ok(parked >= SPARE_COUNT + 100 / 2, `${parked} parked`);
+  });
 });
