--- a/packages/coordinator/src/FleetController.ts
+++ b/packages/coordinator/src/FleetController.ts
@@ -73,6 +73,7 @@
       this.orders.restoreDuty(JSON.parse(value.toString('utf8')) as DutyRecord);
       return;
     }
+    if (this.pools.restore(key, value)) return;
     this.upkeep.restore(key, value);
   }
 
--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -18,7 +18,9 @@
 import { type DemandMeter } from './DemandMeter.js';
 import { type FleetInstance } from './contracts/index.js';
 import { type FleetOrders } from './FleetOrders.js';
+import { type Ownership } from './Ownership.js';
 import { type TargetTable } from './TargetTable.js';
+import { TurnRecord, TURNS_KEY } from './TurnRecord.js';
 
 /** An instance counts as idle after nothing has run on it for this long, in milliseconds. */
 const IDLE_BEFORE_MOVE_MS = 400;
@@ -30,6 +32,7 @@
   readonly orders: FleetOrders;
   readonly targets: TargetTable;
   readonly demand: DemandMeter;
+  readonly ownership: Ownership;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
@@ -58,10 +61,22 @@
 
   private sizesLoggedMs = -Infinity;
 
+  /** Start of the last turn that is in the journal, on the monotonic clock. */
+  private journaledTurnMs: number | undefined;
+
   constructor(private readonly deps: PoolControllerDeps) {
     super();
   }
 
+  /** Restores the turns recorded by a previous owner; returns false if the key is another one. */
+  restore(key: string, value: Buffer): boolean {
+    if (key !== TURNS_KEY) return false;
+    const restored = TurnRecord.restore(value, this.forecast, this.sizer, this.deps.clock);
+    if (restored.isErr()) this.deps.logger.warn('turns-unreadable', { ...restored.error });
+    this.journaledTurnMs = this.forecast.recorded.at(-1)?.startMs;
+    return true;
+  }
+
   /** Runs one round: sizes the pools, then sends the moves that are due. */
   reconcile(): void {
     const nowMs = this.deps.clock.monotonicMs();
@@ -72,12 +87,23 @@
       nowMs,
     );
     const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs);
+    this.journalTurns();
     const pools = this.divide(demands, sizes);
     this.logSizes(demands, pools, nowMs);
     this.completePendingMoves(pools);
     this.balance(pools);
   }
 
+  /** Journals the turns when a new one has begun. */
+  private journalTurns(): void {
+    const startMs = this.forecast.recorded.at(-1)?.startMs;
+    if (startMs === this.journaledTurnMs) return;
+    this.journaledTurnMs = startMs;
+    void this.deps.ownership.writer.write(TURNS_KEY, () =>
+      TurnRecord.encode(this.forecast, this.sizer, this.deps.clock),
+    );
+  }
+
   isSpare(poolId: string): boolean {
     return this.deps.config().pool(poolId)?.isSpare ?? false;
   }
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -65,6 +65,15 @@
   readonly initialCount: number;
 }
 
+/** What is worth keeping of a pool's history when another process continues the sizing. */
+export interface PoolMemory {
+  readonly poolId: string;
+  /** Largest need of the pool so far. */
+  readonly turnPeak: number;
+  /** Instances of the pool when it was first seen. */
+  readonly initialCount: number;
+}
+
 export interface PoolSize {
   readonly poolId: string;
   /** Instances needed now. */
@@ -76,10 +85,26 @@
 export class PoolSizer {
   private readonly histories = new Map<string, History>();
 
+  private readonly restored = new Map<string, PoolMemory>();
+
   size(pools: readonly PoolDemand[], next: NextTurn | undefined, nowMs: number): PoolSize[] {
     return pools.map((pool) => this.sizeOne(pool, next, nowMs));
   }
 
+  /** What another process needs to continue the sizing of each pool. */
+  get memories(): readonly PoolMemory[] {
+    return [...this.histories].map(([poolId, { turnPeak, initialCount }]) => ({
+      poolId,
+      turnPeak,
+      initialCount,
+    }));
+  }
+
+  /** Continues from what another process knew of the pools. */
+  restore(memories: readonly PoolMemory[]): void {
+    memories.forEach((memory) => this.restored.set(memory.poolId, memory));
+  }
+
   private sizeOne(pool: PoolDemand, next: NextTurn | undefined, nowMs: number): PoolSize {
     const { poolId, hasHadTurn } = pool;
     const history = this.historyOf(pool, nowMs);
@@ -112,8 +137,8 @@
       recent: [],
       peak: instanceCount,
       peakMs: nowMs,
-      turnPeak: 0,
-      initialCount: instanceCount,
+      turnPeak: this.restored.get(poolId)?.turnPeak ?? 0,
+      initialCount: this.restored.get(poolId)?.initialCount ?? instanceCount,
     };
     this.histories.set(poolId, created);
     return created;
--- a/packages/placement/src/TurnForecast.ts
+++ b/packages/placement/src/TurnForecast.ts
@@ -31,13 +31,17 @@
 /** Number of recorded turns from which the turn length is estimated. */
 const MIN_TURNS = 3;
 
-interface Turn {
+/** Turns kept: more than enough for the order of all pools and the typical length. */
+const MAX_TURNS = 32;
+
+export interface Turn {
   readonly poolId: string;
+  /** Start on the monotonic clock of the process that observed it. */
   readonly startMs: number;
 }
 
 export class TurnForecast {
-  private readonly turns: Turn[] = [];
+  private turns: Turn[] = [];
 
   private candidate: Turn | undefined;
 
@@ -46,6 +50,16 @@
     return this.turns.at(-1)?.poolId;
   }
 
+  /** The recorded turns, oldest first. */
+  get recorded(): readonly Turn[] {
+    return this.turns;
+  }
+
+  /** Continues from the turns that another process has recorded. */
+  restore(turns: readonly Turn[]): void {
+    this.turns = [...turns];
+  }
+
   hasHadTurn(poolId: string): boolean {
     return this.turns.some((turn) => turn.poolId === poolId);
   }
@@ -73,7 +87,7 @@
     const current = this.turns.at(-1);
     const hasResumed = this.turns.at(-2)?.poolId === turn.poolId;
     if (current && hasResumed && turn.startMs - current.startMs < MIN_TURN_MS) this.turns.pop();
-    else this.turns.push(turn);
+    else this.turns = [...this.turns, turn].slice(-MAX_TURNS);
   }
 
   /** Returns the next expected turn; undefined while there is no basis for a forecast. */
