--- /dev/null
+++ b/packages/journal/src/JournalWriter.test.ts
@@ -0,0 +1,153 @@
+/** Tests group commit against a log that rejects appends or leaves them without an answer. */
+import { ManualClock } from '@acaciadock/core';
+import { describe, it } from '@acaciadock/core/testing';
+import { err, ok, type Result } from 'neverthrow';
+import { type CommitOutcome, JournalWriter } from './JournalWriter.js';
+import { type KeyedRecord, type LogFailure, type LogSlice, RecordLog } from './RecordLog.js';
+
+const STEP_MS = 10;
+const SETTLE_MS = 500;
+
+type Mode = 'answers' | 'rejects' | 'executes-silently';
+
+class FaultyLog extends RecordLog {
+  readonly records: KeyedRecord[] = [];
+
+  mode: Mode = 'answers';
+
+  override append(at: number, records: readonly KeyedRecord[]): Promise<Result<void, LogFailure>> {
+    if (this.mode === 'rejects') return Promise.resolve(err({ kind: 'rejected', detail: '' }));
+    if (at !== this.records.length) {
+      return Promise.resolve(err({ kind: 'offset-mismatch', endOffset: this.records.length }));
+    }
+    this.records.push(...records);
+    if (this.mode === 'answers') return Promise.resolve(ok(undefined));
+    return Promise.resolve(err({ kind: 'unknown-outcome', detail: '' }));
+  }
+
+  override readNewest(): Promise<never> {
+    throw new Error('not used by the writer');
+  }
+
+  override readFrom(offset: number): Promise<Result<LogSlice, LogFailure>> {
+    const records = this.records
+      .slice(offset)
+      .map((record, index) => ({ ...record, offset: offset + index }));
+    return Promise.resolve(ok({ records, nextOffset: this.records.length }));
+  }
+}
+
+class Fixture {
+  readonly clock = new ManualClock();
+
+  readonly log = new FaultyLog();
+
+  readonly writer = new JournalWriter(this.log, { epoch: 0, nextOffset: 0, records: [] }, this.clock);
+
+  /** Outcomes by key, in the order in which they became known. */
+  readonly outcomes: [string, CommitOutcome][] = [];
+
+  write(key: string, value = key): void {
+    void this.writer
+      .write(key, () => Buffer.from(value))
+      .then((outcome) => this.outcomes.push([key, outcome]));
+  }
+
+  async run(): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < SETTLE_MS; elapsedMs += STEP_MS) {
+      this.clock.advance(STEP_MS);
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+
+  get keys(): string[] {
+    return this.log.records.map(({ key }) => key);
+  }
+}
+
+describe('JournalWriter', () => {
+  describe('while the log rejects appends', () => {
+    it('can still withdraw a key of the rejected batch', async (t) => {
+      const fixture = new Fixture();
+      fixture.log.mode = 'rejects';
+      fixture.write('a');
+      fixture.write('b');
+      await fixture.run();
+      t.ok(fixture.writer.withdraw('a'));
+      fixture.log.mode = 'answers';
+      await fixture.run();
+      t.same(fixture.keys, ['b']);
+    });
+
+    it('settles the writes of a rejected batch together with later ones', async (t) => {
+      const fixture = new Fixture();
+      fixture.log.mode = 'rejects';
+      fixture.write('a');
+      await fixture.run();
+      fixture.write('b');
+      await fixture.run();
+      t.same(fixture.outcomes, [], 'nothing is durable yet');
+      fixture.log.mode = 'answers';
+      await fixture.run();
+      t.same(fixture.outcomes, [
+        ['a', 'durable'],
+        ['b', 'durable'],
+      ]);
+    });
+
+    it('writes the newest value of a key that was written again', async (t) => {
+      const fixture = new Fixture();
+      fixture.log.mode = 'rejects';
+      fixture.write('a', 'old');
+      await fixture.run();
+      fixture.write('a', 'new');
+      fixture.log.mode = 'answers';
+      await fixture.run();
+      t.same(fixture.log.records.map(({ value }) => value?.toString()), ['new']);
+    });
+
+    it('settles all writes as lost when it is disposed', async (t) => {
+      const fixture = new Fixture();
+      fixture.log.mode = 'rejects';
+      fixture.write('a');
+      await fixture.run();
+      fixture.write('b');
+      fixture.writer.dispose();
+      await fixture.run();
+      t.same(fixture.outcomes.map(([, outcome]) => outcome), ['ownership-lost', 'ownership-lost']);
+    });
+
+    it('reports the stall and its end', async (t) => {
+      const fixture = new Fixture();
+      const events: string[] = [];
+      fixture.writer.onStalled(({ kind }) => events.push(kind));
+      fixture.writer.onResumed(({ records }) => events.push(`${records} records`));
+      fixture.log.mode = 'rejects';
+      fixture.write('a');
+      await fixture.run();
+      t.ok(fixture.writer.isRejected);
+      fixture.log.mode = 'answers';
+      await fixture.run();
+      t.same(events, ['rejected', '1 records']);
+      t.notOk(fixture.writer.isRejected);
+    });
+  });
+
+  describe('when an append has an effect and no answer', () => {
+    it('does not let its keys be withdrawn, and finds them in the log', async (t) => {
+      const fixture = new Fixture();
+      fixture.log.mode = 'executes-silently';
+      fixture.write('a');
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      t.notOk(fixture.writer.withdraw('a'));
+      fixture.log.mode = 'answers';
+      await fixture.run();
+      t.same(fixture.outcomes, [['a', 'durable']]);
+      t.same(fixture.keys, ['a'], 'once');
+    });
+  });
+});
