Watch and peer calls: nothing left behind, no call on a closed channel

Change: one timer, one report an owner, no watch at an owner; such a call is refused as unreachable.

--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -399,6 +399,7 @@
     const ownerRecord = { ...this.self, formerMayExtend: !hasPreviousOwnerStopped };
     const ownership = new Ownership(log, owned, ownerRecord, clock);
     this.ownership = ownership;
+    this.ownerWatch.set(undefined);
     // Kept so that this entry can correct the announcement if nobody learns of the ownership's end.
     this.directory.accept(this.createNotice(ownership, false), 'self');
     ownership.writer.onStalled((failure) => logger.warn('append-stalled', { ...failure }));
--- a/packages/jobdesk/src/OwnerWatch.ts
+++ b/packages/jobdesk/src/OwnerWatch.ts
@@ -14,7 +14,7 @@
 export class OwnerWatch extends Disposable {
   private readonly goneEmitter = this.register(new EventEmitter<void>());
 
-  /** Fires when nothing listens any more at the address of the watched owner. */
+  /** Fires once when nothing listens any more at the address of the watched owner. */
   readonly onGone = this.goneEmitter.event;
 
   private watched: GroupMember | undefined;
@@ -47,9 +47,8 @@
   }
 
   private onRefused(owner: GroupMember): void {
-    if (!OwnerWatch.isSame(owner, this.gone)) {
-      this.logger.warn('owner-process-gone', { owner: owner.entryId });
-    }
+    if (this.isGone(owner)) return;
+    this.logger.warn('owner-process-gone', { owner: owner.entryId });
     this.gone = owner;
     this.goneEmitter.fire();
   }
--- a/packages/jobdesk/src/PeerCallClient.ts
+++ b/packages/jobdesk/src/PeerCallClient.ts
@@ -38,7 +38,8 @@
   async call(call: JobCall): Promise<JobReply> {
     this.client ??= new Client(this.address, credentials.createInsecure(), CHANNEL_OPTIONS);
     const { client } = this;
-    if (await this.isReady(client)) return this.send(client, call);
+    // Another call may have closed the channel meanwhile.
+    if ((await this.isReady(client)) && client === this.client) return this.send(client, call);
     return { kind: 'refused', reason: UNREACHABLE, retryAfterMs: RETRY_AFTER_MS };
   }
 
--- a/packages/jobdesk/src/ProcessWatch.ts
+++ b/packages/jobdesk/src/ProcessWatch.ts
@@ -4,7 +4,7 @@
  * milliseconds and without any heartbeat. A machine that loses power or is cut off closes nothing: that
  * is noticed by the expiry of its membership only.
  */
-import { type Clock, Disposable, EventEmitter } from '@acaciadock/core';
+import { type Clock, Disposable, EventEmitter, type IDisposable } from '@acaciadock/core';
 import { connect, type Socket } from 'node:net';
 
 /** Delay between the end of a connection and the next one, in milliseconds. */
@@ -20,6 +20,8 @@
 
   private socket: Socket | undefined;
 
+  private reconnectTimer: IDisposable | undefined;
+
   /** The first connection after the end of one is tried at once. */
   private wasConnected = false;
 
@@ -29,7 +31,7 @@
     private readonly clock: Clock,
   ) {
     super();
-    this.register({ dispose: () => this.socket?.destroy() });
+    this.register({ dispose: () => this.release() });
     this.connect();
   }
 
@@ -54,6 +56,11 @@
   private reconnect(): void {
     if (this.isDisposed) return;
     if (this.wasConnected) this.connect();
-    else this.register(this.clock.after(RECONNECT_MS, () => this.connect()));
+    else this.reconnectTimer = this.clock.after(RECONNECT_MS, () => this.connect());
+  }
+
+  private release(): void {
+    this.reconnectTimer?.dispose();
+    this.socket?.destroy();
   }
 }
