Election: the announcements of the owner are a class of their own

The check of the stored announcement has a time of its own instead of sharing one with the check of the owner.

--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -17,6 +17,7 @@
   type PeerAnswer,
   type RecordLog,
 } from '@acaciadock/journal';
+import { OwnerAnnouncer } from './OwnerAnnouncer.js';
 import { OwnerDirectory, type OwnerDirectoryDeps } from './OwnerDirectory.js';
 import { OwnerWatch } from './OwnerWatch.js';
 
@@ -38,10 +39,7 @@
  */
 const SUPERSEDED_PAUSE_MS = 3_000;
 
-/**
- * Interval of the checks of the owner and of its stored announcement while the membership doesn't
- * change, in milliseconds.
- */
+/** Interval of the checks of the owner while the membership doesn't change, in milliseconds. */
 const OWNER_CHECK_PERIOD_MS = 1_500;
 
 /** An idle owner verifies its ownership by an append this often, in milliseconds. */
@@ -62,9 +60,6 @@
 /** Interval between attempts to reach the previous owner, in milliseconds. */
 const PREVIOUS_OWNER_RETRY_MS = 200;
 
-/** Interval between attempts to announce the ownership, in milliseconds. */
-const ANNOUNCE_RETRY_MS = 150;
-
 /** Maximum time that a release waits for pending journal writes, in milliseconds. */
 const FLUSH_TIMEOUT_MS = 400;
 
@@ -103,11 +98,8 @@
 
   private supersededMs = -Infinity;
 
-  /** Last check of the stored announcement, if this entry is the owner, or of the owner if not. */
   private lastOwnerCheckMs = -Infinity;
 
-  private lastCorrectionMs = -Infinity;
-
   private storeLost = false;
 
   private storeBackMs = -Infinity;
@@ -116,6 +108,8 @@
 
   private readonly directory: OwnerDirectory;
 
+  private readonly announcer: OwnerAnnouncer;
+
   private readonly ownerWatch: OwnerWatch;
 
   constructor(
@@ -125,6 +119,7 @@
     super();
     this.directory = this.register(new OwnerDirectory(self, deps));
     this.register(this.directory.onNotice((notice) => this.onNotice(notice)));
+    this.announcer = new OwnerAnnouncer(self, this.directory, deps);
     this.ownerWatch = this.register(new OwnerWatch(deps.peers, deps.logger));
     this.register(
       this.ownerWatch.onGone(() => {
@@ -173,7 +168,7 @@
     const { ownership } = this;
     if (ownership?.isActive) {
       const isHealthyOwner = ownership.isStorePrompt && !this.storeLost;
-      return { notice: this.createNotice(ownership, false), isHealthyOwner };
+      return { notice: this.announcer.noticeOf(ownership.epoch, false), isHealthyOwner };
     }
     const isLoading = this.isClaiming && this.claimedNotice !== undefined;
     const notice = isLoading ? this.claimedNotice : this.directory.notice;
@@ -215,7 +210,7 @@
     }
     await this.directory.refreshMembers(changed);
     if (!this.isOwner) {
-      await this.correctAnnouncement();
+      if (this.claims > 0) await this.announcer.correct(() => this.isClaiming);
       this.ownerWatch.set(this.isSuccessor ? this.directory.notice : undefined);
       await this.watchOwner(changed);
       return;
@@ -225,7 +220,7 @@
       return;
     }
     this.proveOwnership();
-    await this.confirmAnnouncement();
+    await this.announcer.confirm(this.ownership);
   }
 
   /**
@@ -238,43 +233,7 @@
     const flushed = ownership.writer.write(CLAIM_KEY, () => this.claimValue());
     await Promise.race([flushed, this.deps.clock.sleep(FLUSH_TIMEOUT_MS)]);
     ownership.end(reason);
-    const released = this.createNotice(ownership, true);
-    this.directory.accept(released, 'self');
-    await this.deps.group.announce(released);
-  }
-
-  /** Announces the ownership again if a late announcement of an earlier claim has replaced it. */
-  private async confirmAnnouncement(): Promise<void> {
-    const nowMs = this.deps.clock.monotonicMs();
-    if (nowMs - this.lastOwnerCheckMs < OWNER_CHECK_PERIOD_MS) return;
-    this.lastOwnerCheckMs = nowMs;
-    const stored = await this.deps.group.announced();
-    const { ownership } = this;
-    if (stored.isErr() || !ownership?.isActive) return;
-    if ((stored.value?.epoch ?? -1) < ownership.epoch) await this.announce(ownership);
-    else this.directory.accept(stored.value, 'store');
-  }
-
-  /**
-   * Corrects the stored announcement if it names this entry although it no longer owns the journal.
-   * No other entry claims while the announced owner is alive, so they must learn of this entry's
-   * release or of a later owner that it knows of.
-   */
-  private async correctAnnouncement(): Promise<void> {
-    const nowMs = this.deps.clock.monotonicMs();
-    const hasEverClaimed = this.claims > 0;
-    if (!hasEverClaimed || this.isClaiming) return;
-    if (nowMs - this.lastCorrectionMs < OWNER_CHECK_PERIOD_MS) return;
-    this.lastCorrectionMs = nowMs;
-    const stored = await this.deps.group.announced();
-    if (stored.isErr() || !stored.value || this.isClaiming) return;
-    this.directory.accept(stored.value, 'store');
-    const isAnnouncedOwner = isSameMember(stored.value.owner, this.self);
-    if (!isAnnouncedOwner || stored.value.isReleased) return;
-    const { notice } = this.directory;
-    const isLater = notice !== undefined && notice.epoch > stored.value.epoch;
-    const isReleased = notice?.epoch === stored.value.epoch && notice.isReleased;
-    if (isLater || isReleased) await this.deps.group.announce(notice);
+    await this.announcer.announceRelease(ownership);
   }
 
   /** Whether the successor has so much more CPU capacity that a handover is worthwhile. */
@@ -375,9 +334,7 @@
 
   /** Announces the claim before the journal is loaded, so that nobody else claims meanwhile. */
   private onClaimed(epoch: number): void {
-    const notice = { owner: this.self, epoch, isReleased: false };
-    this.claimedNotice = notice;
-    void this.deps.group.announce(notice);
+    this.claimedNotice = this.announcer.announceClaim(epoch);
   }
 
   /**
@@ -401,14 +358,14 @@
     this.ownership = ownership;
     this.ownerWatch.set(undefined);
     // Kept so that this entry can correct the announcement if nobody learns of the ownership's end.
-    this.directory.accept(this.createNotice(ownership, false), 'self');
+    this.directory.accept(this.announcer.noticeOf(ownership.epoch, false), 'self');
     ownership.writer.onStalled((failure) => logger.warn('append-stalled', { ...failure }));
     ownership.writer.onResumed((stall) => logger.info('append-resumed', { ...stall }));
     ownership.onEnd((reason) => {
       logger.info('ownership-ended', { epoch: owned.epoch, reason });
     });
     this.ownedEmitter.fire({ ownership, owned, hasPreviousOwnerStopped });
-    void this.announce(ownership);
+    void this.announcer.announce(ownership);
     if (previousOwner && !hasPreviousOwnerStopped)
       void this.notifyPreviousOwner(previousOwner, ownership);
   }
@@ -428,7 +385,7 @@
     while (ownership.isActive && ownership.formerMayExtend) {
       const answer = await peers.exchangeNotice(
         previousOwner.peerAddress,
-        this.createNotice(ownership, false),
+        this.announcer.noticeOf(ownership.epoch, false),
       );
       if ((answer?.notice?.epoch ?? -1) >= ownership.epoch) {
         logger.info('former-owner-stopped', {
@@ -442,16 +399,6 @@
     }
   }
 
-  private async announce(ownership: Ownership): Promise<void> {
-    const notice = this.createNotice(ownership, false);
-    while (ownership.isActive) {
-      const done = await this.deps.group.announce(notice);
-      if (done.isOk()) return;
-      this.deps.logger.warn('owner-unannounced', { reason: done.error.kind });
-      await this.deps.clock.sleep(ANNOUNCE_RETRY_MS);
-    }
-  }
-
   /**
    * Whether neither the previous owner nor any owner before it extends leases any more: the
    * previous owner's process has ended, or it has announced its release of exactly that epoch. The
@@ -467,10 +414,6 @@
     return isOwn || (notice?.isReleased === true && notice.epoch === previousOwner.epoch);
   }
 
-  private createNotice({ epoch }: Ownership, isReleased: boolean): OwnerNotice {
-    return { owner: this.self, epoch, isReleased };
-  }
-
   private claimValue(): Buffer {
     const { entryId, bootMs } = this.self;
     return Buffer.from(JSON.stringify({ entryId, bootMs, nonce: `${bootMs}-${this.claims}` }));
