A reply that says nothing of an earlier attempt doesn't replace its unknown outcome

Cause (reading the change): a call whose outcome is unknown is repeated; if the configuration had changed meanwhile, the repetition's 401 or 404 was passed on, which promises that the first attempt never runs.

Change: only replies that settle the matter replace the unknown outcome. Tests of repeated calls: on the version before, the cases of 401 and 404 fail.

--- a/packages/jobdesk/src/JobCallRouter.test.ts
+++ b/packages/jobdesk/src/JobCallRouter.test.ts
@@ -35,9 +35,14 @@
 interface Fixture {
   readonly router: JobCallRouter;
   readonly calls: JobCall[];
+  readonly clock: ManualClock;
 }
 
-function createFixture(view: JobsConfigView): Fixture {
+/** The owner gives the replies in turn; the last one holds for all further calls. */
+function createFixture(
+  view: JobsConfigView,
+  replies: readonly JobReply[] = [{ kind: 'cancelled' }],
+): Fixture {
   const base = new ManualClock();
   const clock = new PausableClock(base);
   const store = new SimulatedStore(base, new Random(1));
@@ -57,8 +62,9 @@
   const calls: JobCall[] = [];
   const service = {
     call: (call: JobCall): Promise<JobReply> => {
+      const reply = replies[calls.length] ?? replies.at(-1);
       calls.push(call);
-      return Promise.resolve({ kind: 'cancelled' });
+      return reply ? Promise.resolve(reply) : Promise.reject(new Error('no reply'));
     },
   };
   const router = new JobCallRouter({
@@ -68,7 +74,7 @@
     local: () => service,
     config: () => view,
   });
-  return { router, calls };
+  return { router, calls, clock: base };
 }
 
 describe('JobCallRouter at the owner', () => {
@@ -96,3 +102,55 @@
     t.equal(calls[0]?.context.poolId, 'pool-3');
   });
 });
+
+describe('JobCallRouter with a call whose outcome is unknown', () => {
+  const UNKNOWN: JobReply = { kind: 'unknown-outcome', reason: 'store-stalled' };
+  const REFUSED: JobReply = { kind: 'refused', reason: 'store-stalled', retryAfterMs: 1_000 };
+  const STEP_MS = 10;
+  const PLAYED_MS = 3_000;
+
+  /** The reply to a call to which the owner gives these replies in turn, and when it came. */
+  async function replyAfter(
+    replies: readonly JobReply[],
+  ): Promise<{ kind: string; tookMs: number }> {
+    const view = viewOf(1, ['key']);
+    const { router, clock } = createFixture(view, replies);
+    let answered: { kind: string; tookMs: number } | undefined;
+    void router.call(createCall(view)).then(({ kind }) => {
+      answered = { kind, tookMs: clock.monotonicMs() };
+    });
+    while (!answered && clock.monotonicMs() < PLAYED_MS) {
+      clock.advance(STEP_MS);
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+    return answered ?? { kind: 'none', tookMs: PLAYED_MS };
+  }
+
+  it('repeats it, and passes on that it was accepted', async (t) => {
+    const { kind, tookMs } = await replyAfter([UNKNOWN, { kind: 'accepted' }]);
+    t.equal(kind, 'accepted');
+    t.ok(tookMs <= 100, `after ${tookMs} ms`);
+  });
+
+  const unresolving: JobReply[] = [REFUSED, { kind: 'unknown-key' }, { kind: 'no-such-queue' }];
+  unresolving.forEach((later) => {
+    it(`does not take ${later.kind} of a repetition for the outcome of the first attempt`, async (t) => {
+      // Fails if such a reply, which promises that nothing runs, replaces the unknown outcome.
+      t.equal((await replyAfter([UNKNOWN, later])).kind, 'unknown-outcome');
+    });
+  });
+
+  it('gives up before the caller does', async (t) => {
+    const { kind, tookMs } = await replyAfter([UNKNOWN]);
+    t.equal(kind, 'unknown-outcome');
+    t.ok(tookMs <= 1_500, `after ${tookMs} ms`);
+  });
+
+  it('passes on a refusal at once that no unknown outcome precedes', async (t) => {
+    const { kind, tookMs } = await replyAfter([REFUSED]);
+    t.equal(kind, 'refused');
+    t.ok(tookMs <= STEP_MS);
+  });
+});
--- a/packages/jobdesk/src/JobCallRouter.ts
+++ b/packages/jobdesk/src/JobCallRouter.ts
@@ -29,6 +29,13 @@
 /** The owner counts as absent only while calls have failed within this time, in milliseconds. */
 const ABSENCE_MEMORY_MS = 3_000;
 
+/** Replies that say nothing of an earlier attempt of the same call, which may have been accepted. */
+const UNRESOLVING_KINDS: ReadonlySet<JobReply['kind']> = new Set([
+  'refused',
+  'no-such-queue',
+  'unknown-key',
+]);
+
 /** Refusal reason while there is no coordinator; it goes away once there is a new owner. */
 export const NO_COORDINATOR = 'no-coordinator';
 
@@ -102,9 +109,8 @@
 
   /** A refusal after an attempt with an unknown outcome does not prove that the call had no effect. */
   private finalReply(reply: JobReply, unresolved: JobReply | undefined): JobReply {
-    if (reply.kind !== 'refused') return reply;
-    if (unresolved) return unresolved;
-    if (!JobCallRouter.isTransient(reply)) return reply;
+    if (unresolved && UNRESOLVING_KINDS.has(reply.kind)) return unresolved;
+    if (reply.kind !== 'refused' || !JobCallRouter.isTransient(reply)) return reply;
     const outageMs = this.deps.clock.monotonicMs() - (this.absence?.sinceMs ?? 0);
     return { ...reply, retryAfterMs: RetryAfter.duringOutageMs(outageMs) };
   }
