--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -25,12 +25,6 @@
 /** An instance counts as idle after nothing has run on it for this long, in milliseconds. */
 const IDLE_BEFORE_MOVE_MS = 400;
 
-/**
- * An instance is parked only after nothing has run on it for this long, in milliseconds: about the
- * time to park it and to bring it back, during which another pool could not use it.
- */
-const IDLE_BEFORE_PARKING_MS = 3_000;
-
 /** Interval of the log line with the sizes of pools, in milliseconds. */
 const SIZES_LOG_MS = 1_000;
 
@@ -154,11 +148,12 @@
       .map((pool) => ({ poolId: pool.size.poolId, missing: pool.part - pool.count }))
       .filter(({ missing }) => missing > 0)
       .sort((a, b) => b.missing - a.missing);
+    const surplus = this.surplusOf(pools);
     if (lacking.length === 0) {
-      this.moveToSparePool(this.surplusOf(pools, IDLE_BEFORE_PARKING_MS));
+      this.moveToSparePool(surplus);
       return;
     }
-    const donors = [...this.availableSpares(), ...this.surplusOf(pools, IDLE_BEFORE_MOVE_MS)];
+    const donors = [...this.availableSpares(), ...surplus];
     donors.push(...this.idleBeyondShare(pools, donors));
     donors.splice(this.deps.orders.allowance);
     // Instances that the pools still lack.
@@ -182,10 +177,10 @@
     );
   }
 
-  /** Instances in excess of what their pools keep that have been idle for this long. */
-  private surplusOf(pools: readonly PoolState[], idleMs: number): FleetInstance[] {
+  /** Idle instances in excess of what their pools keep. */
+  private surplusOf(pools: readonly PoolState[]): FleetInstance[] {
     return pools.flatMap(({ size, count }) =>
-      this.idleOf(size.poolId, idleMs).slice(0, Math.max(0, count - size.kept)),
+      this.idleOf(size.poolId).slice(0, Math.max(0, count - size.kept)),
     );
   }
 
@@ -199,9 +194,7 @@
   ): FleetInstance[] {
     return pools.flatMap(({ size, count, part }) => {
       const given = donors.filter((one) => one.poolId === size.poolId).length;
-      const idle = this.idleOf(size.poolId, IDLE_BEFORE_MOVE_MS).filter(
-        (one) => !donors.includes(one),
-      );
+      const idle = this.idleOf(size.poolId).filter((one) => !donors.includes(one));
       return idle.slice(0, Math.max(0, count - given - part));
     });
   }
@@ -333,13 +326,13 @@
     return !this.deps.orders.isBlocked(instanceId) && !this.deps.isReservedForUpkeep(instanceId);
   }
 
-  private idleOf(poolId: string, idleMs: number): FleetInstance[] {
+  private idleOf(poolId: string): FleetInstance[] {
     const nowMs = this.deps.clock.monotonicMs();
     return this.deps.orders.instances.filter((instance) => {
       const target = this.deps.targets.get(instance.targetId);
       if (instance.poolId !== poolId || !target || !this.isAvailable(instance)) return false;
       if (!target.isOpen(nowMs) || target.runs.size > 0) return false;
-      return nowMs - target.idleSinceMs > idleMs;
+      return nowMs - target.idleSinceMs > IDLE_BEFORE_MOVE_MS;
     });
   }
 
