--- a/packages/jobdesk/src/PeerNoticeClient.ts
+++ b/packages/jobdesk/src/PeerNoticeClient.ts
@@ -12,6 +12,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly askTimeoutMs = ASK_TIMEOUT_MS,
   ) {
     super();
   }
@@ -35,7 +36,7 @@
         noticeMethod.requestSerialize,
         noticeMethod.responseDeserialize,
         { notice: knownNotice ?? null },
-        { deadline: this.clock.unixMs() + ASK_TIMEOUT_MS },
+        { deadline: this.clock.unixMs() + this.askTimeoutMs },
         (error, reply) => {
           client.close();
           if (error) this.logger.info('peer-unasked', { peerAddress, reason: error.message });
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -10,6 +10,7 @@
 export * from './TargetHealth.js';
 export * from './OrderBudget.js';
 export * from './PaceController.js';
+export * from './PassPacer.js';
 export * from './FleetDivider.js';
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
