--- /dev/null
+++ b/packages/coordinator/src/HealthMonitor.test.ts
@@ -0,0 +1,77 @@
+/** Tests which runs are stopped and which targets are ejected, with the reports of busy targets. */
+import { describe, it } from '@acaciadock/core/testing';
+import { HealthFixture, type HealthFixtureOptions } from './testing/HealthFixture.js';
+
+const TAIL: HealthFixtureOptions = { seed: 7, targetCount: 12, slots: 8, tailShare: 0.03 };
+const EVEN: HealthFixtureOptions = { ...TAIL, tailShare: 0 };
+
+/**
+ * Bounds for a target with eight tasks, in milliseconds. The rule that compares a run with the mean
+ * of its queue alone gives up the first run after at most 2,200 and ejects after at most 3,050.
+ */
+const MAX_FIRST_VERDICT_MS = 2_200;
+const MAX_EJECTION_MS = 3_050;
+
+function createFixture(options: HealthFixtureOptions, warmUpMs = 10_000): HealthFixture {
+  const fixture = new HealthFixture(options);
+  fixture.run(warmUpMs);
+  return fixture;
+}
+
+describe('HealthMonitor', () => {
+  [1, 4, 8].forEach((slots) => {
+    it(`stops no inherently long task on sound targets with ${slots} tasks each`, (t) => {
+      // Fails if a run is compared with the mean of its queue only: most of the tail was stopped.
+      const fixture = createFixture({ ...TAIL, slots, targetCount: 96 / slots }, 60_000);
+      t.equal(fixture.givenUp.length, 0);
+      t.same(
+        fixture.all.filter(({ targetId }) => fixture.isEjected(targetId)),
+        [],
+      );
+    });
+  });
+
+  [TAIL, EVEN].forEach((options) => {
+    const tail = `a tail of ${options.tailShare}`;
+    const faults = {
+      'is eight times as slow': { slowdown: 8 },
+      stalls: { slowdown: Infinity },
+      'fails everything': { isFailing: true },
+    };
+    Object.entries(faults).forEach(([name, fault]) => {
+      it(`ejects a target that ${name}, with ${tail}`, (t) => {
+        const fixture = createFixture(options);
+        const startedMs = fixture.clock.monotonicMs();
+        fixture.setFault('t3', fault);
+        const tookMs = fixture.timeUntil(() => fixture.isEjected('t3'), 10_000);
+        t.ok(tookMs <= MAX_EJECTION_MS, `ejected after ${tookMs} ms`);
+        const stopped = fixture.givenUp.filter(({ atMs }) => atMs > startedMs);
+        const firstMs = (stopped[0]?.atMs ?? startedMs) - startedMs;
+        t.ok(firstMs <= MAX_FIRST_VERDICT_MS, `first verdict after ${firstMs} ms`);
+        t.ok(
+          stopped.every(({ live }) => live.targetId === 't3'),
+          'no run of other targets is stopped',
+        );
+      });
+    });
+  });
+
+  it('restarts no run that is copied and counts it once against its target', (t) => {
+    const verdicts: string[] = [];
+    const fixture = createFixture({
+      ...EVEN,
+      handleStraggler: (_, verdict) => {
+        verdicts.push(verdict);
+        return 'copied';
+      },
+    });
+    fixture.setFault('t3', { slowdown: Infinity });
+    fixture.run(3_000);
+    t.ok(verdicts.includes('slow') && verdicts.includes('stalled'));
+    t.ok(fixture.isEjected('t3'));
+    fixture.run(3_000);
+    // Fails if a run counts at every check: its target would be ejected again at once.
+    t.notOk(fixture.isEjected('t3'));
+    t.equal(fixture.givenUp.length, 0);
+  });
+});
--- a/packages/coordinator/src/HealthMonitor.ts
+++ b/packages/coordinator/src/HealthMonitor.ts
@@ -3,14 +3,21 @@
  * that they restart on another target, and targets with repeated failures are ejected.
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
-import { type RuntimeEstimates, StragglerDetector, TargetHealth } from '@acaciadock/placement';
+import {
+  type RuntimeEstimates,
+  StragglerDetector,
+  type StragglerVerdict,
+  TargetHealth,
+  TargetSpeed,
+} from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type RunTracker, type RunEnded } from './RunTracker.js';
+import { SpeedTracker, TRUSTED_RUNS } from './SpeedTracker.js';
 import { type TargetTable } from './TargetTable.js';
 
-/** Completed runs of a queue needed before progress is compared with its mean runtime. */
-const TRUSTED_RUNS = 8;
+/** What was done about a straggler: another run of the task was started, or nothing yet. */
+export type StragglerAction = 'copied' | 'restart';
 
 export interface HealthMonitorDeps {
   readonly targets: TargetTable;
@@ -18,13 +25,24 @@
   readonly estimates: RuntimeEstimates;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** May start another run of the task instead; called at each check while the verdict holds. */
+  readonly handleStraggler?: (
+    live: LiveRun,
+    verdict: Exclude<StragglerVerdict, 'sound'>,
+  ) => StragglerAction;
 }
 
 export class HealthMonitor extends Disposable {
   private readonly health = new TargetHealth();
 
+  private readonly speed: SpeedTracker;
+
+  /** Runs of which a copy runs and which have counted against their target. */
+  private readonly copied = new WeakSet<LiveRun>();
+
   constructor(private readonly deps: HealthMonitorDeps) {
     super();
+    this.speed = this.register(new SpeedTracker(deps));
     this.register(deps.runTracker.onEnded((ended) => this.onEnded(ended)));
   }
 
@@ -41,20 +59,49 @@
   }
 
   private evaluate(live: LiveRun): void {
-    const { job, step } = live.place;
+    const { step } = live.place;
     if (live.phase !== 'running' || step.spec.longRunning || step.spec.gang) return;
-    const { clock, estimates, runTracker, logger } = this.deps;
+    this.speed.update(live);
+    const verdict = this.classify(live);
+    if (verdict === 'sound') return;
+    const targetSlowdown = this.speed.slowdownAround(live);
+    if (verdict === 'slow' && !this.shouldRestart(live, targetSlowdown)) return;
+    if (this.deps.handleStraggler?.(live, verdict) === 'copied') {
+      if (!this.copied.has(live)) this.note(live.targetId, live.place.job.jobId, 'bad');
+      this.copied.add(live);
+      return;
+    }
+    this.giveUp(live, verdict, targetSlowdown);
+  }
+
+  private classify(live: LiveRun): StragglerVerdict {
+    const { clock, estimates } = this.deps;
     const nowMs = clock.monotonicMs();
-    const { queueId } = job.definition;
+    const { queueId } = live.place.job.definition;
     const isTrusted = estimates.isTrusted(queueId, TRUSTED_RUNS);
-    const verdict = StragglerDetector.classify({
+    return StragglerDetector.classify({
       elapsedMs: live.reportedMs - live.startedMs,
       sinceProgressMs: nowMs - live.progressedMs,
       sinceReportMs: nowMs - live.reportedMs,
       percent: live.percent,
       expectedMs: isTrusted ? estimates.meanMs(queueId, 0) : Infinity,
     });
-    if (verdict === 'sound') return;
+  }
+
+  private shouldRestart(live: LiveRun, targetSlowdown: number | undefined): boolean {
+    const { percent, checkpointPercent, place } = live;
+    const tail = this.deps.estimates.tailKind(place.job.definition.queueId);
+    return StragglerDetector.shouldRestart({ targetSlowdown, tail, percent, checkpointPercent });
+  }
+
+  private giveUp(
+    live: LiveRun,
+    verdict: StragglerVerdict,
+    targetSlowdown: number | undefined,
+  ): void {
+    const { clock, estimates, runTracker, logger } = this.deps;
+    const nowMs = clock.monotonicMs();
+    const { job, task } = live.place;
     logger.info('run-given-up', {
       jobId: job.jobId,
       taskId: live.taskId,
@@ -64,15 +111,19 @@
       percent: live.percent,
       elapsedMs: Math.round(nowMs - live.startedMs),
       reportAgeMs: Math.round(nowMs - live.reportedMs),
+      targetSlowdown: targetSlowdown && Math.round(targetSlowdown * 100) / 100,
+      longRunShare: estimates.longShare(job.definition.queueId),
     });
-    live.place.task.recordAvoidedTarget(live.targetId);
-    this.note(live.targetId, job.jobId, 'bad');
+    task.recordAvoidedTarget(live.targetId);
+    if (!this.copied.has(live)) this.note(live.targetId, job.jobId, 'bad');
     runTracker.stop(live);
   }
 
   private onEnded({ run, end }: RunEnded): void {
     const { jobId } = run.place.job;
-    if (end === 'done') this.note(run.targetId, jobId, 'good');
+    // A task that is done late on a slow target is no proof that the target is sound.
+    const isSlow = TargetSpeed.isSlow(this.speed.slowdownAround(run));
+    if (end === 'done' && !isSlow) this.note(run.targetId, jobId, 'good');
     if (end === 'failed') this.note(run.targetId, jobId, 'bad');
   }
 
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -8,6 +8,15 @@
  */
 export type RunPhase = 'planned' | 'ordered' | 'running' | 'uncertain' | 'stopping';
 
+/** Shortest interval over which the recent pace is measured: reported progress is in whole points. */
+const PACE_STEP_PERCENT = 5;
+const PACE_STEP_MS = 200;
+
+interface PacePoint {
+  readonly atMs: number;
+  readonly percent: number;
+}
+
 export class LiveRun {
   phase: RunPhase = 'planned';
 
@@ -26,6 +35,20 @@
   /** Monotonic time at which the target last listed the run. */
   reportedMs = 0;
 
+  /** Whether the run started before this owner saw it, or resumed from a checkpoint. */
+  isContinued = false;
+
+  /** Starts of the last and of the current interval over which the recent pace is measured. */
+  private paceFrom: PacePoint = { atMs: 0, percent: 0 };
+
+  private nextPaceFrom: PacePoint = { atMs: 0, percent: 0 };
+
+  /** Progress in the report that contained the newest checkpoint, 0 to 100. */
+  checkpointPercent = 0;
+
+  /** Whether the projected total of this run is among the runtimes of its queue. */
+  isProjected = false;
+
   /** Monotonic time at which `percent` or the checkpoint last changed. */
   progressedMs = 0;
 
@@ -53,6 +76,40 @@
     readonly bornMs: number,
   ) {}
 
+  /** Updates the progress from a report of the target. */
+  recordReport(percent: number, nowMs: number): void {
+    if (this.reportedMs === 0) {
+      const start = this.isContinued
+        ? { atMs: nowMs, percent }
+        : { atMs: this.startedMs, percent: 0 };
+      this.paceFrom = start;
+      this.nextPaceFrom = start;
+    }
+    this.reportedMs = nowMs;
+    this.percent = percent;
+    if (percent - this.nextPaceFrom.percent < PACE_STEP_PERCENT) return;
+    if (nowMs - this.nextPaceFrom.atMs < PACE_STEP_MS) return;
+    this.paceFrom = this.nextPaceFrom;
+    this.nextPaceFrom = { atMs: nowMs, percent };
+  }
+
+  /** Total runtime at the pace since the start, in milliseconds; 0 if unknown. */
+  get projectedTotalMs(): number {
+    if (this.isContinued) return this.recentTotalMs;
+    return this.totalMsSince({ atMs: this.startedMs, percent: 0 });
+  }
+
+  /** Total runtime at the pace of the last reports, in milliseconds; 0 if unknown. */
+  get recentTotalMs(): number {
+    return this.totalMsSince(this.paceFrom);
+  }
+
+  private totalMsSince({ atMs, percent }: PacePoint): number {
+    const progress = this.percent - percent;
+    if (this.reportedMs === 0 || progress <= 0 || this.percent >= 100) return 0;
+    return ((this.reportedMs - atMs) / progress) * 100;
+  }
+
   get taskId(): string {
     return this.place.task.taskId;
   }
--- a/packages/coordinator/src/ReportProcessor.ts
+++ b/packages/coordinator/src/ReportProcessor.ts
@@ -88,11 +88,12 @@
     if (running.percent !== live.percent || running.checkpoint !== live.place.task.checkpoint) {
       live.progressedMs = nowMs;
     }
-    live.reportedMs = nowMs;
-    live.percent = running.percent;
+    live.recordReport(running.percent, nowMs);
     live.loadFigure = running.loadFigure;
-    if (running.checkpoint !== '')
+    if (running.checkpoint !== '' && running.checkpoint !== live.place.task.checkpoint) {
       Object.assign(live.place.task, { checkpoint: running.checkpoint });
+      live.checkpointPercent = running.percent;
+    }
     if (live.phase === 'uncertain' || live.phase === 'ordered') this.runTracker.markRunning(live);
     return true;
   }
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -64,6 +64,7 @@
     const { run } = place.task.addRun(target.targetId, target.bornMs);
     place.job.markStarted();
     const live = new LiveRun(place, run, target.targetId, target.bornMs);
+    live.isContinued = place.task.checkpoint !== '';
     this.track(live, target);
     return live;
   }
@@ -104,7 +105,8 @@
     this.usage.remove(job.definition.teamId, step.spec);
     job.endRun(live.place, live.run, end, checkpoint);
     const runtimeMs = live.startedMs > 0 ? nowMs - live.startedMs : 0;
-    if (end === 'done' && runtimeMs > 0) this.estimates.record(job.definition.queueId, runtimeMs);
+    if (end === 'done' && runtimeMs > 0)
+      this.estimates.record(job.definition.queueId, runtimeMs, live.isProjected);
     if (step.spec.gang && end !== 'done') this.stopGang(live.place);
     // Fields of the log line.
     const note = {
@@ -211,6 +213,7 @@
       place.task.runs.forEach((run) => {
         const live = new LiveRun(place, run.run, run.targetId, run.bornMs);
         live.phase = 'uncertain';
+        live.isContinued = true;
         // The target rejects orders of the previous owner once it has seen the new fencing token,
         // so the first report that does not list the run proves that it is not there.
         live.absenceProvenAfterMs = 0;
--- /dev/null
+++ b/packages/coordinator/src/SpeedTracker.ts
@@ -0,0 +1,96 @@
+/**
+ * Tracks how fast each target runs its tasks, from the progress of its runs and from their ends, and
+ * learns from this which queues have inherently long tasks. Each run counts once towards its queue:
+ * as a long one as soon as its pace shows it, because a run that is stopped later never ends well.
+ */
+import { type Clock, Disposable } from '@acaciadock/core';
+import { MIN_PACE_MS, type RuntimeEstimates, TargetSpeed } from '@acaciadock/placement';
+import { type LiveRun } from './LiveRun.js';
+import { type RunTracker, type RunEnded } from './RunTracker.js';
+import { type TargetTable } from './TargetTable.js';
+
+/** Completed runs of a queue needed before progress is compared with its runtimes. */
+export const TRUSTED_RUNS = 8;
+
+/** Runtime from which a pace counts as evidence for other runs: two reports of a busy target. */
+const MIN_EVIDENCE_MS = 200;
+
+export interface SpeedTrackerDeps {
+  readonly targets: TargetTable;
+  readonly runTracker: RunTracker;
+  readonly estimates: RuntimeEstimates;
+  readonly clock: Clock;
+}
+
+export class SpeedTracker extends Disposable {
+  private readonly speed = new TargetSpeed();
+
+  constructor(private readonly deps: SpeedTrackerDeps) {
+    super();
+    this.register(deps.runTracker.onEnded((ended) => this.onEnded(ended)));
+    this.register(deps.targets.onRemoved(({ targetId }) => this.speed.forget(targetId)));
+  }
+
+  /** Counts a run as long, once, if its pace shows that it is. */
+  update(live: LiveRun): void {
+    if (live.isProjected || live.reportedMs - live.startedMs < MIN_PACE_MS) return;
+    const { queueId } = live.place.job.definition;
+    const totalMs = live.projectedTotalMs;
+    if (!this.isComparable(live) || !this.deps.estimates.isLong(queueId, totalMs)) return;
+    Object.assign(live, { isProjected: true });
+    this.deps.estimates.recordProjected(queueId, totalMs);
+    this.countOnSoundTarget(live, true);
+  }
+
+  /**
+   * Median multiple of the usual time that the other runs of the run's target take, of those that it
+   * overlaps with first of all; undefined if there is too little evidence.
+   */
+  slowdownAround(live: LiveRun): number | undefined {
+    const target = this.deps.targets.get(live.targetId);
+    const ratios: number[] = [];
+    target?.runs.forEach((other) => {
+      if (other === live || other.reportedMs - other.startedMs < MIN_EVIDENCE_MS) return;
+      const totalMs = other.recentTotalMs;
+      if (totalMs > 0 && this.isComparable(other)) ratios.push(this.ratioOf(other, totalMs));
+    });
+    const nowMs = this.deps.clock.monotonicMs();
+    return this.speed.slowdown(live.targetId, ratios, live.startedMs, nowMs);
+  }
+
+  private onEnded({ run, end, runtimeMs }: RunEnded): void {
+    if (runtimeMs === 0 || !this.isComparable(run)) return;
+    // A run that did not end well counts only if its pace has shown that it was long.
+    if (end !== 'done' && !run.isProjected) return;
+    const isWhole = end === 'done' && !run.isContinued;
+    const totalMs = isWhole ? runtimeMs : run.projectedTotalMs;
+    if (isWhole && !run.isProjected) {
+      const { queueId } = run.place.job.definition;
+      this.countOnSoundTarget(run, this.deps.estimates.isLong(queueId, runtimeMs));
+    }
+    if (totalMs <= 0) return;
+    const nowMs = this.deps.clock.monotonicMs();
+    this.speed.recordEnded(run.targetId, this.ratioOf(run, totalMs), nowMs);
+  }
+
+  /**
+   * Attributes a run to its queue if the other runs of the target are not long too. If all are, the
+   * target is the cause; with too little evidence, the cause is unknown.
+   */
+  private countOnSoundTarget(live: LiveRun, isLong: boolean): void {
+    const slowdown = this.slowdownAround(live);
+    if (slowdown === undefined || TargetSpeed.isSlow(slowdown)) return;
+    this.deps.estimates.recordOnSoundTarget(live.place.job.definition.queueId, isLong);
+  }
+
+  /** The pace of gangs and of filler tasks depends on more than their own target and queue. */
+  private isComparable({ place: { job, step } }: LiveRun): boolean {
+    if (step.spec.longRunning || step.spec.gang || step.spec.filler) return false;
+    return this.deps.estimates.isTrusted(job.definition.queueId, TRUSTED_RUNS);
+  }
+
+  private ratioOf(live: LiveRun, totalMs: number): number {
+    const { queueId } = live.place.job.definition;
+    return totalMs / Math.max(1, this.deps.estimates.medianMs(queueId));
+  }
+}
