--- a/packages/coordinator/src/DemandMeter.ts
+++ b/packages/coordinator/src/DemandMeter.ts
@@ -1,11 +1,15 @@
-/** Measures the CPU demand of the arriving and the waiting work of each pool. */
+/** Measures the demand of the running, the waiting and the arriving work of each pool. */
 import { type Clock } from '@acaciadock/core';
 import {
   ArrivalMeter,
   QueueOrder,
+  type Resources,
+  ResourceVector,
   type RuntimeEstimates,
+  TaskFitBound,
   type Urgency,
 } from '@acaciadock/placement';
+import { type FleetTarget } from './FleetTarget.js';
 import { type JobEntry } from './JobEntry.js';
 import { type QueuedStep } from './QueuedStep.js';
 
@@ -39,59 +43,76 @@
     this.waitingByPool.set(poolId, steps);
   }
 
-  /** Records the expected CPU time of a job that has just been accepted. */
+  /** Records the expected work of a job that has just been accepted. */
   recordArrival(poolId: string, entry: JobEntry): void {
     const { queueId, spec } = entry.job.definition;
-    const cpuMilliMs = spec.steps
+    const work = spec.steps
       .filter((step) => !step.longRunning)
       .reduce((sum, step) => {
         const runtimeMs = this.estimates.meanMs(queueId, step.estimatedRuntimeMs);
-        return sum + step.taskCount * step.cpuMilli * runtimeMs;
-      }, 0);
+        return sum.plus(step, step.taskCount * runtimeMs);
+      }, ResourceVector.ZERO);
     const meter = this.arrivals.get(poolId) ?? new ArrivalMeter();
     this.arrivals.set(poolId, meter);
-    meter.note(cpuMilliMs, this.clock.monotonicMs());
+    meter.note(work, this.clock.monotonicMs());
   }
 
-  /** CPU needed to keep up with the arrivals at the pool, thousandths of a core. */
-  arrivingCpuMilli(poolId: string): number {
-    return this.arrivals.get(poolId)?.cpuMilli(this.clock.monotonicMs()) ?? 0;
+  /** Resources needed to keep up with the arrivals at the pool. */
+  arriving(poolId: string): ResourceVector {
+    return this.arrivals.get(poolId)?.rate(this.clock.monotonicMs()) ?? ResourceVector.ZERO;
   }
 
   /**
-   * CPU requested by the pool's waiting tasks, thousandths of a core. Filler tasks do not count, as
-   * they use only idle CPU, nor do tasks that wait because their team is at its limit.
+   * Whether tasks wait for room in the pool. Filler tasks do not count, as they use only idle CPU,
+   * nor do tasks that wait because their team is at its limit.
    */
-  waitingCpuMilli(poolId: string): number {
-    const waiting = this.waitingByPool.get(poolId) ?? [];
-    return waiting.reduce((sum, { step }) => {
-      if (step.spec.filler) return sum;
-      return sum + step.spec.cpuMilli * step.waitingTasks.length;
-    }, 0);
+  hasWaitingWork(poolId: string): boolean {
+    return (this.waitingByPool.get(poolId) ?? []).some(
+      ({ step }) => !step.spec.filler && step.tasks.some((task) => task.isWaiting),
+    );
   }
 
   /**
-   * CPU that the pool needs for its waiting tasks, thousandths of a core, without the same tasks as
-   * in `waitingCpuMilli`. Tasks that can still meet their objective count in full. Tasks that are
-   * already late can run one after the other, so they need fewer cores for a longer time.
+   * Resources that the pool needs for its running and its waiting tasks, and the number of instances
+   * of the given capacity that these tasks need at least. Of the waiting tasks, the same count as in
+   * `hasWaitingWork`: in full if they can still meet their objective. Tasks that are already late
+   * can run one after the other, so they need less for a longer time.
    */
-  neededCpuMilli(poolId: string): number {
-    const waiting = this.waitingByPool.get(poolId) ?? [];
+  needed(
+    poolId: string,
+    targets: readonly FleetTarget[],
+    capacity: Resources,
+  ): { demand: ResourceVector; bounds: TaskFitBound } {
+    const bounds = new TaskFitBound(capacity);
+    let demand = ResourceVector.ZERO;
+    for (const target of targets) {
+      demand = demand.plus(target.used);
+      for (const { place } of target.runs.values()) {
+        bounds.add(place.step.stepId, place.step.spec, 1);
+      }
+    }
     const nowUnixMs = this.clock.unixMs();
-    return waiting.reduce((sum, open) => {
-      const { spec } = open.step;
-      if (spec.filler) return sum;
-      const cpuMilli = spec.cpuMilli * open.step.waitingTasks.length;
-      const spreadMs = SPREAD_MS[QueueOrder.urgencyOf(open, nowUnixMs)];
-      if (open.isLongRunning || spreadMs === 0) return sum + cpuMilli;
-      const { queueId } = open.entry.job.definition;
-      const runtimeMs = this.estimates.meanMs(queueId, spec.estimatedRuntimeMs);
-      return sum + cpuMilli * Math.min(1, runtimeMs / spreadMs);
-    }, 0);
+    for (const open of this.waitingByPool.get(poolId) ?? []) {
+      const { spec, stepId, waitingTasks } = open.step;
+      if (spec.filler) continue;
+      const count = waitingTasks.length * this.shareOf(open, nowUnixMs);
+      demand = demand.plus(spec, count);
+      bounds.add(stepId, spec, count);
+    }
+    return { demand, bounds };
   }
 
   /** Whether long-running tasks wait for room in the pool. */
   hasLongRunningWaiting(poolId: string): boolean {
     return (this.waitingByPool.get(poolId) ?? []).some((open) => open.isLongRunning);
   }
+
+  /** The part of a waiting step's resources that the pool needs for it now. */
+  private shareOf(open: QueuedStep, nowUnixMs: number): number {
+    const spreadMs = SPREAD_MS[QueueOrder.urgencyOf(open, nowUnixMs)];
+    if (open.isLongRunning || spreadMs === 0) return 1;
+    const { queueId } = open.entry.job.definition;
+    const runtimeMs = this.estimates.meanMs(queueId, open.step.spec.estimatedRuntimeMs);
+    return Math.min(1, runtimeMs / spreadMs);
+  }
 }
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -7,7 +7,7 @@
  */
 import { LeaseClock, SLOWEST_CLOCK_RATE, type TargetAddress } from '@acaciadock/execution';
 import { type CommitOutcome } from '@acaciadock/journal';
-import { type PlacementTarget } from '@acaciadock/placement';
+import { type PlacementTarget, type Resources } from '@acaciadock/placement';
 import { type Capacity, type RegistryEntry } from './contracts/index.js';
 import { type LiveRun } from './LiveRun.js';
 
@@ -114,6 +114,15 @@
     return this.capacity.gpuCount - this.usedGpuCount;
   }
 
+  /** What the runs on the target use; the runs of filler tasks use no CPU. */
+  get used(): Resources {
+    return {
+      cpuMilli: this.usedCpuMilli,
+      memoryMb: this.usedMemoryMb,
+      gpuCount: this.usedGpuCount,
+    };
+  }
+
   /** Whether the target itself has announced its shutdown. */
   get isDraining(): boolean {
     return this.entry?.state === 'draining';
--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -13,6 +13,7 @@
   type PoolPressure,
   type PoolSize,
   PoolSizer,
+  ResourceVector,
   TurnForecast,
 } from '@acaciadock/placement';
 import { type DemandMeter } from './DemandMeter.js';
@@ -83,7 +84,7 @@
     this.dropInvalidMoves();
     const demands = this.demands();
     this.forecast.observe(
-      demands.map(({ poolId, arrivingCpuMilli }) => ({ poolId, cpuMilli: arrivingCpuMilli })),
+      demands.map(({ poolId, arriving }) => ({ poolId, cpuMilli: arriving.cpuMilli })),
       nowMs,
     );
     const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs);
@@ -116,8 +117,7 @@
         {
           openCount: this.deps.targets.ofPool(poolId).filter((target) => target.isOpen(nowMs))
             .length,
-          hasWaitingWork:
-            this.deps.demand.waitingCpuMilli(poolId) > 0 || this.isInTurn(poolId, nowMs),
+          hasWaitingWork: this.deps.demand.hasWaitingWork(poolId) || this.isInTurn(poolId, nowMs),
         },
       ]),
     );
@@ -291,18 +291,18 @@
     const present = orders.instances.filter(
       (one) => this.assignedPoolId(one) === poolId && this.countsTowardsSize(one),
     );
-    const running = targets.ofPool(poolId).reduce((sum, target) => sum + target.usedCpuMilli, 0);
+    const capacity =
+      present[0]?.capacity ?? orders.instances[0]?.capacity ?? new ResourceVector(1, 0, 0);
+    const poolTargets = targets.ofPool(poolId);
     return {
       poolId,
-      demandCpuMilli: demand.neededCpuMilli(poolId) + running,
-      arrivingCpuMilli: demand.arrivingCpuMilli(poolId),
+      ...demand.needed(poolId, poolTargets, capacity),
+      arriving: demand.arriving(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
       hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || upkeepLacksRoom(poolId),
       instanceCount: present.length,
-      openCount: targets.ofPool(poolId).filter((target) => target.isOpen(clock.monotonicMs()))
-        .length,
-      cpuMilliPerInstance:
-        present[0]?.capacity.cpuMilli ?? orders.instances[0]?.capacity.cpuMilli ?? 1,
+      openCount: poolTargets.filter((target) => target.isOpen(clock.monotonicMs())).length,
+      capacity,
     };
   }
 
@@ -372,8 +372,10 @@
         kept: pools[index]?.size.kept,
         part: pools[index]?.part,
         ...this.useOf(demand.poolId),
-        demandCpuMilli: demand.demandCpuMilli,
-        arrivingCpuMilli: Math.round(demand.arrivingCpuMilli),
+        limitedBy: pools[index]?.size.limitedBy,
+        demandCpuMilli: demand.demand.cpuMilli,
+        demandMemoryMb: Math.round(demand.demand.memoryMb),
+        arrivingCpuMilli: Math.round(demand.arriving.cpuMilli),
       })),
       turnPoolId: this.forecast.currentPoolId,
       next: this.forecast.next(nowMs),
--- a/packages/coordinator/src/TurnRecord.test.ts
+++ b/packages/coordinator/src/TurnRecord.test.ts
@@ -1,13 +1,20 @@
 /** Plays turns at one owner and checks what the next owner forecasts and keeps. */
 import { ManualClock } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
-import { type PoolDemand, PoolSizer, TurnForecast } from '@acaciadock/placement';
+import {
+  type PoolDemand,
+  PoolSizer,
+  ResourceVector,
+  TaskFitBound,
+  TurnForecast,
+} from '@acaciadock/placement';
 import { TurnRecord } from './TurnRecord.js';
 
 const POOLS = ['a', 'b', 'c'];
 const TURN_MS = 5_000;
 const STEP_MS = 150;
 const BUSY_CPU_MILLI = 100_000;
+const CAPACITY = new ResourceVector(16_000, 64_000, 0);
 
 /** Instances at the start of the deployment, and those that a turn needs at least. */
 const INITIAL_COUNT = 20;
@@ -16,11 +23,12 @@
 function demandOf(poolId: string, cpuMilli: number, hasHadTurn: boolean): PoolDemand {
   return {
     poolId,
-    demandCpuMilli: cpuMilli,
-    arrivingCpuMilli: cpuMilli,
+    demand: new ResourceVector(cpuMilli, 0, 0),
+    arriving: new ResourceVector(cpuMilli, 0, 0),
+    bounds: new TaskFitBound(CAPACITY),
     instanceCount: INITIAL_COUNT,
     openCount: INITIAL_COUNT,
-    cpuMilliPerInstance: 16_000,
+    capacity: CAPACITY,
     hasHadTurn,
     hasLongRunningWaiting: false,
   };
@@ -49,7 +57,7 @@
       demandOf(poolId, poolId === busy ? BUSY_CPU_MILLI : 0, this.forecast.hasHadTurn(poolId)),
     );
     this.forecast.observe(
-      demands.map(({ poolId, arrivingCpuMilli }) => ({ poolId, cpuMilli: arrivingCpuMilli })),
+      demands.map(({ poolId, arriving }) => ({ poolId, cpuMilli: arriving.cpuMilli })),
       nowMs,
     );
     this.sizer.size(demands, this.forecast.next(nowMs), nowMs);
--- a/packages/placement/src/PoolSizer.test.ts
+++ b/packages/placement/src/PoolSizer.test.ts
@@ -1,17 +1,32 @@
 /** Tests the sizes of pools whose demand rises and falls in turns. */
 import { describe, it } from '@acaciadock/core/testing';
+import { type StepSpec, stepSpecSchema } from '@acaciadock/jobs';
 import { type PoolDemand, PoolSizer } from './PoolSizer.js';
+import { ResourceVector } from './ResourceVector.js';
+import { TaskFitBound } from './TaskFitBound.js';
 
 const INSTANCE_MILLI = 16_000;
+const CAPACITY = new ResourceVector(INSTANCE_MILLI, 64_000, 0);
+
+function cpu(cpuMilli: number): ResourceVector {
+  return new ResourceVector(cpuMilli, 0, 0);
+}
+
+function boundsOf(count: number, step: Partial<StepSpec>): TaskFitBound {
+  const bounds = new TaskFitBound(CAPACITY);
+  bounds.add('s', stepSpecSchema.parse({ taskCount: count, ...step }), count);
+  return bounds;
+}
 
 function demand(change: Partial<PoolDemand> = {}): PoolDemand {
   return {
     poolId: 'p',
-    demandCpuMilli: 0,
-    arrivingCpuMilli: 0,
+    demand: cpu(0),
+    arriving: cpu(0),
+    bounds: new TaskFitBound(CAPACITY),
     instanceCount: 8,
     openCount: 8,
-    cpuMilliPerInstance: INSTANCE_MILLI,
+    capacity: CAPACITY,
     hasHadTurn: true,
     hasLongRunningWaiting: false,
     ...change,
@@ -30,12 +45,12 @@
 describe('PoolSizer', () => {
   it('grows as soon as the waiting work needs more instances', (t) => {
     const sizer = new PoolSizer();
-    const size = sizeAfter(sizer, demand({ demandCpuMilli: 10 * INSTANCE_MILLI }), 0);
+    const size = sizeAfter(sizer, demand({ demand: cpu(10 * INSTANCE_MILLI) }), 0);
     t.ok(size.needed > 10, 'an instance is never filled to the last core');
   });
 
   it('grows with the arrival rate before any work waits', (t) => {
-    const size = sizeAfter(new PoolSizer(), demand({ arrivingCpuMilli: 5 * INSTANCE_MILLI }), 0);
+    const size = sizeAfter(new PoolSizer(), demand({ arriving: cpu(5 * INSTANCE_MILLI) }), 0);
     t.ok(size.needed >= 5);
   });
 
@@ -43,7 +58,7 @@
     const pool = demand({
       instanceCount: 1,
       openCount: 1,
-      demandCpuMilli: 6_000,
+      demand: cpu(6_000),
       hasLongRunningWaiting: true,
     });
     t.equal(sizeAfter(new PoolSizer(), pool, 0).needed, 2);
@@ -53,13 +68,13 @@
       2,
       'an instance that is on its way counts',
     );
-    const empty = demand({ instanceCount: 0, demandCpuMilli: 6_000 });
+    const empty = demand({ instanceCount: 0, demand: cpu(6_000) });
     t.equal(sizeAfter(new PoolSizer(), empty, 0).needed, 1, 'its only instance is being drained');
   });
 
   it('keeps instances that it needed recently and releases them later', (t) => {
     const sizer = new PoolSizer();
-    sizeAfter(sizer, demand({ demandCpuMilli: 8 * INSTANCE_MILLI }), 0);
+    sizeAfter(sizer, demand({ demand: cpu(8 * INSTANCE_MILLI) }), 0);
     t.ok(sizeAfter(sizer, demand(), 500).kept >= 8, 'does not shrink within a second');
     t.equal(sizeAfter(sizer, demand(), 3_000).kept, 1, 'released after the turn');
   });
@@ -72,11 +87,71 @@
 
   it('prepares for a forecast turn with the largest need so far', (t) => {
     const sizer = new PoolSizer();
-    sizer.size([demand({ demandCpuMilli: 9 * INSTANCE_MILLI })], undefined, 0);
+    sizer.size([demand({ demand: cpu(9 * INSTANCE_MILLI) })], undefined, 0);
     sizer.size([demand()], undefined, 5_000);
     const [size] = sizer.size([demand()], { poolId: 'p', inMs: 1_500 }, 10_000);
     t.ok((size?.needed ?? 0) >= 9);
     const [early] = sizer.size([demand()], { poolId: 'p', inMs: 4_000 }, 10_100);
     t.equal(early?.needed, 1, 'not earlier than the preparation time');
   });
+
+  describe('limited by a resource', () => {
+    it('needs as many instances as before where CPU is the limit', (t) => {
+      // Fails if memory that is not scarce changes a size.
+      for (let cores = 1; cores <= 200; cores += 1) {
+        const need = new ResourceVector(cores * 1_000, cores * 4_000, 0);
+        const pool = demand({ demand: need, arriving: need.times(0.5) });
+        const [size] = new PoolSizer().size([pool], undefined, 0);
+        t.equal(size?.needed, Math.max(1, Math.ceil((cores * 1_000) / (INSTANCE_MILLI * 0.85))));
+        t.equal(size?.limitedBy, 'cpu');
+      }
+    });
+
+    it('has room for memory-bound work after one round', (t) => {
+      // Fails if only CPU, or only the sum of memory, is counted: a third task of 25 GB does not fit
+      // on an instance of 64 GB although half the CPU is free.
+      const step = { cpuMilli: 2_000, memoryMb: 25_000 };
+      const pool = demand({
+        demand: new ResourceVector(30 * 2_000, 30 * 25_000, 0),
+        bounds: boundsOf(30, step),
+      });
+      const [size] = new PoolSizer().size([pool], undefined, 0);
+      t.equal(size?.needed, 15);
+      t.equal(size?.limitedBy, 'memory');
+    });
+
+    it('counts small tasks by their sum and no resource that instances lack', (t) => {
+      const small = { memoryMb: 1_000, gpuCount: 1 };
+      const pool = demand({
+        demand: new ResourceVector(0, 600_000, 600),
+        bounds: boundsOf(600, small),
+      });
+      t.equal(sizeAfter(new PoolSizer(), pool, 0).needed, 10);
+    });
+
+    it('needs what the maximum of long-running tasks per target requires', (t) => {
+      // Fails if long-running tasks beyond the maximum get one more instance at a time.
+      const step = { cpuMilli: 1_000, memoryMb: 4_000, longRunning: true, mostPerTarget: 2 };
+      const pool = demand({
+        demand: new ResourceVector(24_000, 96_000, 0),
+        bounds: boundsOf(24, step),
+      });
+      const [size] = new PoolSizer().size([pool], undefined, 0);
+      t.equal(size?.needed, 12);
+      t.equal(size?.limitedBy, 'tasks-per-target');
+    });
+
+    it('needs the larger of both where long-running and quick work are mixed', (t) => {
+      // Fails if the instances of long-running work are added to those of quick work, which uses
+      // the CPU that long-running work leaves free.
+      const limited = { cpuMilli: 1_000, memoryMb: 14_000, longRunning: true, mostPerTarget: 2 };
+      const longRunning = new ResourceVector(24_000, 24 * 14_000, 0);
+      const quick = new ResourceVector(300 * 1_000, 300 * 1_000, 0);
+      const pool = demand({
+        demand: longRunning.plus(quick),
+        bounds: boundsOf(24, limited),
+      });
+      t.equal(sizeAfter(new PoolSizer(), pool, 0).needed, Math.ceil(324 / (16 * 0.85)));
+    });
+  });
 });
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -5,19 +5,35 @@
  * fewer for a while. A pool that has not had a turn yet keeps a part of its initial instances,
  * because its peak demand is unknown.
  */
+import { type ResourceVector, type Resources } from './ResourceVector.js';
+import { MAX_COUNTED_TASKS } from './TaskFitBound.js';
 import { type NextTurn } from './TurnForecast.js';
 
+/** Lower bounds on the number of instances; see `TaskFitBound`. */
+export interface InstanceBounds {
+  readonly byMemory: number;
+  readonly byGpu: number;
+  /** By the maximum number of tasks per target of long-running steps. */
+  readonly byTaskLimit: number;
+}
+
+/** What determines the number of instances that a pool needs. */
+export type LimitingResource = 'cpu' | 'memory' | 'gpu' | 'tasks-per-target' | 'long-running';
+
 export interface PoolDemand {
   readonly poolId: string;
-  /** CPU demand of running and waiting work, in thousandths of a core. */
-  readonly demandCpuMilli: number;
-  /** CPU needed to keep up with the arrivals, in thousandths of a core. */
-  readonly arrivingCpuMilli: number;
+  /** Demand of running and waiting work. */
+  readonly demand: ResourceVector;
+  /** Resources needed to keep up with the arrivals. */
+  readonly arriving: ResourceVector;
+  /** Lower bounds on the number of instances that follow from the running and waiting tasks. */
+  readonly bounds: InstanceBounds;
   /** Instances that accept work or are moving to the pool; draining ones do not count. */
   readonly instanceCount: number;
   /** Instances that already accept work. */
   readonly openCount: number;
-  readonly cpuMilliPerInstance: number;
+  /** Capacity of one instance. */
+  readonly capacity: Resources;
   /** Whether the pool has had a turn, as defined by `TurnForecast`. */
   readonly hasHadTurn: boolean;
   /**
@@ -30,6 +46,12 @@
 /** Usable fraction of the CPU of an instance: tasks never fill it to the last core. */
 const USABLE_SHARE = 0.85;
 
+/**
+ * Usable fraction of the memory of an instance. Tasks above this size are counted one by one by
+ * `TaskFitBound`, and smaller ones leave less than the size of one task free.
+ */
+const USABLE_MEMORY_SHARE = 1 - 1 / (MAX_COUNTED_TASKS + 1);
+
 /** A pool releases instances after it has needed fewer for this long, in milliseconds. */
 const SHRINK_AFTER_MS = 1_200;
 
@@ -80,6 +102,8 @@
   readonly needed: number;
   /** Instances in excess of this may be moved to other pools. */
   readonly kept: number;
+  /** The resource by which the pool needs the most instances now, before extrapolation. */
+  readonly limitedBy: LimitingResource;
 }
 
 export class PoolSizer {
@@ -108,10 +132,7 @@
   private sizeOne(pool: PoolDemand, next: NextTurn | undefined, nowMs: number): PoolSize {
     const { poolId, hasHadTurn } = pool;
     const history = this.historyOf(pool, nowMs);
-    const perInstance = Math.max(1, pool.cpuMilliPerInstance * USABLE_SHARE);
-    const cpuMilli = Math.max(pool.demandCpuMilli, pool.arrivingCpuMilli);
-    const minCount = pool.hasLongRunningWaiting ? pool.openCount + 1 : MIN_INSTANCES;
-    const currentNeed = Math.max(minCount, Math.ceil(cpuMilli / perInstance));
+    const { count: currentNeed, limitedBy } = PoolSizer.currentNeedOf(pool);
     const needed = currentNeed + PoolSizer.extrapolatedGrowth(history, currentNeed, nowMs);
     PoolSizer.update(history, needed, nowMs);
     const isTurnNear = next?.poolId === poolId && next.inMs < PREPARE_AHEAD_MS;
@@ -119,7 +140,36 @@
     const kept = hasHadTurn
       ? history.peak
       : Math.max(history.peak, Math.ceil(history.initialCount * INITIAL_KEPT_SHARE));
-    return { poolId, needed: Math.max(needed, forecastNeed), kept: Math.max(kept, forecastNeed) };
+    return {
+      poolId,
+      needed: Math.max(needed, forecastNeed),
+      kept: Math.max(kept, forecastNeed),
+      limitedBy,
+    };
+  }
+
+  /** Instances for the work that runs, waits and arrives, by the resource that needs the most. */
+  private static currentNeedOf(pool: PoolDemand): { count: number; limitedBy: LimitingResource } {
+    const { bounds, capacity } = pool;
+    const { cpuMilli, memoryMb, gpuCount } = pool.demand.max(pool.arriving);
+    const byCpu = Math.ceil(cpuMilli / Math.max(1, capacity.cpuMilli * USABLE_SHARE));
+    const byMemory = PoolSizer.countFor(memoryMb, capacity.memoryMb * USABLE_MEMORY_SHARE);
+    const byGpu = PoolSizer.countFor(gpuCount, capacity.gpuCount);
+    // CPU is first, so that it is reported where several resources need equally many.
+    const needs: readonly [LimitingResource, number][] = [
+      ['cpu', Math.max(MIN_INSTANCES, byCpu)],
+      ['memory', Math.max(bounds.byMemory, byMemory)],
+      ['gpu', Math.max(bounds.byGpu, byGpu)],
+      ['tasks-per-target', bounds.byTaskLimit],
+      ['long-running', pool.hasLongRunningWaiting ? pool.openCount + 1 : 0],
+    ];
+    const [limitedBy, count] = needs.reduce((most, need) => (need[1] > most[1] ? need : most));
+    return { count, limitedBy };
+  }
+
+  /** Instances that provide the amount; 0 if they have none of the resource. */
+  private static countFor(amount: number, perInstance: number): number {
+    return perInstance > 0 ? Math.ceil(amount / perInstance) : 0;
   }
 
   /** Instances that will be needed in addition once an instance ordered now has arrived. */
--- /dev/null
+++ b/packages/placement/src/ResourceVector.ts
@@ -0,0 +1,41 @@
+/** Amounts of every resource of an instance: CPU, memory and GPUs. */
+
+/** Any object with an amount of each resource, such as a step's task size or a capacity. */
+export interface Resources {
+  /** Thousandths of a core. */
+  readonly cpuMilli: number;
+  readonly memoryMb: number;
+  readonly gpuCount: number;
+}
+
+export class ResourceVector implements Resources {
+  static readonly ZERO = new ResourceVector(0, 0, 0);
+
+  constructor(
+    readonly cpuMilli: number,
+    readonly memoryMb: number,
+    readonly gpuCount: number,
+  ) {}
+
+  /** The sum of this vector and `factor` times the other one. */
+  plus(other: Resources, factor = 1): ResourceVector {
+    return new ResourceVector(
+      this.cpuMilli + factor * other.cpuMilli,
+      this.memoryMb + factor * other.memoryMb,
+      this.gpuCount + factor * other.gpuCount,
+    );
+  }
+
+  times(factor: number): ResourceVector {
+    return ResourceVector.ZERO.plus(this, factor);
+  }
+
+  /** The larger amount of each resource. */
+  max(other: Resources): ResourceVector {
+    return new ResourceVector(
+      Math.max(this.cpuMilli, other.cpuMilli),
+      Math.max(this.memoryMb, other.memoryMb),
+      Math.max(this.gpuCount, other.gpuCount),
+    );
+  }
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -14,3 +14,5 @@
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
 export * from './RejectedSizes.js';
+export * from './ResourceVector.js';
+export * from './TaskFitBound.js';
