--- a/packages/coordinator/src/DemandMeter.ts
+++ b/packages/coordinator/src/DemandMeter.ts
@@ -33,6 +33,9 @@
    */
   private readonly waitingByPool = new Map<string, readonly QueuedStep[]>();
 
+  /** The running and arriving work of each pool at its last pass. */
+  private readonly workByPool = new Map<string, ResourceVector>();
+
   constructor(
     private readonly estimates: RuntimeEstimates,
     private readonly clock: Clock,
@@ -43,6 +46,18 @@
     this.waitingByPool.set(poolId, steps);
   }
 
+  /** Records, before a pass over the pool, the work that its open targets run. */
+  recordRunning(poolId: string, targets: readonly FleetTarget[]): void {
+    const running = targets.reduce((sum, { used }) => sum.plus(used), ResourceVector.ZERO);
+    this.workByPool.set(poolId, running.plus(this.arriving(poolId)));
+  }
+
+  /** The running and arriving work of the pool, by whose proportions tasks are packed. */
+  workOf(poolId: string): ResourceVector | undefined {
+    const work = this.workByPool.get(poolId);
+    return work?.isZero === false ? work : undefined;
+  }
+
   /** Records the expected work of a job that has just been accepted. */
   recordArrival(poolId: string, entry: JobEntry): void {
     const { queueId, spec } = entry.job.definition;
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -104,6 +104,7 @@
     const open = this.deps.health
       .usable(targets.ofPool(poolId))
       .filter((target) => target.isOpen(nowMs));
+    this.deps.demand.recordRunning(poolId, open);
     const ordered = QueueOrder.sort(steps, clock.unixMs());
     const rejectedSizes = new RejectedSizes();
     const blocked = ordered.filter(
--- a/packages/coordinator/src/TaskPlacer.ts
+++ b/packages/coordinator/src/TaskPlacer.ts
@@ -6,6 +6,7 @@
 import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
 import { type AdviceRule, type JobsConfigView, type TaskState } from '@acaciadock/jobs';
 import { QueueOrder, type RejectedSizes, TargetChooser } from '@acaciadock/placement';
+import { type DemandMeter } from './DemandMeter.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type QueuedStep } from './QueuedStep.js';
@@ -20,6 +21,7 @@
   readonly usage: TeamUsage;
   readonly runTracker: RunTracker;
   readonly tickets: TicketCache;
+  readonly demand: DemandMeter;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
@@ -110,14 +112,15 @@
       avoidTargetId: task.avoidTargetId,
       onlyRackId,
     };
-    if (!this.adviceFor(open)) return TargetChooser.choose(targets, request);
+    const work = this.deps.demand.workOf(targets[0]?.poolId ?? '');
+    if (!this.adviceFor(open)) return TargetChooser.choose(targets, request, work);
     const fitting = targets.filter((target) => TargetChooser.fits(target, request));
     const allowed = this.deps.tickets.allowed(open.step.stepId, fitting);
     if (allowed.length === 0) {
       this.deps.tickets.request(open.step.stepId, fitting);
       return undefined;
     }
-    return TargetChooser.choose(allowed, request);
+    return TargetChooser.choose(allowed, request, work);
   }
 
   private adviceFor({ entry }: QueuedStep): AdviceRule | undefined {
--- a/packages/placement/src/ResourceVector.ts
+++ b/packages/placement/src/ResourceVector.ts
@@ -17,6 +17,10 @@
     readonly gpuCount: number,
   ) {}
 
+  get isZero(): boolean {
+    return this.cpuMilli === 0 && this.memoryMb === 0 && this.gpuCount === 0;
+  }
+
   /** The sum of this vector and `factor` times the other one. */
   plus(other: Resources, factor = 1): ResourceVector {
     return new ResourceVector(
