--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -30,6 +30,7 @@
 import { LEASE_MS } from './TargetDriver.js';
 import { TargetDrivers } from './TargetDrivers.js';
 import { TargetTable } from './TargetTable.js';
+import { TaskRelocator } from './TaskRelocator.js';
 import { TeamUsage } from './TeamUsage.js';
 import { TicketCache } from './TicketCache.js';
 
@@ -79,6 +80,8 @@
 
   private readonly demand: DemandMeter;
 
+  private readonly relocator: TaskRelocator;
+
   private readonly fleetController: FleetController | undefined;
 
   private readonly tickets: TicketCache;
@@ -106,6 +109,7 @@
     this.runTracker = this.register(
       new RunTracker(this.jobs, this.targets, this.usage, estimates, clock, logger),
     );
+    this.relocator = new TaskRelocator(this.targets, this.runTracker, clock);
     this.tickets = this.register(new TicketCache(advice, clock, logger));
     this.health = this.register(
       new HealthMonitor({
@@ -194,14 +198,14 @@
   private createFleetController(): FleetController | undefined {
     const { fleet, reports, waves, ownership, clock, logger, config } = this.deps;
     if (!fleet) return undefined;
-    const { targets, runTracker, demand } = this;
+    const { targets, relocator, demand } = this;
     return this.register(
       new FleetController(this.options, {
         fleet,
         reports,
         waves,
         targets,
-        runTracker,
+        relocator,
         demand,
         ownership,
         clock,
--- a/packages/coordinator/src/FleetController.ts
+++ b/packages/coordinator/src/FleetController.ts
@@ -9,8 +9,8 @@
 import { DUTY_KEY, type DutyRecord, FleetOrders, type FleetOrdersOptions } from './FleetOrders.js';
 import { type Ownership } from './Ownership.js';
 import { PoolController } from './PoolController.js';
-import { type RunTracker } from './RunTracker.js';
 import { type TargetTable } from './TargetTable.js';
+import { type TaskRelocator } from './TaskRelocator.js';
 import { UpkeepController } from './UpkeepController.js';
 
 /** Interval of the control loop, in milliseconds. */
@@ -23,7 +23,7 @@
   readonly reports: WaveReports;
   readonly waves: () => readonly UpkeepWave[];
   readonly targets: TargetTable;
-  readonly runTracker: RunTracker;
+  readonly relocator: TaskRelocator;
   readonly demand: DemandMeter;
   readonly ownership: Ownership;
   readonly clock: Clock;
--- a/packages/coordinator/src/UpkeepController.ts
+++ b/packages/coordinator/src/UpkeepController.ts
@@ -4,20 +4,12 @@
  * far as the disruption budgets of their steps allow.
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
-import {
-  type PoolPressure,
-  TargetChooser,
-  type UpkeepCandidate,
-  UpkeepPlanner,
-} from '@acaciadock/placement';
+import { type PoolPressure, type UpkeepCandidate, UpkeepPlanner } from '@acaciadock/placement';
 import { type FleetInstance, type UpkeepWave, type WaveReports } from './contracts/index.js';
 import { type FleetOrders } from './FleetOrders.js';
-import { type FleetTarget } from './FleetTarget.js';
-import { type LiveRun } from './LiveRun.js';
 import { type Ownership } from './Ownership.js';
-import { type RunTracker } from './RunTracker.js';
-import { DisruptionBudget } from './DisruptionBudget.js';
 import { type TargetTable } from './TargetTable.js';
+import { type TaskRelocator } from './TaskRelocator.js';
 
 /** Estimated time until a reserved instance is empty, in milliseconds. */
 const DRAIN_ESTIMATE_MS = 4_000;
@@ -29,7 +21,7 @@
   readonly orders: FleetOrders;
   readonly reports: WaveReports;
   readonly targets: TargetTable;
-  readonly runTracker: RunTracker;
+  readonly relocator: TaskRelocator;
   readonly ownership: Ownership;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -38,8 +30,6 @@
 }
 
 export class UpkeepController extends Disposable {
-  private readonly disruptionBudget: DisruptionBudget;
-
   /** Instances whose upkeep has begun or was refused for good, by wave. */
   private readonly begun = new Map<number, Set<string>>();
 
@@ -56,10 +46,6 @@
     private readonly deps: UpkeepControllerDeps,
   ) {
     super();
-    this.disruptionBudget = new DisruptionBudget(
-      (taskId, targetId) => deps.runTracker.liveRunOf(taskId, targetId),
-      deps.clock,
-    );
   }
 
   /** Restores the progress of a wave from the journal; returns false if the key is another one. */
@@ -148,28 +134,7 @@
     const target = this.deps.targets.get(instance.targetId);
     if (!target) return;
     target.isReserved = true;
-    this.moveLongRunning(target);
-  }
-
-  private moveLongRunning(target: FleetTarget): void {
-    for (const live of target.runs.values()) {
-      const { step, task } = live.place;
-      const isMovable = step.spec.longRunning && live.phase === 'running';
-      if (!isMovable || !this.disruptionBudget.mayStop(step, task)) continue;
-      if (this.hasRoomElsewhere(live)) this.deps.runTracker.stop(live);
-      else this.poolsLackingRoom.add(target.poolId);
-    }
-  }
-
-  /** Whether another target of the pool has room for the task; otherwise it is not stopped. */
-  private hasRoomElsewhere(live: LiveRun): boolean {
-    const nowMs = this.deps.clock.monotonicMs();
-    const target = this.deps.targets.get(live.targetId);
-    const { step } = live.place;
-    const request = { step: step.spec, stepId: step.stepId, avoidTargetId: '', onlyRackId: '' };
-    return this.deps.targets
-      .ofPool(target?.poolId ?? '')
-      .some((other) => other.isOpen(nowMs) && TargetChooser.fits(other, request));
+    if (!this.deps.relocator.moveAway(target)) this.poolsLackingRoom.add(target.poolId);
   }
 
   /** Instances of the wave that are, or may be, down for upkeep. */
