--- a/packages/telemetry/src/EventMetrics.test.ts
+++ b/packages/telemetry/src/EventMetrics.test.ts
@@ -8,9 +8,12 @@
     metrics.note('order', { outcome: 'accepted' });
     metrics.note('order', { outcome: 'accepted' });
     metrics.note('call', { status: 200, tookMs: 12 });
+    metrics.note('zone-evacuation-progress', { zones: 2, runs: 5 });
     const text = await metrics.text();
     t.match(text, /acaciadock_events_total\{event="order",outcome="accepted"\} 2/);
     t.match(text, /acaciadock_events_total\{event="call",outcome="200"\} 1/);
     t.match(text, /acaciadock_event_latency_ms\{event="call",quantile="0.99"\} 12/);
+    t.match(text, /acaciadock_evacuated_zones 2/);
+    t.match(text, /acaciadock_evacuation_runs_left 5/);
   });
 });
--- a/packages/telemetry/src/EventMetrics.ts
+++ b/packages/telemetry/src/EventMetrics.ts
@@ -33,6 +33,18 @@
     highestMs: HIGHEST_LATENCY_MS,
   });
 
+  private readonly evacuatedZones = new Gauge({
+    name: 'acaciadock_evacuated_zones',
+    help: 'Zones under evacuation; 0 at entries that do not own the journal.',
+    registers: [this.registry],
+  });
+
+  private readonly evacuationRunsLeft = new Gauge({
+    name: 'acaciadock_evacuation_runs_left',
+    help: 'Runs left in the zones under evacuation.',
+    registers: [this.registry],
+  });
+
   private readonly memory: Gauge = new Gauge({
     name: 'acaciadock_entry_resident_bytes',
     help: 'Resident memory of the process.',
@@ -48,8 +60,13 @@
     const field = OUTCOME_FIELDS.find((name) => fields[name] !== undefined);
     this.events.inc({ event, outcome: field === undefined ? '' : String(fields[field]) });
     const latency = LATENCY_FIELDS.find((name) => typeof fields[name] === 'number');
-    if (latency === undefined) return;
-    this.latencies.record({ event }, fields[latency] as number);
+    if (latency !== undefined) this.latencies.record({ event }, fields[latency] as number);
+    if (event === 'zone-evacuation-progress') this.recordEvacuations(fields);
+  }
+
+  private recordEvacuations({ zones, runs }: LogFields): void {
+    this.evacuatedZones.set(Number(zones));
+    this.evacuationRunsLeft.set(Number(runs));
   }
 
   /** Renders all metrics in the Prometheus text format. */
