--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -18,6 +18,7 @@
 import { FleetController, type FleetControllerOptions } from './FleetController.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { DemandMeter } from './DemandMeter.js';
+import { EvacuationController } from './EvacuationController.js';
 import { HealthMonitor } from './HealthMonitor.js';
 import { JobCallHandler } from './JobCallHandler.js';
 import { type JobCall, type JobReply, type JobService } from './JobService.js';
@@ -33,6 +34,7 @@
 import { TaskRelocator } from './TaskRelocator.js';
 import { TeamUsage } from './TeamUsage.js';
 import { TicketCache } from './TicketCache.js';
+import { type EvacuationRequests, ZoneEvacuation } from './ZoneEvacuation.js';
 
 /** Interval of the checks for expired leases and due occurrences, in milliseconds. */
 const TICK_MS = 50;
@@ -62,6 +64,7 @@
   readonly fleet: InstanceFleet | undefined;
   readonly reports: WaveReports;
   readonly waves: () => readonly UpkeepWave[];
+  readonly evacuationRequests: () => EvacuationRequests;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
@@ -80,8 +83,12 @@
 
   private readonly demand: DemandMeter;
 
+  private readonly zoneEvacuation: ZoneEvacuation;
+
   private readonly relocator: TaskRelocator;
 
+  private readonly evacuations: EvacuationController;
+
   private readonly fleetController: FleetController | undefined;
 
   private readonly tickets: TicketCache;
@@ -103,13 +110,23 @@
     const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
     this.jobs = new JobTable(ownership, clock);
-    this.targets = this.register(
-      new TargetTable({ maxLeaseMs: options.maxLeaseMs, inheritedUntilMs }),
-    );
+    const { maxLeaseMs } = options;
+    const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock);
+    this.zoneEvacuation = evacuation;
+    this.targets = this.register(new TargetTable({ maxLeaseMs, inheritedUntilMs, evacuation }));
     this.runTracker = this.register(
       new RunTracker(this.jobs, this.targets, this.usage, estimates, clock, logger),
     );
     this.relocator = new TaskRelocator(this.targets, this.runTracker, clock);
+    this.evacuations = this.register(
+      new EvacuationController({
+        evacuation,
+        targets: this.targets,
+        relocator: this.relocator,
+        clock,
+        logger,
+      }),
+    );
     this.tickets = this.register(new TicketCache(advice, clock, logger));
     this.health = this.register(
       new HealthMonitor({
@@ -206,6 +223,8 @@
         waves,
         targets,
         relocator,
+        evacuation: this.zoneEvacuation,
+        evacuationLacksRoom: (poolId) => this.evacuations.lacksRoom(poolId),
         demand,
         ownership,
         clock,
--- a/packages/coordinator/src/FleetController.ts
+++ b/packages/coordinator/src/FleetController.ts
@@ -12,6 +12,7 @@
 import { type TargetTable } from './TargetTable.js';
 import { type TaskRelocator } from './TaskRelocator.js';
 import { UpkeepController } from './UpkeepController.js';
+import { type ZoneEvacuation } from './ZoneEvacuation.js';
 
 /** Interval of the control loop, in milliseconds. */
 const PERIOD_MS = 150;
@@ -24,6 +25,9 @@
   readonly waves: () => readonly UpkeepWave[];
   readonly targets: TargetTable;
   readonly relocator: TaskRelocator;
+  readonly evacuation: ZoneEvacuation;
+  /** Whether a long-running task can't leave an evacuated zone for another target of the pool. */
+  readonly evacuationLacksRoom: (poolId: string) => boolean;
   readonly demand: DemandMeter;
   readonly ownership: Ownership;
   readonly clock: Clock;
@@ -57,7 +61,8 @@
         ...deps,
         orders: this.orders,
         isReservedForUpkeep: (instanceId) => this.upkeep.isReserved(instanceId),
-        upkeepLacksRoom: (poolId) => this.upkeep.lacksRoom(poolId),
+        relocationLacksRoom: (poolId) =>
+          this.upkeep.lacksRoom(poolId) || deps.evacuationLacksRoom(poolId),
       }),
     );
   }
--- a/packages/coordinator/src/FleetOrders.test.ts
+++ b/packages/coordinator/src/FleetOrders.test.ts
@@ -9,6 +9,7 @@
 import { PausableClock } from './testing/PausableClock.js';
 import { SimulatedLog } from './testing/SimulatedLog.js';
 import { SimulatedStore } from './testing/SimulatedStore.js';
+import { ZoneEvacuation } from './ZoneEvacuation.js';
 
 const ORDER_SEPARATION_MS = 3_000;
 
@@ -59,7 +60,11 @@
   const owned = { epoch: 0, nextOffset: 0, records: [] };
   const log = new SimulatedLog(store, clock, faults);
   const ownership = new Ownership(log, owned, OWNER_RECORD, clock);
-  const targets = new TargetTable({ maxLeaseMs: 6_000, inheritedUntilMs: 0 });
+  const evacuation = new ZoneEvacuation(
+    () => ({ zones: new Map(), asOfMs: 0, asOfUnixMs: 0 }),
+    clock,
+  );
+  const targets = new TargetTable({ maxLeaseMs: 6_000, inheritedUntilMs: 0, evacuation });
   const fleet = new RecordingFleet();
   const options = {
     holderId: 'e0',
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -10,6 +10,7 @@
 import { type PlacementTarget } from '@acaciadock/placement';
 import { type Capacity, type RegistryEntry } from './contracts/index.js';
 import { type LiveRun } from './LiveRun.js';
+import { type ZoneEvacuation } from './ZoneEvacuation.js';
 
 const NO_CAPACITY: Capacity = { cpuMilli: 0, memoryMb: 0, gpuCount: 0 };
 
@@ -78,6 +79,7 @@
     readonly targetId: string,
     private readonly maxLeaseMs: number,
     inheritedUntilMs: number,
+    private readonly evacuation: ZoneEvacuation,
   ) {
     this.lease = new LeaseClock(maxLeaseMs, inheritedUntilMs);
   }
@@ -90,6 +92,10 @@
     return this.entry?.poolId ?? '';
   }
 
+  get zoneId(): string {
+    return this.entry?.zoneId ?? '';
+  }
+
   get rackId(): string {
     return this.entry?.rackId ?? '';
   }
@@ -119,10 +125,20 @@
     return this.entry?.state === 'draining';
   }
 
+  /** Whether the operator has requested to evacuate the target's zone. */
+  get isEvacuated(): boolean {
+    return this.entry !== undefined && this.evacuation.isEvacuated(this.zoneId);
+  }
+
+  /** Whether tasks may start in the target's zone. */
+  get mayStartInZone(): boolean {
+    return this.evacuation.mayStartIn(this.zoneId);
+  }
+
   /** Whether new tasks may be placed on the target. */
   isOpen(nowMs: number): boolean {
     if (!this.isListed || this.isDraining || this.isReserved) return false;
-    if (this.hasUnknownLifetime) return false;
+    if (this.hasUnknownLifetime || !this.mayStartInZone) return false;
     return this.isConfirmed && this.consecutiveFailures === 0 && nowMs >= this.closedUntilMs;
   }
 
--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -21,6 +21,7 @@
 import { type Ownership } from './Ownership.js';
 import { type TargetTable } from './TargetTable.js';
 import { TurnRecord, TURNS_KEY } from './TurnRecord.js';
+import { type ZoneEvacuation } from './ZoneEvacuation.js';
 
 /** An instance counts as idle after nothing has run on it for this long, in milliseconds. */
 const IDLE_BEFORE_MOVE_MS = 400;
@@ -38,8 +39,12 @@
   readonly config: () => JobsConfigView;
   /** Whether an instance is closed to new tasks for upkeep. */
   readonly isReservedForUpkeep: (instanceId: string) => boolean;
-  /** Whether a long-running task can't move off an instance of the pool that is due for upkeep. */
-  readonly upkeepLacksRoom: (poolId: string) => boolean;
+  readonly evacuation: ZoneEvacuation;
+  /**
+   * Whether a long-running task can't move off an instance of the pool that is due for upkeep or in
+   * an evacuated zone.
+   */
+  readonly relocationLacksRoom: (poolId: string) => boolean;
 }
 
 /** A pool with its computed size, its current instances and its part of the fleet. */
@@ -125,7 +130,7 @@
 
   private divide(demands: readonly PoolDemand[], sizes: readonly PoolSize[]): PoolState[] {
     const fleetSize = this.deps.orders.instances.filter(
-      (one) => one.state !== 'down' && !this.deps.isReservedForUpkeep(one.instanceId),
+      (one) => one.state !== 'down' && !this.isExcluded(one),
     ).length;
     const parts = FleetDivider.divide(sizes, fleetSize);
     return sizes.map((size) => ({
@@ -259,8 +264,7 @@
       const recipient = pools.find(({ size }) => size.poolId === poolId);
       if (!instance || !target) return;
       if (recipient && recipient.part < recipient.count) {
-        target.isReserved = false;
-        this.pendingMoves.delete(instanceId);
+        this.cancelMove(instance);
         return;
       }
       if (target.runs.size > 0 || this.deps.orders.allowance === 0) return;
@@ -269,16 +273,24 @@
     });
   }
 
-  /** Drops pending moves of instances that are not up, have an order or are due for upkeep. */
+  /** Drops pending moves of instances that are not up, have an order or must not move any more. */
   private dropInvalidMoves(): void {
-    const { orders, isReservedForUpkeep } = this.deps;
+    const { orders, evacuation, isReservedForUpkeep } = this.deps;
     this.pendingMoves.forEach((_, instanceId) => {
       const instance = orders.instances.find((one) => one.instanceId === instanceId);
       const isUnavailable = orders.hasOrder(instanceId) || isReservedForUpkeep(instanceId);
       if (instance?.state !== 'up' || isUnavailable) this.pendingMoves.delete(instanceId);
+      else if (evacuation.isEvacuated(instance.zoneId)) this.cancelMove(instance);
     });
   }
 
+  /** Drops a pending move, so that the instance takes tasks again. */
+  private cancelMove({ instanceId, targetId }: FleetInstance): void {
+    this.pendingMoves.delete(instanceId);
+    const target = this.deps.targets.get(targetId);
+    if (target) target.isReserved = false;
+  }
+
   private demands(): PoolDemand[] {
     return this.deps
       .config()
@@ -287,7 +299,7 @@
   }
 
   private demandOf(poolId: string): PoolDemand {
-    const { clock, orders, demand, targets, upkeepLacksRoom } = this.deps;
+    const { clock, orders, demand, targets, relocationLacksRoom } = this.deps;
     const present = orders.instances.filter(
       (one) => this.assignedPoolId(one) === poolId && this.countsTowardsSize(one),
     );
@@ -297,7 +309,7 @@
       demandCpuMilli: demand.neededCpuMilli(poolId) + running,
       arrivingCpuMilli: demand.arrivingCpuMilli(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
-      hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || upkeepLacksRoom(poolId),
+      hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || relocationLacksRoom(poolId),
       instanceCount: present.length,
       openCount: targets.ofPool(poolId).filter((target) => target.isOpen(clock.monotonicMs()))
         .length,
@@ -311,19 +323,26 @@
   }
 
   /**
-   * Whether the instance takes tasks or soon will. False while it is emptied for upkeep or while
-   * its target does not answer.
+   * Whether the instance takes tasks or soon will. False while it is emptied for upkeep, while its
+   * zone is evacuated or while its target does not answer.
    */
-  private countsTowardsSize({ instanceId, targetId }: FleetInstance): boolean {
-    if (this.deps.isReservedForUpkeep(instanceId)) return false;
+  private countsTowardsSize(instance: FleetInstance): boolean {
+    if (this.isExcluded(instance)) return false;
+    const { instanceId, targetId } = instance;
     if (this.deps.orders.hasOrder(instanceId) || this.pendingMoves.has(instanceId)) return true;
     const target = this.deps.targets.get(targetId);
     return target === undefined || (!target.isReserved && target.consecutiveFailures === 0);
   }
 
-  private isAvailable({ instanceId, state }: FleetInstance): boolean {
+  private isAvailable(instance: FleetInstance): boolean {
+    const { instanceId, state } = instance;
     if (state !== 'up' || this.pendingMoves.has(instanceId)) return false;
-    return !this.deps.orders.isBlocked(instanceId) && !this.deps.isReservedForUpkeep(instanceId);
+    return !this.deps.orders.isBlocked(instanceId) && !this.isExcluded(instance);
+  }
+
+  /** Whether the instance is left out of sizes and moves, for upkeep or an evacuation. */
+  private isExcluded({ instanceId, zoneId }: FleetInstance): boolean {
+    return this.deps.isReservedForUpkeep(instanceId) || this.deps.evacuation.isEvacuated(zoneId);
   }
 
   private idleOf(poolId: string): FleetInstance[] {
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -115,7 +115,8 @@
     const { target } = this;
     const { port, ownership, clock } = this.deps;
     if (!this.isCurrent(live) || live.phase !== 'planned') return;
-    if (!ownership.mayExtendLeases) {
+    // The zone may have been evacuated since the run was planned.
+    if (!ownership.mayExtendLeases || !target.mayStartInZone) {
       this.deps.runTracker.stop(live);
       return;
     }
--- a/packages/coordinator/src/TargetTable.ts
+++ b/packages/coordinator/src/TargetTable.ts
@@ -2,11 +2,13 @@
 import { Disposable, EventEmitter } from '@acaciadock/core';
 import { type RegistryEntry } from './contracts/index.js';
 import { FleetTarget } from './FleetTarget.js';
+import { type ZoneEvacuation } from './ZoneEvacuation.js';
 
 export interface TargetTableOptions {
   readonly maxLeaseMs: number;
   /** Monotonic time by which every lease granted by a previous owner has expired. */
   readonly inheritedUntilMs: number;
+  readonly evacuation: ZoneEvacuation;
 }
 
 export class TargetTable extends Disposable {
@@ -63,8 +65,8 @@
   ensure(targetId: string): FleetTarget {
     const known = this.targets.get(targetId);
     if (known) return known;
-    const { maxLeaseMs } = this.options;
-    const target = new FleetTarget(targetId, maxLeaseMs, this.inheritedUntilMs);
+    const { maxLeaseMs, evacuation } = this.options;
+    const target = new FleetTarget(targetId, maxLeaseMs, this.inheritedUntilMs, evacuation);
     this.targets.set(targetId, target);
     return target;
   }
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -3,3 +3,4 @@
 export * from './Coordinator.js';
 export * from './JobService.js';
 export * from './Ownership.js';
+export * from './ZoneEvacuation.js';
--- a/packages/coordinator/src/testing/PausableClock.ts
+++ b/packages/coordinator/src/testing/PausableClock.ts
@@ -1,6 +1,7 @@
 /**
- * Clock of one simulated process. While the process is suspended, monotonic time stops and timers
- * are deferred until it resumes; after it is killed, no timer fires.
+ * Clock of one simulated process. While the process is suspended, timers are deferred until it
+ * resumes, and monotonic time stops, as it does when the whole machine is suspended; it goes on when
+ * only the process is stopped. After the process is killed, no timer fires.
  */
 import { Clock, type IDisposable, type ManualClock, toDisposable } from '@acaciadock/core';
 
@@ -13,6 +14,8 @@
 
   private isDead = false;
 
+  private keepsTime = false;
+
   constructor(private readonly base: ManualClock) {
     super();
   }
@@ -26,7 +29,8 @@
   }
 
   override monotonicMs(): number {
-    return (this.pausedSinceMs ?? this.base.monotonicMs()) - this.pausedMs;
+    const stoppedMs = this.keepsTime ? undefined : this.pausedSinceMs;
+    return (stoppedMs ?? this.base.monotonicMs()) - this.pausedMs;
   }
 
   override after(delayMs: number, action: () => void): IDisposable {
@@ -50,13 +54,15 @@
     });
   }
 
-  pause(): void {
+  /** `keepsTime` is whether monotonic time goes on. */
+  pause(keepsTime = false): void {
+    this.keepsTime = keepsTime;
     this.pausedSinceMs ??= this.base.monotonicMs();
   }
 
   resume(): void {
     if (this.pausedSinceMs === undefined) return;
-    this.pausedMs += this.base.monotonicMs() - this.pausedSinceMs;
+    if (!this.keepsTime) this.pausedMs += this.base.monotonicMs() - this.pausedSinceMs;
     this.pausedSinceMs = undefined;
     this.held.splice(0).forEach((action) => action());
   }
--- a/packages/coordinator/src/testing/SimulatedFleet.ts
+++ b/packages/coordinator/src/testing/SimulatedFleet.ts
@@ -19,6 +19,7 @@
 
 interface Instance {
   readonly instanceId: string;
+  readonly zoneId: string;
   poolId: string;
   state: InstanceState;
   targetId: string;
@@ -51,8 +52,8 @@
     super();
   }
 
-  add(instanceId: string, poolId: string): void {
-    const instance: Instance = { instanceId, poolId, state: 'up', targetId: '' };
+  add(instanceId: string, poolId: string, zoneId = 'z'): void {
+    const instance: Instance = { instanceId, zoneId, poolId, state: 'up', targetId: '' };
     this.instances.set(instanceId, instance);
     this.boot(instance);
   }
@@ -62,11 +63,17 @@
     return [...this.instances.values()].filter((one) => one.poolId === poolId).length;
   }
 
+  /** The zone of each instance that is in the pool or is moving to it. */
+  zonesIn(poolId: string): string[] {
+    return [...this.instances.values()]
+      .filter((one) => one.poolId === poolId)
+      .map(({ zoneId }) => zoneId);
+  }
+
   override list(): Promise<Result<readonly FleetInstance[], FleetFailure>> {
     const { cpuMilli } = this.deps.options;
     const listed = [...this.instances.values()].map((instance) => ({
       ...instance,
-      zoneId: 'z',
       rackId: 'r',
       labels: ['a', 'r'],
       capacity: { cpuMilli, memoryMb: 64_000, gpuCount: 0 },
@@ -116,7 +123,8 @@
   }
 
   private boot(instance: Instance): void {
-    const { clock, random, observer, options, targets, sparePoolId } = this.deps;
+    const { clock, random, observer, targets, sparePoolId } = this.deps;
+    const options = { ...this.deps.options, zoneId: instance.zoneId };
     if (instance.poolId === sparePoolId) {
       Object.assign(instance, { targetId: '' });
       return;
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -24,6 +24,8 @@
   readonly cpuMilli: number;
   readonly runtimeMs: number;
   readonly failShare: number;
+  /** `z` if omitted. */
+  readonly zoneId?: string;
 }
 
 interface Running extends RunRef {
@@ -88,7 +90,7 @@
       targetId: this.targetId,
       poolId: this.poolId,
       address: `${this.targetId}:1`,
-      zoneId: 'z',
+      zoneId: this.options.zoneId ?? 'z',
       rackId: 'r',
       labels: ['a', 'r'],
       capacity: { cpuMilli: this.options.cpuMilli, memoryMb: 64_000, gpuCount: 0 },
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -10,7 +10,7 @@
   type SimulatedTargetOptions,
 } from '@acaciadock/coordinator/testing';
 import { type CallContext, type JobReply, type UpkeepWave } from '@acaciadock/coordinator';
-import { ManualClock, Random } from '@acaciadock/core';
+import { type Logger, ManualClock, Random, SilentLogger } from '@acaciadock/core';
 import {
   jobsConfigSchema,
   JobsConfigView,
@@ -37,6 +37,9 @@
   readonly ordersPerS: number;
   /** CPU limit of the team over all targets, in thousandths of a core; 0 means no limit. */
   readonly teamLimitCpuMilli: number;
+  /** Number of zones over which targets and instances are spread in turn: `z0`, `z1` and so on. */
+  readonly zoneCount: number;
+  readonly logger: Logger;
 }
 
 export const DEFAULT_WORLD: JobWorldOptions = {
@@ -50,6 +53,8 @@
   spareCount: 0,
   ordersPerS: 64,
   teamLimitCpuMilli: 0,
+  zoneCount: 1,
+  logger: new SilentLogger(),
 };
 
 /** A job as callers submit it; fields with defaults may be omitted. */
@@ -89,7 +94,13 @@
   /** Upkeep waves that the operator has published. */
   readonly waves: UpkeepWave[] = [];
 
+  /** Zones under evacuation, with the time of each request. */
+  readonly evacuatedZones = new Map<string, number>();
+
+  readonly logger: Logger;
+
   constructor(readonly options: JobWorldOptions) {
+    this.logger = options.logger;
     this.random = new Random(options.seed);
     this.ordersPerS = options.ordersPerS;
     this.store = new SimulatedStore(this.clock, this.random);
@@ -121,7 +132,8 @@
       }),
     );
     this.fleet = options.instanceCount > 0 ? this.createFleet() : undefined;
-    for (let index = 0; index < options.targetCount; index += 1) this.addTarget(`t${index}`);
+    for (let index = 0; index < options.targetCount; index += 1)
+      this.addTarget(`t${index}`, this.zoneOf(index));
     for (let index = 0; index < options.entryCount; index += 1) this.startEntry(`e${index}`);
   }
 
@@ -190,14 +202,28 @@
     return [...this.entries].find(([, entry]) => entry.isOwner && !entry.clock.isPaused)?.[0];
   }
 
+  evacuate(zoneId: string): void {
+    this.evacuatedZones.set(zoneId, this.clock.monotonicMs());
+  }
+
+  withdrawEvacuation(zoneId: string): void {
+    this.evacuatedZones.delete(zoneId);
+  }
+
+  private zoneOf(index: number): string {
+    return `z${index % this.options.zoneCount}`;
+  }
+
   private createFleet(): SimulatedFleet {
     const { instanceCount, spareCount } = this.options;
     const { clock, random, observer, targets } = this;
     const options = this.targetOptions();
     const sparePoolId = SPARE_POOL_ID;
     const fleet = new SimulatedFleet({ clock, random, observer, targets, options, sparePoolId });
-    for (let index = 0; index < instanceCount; index += 1) fleet.add(`m${index}`, POOL_ID);
-    for (let index = 0; index < spareCount; index += 1) fleet.add(`s${index}`, SPARE_POOL_ID);
+    for (let index = 0; index < instanceCount; index += 1)
+      fleet.add(`m${index}`, POOL_ID, this.zoneOf(index));
+    for (let index = 0; index < spareCount; index += 1)
+      fleet.add(`s${index}`, SPARE_POOL_ID, this.zoneOf(index));
     return fleet;
   }
 
@@ -206,13 +232,13 @@
     return { maxLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare };
   }
 
-  private addTarget(targetId: string): void {
+  addTarget(targetId: string, zoneId: string): void {
     this.targets.set(
       targetId,
       new SimulatedTarget(
         targetId,
         POOL_ID,
-        this.targetOptions(),
+        { ...this.targetOptions(), zoneId },
         this.clock,
         this.random,
         this.observer,
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -4,6 +4,7 @@
  */
 import {
   Coordinator,
+  type EvacuationRequests,
   type InstanceFleet,
   type JobCall,
   type JobReply,
@@ -20,7 +21,7 @@
   type SimulatedTarget,
   type StoreFaults,
 } from '@acaciadock/coordinator/testing';
-import { type IDisposable, type ManualClock, type Random, SilentLogger } from '@acaciadock/core';
+import { type IDisposable, type Logger, type ManualClock, type Random } from '@acaciadock/core';
 import { type JobsConfigView } from '@acaciadock/jobs';
 import { type OwnerNotice, type PeerAnswer } from '@acaciadock/journal';
 import { err, ok } from 'neverthrow';
@@ -31,6 +32,9 @@
 const WATCH_PERIOD_MS = 20;
 const KEEP_FINISHED_MS = 120_000;
 
+/** Interval at which the operator's records are read, in milliseconds. */
+const FEED_PERIOD_MS = 100;
+
 export interface SimulatedEnvironment {
   readonly clock: ManualClock;
   readonly random: Random;
@@ -44,6 +48,8 @@
   readonly waves: readonly UpkeepWave[];
   /** Orders to instances that the platform accepts in a second. */
   readonly ordersPerS: number;
+  readonly evacuatedZones: ReadonlyMap<string, number>;
+  readonly logger: Logger;
 }
 
 export class SimulatedEntry {
@@ -62,6 +68,15 @@
 
   private isIsolated = false;
 
+  /** While true, the entry can't read the operator's records. */
+  isFeedCut = false;
+
+  private evacuationRequests: EvacuationRequests = {
+    zones: new Map(),
+    asOfMs: -Infinity,
+    asOfUnixMs: -Infinity,
+  };
+
   constructor(
     entryId: string,
     private readonly environment: SimulatedEnvironment,
@@ -71,7 +86,9 @@
     this.clock = new PausableClock(base);
     const { clock } = this;
     this.port = new SimulatedPort(targets, this.portFaults, clock, base, random);
-    const logger = new SilentLogger();
+    const { logger } = environment;
+    this.readEvacuations();
+    clock.every(FEED_PERIOD_MS, () => this.readEvacuations());
     const self = { entryId, bootMs: base.unixMs(), peerAddress: `${entryId}:1`, cpuMilli };
     this.election = new Election(self, {
       group: new SimulatedGroup(store, clock, this.storeFaults),
@@ -107,6 +124,7 @@
           fleet: environment.fleet,
           reports: { publish: () => Promise.resolve(ok(undefined)) },
           waves: () => environment.waves,
+          evacuationRequests: () => this.evacuationRequests,
           clock,
           logger,
           config: () => config,
@@ -151,6 +169,15 @@
     return this.election.leave();
   }
 
+  private readEvacuations(): void {
+    if (this.isFeedCut) return;
+    this.evacuationRequests = {
+      zones: new Map(this.environment.evacuatedZones),
+      asOfMs: this.clock.monotonicMs(),
+      asOfUnixMs: this.clock.unixMs(),
+    };
+  }
+
   private askPeer(address: string, knownNotice?: OwnerNotice): Promise<PeerAnswer | undefined> {
     const peer = [...this.environment.entries].find(([entryId]) => address === `${entryId}:1`)?.[1];
     return new Promise((resolve) => {
