--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -87,7 +87,8 @@
       demands.map(({ poolId, arriving }) => ({ poolId, cpuMilli: arriving.cpuMilli })),
       nowMs,
     );
-    const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs);
+    const spareCount = this.availableSpares().length;
+    const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs, spareCount);
     this.journalTurns();
     const pools = this.divide(demands, sizes);
     this.logSizes(demands, pools, nowMs);
--- a/packages/coordinator/src/TurnRecord.test.ts
+++ b/packages/coordinator/src/TurnRecord.test.ts
@@ -107,6 +107,8 @@
     const nowMs = owner.clock.monotonicMs();
     owner.sizer.size([{ ...demandOf('a', 0, false), instanceCount: 1 }], undefined, nowMs);
     t.equal(owner.sizer.memories[0]?.initialCount, INITIAL_COUNT);
+    t.equal(owner.sizer.memories[0]?.startNeed, previous.sizer.memories[0]?.startNeed);
+    t.ok(owner.sizer.memories[0]?.startNeed, 'what the start of its turn needed');
     t.end();
   });
 
--- a/packages/coordinator/src/TurnRecord.ts
+++ b/packages/coordinator/src/TurnRecord.ts
@@ -12,7 +12,14 @@
 
 const turnRecordSchema = z.object({
   turns: z.array(z.object({ poolId: z.string(), startUnixMs: z.number() })),
-  pools: z.array(z.object({ poolId: z.string(), turnPeak: z.number(), initialCount: z.number() })),
+  pools: z.array(
+    z.object({
+      poolId: z.string(),
+      turnPeak: z.number(),
+      initialCount: z.number(),
+      startNeed: z.number().optional(),
+    }),
+  ),
 });
 
 export interface TurnRecordFailure {
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -33,6 +33,8 @@
   /** Number of instances that run targets. 0 means no fleet, only `targetCount` fixed targets. */
   readonly instanceCount: number;
   readonly spareCount: number;
+  /** Pools beside the usual one, each with a queue and `instanceCount` instances of its own. */
+  readonly otherPoolIds: readonly string[];
   /** Orders to instances that the platform accepts in a second. */
   readonly ordersPerS: number;
   /** CPU limit of the team over all targets, in thousandths of a core; 0 means no limit. */
@@ -48,6 +50,7 @@
   maxAttempts: 3,
   instanceCount: 0,
   spareCount: 0,
+  otherPoolIds: [],
   ordersPerS: 64,
   teamLimitCpuMilli: 0,
 };
@@ -106,9 +109,18 @@
             maxAttempts: options.maxAttempts,
             stretch: 2,
           },
+          ...options.otherPoolIds.map((poolId) => ({
+            queueId: `${QUEUE_ID}-${poolId}`,
+            host: 'h',
+            pathPrefix: `/${poolId}`,
+            poolId,
+            maxAttempts: options.maxAttempts,
+            stretch: 2,
+          })),
         ],
         pools: [
           { poolId: POOL_ID, rejectsOverload: true },
+          ...options.otherPoolIds.map((poolId) => ({ poolId, rejectsOverload: true })),
           { poolId: SPARE_POOL_ID, isSpare: true },
         ],
         teams: [
@@ -163,16 +175,20 @@
   }
 
   /** Submits a job to the owner, if there is one, and records whether it was accepted. */
-  async submit(jobId: string, spec: JobInput): Promise<void> {
-    const reply = await this.call(jobId, spec);
+  async submit(jobId: string, spec: JobInput, otherPoolId?: string): Promise<void> {
+    const reply = await this.call(jobId, spec, otherPoolId);
     if (reply?.kind === 'accepted') this.accepted.add(jobId);
   }
 
   /** Submits a job to the owner; undefined if there is none. */
-  call(jobId: string, spec: JobInput): Promise<JobReply> | undefined {
+  call(jobId: string, spec: JobInput, otherPoolId?: string): Promise<JobReply> | undefined {
+    const other = { poolId: otherPoolId, queueId: `${QUEUE_ID}-${otherPoolId}` };
     return this.entries.get(this.ownerId() ?? '')?.call({
       kind: 'submit' as const,
-      context: JobWorld.context(),
+      context: {
+        ...JobWorld.context(),
+        ...(otherPoolId === undefined ? {} : other),
+      } as CallContext,
       jobId,
       spec: jobSpecSchema.parse({ spec: '', ...spec }),
     });
@@ -191,12 +207,16 @@
   }
 
   private createFleet(): SimulatedFleet {
-    const { instanceCount, spareCount } = this.options;
+    const { instanceCount, spareCount, otherPoolIds } = this.options;
     const { clock, random, observer, targets } = this;
     const options = this.targetOptions();
     const sparePoolId = SPARE_POOL_ID;
     const fleet = new SimulatedFleet({ clock, random, observer, targets, options, sparePoolId });
     for (let index = 0; index < instanceCount; index += 1) fleet.add(`m${index}`, POOL_ID);
+    otherPoolIds.forEach((poolId) => {
+      for (let index = 0; index < instanceCount; index += 1)
+        fleet.add(`${poolId}-${index}`, poolId);
+    });
     for (let index = 0; index < spareCount; index += 1) fleet.add(`s${index}`, SPARE_POOL_ID);
     return fleet;
   }
--- a/packages/placement/src/PoolSizer.test.ts
+++ b/packages/placement/src/PoolSizer.test.ts
@@ -85,6 +85,50 @@
     t.equal(sizeAfter(sizer, demand({ hasHadTurn: false }), 10_000).kept, 4);
   });
 
+  it('releases what only an extrapolated need asked for before the rest', (t) => {
+    // Fails if the extrapolated need is kept as long as a need that was there.
+    const sizer = new PoolSizer();
+    sizeAfter(sizer, demand({ instanceCount: 2 }), 0);
+    const grown = demand({ demand: cpu(8 * INSTANCE_MILLI) });
+    const { needed, kept } = sizeAfter(sizer, grown, 150);
+    t.equal(needed, 18, 'eight more extrapolated');
+    t.equal(kept, 18);
+    sizeAfter(sizer, { ...grown, demand: cpu(0) }, 1_200);
+    t.equal(sizeAfter(sizer, { ...grown, demand: cpu(0) }, 1_300).kept, 10);
+  });
+
+  describe('of a pool without a turn, after the turn of another', () => {
+    /** Instances that a pool of the initial count keeps after another of 10 needed 3 at its start. */
+    function keptAfterTurn(initialCount: number, spareCount: number, seenTurn = true): number {
+      const sizer = new PoolSizer();
+      const other = demand({ poolId: 'other', hasHadTurn: !seenTurn, instanceCount: 10 });
+      const pool = demand({ hasHadTurn: false, instanceCount: initialCount });
+      sizer.size([other, pool], undefined, 0);
+      const busy = { ...other, hasHadTurn: true, demand: cpu(2 * INSTANCE_MILLI) };
+      sizer.size([busy, pool], undefined, 3_000);
+      sizer.size([busy, pool], undefined, 5_100);
+      return sizer.size([busy, pool], undefined, 6_000, spareCount)[1]?.kept ?? 0;
+    }
+
+    it('keeps no more than the start of that turn needed', (t) => {
+      // Fails if each pool keeps half of its initial instances until its own turn.
+      t.equal(keptAfterTurn(10, 10), 3);
+    });
+
+    it('keeps more in proportion to its initial instances', (t) => {
+      t.equal(keptAfterTurn(40, 100), 12);
+    });
+
+    it('keeps what the spare instances could not replace', (t) => {
+      t.equal(keptAfterTurn(40, 2), 18);
+    });
+
+    it('keeps half if no start of a turn was observed', (t) => {
+      // Fails if an owner that took over during a turn counts its end as its start.
+      t.equal(keptAfterTurn(40, 100, false), 20);
+    });
+  });
+
   it('prepares for a forecast turn with the largest need so far', (t) => {
     const sizer = new PoolSizer();
     sizer.size([demand({ demand: cpu(9 * INSTANCE_MILLI) })], undefined, 0);
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -3,7 +3,7 @@
  * times their mean demand. A pool grows as soon as its waiting, running and arriving work needs
  * more instances, and ahead of a turn that is forecast. It releases instances after it has needed
  * fewer for a while. A pool that has not had a turn yet keeps a part of its initial instances,
- * because its peak demand is unknown.
+ * because its peak demand is unknown; the starts of the turns of other pools bound that part.
  */
 import { type ResourceVector, type Resources } from './ResourceVector.js';
 import { MAX_COUNTED_TASKS } from './TaskFitBound.js';
@@ -55,12 +55,24 @@
 /** A pool releases instances after it has needed fewer for this long, in milliseconds. */
 const SHRINK_AFTER_MS = 1_200;
 
+/**
+ * Instances that only an extrapolated need asked for are released after this long, in milliseconds.
+ * By then at least two rounds of the control loop have not asked for them again.
+ */
+const EXTRAPOLATION_KEPT_MS = 400;
+
 /** A pool never needs fewer instances than this. */
 const MIN_INSTANCES = 1;
 
 /** A pool that has not had a turn keeps at least this fraction of its initial instances. */
 const INITIAL_KEPT_SHARE = 0.5;
 
+/**
+ * The start of a turn is this long after the turn was recognized, in milliseconds: one move and its
+ * delays. What a pool needs later can be moved to it in time.
+ */
+const TURN_START_MS = 2_200;
+
 /** How far ahead a pool prepares for its turn, in milliseconds: one move and its delays. */
 const PREPARE_AHEAD_MS = 2_200;
 
@@ -75,16 +87,34 @@
   readonly count: number;
 }
 
+/** Largest recent need, and the time at which it was last that large. */
+interface Peak {
+  count: number;
+  atMs: number;
+}
+
+interface TurnStart {
+  /** Time at which the turn was recognized. */
+  readonly sinceMs: number;
+  /** Largest need since then, until the start is over. */
+  readonly need: number;
+  readonly isOver: boolean;
+}
+
 interface History {
   /** Needs within the trend window, oldest first. */
   recent: NeedSample[];
-  /** Largest recent need, and the time at which it was last that large. */
-  peak: number;
-  peakMs: number;
+  readonly peak: Peak;
+  /** The same with the extrapolated growth. */
+  readonly extrapolatedPeak: Peak;
   /** Largest need of the pool so far, which its next turn is expected to reach again. */
   turnPeak: number;
   /** Instances of the pool when it was first seen. */
   readonly initialCount: number;
+  /** The start of the pool's first turn; undefined if it was not observed. */
+  start?: TurnStart | undefined;
+  /** Whether the pool was seen before its first turn. */
+  readonly isSeenBeforeTurn: boolean;
 }
 
 /** What is worth keeping of a pool's history when another process continues the sizing. */
@@ -94,6 +124,8 @@
   readonly turnPeak: number;
   /** Instances of the pool when it was first seen. */
   readonly initialCount: number;
+  /** Largest need at the start of the pool's first turn, if that was observed. */
+  readonly startNeed?: number | undefined;
 }
 
 export interface PoolSize {
@@ -111,16 +143,23 @@
 
   private readonly restored = new Map<string, PoolMemory>();
 
-  size(pools: readonly PoolDemand[], next: NextTurn | undefined, nowMs: number): PoolSize[] {
-    return pools.map((pool) => this.sizeOne(pool, next, nowMs));
+  /** `spareCount` is the number of instances of the spare pool that can be moved now. */
+  size(
+    pools: readonly PoolDemand[],
+    next: NextTurn | undefined,
+    nowMs: number,
+    spareCount = 0,
+  ): PoolSize[] {
+    return pools.map((pool) => this.sizeOne(pool, next, nowMs, spareCount));
   }
 
   /** What another process needs to continue the sizing of each pool. */
   get memories(): readonly PoolMemory[] {
-    return [...this.histories].map(([poolId, { turnPeak, initialCount }]) => ({
+    return [...this.histories].map(([poolId, { turnPeak, initialCount, start }]) => ({
       poolId,
       turnPeak,
       initialCount,
+      startNeed: start?.isOver === true ? start.need : undefined,
     }));
   }
 
@@ -129,17 +168,27 @@
     memories.forEach((memory) => this.restored.set(memory.poolId, memory));
   }
 
-  private sizeOne(pool: PoolDemand, next: NextTurn | undefined, nowMs: number): PoolSize {
+  private sizeOne(
+    pool: PoolDemand,
+    next: NextTurn | undefined,
+    nowMs: number,
+    spareCount: number,
+  ): PoolSize {
     const { poolId, hasHadTurn } = pool;
     const history = this.historyOf(pool, nowMs);
     const { count: currentNeed, limitedBy } = PoolSizer.currentNeedOf(pool);
     const needed = currentNeed + PoolSizer.extrapolatedGrowth(history, currentNeed, nowMs);
-    PoolSizer.update(history, needed, nowMs);
+    const { peak, extrapolatedPeak } = history;
+    PoolSizer.update(peak, currentNeed, nowMs, SHRINK_AFTER_MS);
+    PoolSizer.update(extrapolatedPeak, needed, nowMs, EXTRAPOLATION_KEPT_MS);
+    history.turnPeak = Math.max(history.turnPeak, currentNeed);
+    if (hasHadTurn) history.start = PoolSizer.startAfter(history, currentNeed, nowMs);
+    const recentNeed = Math.max(peak.count, extrapolatedPeak.count);
     const isTurnNear = next?.poolId === poolId && next.inMs < PREPARE_AHEAD_MS;
     const forecastNeed = isTurnNear ? history.turnPeak : 0;
     const kept = hasHadTurn
-      ? history.peak
-      : Math.max(history.peak, Math.ceil(history.initialCount * INITIAL_KEPT_SHARE));
+      ? recentNeed
+      : Math.max(recentNeed, this.keptBeforeTurn(history.initialCount, spareCount));
     return {
       poolId,
       needed: Math.max(needed, forecastNeed),
@@ -148,6 +197,35 @@
     };
   }
 
+  /** The start of the pool's first turn, after the given need. */
+  private static startAfter(
+    { start, isSeenBeforeTurn }: History,
+    need: number,
+    nowMs: number,
+  ): TurnStart | undefined {
+    if (start?.isOver === true || !isSeenBeforeTurn) return start;
+    const sinceMs = start?.sinceMs ?? nowMs;
+    const isOver = nowMs - sinceMs >= TURN_START_MS;
+    return { sinceMs, need: Math.max(need, start?.need ?? 0), isOver };
+  }
+
+  /**
+   * Instances that a pool without a turn keeps: a part of its initial ones, but no more than the
+   * other pools needed at the start of their first turns. The larger of that number and of its
+   * proportion to the initial instances counts, because instances cost less than late jobs. What
+   * is released beyond the part must be there as spare instances, to be moved back in the turn.
+   */
+  private keptBeforeTurn(initialCount: number, spareCount: number): number {
+    const part = Math.ceil(initialCount * INITIAL_KEPT_SHARE);
+    const startNeeds = [...this.histories.values()].flatMap((other) =>
+      other.start?.isOver === true
+        ? [other.start.need * Math.max(1, initialCount / Math.max(1, other.initialCount))]
+        : [],
+    );
+    if (startNeeds.length === 0) return part;
+    return Math.min(part, Math.max(Math.ceil(Math.max(...startNeeds)), part - spareCount));
+  }
+
   /** Instances for the work that runs, waits and arrives, by the resource that needs the most. */
   private static currentNeedOf(pool: PoolDemand): { count: number; limitedBy: LimitingResource } {
     const { bounds, capacity } = pool;
@@ -180,24 +258,28 @@
     return Math.max(0, Math.ceil((currentNeed - before) * EXTRAPOLATED_WINDOWS));
   }
 
-  private historyOf({ poolId, instanceCount }: PoolDemand, nowMs: number): History {
+  private historyOf({ poolId, instanceCount, hasHadTurn }: PoolDemand, nowMs: number): History {
     const known = this.histories.get(poolId);
     if (known) return known;
-    const created = {
+    const restored = this.restored.get(poolId);
+    const created: History = {
       recent: [],
-      peak: instanceCount,
-      peakMs: nowMs,
-      turnPeak: this.restored.get(poolId)?.turnPeak ?? 0,
-      initialCount: this.restored.get(poolId)?.initialCount ?? instanceCount,
+      peak: { count: instanceCount, atMs: nowMs },
+      extrapolatedPeak: { count: 0, atMs: nowMs },
+      turnPeak: restored?.turnPeak ?? 0,
+      initialCount: restored?.initialCount ?? instanceCount,
+      start:
+        restored?.startNeed === undefined
+          ? undefined
+          : { sinceMs: nowMs, need: restored.startNeed, isOver: true },
+      isSeenBeforeTurn: !hasHadTurn,
     };
     this.histories.set(poolId, created);
     return created;
   }
 
-  private static update(history: History, needed: number, nowMs: number): void {
-    if (needed >= history.peak || nowMs - history.peakMs > SHRINK_AFTER_MS) {
-      Object.assign(history, { peak: needed, peakMs: nowMs });
-    }
-    Object.assign(history, { turnPeak: Math.max(history.turnPeak, needed) });
+  private static update(peak: Peak, count: number, nowMs: number, keptMs: number): void {
+    if (count >= peak.count || nowMs - peak.atMs > keptMs)
+      Object.assign(peak, { count, atMs: nowMs });
   }
 }
