--- a/packages/coordinator/src/testing/HealthFixture.ts
+++ b/packages/coordinator/src/testing/HealthFixture.ts
@@ -15,6 +15,7 @@
 import { RunTracker } from '../RunTracker.js';
 import { TargetTable } from '../TargetTable.js';
 import { TeamUsage } from '../TeamUsage.js';
+import { ZoneEvacuation } from '../ZoneEvacuation.js';
 
 const CHECK_MS = 50;
 const REPORT_MS = 200;
@@ -54,7 +55,14 @@
 
   readonly estimates = new RuntimeEstimates();
 
-  readonly targets = new TargetTable({ maxLeaseMs: 6_000, inheritedUntilMs: 0 });
+  readonly targets = new TargetTable({
+    maxLeaseMs: 6_000,
+    inheritedUntilMs: 0,
+    evacuation: new ZoneEvacuation(
+      () => ({ zones: new Map(), asOfMs: Infinity, asOfUnixMs: Infinity }),
+      this.clock,
+    ),
+  });
 
   private readonly faults = new Map<string, Fault>();
 
