--- a/packages/placement/src/ArrivalMeter.ts
+++ b/packages/placement/src/ArrivalMeter.ts
@@ -1,32 +1,32 @@
 /**
  * Measures the demand of the work that arrives at a pool, as an exponentially decaying rate. The
  * resource-milliseconds of work that arrive per millisecond equal the amount of each resource that
- * the pool needs to keep up.
+ * the pool needs to keep up. It answers the load of queues whose demand rises to many times its level
+ * within a second: a fast rate follows the rise, less its own statistical error, so that single large
+ * jobs don't count as a rise, and a slow rate holds the level.
  */
-import { ResourceVector } from './ResourceVector.js';
+import { DecayingWork } from './DecayingWork.js';
+import { type ResourceVector } from './ResourceVector.js';
 
-/** Time constant of the exponential decay, in milliseconds. */
-const TIME_CONSTANT_MS = 1_500;
+/** Time constant of the slow rate, in milliseconds. */
+const SLOW_TIME_MS = 1_500;
+
+/** Time constant of the fast rate, in milliseconds: well under the time of a move of an instance. */
+const FAST_TIME_MS = 400;
 
 export class ArrivalMeter {
-  private sum = ResourceVector.ZERO;
+  private readonly slow = new DecayingWork(SLOW_TIME_MS);
 
-  private updatedMs = 0;
+  private readonly fast = new DecayingWork(FAST_TIME_MS);
 
   /** Records arriving work, as the sum of its tasks' sizes times their runtimes in milliseconds. */
   note(work: ResourceVector, nowMs: number): void {
-    this.decay(nowMs);
-    this.sum = this.sum.plus(work);
+    this.slow.add(work, nowMs);
+    this.fast.add(work, nowMs);
   }
 
   /** Resources needed to keep up with the current arrival rate. */
   rate(nowMs: number): ResourceVector {
-    this.decay(nowMs);
-    return this.sum.times(1 / TIME_CONSTANT_MS);
-  }
-
-  private decay(nowMs: number): void {
-    this.sum = this.sum.times(Math.exp(-(nowMs - this.updatedMs) / TIME_CONSTANT_MS));
-    this.updatedMs = nowMs;
+    return this.slow.rate(nowMs).max(this.fast.certainRate(nowMs));
   }
 }
