--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,6 @@
 /** Public interface: pure decision logic for queue order, placement, pool sizes and upkeep. */
 export * from './ArrivalMeter.js';
+export * from './CopyPolicy.js';
 export * from './TurnForecast.js';
 export * from './QueueOrder.js';
 export * from './RetryAfter.js';
