--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -103,14 +103,18 @@
     const endedRun = task.runs.find((other) => other.run === run);
     task.removeRun(run);
     task.recordCheckpoint(checkpoint);
-    if (end === 'done' && !step.spec.longRunning) this.markDone(place);
+    if (end === 'done' && !step.spec.longRunning) Job.markDone(place);
     if (end === 'failed') task.recordFailure(endedRun?.targetId ?? '');
+    if (this.isScheduled && place.occurrence.isDone) this.closeOccurrence(place.occurrence);
     return true;
   }
 
-  /** Whether the task has used up its attempts, which fails the whole job. */
+  /**
+   * Whether the task has used up its attempts, which fails the whole job. While another run of the
+   * task is alive, the task may still be done.
+   */
   isOutOfAttempts({ step, task }: TaskPlace): boolean {
-    if (task.done || step.spec.longRunning) return false;
+    if (task.done || task.runs.length > 0 || step.spec.longRunning) return false;
     return task.failures >= this.definition.maxAttempts;
   }
 
@@ -120,12 +124,10 @@
     this.finishedUnixMs = nowUnixMs;
   }
 
-  private markDone({ occurrence, step, task }: TaskPlace): void {
+  private static markDone({ step, task }: TaskPlace): void {
     task.markDone();
     // When one member of a gang is done, all of them are.
     if (step.spec.gang) step.tasks.forEach((member) => member.markDone());
-    if (!occurrence.isDone) return;
-    if (this.isScheduled) this.closeOccurrence(occurrence);
   }
 
   private openOccurrence(index: number, dueUnixMs: number): Occurrence {
--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -59,6 +59,32 @@
     t.ok(job.isOutOfAttempts(place));
   });
 
+  it('does not run out of attempts while another run of the task may still be done', (t) => {
+    // Fails if the failure of a copy fails a job whose first run then succeeds.
+    const job = new Job(definition());
+    const place = job.find(0, 0, 0)!;
+    const [first, copy] = ['a', 'b'].map((targetId) => place.task.addRun(targetId, 1).run);
+    place.task.recordFailure('c');
+    job.endRun(place, copy!, 'failed', '');
+    t.notOk(job.isOutOfAttempts(place));
+    job.endRun(place, first!, 'failed', '');
+    t.ok(job.isOutOfAttempts(place));
+  });
+
+  it('keeps no occurrence whose last run ends after all its tasks are done', (t) => {
+    // Fails if an occurrence is closed only by the end that completes a task.
+    const job = new Job(definition({}, 2));
+    job.openDue(1_000);
+    const place = job.find(0, 0, 0)!;
+    const copy = place.task.addRun('b', 1).run;
+    finishTask(job, 0, 0, 0);
+    finishTask(job, 0, 0, 1);
+    finishTask(job, 0, 1, 0);
+    t.ok(job.occurrences.has(0));
+    job.endRun(place, copy, 'stopped', '');
+    t.notOk(job.occurrences.has(0));
+  });
+
   it('ignores the end of a run that is not alive', (t) => {
     const job = new Job(definition());
     const place = job.find(0, 0, 0)!;
--- a/packages/jobs/src/JobSpec.ts
+++ b/packages/jobs/src/JobSpec.ts
@@ -33,7 +33,8 @@
   mostPerTarget: count.default(0),
   /**
    * Permits several concurrent runs of a task, of which the first that is done counts. The
-   * coordinator makes no use of it.
+   * coordinator starts at most one copy of a task, and only while its target is silent or its run
+   * stalls or is slow. Has no effect on gangs and long-running tasks.
    */
   speculative: z.boolean().default(false),
   /** Runs until the job is cancelled and is restarted however it ends. */
