--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -19,6 +19,11 @@
     private readonly clock: Clock,
   ) {}
 
+  /** All jobs, including finished ones that are retained. */
+  get allJobs(): IterableIterator<JobEntry> {
+    return this.entries.values();
+  }
+
   get activeJobs(): IterableIterator<JobEntry> {
     return this.active.values();
   }
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -18,11 +18,20 @@
    */
   absenceProvenAfterMs: number | undefined;
 
+  /** The target has confirmed the run or has listed it. */
+  isConfirmed = false;
+
+  /** The result of the run is no longer needed, so it is stopped as soon as its target lists it. */
+  isObsolete = false;
+
   startedMs = 0;
 
   /** Last reported work rate (long-running tasks) or progress (all others), 0 to 100. */
   percent = 0;
 
+  /** Last checkpoint of this run; that of the task may come from another run. */
+  checkpoint: string;
+
   /** Monotonic time at which the target last listed the run. */
   reportedMs = 0;
 
@@ -51,9 +60,17 @@
     readonly targetId: string,
     /** Lifetime of the target for which the run was planned; 0 if it was unknown. */
     readonly bornMs: number,
-  ) {}
+  ) {
+    this.checkpoint = place.task.checkpoint;
+  }
 
   get taskId(): string {
     return this.place.task.taskId;
   }
+
+  /** Whether a start order may be under way that the target has neither executed nor refused. */
+  get mayYetStart(): boolean {
+    if (this.phase === 'planned' || this.isConfirmed) return false;
+    return this.phase !== 'stopping' || this.absenceProvenAfterMs === undefined;
+  }
 }
--- a/packages/coordinator/src/ReportProcessor.ts
+++ b/packages/coordinator/src/ReportProcessor.ts
@@ -76,8 +76,12 @@
   private applyEnd(target: FleetTarget, ended: EndedRun): Promise<CommitOutcome> {
     Object.assign(target, { processedEnd: ended.sequence });
     const live = target.runs.get(ended.taskId);
-    if (live?.run !== ended.run) return Promise.resolve('durable');
-    return this.runTracker.finish(live, ended.end, ended.checkpoint);
+    const commit =
+      live?.run === ended.run
+        ? this.runTracker.finish(live, ended.end, ended.checkpoint)
+        : Promise.resolve('durable' as const);
+    if (!this.runTracker.hasStartUnderWay(ended.taskId)) return commit;
+    return this.runTracker.whenNoStartIsUnderWay(ended.taskId).then(() => commit);
   }
 
   /** Updates a run from its listing; false if the run is not known here. */
@@ -85,14 +89,14 @@
     const live = target.runs.get(running.taskId);
     if (live?.run !== running.run) return false;
     const nowMs = this.clock.monotonicMs();
-    if (running.percent !== live.percent || running.checkpoint !== live.place.task.checkpoint) {
+    if (running.percent !== live.percent || running.checkpoint !== live.checkpoint) {
       live.progressedMs = nowMs;
     }
     live.reportedMs = nowMs;
     live.percent = running.percent;
     live.loadFigure = running.loadFigure;
-    if (running.checkpoint !== '')
-      Object.assign(live.place.task, { checkpoint: running.checkpoint });
+    if (running.checkpoint !== '') live.checkpoint = running.checkpoint;
+    if (this.runTracker.isFurthest(live)) live.place.task.recordCheckpoint(running.checkpoint);
     if (live.phase === 'uncertain' || live.phase === 'ordered') this.runTracker.markRunning(live);
     return true;
   }
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -6,7 +6,7 @@
 import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
 import { type JobStatus, type RunEnd, type TaskPlace } from '@acaciadock/jobs';
 import { type CommitOutcome } from '@acaciadock/journal';
-import { type RuntimeEstimates } from '@acaciadock/placement';
+import { CopyPolicy, type RuntimeEstimates } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
 import { type JobEntry } from './JobEntry.js';
 import { type JobTable } from './JobTable.js';
@@ -38,6 +38,11 @@
   /** Fires when a run of an unfinished job has ended, as there may be tasks to place again. */
   readonly onJobChanged = this.changeEmitter.event;
 
+  private readonly runsByTask = new Map<string, readonly LiveRun[]>();
+
+  /** Called once no start order of the task is under way, by task id. */
+  private readonly startWaiters = new Map<string, readonly (() => void)[]>();
+
   constructor(
     private readonly jobs: JobTable,
     private readonly targets: TargetTable,
@@ -52,7 +57,7 @@
   /** Adopts the journaled runs of a previous owner, which may be alive, and returns their count. */
   adoptJournaled(): number {
     let adopted = 0;
-    for (const { job } of this.jobs.activeJobs) adopted += this.adoptRunsOf(job.liveTasks());
+    for (const { job } of this.jobs.allJobs) adopted += this.adoptRunsOf(job.liveTasks());
     return adopted;
   }
 
@@ -75,11 +80,20 @@
   }
 
   markRunning(live: LiveRun): void {
+    Object.assign(live, { isConfirmed: true });
+    this.checkStarts(live.taskId);
     if (live.phase === 'stopping') return;
     const nowMs = this.clock.monotonicMs();
     Object.assign(live, { phase: 'running' });
     Object.assign(live, { absenceProvenAfterMs: nowMs });
     if (live.startedMs === 0) Object.assign(live, { startedMs: nowMs, progressedMs: nowMs });
+    if (live.isObsolete) this.stop(live);
+  }
+
+  /** Records that the target has accepted a stop order: it refuses the run from now on. */
+  markStopAccepted(live: LiveRun): void {
+    Object.assign(live, { absenceProvenAfterMs: this.clock.monotonicMs() });
+    this.checkStarts(live.taskId);
   }
 
   /** Requests the end of a run. It keeps its resources until it is certain that it has ended. */
@@ -102,9 +116,17 @@
     target.removeRun(live, nowMs);
     const { job, step } = live.place;
     this.usage.remove(job.definition.teamId, step.spec);
-    job.endRun(live.place, live.run, end, checkpoint);
+    this.untrack(live);
+    const wasDone = live.place.task.done;
+    const wasStepDone = step.isDone;
+    if (end === 'done' && !wasDone) this.logCopyEndedFirst(live);
+    job.endRun(live.place, live.run, end, this.isFurthest(live) ? checkpoint : '');
     const runtimeMs = live.startedMs > 0 ? nowMs - live.startedMs : 0;
-    if (end === 'done' && runtimeMs > 0) this.estimates.record(job.definition.queueId, runtimeMs);
+    // A run that is done after its copy was usually silent for a while, so its runtime is unknown.
+    const isRuntimeKnown = runtimeMs > 0 && !(wasDone && CopyPolicy.permits(step.spec));
+    if (end === 'done' && isRuntimeKnown) {
+      this.estimates.record(job.definition.queueId, runtimeMs);
+    }
     if (step.spec.gang && end !== 'done') this.stopGang(live.place);
     // Fields of the log line.
     const note = {
@@ -122,7 +144,7 @@
     if (end === 'done') this.logger.debug('run-ended', note);
     else this.logger.info('run-ended', note);
     this.endedEmitter.fire({ run: live, end, runtimeMs });
-    return this.updateJob(live.place);
+    return this.updateJob(live.place, wasStepDone);
   }
 
   /** Finishes a job, and stops its remaining runs once that is durable. */
@@ -156,15 +178,56 @@
     return this.targets.get(targetId)?.runs.get(taskId);
   }
 
-  private updateJob(place: TaskPlace): Promise<CommitOutcome> {
+  liveRunsOf(taskId: string): readonly LiveRun[] {
+    return this.runsByTask.get(taskId) ?? [];
+  }
+
+  /** Whether no other run of the task reports more progress, so that its checkpoint counts. */
+  isFurthest(live: LiveRun): boolean {
+    return this.liveRunsOf(live.taskId).every((other) => other.percent <= live.percent);
+  }
+
+  /**
+   * Settles once no start order of the task is under way. The end of a run is acknowledged only
+   * then, because a copy must not start after an acknowledged end.
+   */
+  whenNoStartIsUnderWay(taskId: string): Promise<void> {
+    return new Promise((resolve) => {
+      this.startWaiters.set(taskId, [...(this.startWaiters.get(taskId) ?? []), resolve]);
+      this.checkStarts(taskId);
+    });
+  }
+
+  /** Whether a start order of a task that may have copies is under way. */
+  hasStartUnderWay(taskId: string): boolean {
+    return this.liveRunsOf(taskId).some(
+      (live) => live.mayYetStart && CopyPolicy.permits(live.place.step.spec),
+    );
+  }
+
+  private checkStarts(taskId: string): void {
+    const waiters = this.startWaiters.get(taskId);
+    if (!waiters || this.hasStartUnderWay(taskId)) return;
+    this.startWaiters.delete(taskId);
+    waiters.forEach((resolve) => resolve());
+  }
+
+  private logCopyEndedFirst({ place, run, targetId }: LiveRun): void {
+    const { job, task } = place;
+    if (!task.runs.some((other) => other.run < run)) return;
+    const { jobId } = job;
+    this.logger.debug('copy-ended-first', { jobId, taskId: task.taskId, run, targetId });
+  }
+
+  private updateJob(place: TaskPlace, wasStepDone: boolean): Promise<CommitOutcome> {
     const { job } = place;
     const entry = this.jobs.get(job.jobId);
     if (!entry) return Promise.resolve('durable');
+    if (place.task.done) this.stopRemainingRuns(place);
     if (job.isFinished) return this.jobs.writeProgress(entry);
     const verdict = RunTracker.finalStatusOf(place);
     if (verdict) return this.finishJob(entry, verdict);
-    if (place.task.done) this.stopRemainingRuns(place);
-    if (place.step.isDone)
+    if (place.step.isDone && !wasStepDone)
       this.logger.info('step-done', { jobId: job.jobId, stepId: place.step.stepId });
     this.changeEmitter.fire(entry);
     return this.jobs.writeProgress(entry);
@@ -177,7 +240,10 @@
     return place.job.isOutOfAttempts(place) ? 'failed' : undefined;
   }
 
-  /** Stops the remaining runs of a task that is done. */
+  /**
+   * Stops the remaining runs of a task that is done. It does not wait until the end is durable, so
+   * that no planned copy is ordered meanwhile; the end is not acknowledged before it is durable.
+   */
   private stopRemainingRuns({ task }: TaskPlace): void {
     task.runs.forEach((run) => {
       const live = this.liveRunOf(task.taskId, run.targetId);
@@ -216,6 +282,7 @@
         live.absenceProvenAfterMs = 0;
         live.startedMs = this.clock.monotonicMs();
         live.progressedMs = live.startedMs;
+        live.isObsolete = place.job.isFinished || place.task.done;
         this.track(live, this.targets.ensure(run.targetId));
         adopted += 1;
       });
@@ -225,6 +292,14 @@
 
   private track(live: LiveRun, target: FleetTarget): void {
     target.addRun(live);
+    this.runsByTask.set(live.taskId, [...this.liveRunsOf(live.taskId), live]);
     this.usage.add(live.place.job.definition.teamId, live.place.step.spec);
   }
+
+  private untrack({ taskId, run }: LiveRun): void {
+    const remaining = this.liveRunsOf(taskId).filter((other) => other.run !== run);
+    if (remaining.length > 0) this.runsByTask.set(taskId, remaining);
+    else this.runsByTask.delete(taskId);
+    this.checkStarts(taskId);
+  }
 }
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -153,7 +153,7 @@
       });
       if (done.isOk() || done.error.kind === 'stale-run') {
         this.log('stop', live, 'accepted');
-        Object.assign(live, { absenceProvenAfterMs: clock.monotonicMs() });
+        this.deps.runTracker.markStopAccepted(live);
         await this.requestReport(0, NO_END_SEEN);
         this.wake();
         return;
--- a/packages/coordinator/src/TargetDrivers.ts
+++ b/packages/coordinator/src/TargetDrivers.ts
@@ -70,6 +70,10 @@
     });
     this.drivers.set(target.targetId, this.register(driver));
     void driver.run();
+    // Runs that were adopted from a previous owner may have been stopped before their target was listed.
+    target.runs.forEach((live) => {
+      if (live.phase === 'stopping') void driver.stop(live);
+    });
   }
 
   private onRemoved({ targetId, address }: FleetTarget): void {
