--- a/packages/coordinator/src/HealthMonitor.ts
+++ b/packages/coordinator/src/HealthMonitor.ts
@@ -67,8 +67,7 @@
     const targetSlowdown = this.speed.slowdownAround(live);
     if (verdict === 'slow' && !this.shouldRestart(live, targetSlowdown)) return;
     if (this.deps.handleStraggler?.(live, verdict) === 'copied') {
-      if (!this.copied.has(live)) this.note(live.targetId, live.place.job.jobId, 'bad');
-      this.copied.add(live);
+      this.noteCopied(live);
       return;
     }
     this.giveUp(live, verdict, targetSlowdown);
@@ -119,6 +118,14 @@
     runTracker.stop(live);
   }
 
+  /** Counts a copied straggler once against its target, like one that is stopped. */
+  private noteCopied(live: LiveRun): void {
+    if (this.copied.has(live)) return;
+    this.copied.add(live);
+    live.place.task.recordAvoidedTarget(live.targetId);
+    this.note(live.targetId, live.place.job.jobId, 'bad');
+  }
+
   private onEnded({ run, end }: RunEnded): void {
     const { jobId } = run.place.job;
     // A task that is done late on a slow target is no proof that the target is sound.
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -27,6 +27,8 @@
   readonly seed: number;
   readonly entryCount: number;
   readonly targetCount: number;
+  /** Number of targets in each rack; 0 means that all are in one. */
+  readonly targetsPerRack: number;
   readonly runtimeMs: number;
   readonly failShare: number;
   readonly maxAttempts: number;
@@ -48,6 +50,7 @@
   seed: 1,
   entryCount: 3,
   targetCount: 4,
+  targetsPerRack: 0,
   runtimeMs: 600,
   failShare: 0,
   maxAttempts: 3,
@@ -145,7 +148,7 @@
     );
     this.fleet = options.instanceCount > 0 ? this.createFleet() : undefined;
     for (let index = 0; index < options.targetCount; index += 1)
-      this.addTarget(`t${index}`, this.zoneOf(index));
+      this.addTarget(`t${index}`, this.zoneOf(index), this.rackOf(index));
     for (let index = 0; index < options.entryCount; index += 1) this.startEntry(`e${index}`);
   }
 
@@ -195,6 +198,9 @@
   /** Submits a job to the owner; undefined if there is none. */
   call(jobId: string, spec: JobInput, otherPoolId?: string): Promise<JobReply> | undefined {
     const other = { poolId: otherPoolId, queueId: `${QUEUE_ID}-${otherPoolId}` };
+    spec.steps.forEach(({ speculative }, index) => {
+      if (speculative) this.observer.permitCopies(`${jobId}.0.${index}`);
+    });
     return this.entries.get(this.ownerId() ?? '')?.call({
       kind: 'submit' as const,
       context: {
@@ -252,13 +258,18 @@
     return { maxLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare };
   }
 
-  addTarget(targetId: string, zoneId: string): void {
+  private rackOf(index: number): string {
+    const { targetsPerRack } = this.options;
+    return targetsPerRack > 0 ? `r${Math.floor(index / targetsPerRack)}` : 'r';
+  }
+
+  addTarget(targetId: string, zoneId: string, rackId = 'r'): void {
     this.targets.set(
       targetId,
       new SimulatedTarget(
         targetId,
         POOL_ID,
-        { ...this.targetOptions(), zoneId },
+        { ...this.targetOptions(), zoneId, rackId },
         this.clock,
         this.random,
         this.observer,
