--- a/packages/coordinator/src/QueuedStepCollector.ts
+++ b/packages/coordinator/src/QueuedStepCollector.ts
@@ -4,12 +4,15 @@
   type JobsConfigView,
   criticalPathMs,
   type Occurrence,
+  type StepSpec,
   type StepState,
+  type TaskState,
 } from '@acaciadock/jobs';
 import { type RuntimeEstimates } from '@acaciadock/placement';
 import { type JobEntry } from './JobEntry.js';
 import { type JobTable } from './JobTable.js';
 import { type QueuedStep } from './QueuedStep.js';
+import { type TargetTable } from './TargetTable.js';
 
 /** Time to live of a cached `QueuedStep`, in milliseconds: runtime estimates change slowly. */
 const CACHE_TTL_MS = 250;
@@ -22,6 +25,7 @@
 
 export interface QueuedStepCollectorDeps {
   readonly jobs: JobTable;
+  readonly targets: TargetTable;
   readonly estimates: RuntimeEstimates;
   readonly clock: Clock;
   readonly config: () => JobsConfigView;
@@ -76,11 +80,9 @@
 
   private createQueuedStep(entry: JobEntry, occurrence: Occurrence, step: StepState): QueuedStep {
     const { definition } = entry.job;
-    const objectiveMs = this.objectiveMsOf(entry);
+    const objectiveMs = this.objectiveMsOf(entry, occurrence);
     const remainingMs = criticalPathMs(definition.spec.steps, (spec, index) =>
-      occurrence.steps[index]?.isDone
-        ? 0
-        : this.deps.estimates.meanMs(definition.queueId, spec.estimatedRuntimeMs),
+      occurrence.steps[index]?.isDone ? 0 : this.runtimeMsOf(entry, occurrence, spec, index),
     );
     return {
       entry,
@@ -96,11 +98,42 @@
   }
 
   /** Latency objective of the whole job, in milliseconds after its acceptance. */
-  private objectiveMsOf({ job }: JobEntry): number {
-    const { stretch, targetLatencyMs, queueId, spec } = job.definition;
-    const chainMs = criticalPathMs(spec.steps, (step) =>
-      this.deps.estimates.meanMs(queueId, step.estimatedRuntimeMs),
+  private objectiveMsOf(entry: JobEntry, occurrence: Occurrence): number {
+    const { stretch, targetLatencyMs, spec } = entry.job.definition;
+    const chainMs = criticalPathMs(spec.steps, (step, index) =>
+      this.runtimeMsOf(entry, occurrence, step, index),
     );
     return stretch * chainMs + targetLatencyMs;
   }
+
+  /**
+   * Expected runtime of a step: the longest total of its tasks, of which those that have not started
+   * take the mean of the queue.
+   */
+  private runtimeMsOf(
+    { job }: JobEntry,
+    occurrence: Occurrence,
+    spec: StepSpec,
+    index: number,
+  ): number {
+    const { queueId } = job.definition;
+    const step = occurrence.steps[index];
+    const meanMs = this.deps.estimates.meanMs(queueId, spec.estimatedRuntimeMs);
+    if (!step?.hasStarted || spec.longRunning) return meanMs;
+    return step.tasks.reduce(
+      (longestMs, task) => Math.max(longestMs, this.totalMsOf(task, spec, queueId) ?? meanMs),
+      0,
+    );
+  }
+
+  /** Runtime of a task that is done, or expected total of its oldest run; undefined if unknown. */
+  private totalMsOf(task: TaskState, spec: StepSpec, queueId: string): number | undefined {
+    if (task.runtimeMs > 0) return task.runtimeMs;
+    const targetId = task.runs[0]?.targetId;
+    const live = targetId && this.deps.targets.get(targetId)?.runs.get(task.taskId);
+    if (!live || live.startedMs === 0) return undefined;
+    if (live.projectedTotalMs > 0) return live.projectedTotalMs;
+    const ageMs = this.deps.clock.monotonicMs() - live.startedMs;
+    return this.deps.estimates.expectedTotalMs(queueId, ageMs, spec.estimatedRuntimeMs);
+  }
 }
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -105,8 +105,10 @@
     this.usage.remove(job.definition.teamId, step.spec);
     job.endRun(live.place, live.run, end, checkpoint);
     const runtimeMs = live.startedMs > 0 ? nowMs - live.startedMs : 0;
-    if (end === 'done' && runtimeMs > 0)
+    if (end === 'done' && runtimeMs > 0) {
       this.estimates.record(job.definition.queueId, runtimeMs, live.isProjected);
+      if (!live.isContinued) Object.assign(live.place.task, { runtimeMs });
+    }
     if (step.spec.gang && end !== 'done') this.stopGang(live.place);
     // Fields of the log line.
     const note = {
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -36,6 +36,9 @@
    */
   avoidTargetId = '';
 
+  /** Runtime of the run that was done, in milliseconds; 0 if unknown. Not kept by a new owner. */
+  runtimeMs = 0;
+
   /** The task must not be started before this monotonic time. */
   notBeforeMs = 0;
 
--- a/packages/placement/src/RuntimeEstimates.ts
+++ b/packages/placement/src/RuntimeEstimates.ts
@@ -72,6 +72,8 @@
   /** Expected runtime in milliseconds. */
   meanMs(queueId: string, declaredMs: number): number {
     const known = this.byQueue.get(queueId);
+    // A moving average of few runs would follow each single run of a heavy tail.
+    if (known && this.tailKind(queueId) === 'heavy') return known.distribution.meanMs;
     if (known) return known.meanMs;
     return declaredMs > 0 ? declaredMs : DEFAULT_RUNTIME_MS;
   }
@@ -81,6 +83,13 @@
     return this.byQueue.get(queueId)?.distribution.medianMs ?? 0;
   }
 
+  /** Expected total of a run that has taken `ageMs` without a report of progress. */
+  expectedTotalMs(queueId: string, ageMs: number, declaredMs: number): number {
+    const remainingMs = this.byQueue.get(queueId)?.distribution.remainingMs(ageMs);
+    if (remainingMs !== undefined) return ageMs + remainingMs;
+    return Math.max(ageMs, this.meanMs(queueId, declaredMs));
+  }
+
   /** Whether a runtime is long compared with the other runs of the queue. */
   isLong(queueId: string, runtimeMs: number): boolean {
     return runtimeMs > this.medianMs(queueId) * LONG_FACTOR;
