--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -57,6 +57,9 @@
    */
   isReserved = false;
 
+  /** Share of the capacity that new tasks may use, below 1 if the target is slow. */
+  weight = 1;
+
   usedCpuMilli = 0;
 
   usedMemoryMb = 0;
@@ -106,6 +109,11 @@
     return this.capacity.cpuMilli - this.usedCpuMilli;
   }
 
+  /** CPU that is kept free because the target is slow; an empty target always takes a task. */
+  get withheldCpuMilli(): number {
+    return this.runs.size === 0 ? 0 : this.capacity.cpuMilli * (1 - this.weight);
+  }
+
   get freeMemoryMb(): number {
     return this.capacity.memoryMb - this.usedMemoryMb;
   }
--- a/packages/coordinator/src/HealthMonitor.test.ts
+++ b/packages/coordinator/src/HealthMonitor.test.ts
@@ -31,6 +31,12 @@
     });
   });
 
+  it('stops no inherently long task when a new owner starts with many tasks at once', (t) => {
+    // Fails if short runs are counted earlier than long ones: the queue seems to have no tail.
+    const fixture = createFixture({ ...TAIL, targetCount: 100 }, 3_000);
+    t.equal(fixture.givenUp.length, 0);
+  });
+
   [TAIL, EVEN].forEach((options) => {
     const tail = `a tail of ${options.tailShare}`;
     const faults = {
@@ -74,4 +80,37 @@
     t.notOk(fixture.isEjected('t3'));
     t.equal(fixture.givenUp.length, 0);
   });
+
+  it('gives a slow target fewer tasks first, until it recovers', (t) => {
+    const fixture = createFixture(TAIL);
+    const weightOf = (targetId: string): number => fixture.targets.get(targetId)?.weight ?? 0;
+    fixture.setFault('t3', { slowdown: 3 });
+    const weighedMs = fixture.timeUntil(() => weightOf('t3') < 1, 3_000);
+    t.ok(weighedMs <= 1_000, `weighed after ${weighedMs} ms`);
+    t.notOk(fixture.isEjected('t3'));
+    fixture.run(2_000);
+    t.ok(weightOf('t3') < 0.6 && weightOf('t3') > 0, `weight ${weightOf('t3')}`);
+    t.equal(fixture.all.filter(({ weight }) => weight < 1).length, 1);
+    fixture.setFault('t3', { slowdown: 1 });
+    t.ok(fixture.timeUntil(() => weightOf('t3') === 1, 5_000) <= 5_000);
+  });
+
+  it('keeps most of a pool in use when half of it becomes slow at once', (t) => {
+    const fixture = createFixture(TAIL);
+    const slowIds = fixture.all.slice(0, 6).map(({ targetId }) => targetId);
+    slowIds.forEach((targetId) => fixture.setFault(targetId, { slowdown: 8 }));
+    let minUsable = fixture.all.length;
+    for (let second = 0; second < 15; second += 1) {
+      fixture.run(1_000);
+      minUsable = Math.min(minUsable, fixture.monitor.usable(fixture.all).length);
+    }
+    t.ok(minUsable >= 8, `at least ${minUsable} of 12 usable`);
+    const stoppedOn = new Set(fixture.givenUp.map(({ live }) => live.targetId));
+    t.same(
+      [...stoppedOn].filter((targetId) => !slowIds.includes(targetId)),
+      [],
+      'only on slow targets',
+    );
+    t.ok(fixture.all.filter(({ weight }) => weight < 1).length <= 6);
+  });
 });
--- a/packages/coordinator/src/HealthMonitor.ts
+++ b/packages/coordinator/src/HealthMonitor.ts
@@ -16,6 +16,9 @@
 import { SpeedTracker, TRUSTED_RUNS } from './SpeedTracker.js';
 import { type TargetTable } from './TargetTable.js';
 
+/** A target reports a few times a second, so it is weighed at every fifth check, in turn. */
+const CHECKS_PER_WEIGHING = 5;
+
 /** What was done about a straggler: another run of the task was started, or nothing yet. */
 export type StragglerAction = 'copied' | 'restart';
 
@@ -25,7 +28,7 @@
   readonly estimates: RuntimeEstimates;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** May start another run of the task instead; called at each check while the verdict holds. */
+  /** May start another run of the task instead; called again while the verdict holds. */
   readonly handleStraggler?: (
     live: LiveRun,
     verdict: Exclude<StragglerVerdict, 'sound'>,
@@ -37,6 +40,8 @@
 
   private readonly speed: SpeedTracker;
 
+  private checkCount = 0;
+
   /** Runs of which a copy runs and which have counted against their target. */
   private readonly copied = new WeakSet<LiveRun>();
 
@@ -51,19 +56,41 @@
     return this.health.usable(targets, this.deps.clock.monotonicMs());
   }
 
-  /** Stops stalled and slow runs on all targets that answer. */
+  /** Stops stalled and slow runs on all targets that answer, and weighs the targets. */
   check(): void {
+    this.speed.update();
+    this.checkCount += 1;
+    let index = this.checkCount;
     for (const target of this.deps.targets.all) {
+      index += 1;
       if (target.consecutiveFailures === 0) target.runs.forEach((live) => this.evaluate(live));
+      if (index % CHECKS_PER_WEIGHING === 0) this.weigh(target);
     }
   }
 
+  /** Gives a slow target fewer tasks, before its stragglers eject it. */
+  private weigh(target: FleetTarget): void {
+    const slowdown = this.speed.slowdownOf(target);
+    const weight = TargetSpeed.weight(slowdown);
+    const { targetId, weight: previousWeight } = target;
+    Object.assign(target, { weight });
+    if (previousWeight === 1 && weight < 1) {
+      this.deps.logger.info('target-slow', {
+        targetId,
+        targetSlowdown: HealthMonitor.rounded(slowdown),
+      });
+    }
+    if (previousWeight < 1 && weight === 1) this.deps.logger.info('target-not-slow', { targetId });
+  }
+
   private evaluate(live: LiveRun): void {
     const { step } = live.place;
     if (live.phase !== 'running' || step.spec.longRunning || step.spec.gang) return;
-    this.speed.update(live);
     const verdict = this.classify(live);
     if (verdict === 'sound') return;
+    // A pace is compared once per report; the comparison goes over all runs of the target.
+    if (verdict === 'slow' && live.comparedReportMs === live.reportedMs) return;
+    Object.assign(live, { comparedReportMs: live.reportedMs });
     const targetSlowdown = this.speed.slowdownAround(live);
     if (verdict === 'slow' && !this.shouldRestart(live, targetSlowdown)) return;
     if (this.deps.handleStraggler?.(live, verdict) === 'copied') {
@@ -111,7 +138,7 @@
       percent: live.percent,
       elapsedMs: Math.round(nowMs - live.startedMs),
       reportAgeMs: Math.round(nowMs - live.reportedMs),
-      targetSlowdown: targetSlowdown && Math.round(targetSlowdown * 100) / 100,
+      targetSlowdown: HealthMonitor.rounded(targetSlowdown),
       longRunShare: estimates.longShare(job.definition.queueId),
     });
     task.recordAvoidedTarget(live.targetId);
@@ -133,4 +160,8 @@
     if (!this.health.note(targetId, jobId, verdict, nowMs)) return;
     this.deps.logger.warn('target-ejected', { targetId, jobId });
   }
+
+  private static rounded(ratio: number | undefined): number | undefined {
+    return ratio === undefined ? undefined : Math.round(ratio * 100) / 100;
+  }
 }
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -46,6 +46,9 @@
   /** Progress in the report that contained the newest checkpoint, 0 to 100. */
   checkpointPercent = 0;
 
+  /** Time of the report that was last compared with the other runs of the target. */
+  comparedReportMs = 0;
+
   /** Whether the projected total of this run is among the runtimes of its queue. */
   isProjected = false;
 
--- a/packages/coordinator/src/SpeedTracker.ts
+++ b/packages/coordinator/src/SpeedTracker.ts
@@ -5,6 +5,7 @@
  */
 import { type Clock, Disposable } from '@acaciadock/core';
 import { MIN_PACE_MS, type RuntimeEstimates, TargetSpeed } from '@acaciadock/placement';
+import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type RunTracker, type RunEnded } from './RunTracker.js';
 import { type TargetTable } from './TargetTable.js';
@@ -15,6 +16,9 @@
 /** Runtime from which a pace counts as evidence for other runs: two reports of a busy target. */
 const MIN_EVIDENCE_MS = 200;
 
+/** Time over which ended runs count towards the present speed of a target, in milliseconds. */
+const RECENT_MS = 1_000;
+
 export interface SpeedTrackerDeps {
   readonly targets: TargetTable;
   readonly runTracker: RunTracker;
@@ -22,18 +26,40 @@
   readonly clock: Clock;
 }
 
+interface ShortRun {
+  readonly queueId: string;
+  readonly dueMs: number;
+}
+
 export class SpeedTracker extends Disposable {
   private readonly speed = new TargetSpeed();
 
+  /**
+   * Short runs that have yet to be counted. They are counted at the age at which long ones are
+   * found; otherwise the first runs of a queue would all be short.
+   */
+  private readonly shortRuns: ShortRun[] = [];
+
   constructor(private readonly deps: SpeedTrackerDeps) {
     super();
     this.register(deps.runTracker.onEnded((ended) => this.onEnded(ended)));
     this.register(deps.targets.onRemoved(({ targetId }) => this.speed.forget(targetId)));
   }
 
+  /** Counts the runs that are found to be long, and the others of the same age that have ended. */
+  update(): void {
+    for (const target of this.deps.targets.all) target.runs.forEach((live) => this.countLong(live));
+    const nowMs = this.deps.clock.monotonicMs();
+    while (this.shortRuns[0] && this.shortRuns[0].dueMs <= nowMs) {
+      const { queueId } = this.shortRuns.shift() as ShortRun;
+      this.deps.estimates.recordOnSoundTarget(queueId, false);
+    }
+  }
+
   /** Counts a run as long, once, if its pace shows that it is. */
-  update(live: LiveRun): void {
-    if (live.isProjected || live.reportedMs - live.startedMs < MIN_PACE_MS) return;
+  private countLong(live: LiveRun): void {
+    if (live.isProjected || live.phase !== 'running') return;
+    if (live.reportedMs - live.startedMs < MIN_PACE_MS) return;
     const { queueId } = live.place.job.definition;
     const totalMs = live.projectedTotalMs;
     if (!this.isComparable(live) || !this.deps.estimates.isLong(queueId, totalMs)) return;
@@ -48,14 +74,27 @@
    */
   slowdownAround(live: LiveRun): number | undefined {
     const target = this.deps.targets.get(live.targetId);
+    return target && this.slowdown(target, live.startedMs, live);
+  }
+
+  /** The same for all runs of the target, of those that ended lately. */
+  slowdownOf(target: FleetTarget): number | undefined {
+    return this.slowdown(target, this.deps.clock.monotonicMs() - RECENT_MS, undefined);
+  }
+
+  private slowdown(
+    target: FleetTarget,
+    sinceMs: number,
+    leftOut: LiveRun | undefined,
+  ): number | undefined {
     const ratios: number[] = [];
-    target?.runs.forEach((other) => {
-      if (other === live || other.reportedMs - other.startedMs < MIN_EVIDENCE_MS) return;
-      const totalMs = other.recentTotalMs;
-      if (totalMs > 0 && this.isComparable(other)) ratios.push(this.ratioOf(other, totalMs));
+    target.runs.forEach((run) => {
+      if (run === leftOut || run.reportedMs - run.startedMs < MIN_EVIDENCE_MS) return;
+      const totalMs = run.recentTotalMs;
+      if (totalMs > 0 && this.isComparable(run)) ratios.push(this.ratioOf(run, totalMs));
     });
     const nowMs = this.deps.clock.monotonicMs();
-    return this.speed.slowdown(live.targetId, ratios, live.startedMs, nowMs);
+    return this.speed.slowdown(target.targetId, ratios, sinceMs, nowMs);
   }
 
   private onEnded({ run, end, runtimeMs }: RunEnded): void {
@@ -80,7 +119,9 @@
   private countOnSoundTarget(live: LiveRun, isLong: boolean): void {
     const slowdown = this.slowdownAround(live);
     if (slowdown === undefined || TargetSpeed.isSlow(slowdown)) return;
-    this.deps.estimates.recordOnSoundTarget(live.place.job.definition.queueId, isLong);
+    const { queueId } = live.place.job.definition;
+    if (isLong) this.deps.estimates.recordOnSoundTarget(queueId, true);
+    else this.shortRuns.push({ queueId, dueMs: live.startedMs + MIN_PACE_MS });
   }
 
   /** The pace of gangs and of filler tasks depends on more than their own target and queue. */
--- a/packages/placement/src/StragglerDetector.test.ts
+++ b/packages/placement/src/StragglerDetector.test.ts
@@ -1,6 +1,6 @@
 /** Tests which runs are classified as stragglers. */
 import { describe, it } from '@acaciadock/core/testing';
-import { type RunProgress, StragglerDetector } from './StragglerDetector.js';
+import { type RunProgress, type SlowRunEvidence, StragglerDetector } from './StragglerDetector.js';
 
 function run(change: Partial<RunProgress> = {}): RunProgress {
   return {
@@ -44,4 +44,32 @@
       t.equal(StragglerDetector.classify(run(change)), verdict);
     });
   });
+
+  const slow: SlowRunEvidence = {
+    targetSlowdown: 3,
+    tail: 'heavy',
+    percent: 40,
+    checkpointPercent: 0,
+  };
+  const restarts = [
+    { name: 'a slow target', change: {}, isRestarted: true },
+    { name: 'a sound target', change: { targetSlowdown: 1.2 }, isRestarted: false },
+    { name: 'too little evidence', change: { targetSlowdown: undefined }, isRestarted: false },
+    {
+      name: 'a queue without a tail',
+      change: { targetSlowdown: 1.2, tail: 'negligible' as const },
+      isRestarted: true,
+    },
+    { name: 'a new run that would end later', change: { percent: 70 }, isRestarted: false },
+    {
+      name: 'a new run that resumes from a checkpoint',
+      change: { percent: 70, checkpointPercent: 60 },
+      isRestarted: true,
+    },
+  ];
+  restarts.forEach(({ name, change, isRestarted }) => {
+    it(`${name}: ${isRestarted ? 'restart' : 'no restart'} of a slow run`, (t) => {
+      t.equal(StragglerDetector.shouldRestart({ ...slow, ...change }), isRestarted);
+    });
+  });
 });
--- a/packages/placement/src/TargetChooser.test.ts
+++ b/packages/placement/src/TargetChooser.test.ts
@@ -53,6 +53,12 @@
       });
     });
 
+    it('keeps a part of a slow target free', (t) => {
+      const slow = { freeCpuMilli: 2_000, withheldCpuMilli: 1_500 };
+      t.equal(choose({}, [target('slow', slow), target('sound')]), 'sound');
+      t.equal(choose({}, [target('slow', { ...slow, withheldCpuMilli: 1_000 })]), 'slow');
+    });
+
     it('places a filler task without free CPU', (t) => {
       t.equal(choose({ filler: true }, [target('t', { freeCpuMilli: 0 })]), 't');
     });
--- a/packages/placement/src/TargetChooser.ts
+++ b/packages/placement/src/TargetChooser.ts
@@ -13,6 +13,8 @@
   readonly freeCpuMilli: number;
   readonly freeMemoryMb: number;
   readonly freeGpuCount: number;
+  /** CPU that is kept free because the target is slow. */
+  readonly withheldCpuMilli?: number;
   readonly longRunningCount: number;
   /** Tasks on the target that have a latency bound. */
   readonly servingCount: number;
@@ -38,6 +40,9 @@
   static fits(target: PlacementTarget, request: PlacementRequest): boolean {
     const { step } = request;
     if (!step.filler && target.freeCpuMilli < step.cpuMilli) return false;
+    const withheldCpuMilli = target.withheldCpuMilli ?? 0;
+    if (withheldCpuMilli > 0 && target.freeCpuMilli - withheldCpuMilli < step.cpuMilli)
+      return false;
     if (target.freeMemoryMb < step.memoryMb) return false;
     if (target.freeGpuCount < step.gpuCount) return false;
     if (step.requiredLabel !== '' && !target.labels.includes(step.requiredLabel)) return false;
--- a/packages/placement/src/TargetSpeed.ts
+++ b/packages/placement/src/TargetSpeed.ts
@@ -31,6 +31,9 @@
 /** A target is the cause of its long runs if its runs take this multiple of the usual time. */
 const SLOW_TARGET_FACTOR = 2;
 
+/** A target that is slower still is ejected; until then a few runs show whether it recovers. */
+const MIN_WEIGHT = 0.25;
+
 interface EndedRatio {
   readonly ratio: number;
   readonly endedMs: number;
@@ -86,4 +89,10 @@
   static isSlow(slowdown: number | undefined): boolean {
     return slowdown !== undefined && slowdown >= SLOW_TARGET_FACTOR;
   }
+
+  /** Share of its capacity that a target should be given, so that its queues see the usual speed. */
+  static weight(slowdown: number | undefined): number {
+    if (slowdown === undefined || !TargetSpeed.isSlow(slowdown)) return 1;
+    return Math.max(MIN_WEIGHT, 1 / slowdown);
+  }
 }
