--- a/packages/coordinator/src/HealthMonitor.test.ts
+++ b/packages/coordinator/src/HealthMonitor.test.ts
@@ -32,7 +32,8 @@
   });
 
   it('stops no inherently long task when a new owner starts with many tasks at once', (t) => {
-    // Fails if short runs are counted earlier than long ones: the queue seems to have no tail.
+    // Fails if runs are judged before all long ones of the check are counted: the queue seems to
+    // have no tail.
     const fixture = createFixture({ ...TAIL, targetCount: 100 }, 3_000);
     t.equal(fixture.givenUp.length, 0);
   });
