--- a/packages/coordinator/src/FleetOrders.test.ts
+++ b/packages/coordinator/src/FleetOrders.test.ts
@@ -6,10 +6,10 @@
 import { DUTY_KEY, type DutyRecord, FleetOrders } from './FleetOrders.js';
 import { Ownership } from './Ownership.js';
 import { TargetTable } from './TargetTable.js';
+import { withoutEvacuation } from './testing/withoutEvacuation.js';
 import { PausableClock } from './testing/PausableClock.js';
 import { SimulatedLog } from './testing/SimulatedLog.js';
 import { SimulatedStore } from './testing/SimulatedStore.js';
-import { ZoneEvacuation } from './ZoneEvacuation.js';
 
 const ORDER_SEPARATION_MS = 3_000;
 
@@ -60,10 +60,7 @@
   const owned = { epoch: 0, nextOffset: 0, records: [] };
   const log = new SimulatedLog(store, clock, faults);
   const ownership = new Ownership(log, owned, OWNER_RECORD, clock);
-  const evacuation = new ZoneEvacuation(
-    () => ({ zones: new Map(), asOfMs: 0, asOfUnixMs: 0 }),
-    clock,
-  );
+  const evacuation = withoutEvacuation(clock);
   const targets = new TargetTable({ maxLeaseMs: 6_000, inheritedUntilMs: 0, evacuation });
   const fleet = new RecordingFleet();
   const options = {
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -127,6 +127,7 @@
     const isRuntimeKnown = runtimeMs > 0 && !(wasDone && CopyPolicy.permits(step.spec));
     if (end === 'done' && isRuntimeKnown) {
       this.estimates.record(job.definition.queueId, runtimeMs, live.isProjected);
+      if (!live.isContinued) Object.assign(live.place.task, { runtimeMs });
     }
     if (step.spec.gang && end !== 'done') this.stopGang(live.place);
     // Fields of the log line.
--- a/packages/coordinator/src/testing/HealthFixture.ts
+++ b/packages/coordinator/src/testing/HealthFixture.ts
@@ -15,7 +15,7 @@
 import { RunTracker } from '../RunTracker.js';
 import { TargetTable } from '../TargetTable.js';
 import { TeamUsage } from '../TeamUsage.js';
-import { ZoneEvacuation } from '../ZoneEvacuation.js';
+import { withoutEvacuation } from './withoutEvacuation.js';
 
 const CHECK_MS = 50;
 const REPORT_MS = 200;
@@ -58,10 +58,7 @@
   readonly targets = new TargetTable({
     maxLeaseMs: 6_000,
     inheritedUntilMs: 0,
-    evacuation: new ZoneEvacuation(
-      () => ({ zones: new Map(), asOfMs: Infinity, asOfUnixMs: Infinity }),
-      this.clock,
-    ),
+    evacuation: withoutEvacuation(this.clock),
   });
 
   private readonly faults = new Map<string, Fault>();
