--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -4,7 +4,7 @@
  */
 import { type Clock, Disposable, type IDisposable, type Logger } from '@acaciadock/core';
 import { type JobsConfigView, type TaskPlace, type TaskState } from '@acaciadock/jobs';
-import { PassPacer, QueueOrder, RejectedSizes, type RuntimeEstimates } from '@acaciadock/placement';
+import { QueueOrder, RejectedSizes, type RuntimeEstimates } from '@acaciadock/placement';
 import { type DemandMeter } from './DemandMeter.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type HealthMonitor } from './HealthMonitor.js';
@@ -20,6 +20,9 @@
 import { type TeamUsage } from './TeamUsage.js';
 import { type TicketCache } from './TicketCache.js';
 
+/** Delay that batches several changes into one pass, in milliseconds. */
+const PASS_DELAY_MS = 2;
+
 /** Interval of passes without a change, in milliseconds: backoffs and tickets expire meanwhile. */
 const REGULAR_PASS_MS = 100;
 
@@ -43,8 +46,6 @@
 
   private passTimer: IDisposable | undefined;
 
-  private readonly pacer = new PassPacer();
-
   private readonly stepCollector: QueuedStepCollector;
 
   private readonly placer: TaskPlacer;
@@ -65,9 +66,7 @@
   /** Requests a pass over the pool. */
   requestPass(poolId: string): void {
     this.dirtyPools.add(poolId);
-    const { clock } = this.deps;
-    const delayMs = this.pacer.delayMs(clock.monotonicMs());
-    this.passTimer ??= clock.after(delayMs, () => this.runPass());
+    this.passTimer ??= this.deps.clock.after(PASS_DELAY_MS, () => this.runPass());
   }
 
   /** Requests a pass over the job's pool. */
@@ -127,14 +126,12 @@
 
   private runPass(): void {
     this.passTimer = undefined;
-    const { ownership, clock } = this.deps;
+    const { ownership } = this.deps;
     if (this.isDisposed || !ownership.isActive || !ownership.mayAcceptWork) return;
-    const startedMs = clock.monotonicMs();
     const pools = new Set(this.dirtyPools);
     this.dirtyPools.clear();
     const stepsByPool = this.stepCollector.collect(pools);
     pools.forEach((poolId) => this.placePool(poolId, stepsByPool.get(poolId) ?? []));
-    this.pacer.record(startedMs, clock.monotonicMs());
   }
 
   private placePool(poolId: string, steps: readonly QueuedStep[]): void {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -13,7 +13,6 @@
 export * from './TargetSpeed.js';
 export * from './OrderBudget.js';
 export * from './PaceController.js';
-export * from './PassPacer.js';
 export * from './FleetDivider.js';
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
