--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -115,8 +115,9 @@
     const { target } = this;
     const { port, ownership, clock } = this.deps;
     if (!this.isCurrent(live) || live.phase !== 'planned') return;
-    // The zone may have been evacuated since the run was planned.
-    if (!ownership.mayExtendLeases || !target.mayStartInZone) {
+    // Since the run was planned, the zone may have been evacuated and the target fallen silent.
+    const isReachable = target.consecutiveFailures === 0 && target.mayStartInZone;
+    if (!ownership.mayExtendLeases || !isReachable) {
       this.deps.runTracker.stop(live);
       return;
     }
--- a/packages/coordinator/src/TargetDrivers.ts
+++ b/packages/coordinator/src/TargetDrivers.ts
@@ -7,6 +7,7 @@
 import { type Ownership } from './Ownership.js';
 import { type ReportProcessor } from './ReportProcessor.js';
 import { type RunTracker } from './RunTracker.js';
+import { StartLimiter } from './StartLimiter.js';
 import { TargetDriver } from './TargetDriver.js';
 import { type TargetTable } from './TargetTable.js';
 
@@ -33,6 +34,8 @@
 export class TargetDrivers extends Disposable {
   private readonly drivers = new Map<string, TargetDriver>();
 
+  private readonly starts = this.register(new StartLimiter());
+
   constructor(private readonly deps: TargetDriversDeps) {
     super();
     const { targets, runTracker } = deps;
@@ -49,7 +52,7 @@
   /** Sends the start order of a durable run. */
   order(live: LiveRun): void {
     const driver = this.drivers.get(live.targetId);
-    if (driver) void driver.start(live);
+    if (driver) void this.starts.run(live.targetId, () => driver.start(live));
     else this.deps.runTracker.stop(live);
   }
 
@@ -79,6 +82,7 @@
   private onRemoved({ targetId, address }: FleetTarget): void {
     this.drivers.get(targetId)?.dispose();
     this.drivers.delete(targetId);
+    this.starts.forget(targetId);
     this.deps.port.forget(address);
   }
 
