--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -54,6 +54,11 @@
   readonly maxLeaseMs: number;
   /** Retention of finished jobs, during which their state can be queried, in milliseconds. */
   readonly keepFinishedMs: number;
+  /**
+   * Time after the confirmation of a request to evacuate a zone from which no task starts there, in
+   * milliseconds; undefined if there is no such bound.
+   */
+  readonly evacuateMs: number | undefined;
 }
 
 export interface CoordinatorDeps {
@@ -113,8 +118,8 @@
     const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
     this.jobs = new JobTable(ownership, clock);
-    const { maxLeaseMs } = options;
-    const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock);
+    const { maxLeaseMs, evacuateMs } = options;
+    const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock, evacuateMs);
     this.zoneEvacuation = evacuation;
     this.targets = this.register(new TargetTable({ maxLeaseMs, inheritedUntilMs, evacuation }));
     this.runTracker = this.register(
--- a/packages/coordinator/src/ZoneEvacuation.ts
+++ b/packages/coordinator/src/ZoneEvacuation.ts
@@ -1,7 +1,7 @@
 /**
  * Decides whether work may start in an availability zone, from the operator's requests to evacuate
- * zones. An entry that has not read the requests recently may have missed one, so nothing starts
- * anywhere until it has read them again.
+ * zones. Where a request must take effect within a bound, an entry that has not read the requests
+ * recently may have missed one, so nothing starts anywhere until it has read them again.
  */
 import { type Clock } from '@acaciadock/core';
 
@@ -15,18 +15,24 @@
   readonly asOfUnixMs: number;
 }
 
-/**
- * Maximum age of the requests for a start, in milliseconds. No start may happen later than 5 s
- * after the store has confirmed a request; the rest is for the order to reach its target. The age
- * is at most about 2 s in normal operation, and 3.5 s if one answer of the store is lost.
- */
-const MAX_REQUESTS_AGE_MS = 4_000;
+/** Part of the bound that is left for a start order to reach its target, in milliseconds. */
+const ORDER_MS = 1_000;
 
 export class ZoneEvacuation {
+  /** Maximum age of the requests for a start, in milliseconds; infinite without a bound. */
+  private readonly maxRequestsAgeMs: number;
+
+  /**
+   * `evacuateMs` is the time after the confirmation of a request from which no task starts in the
+   * zone, in milliseconds; undefined if there is no such bound.
+   */
   constructor(
     private readonly requests: () => EvacuationRequests,
     private readonly clock: Clock,
-  ) {}
+    evacuateMs: number | undefined,
+  ) {
+    this.maxRequestsAgeMs = evacuateMs === undefined ? Infinity : evacuateMs - ORDER_MS;
+  }
 
   /** Zones under evacuation, with the monotonic time at which the request was received. */
   get zones(): ReadonlyMap<string, number> {
@@ -39,9 +45,14 @@
 
   /** Whether tasks may start in the zone. */
   mayStartIn(zoneId: string): boolean {
-    const { zones, asOfMs, asOfUnixMs } = this.requests();
-    if (this.clock.monotonicMs() - asOfMs > MAX_REQUESTS_AGE_MS) return false;
-    if (this.clock.unixMs() - asOfUnixMs > MAX_REQUESTS_AGE_MS) return false;
-    return !zones.has(zoneId);
+    const requests = this.requests();
+    return this.isRecent(requests) && !requests.zones.has(zoneId);
+  }
+
+  private isRecent({ asOfMs, asOfUnixMs }: EvacuationRequests): boolean {
+    if (asOfMs === -Infinity) return false;
+    if (this.maxRequestsAgeMs === Infinity) return true;
+    if (this.clock.monotonicMs() - asOfMs > this.maxRequestsAgeMs) return false;
+    return this.clock.unixMs() - asOfUnixMs <= this.maxRequestsAgeMs;
   }
 }
--- a/packages/coordinator/src/testing/withoutEvacuation.ts
+++ b/packages/coordinator/src/testing/withoutEvacuation.ts
@@ -6,5 +6,6 @@
   return new ZoneEvacuation(
     () => ({ zones: new Map(), asOfMs: Infinity, asOfUnixMs: Infinity }),
     clock,
+    undefined,
   );
 }
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -43,6 +43,8 @@
   readonly teamLimitCpuMilli: number;
   /** Number of zones over which targets and instances are spread in turn: `z0`, `z1` and so on. */
   readonly zoneCount: number;
+  /** Bound on starts in an evacuated zone, in milliseconds; undefined if there is none. */
+  readonly evacuateMs: number | undefined;
   readonly logger: Logger;
 }
 
@@ -60,6 +62,7 @@
   ordersPerS: 64,
   teamLimitCpuMilli: 0,
   zoneCount: 1,
+  evacuateMs: undefined,
   logger: new SilentLogger(),
 };
 
@@ -97,6 +100,8 @@
 
   readonly ordersPerS: number;
 
+  readonly evacuateMs: number | undefined;
+
   /** Upkeep waves that the operator has published. */
   readonly waves: UpkeepWave[] = [];
 
@@ -109,6 +114,7 @@
     this.logger = options.logger;
     this.random = new Random(options.seed);
     this.ordersPerS = options.ordersPerS;
+    this.evacuateMs = options.evacuateMs;
     this.store = new SimulatedStore(this.clock, this.random);
     this.observer = new RunObserver(options.maxAttempts);
     this.config = new JobsConfigView(
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -49,6 +49,8 @@
   /** Orders to instances that the platform accepts in a second. */
   readonly ordersPerS: number;
   readonly evacuatedZones: ReadonlyMap<string, number>;
+  /** Bound on starts in an evacuated zone, in milliseconds; undefined if there is none. */
+  readonly evacuateMs: number | undefined;
   readonly logger: Logger;
 }
 
@@ -113,6 +115,7 @@
           orderSeparationMs: 3_000,
           upkeepMs: 2_000,
           ordersPerS: environment.ordersPerS,
+          evacuateMs: environment.evacuateMs,
         },
         {
           ownership,
