--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -125,7 +125,7 @@
     this.runTracker = this.register(
       new RunTracker(this.jobs, this.targets, this.usage, estimates, clock, logger),
     );
-    this.relocator = new TaskRelocator(this.targets, this.runTracker, clock);
+    this.relocator = new TaskRelocator(this.targets, this.runTracker, ownership, clock);
     this.evacuations = this.register(
       new EvacuationController({
         evacuation,
--- a/packages/coordinator/src/TaskRelocator.ts
+++ b/packages/coordinator/src/TaskRelocator.ts
@@ -7,6 +7,7 @@
 import { DisruptionBudget } from './DisruptionBudget.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
+import { type Ownership } from './Ownership.js';
 import { type RunTracker } from './RunTracker.js';
 import { type TargetTable } from './TargetTable.js';
 
@@ -16,6 +17,7 @@
   constructor(
     private readonly targets: TargetTable,
     private readonly runTracker: RunTracker,
+    private readonly ownership: Ownership,
     private readonly clock: Clock,
   ) {
     this.disruptionBudget = new DisruptionBudget(
@@ -26,9 +28,11 @@
 
   /**
    * Stops the tasks that may be moved now. Returns false if one of them has to stay only because no
-   * other target has room for it.
+   * other target has room for it. Without recent proof of ownership nothing is stopped: the tasks
+   * could not start again, and another owner may be moving tasks of the same steps.
    */
   moveAway(target: FleetTarget): boolean {
+    if (!this.ownership.isProven || !this.ownership.mayAcceptWork) return true;
     let hasRoom = true;
     for (const live of target.runs.values()) {
       const { step, task } = live.place;
--- a/packages/jobdesk/src/evacuation.test.ts
+++ b/packages/jobdesk/src/evacuation.test.ts
@@ -5,7 +5,13 @@
 import { LONG_RUNNING_PREFIX, RecordingLogger } from '@acaciadock/coordinator/testing';
 import { describe, it } from '@acaciadock/core/testing';
 import { type JobWorld } from './testing/JobWorld.js';
-import { assertCompletes, createWorld, ONE_STEP, submit } from './testing/takeoverHelpers.js';
+import {
+  assertCompletes,
+  createWorld,
+  ONE_STEP,
+  ONE_TASK,
+  submit,
+} from './testing/takeoverHelpers.js';
 
 const ZONES = { zoneCount: 3, targetCount: 6, evacuateMs: 5_000 };
 const ALL_ZONES = ['z0', 'z1', 'z2'];
@@ -148,6 +154,23 @@
     t.equal(logger.of('evacuation-lacks-room').length, 1);
   });
 
+  it('leaves targets to use while those outside the zones fail', async (t) => {
+    // Fails if targets of evacuated zones count in the fraction of a pool that may be ejected: then
+    // every target outside the zones may be ejected at once, and nothing starts for 3 s.
+    const logger = new RecordingLogger();
+    const world = await createWorld({ ...ZONES, logger });
+    ['z0', 'z1'].forEach((zoneId) => world.evacuate(zoneId));
+    await world.run(READ_MS);
+    world.targets.forEach((target) => Object.assign(target, { isStalling: true }));
+    for (const jobId of ['a0', 'a1', 'a2']) await submit(world, jobId, ONE_TASK);
+    const areEjected = (): boolean => logger.of('target-ejected').length >= 2;
+    t.ok(await world.runUntil(areEjected, 30_000), 'both targets of z2 are ejected');
+    world.targets.forEach((target) => Object.assign(target, { isStalling: false }));
+    await submit(world, 'b', ONE_TASK);
+    await world.run(500);
+    t.equal(world.observer.startsOf('b.0.0.0'), 1);
+  });
+
   it('of an unknown zone is logged and holds for targets that appear later', async (t) => {
     const logger = new RecordingLogger();
     const world = await createWorld({ targetCount: 1, logger });
@@ -185,4 +208,26 @@
     t.same(world.fleet?.zonesIn('pool').sort(), ['z0', 'z1'], 'no instance of the zone was moved');
     t.same(world.observer.broken, []);
   });
+
+  it('stops none while the owner has no answer from the store', async (t) => {
+    // Fails if moves do not check the ownership: a task that is stopped can't start elsewhere, and
+    // another owner may be moving tasks of the same step.
+    const world = await createWorld({ ...ZONES, entryCount: 1 });
+    const step = { taskCount: 3, cpuMilli: 500, longRunning: true, mostUnavailable: 3 };
+    void world.submit('serving', { spec: LONG_RUNNING_PREFIX, steps: [step] });
+    await world.run(1_000);
+    t.equal(world.runningCount, 3);
+    Object.assign(world.owner?.storeFaults ?? {}, { isDown: true });
+    await world.run(2_200);
+    ALL_ZONES.filter((zoneId) => runningIn(world, zoneId) > 0).forEach((zoneId) =>
+      world.evacuate(zoneId),
+    );
+    await world.run(1_500);
+    t.equal(world.runningCount, 3);
+    Object.assign(world.owner?.storeFaults ?? {}, { isDown: false });
+    await world.run(5_000);
+    t.equal(world.runningCount, 3);
+    t.same(world.observer.broken, []);
+    world.evacuatedZones.forEach((_, zoneId) => t.equal(runningIn(world, zoneId), 0));
+  });
 });
