--- a/packages/coordinator/src/ZoneEvacuation.ts
+++ b/packages/coordinator/src/ZoneEvacuation.ts
@@ -31,7 +31,8 @@
     private readonly clock: Clock,
     evacuateMs: number | undefined,
   ) {
-    this.maxRequestsAgeMs = evacuateMs === undefined ? Infinity : evacuateMs - ORDER_MS;
+    this.maxRequestsAgeMs =
+      evacuateMs === undefined ? Infinity : Math.max(evacuateMs - ORDER_MS, evacuateMs / 2);
   }
 
   /** Zones under evacuation, with the monotonic time at which the request was received. */
