--- a/packages/coordinator/src/QueuedStepCollector.ts
+++ b/packages/coordinator/src/QueuedStepCollector.ts
@@ -47,6 +47,7 @@
     const byPool = new Map<string, QueuedStep[]>();
     const nowMs = this.deps.clock.monotonicMs();
     for (const entry of this.deps.jobs.activeJobs) {
+      if (entry.job.waitingSteps.length === 0) continue;
       const poolId = this.poolOf(entry);
       if (!pools.has(poolId)) continue;
       const steps = byPool.get(poolId) ?? [];
@@ -57,11 +58,9 @@
   }
 
   private collectJob(entry: JobEntry, nowMs: number, into: QueuedStep[]): void {
-    for (const occurrence of entry.job.occurrences.values()) {
-      for (const step of occurrence.openSteps) {
-        const isWaiting = step.tasks.some((task) => task.isWaiting && task.notBeforeMs <= nowMs);
-        if (isWaiting) into.push(this.cachedOrCreate(entry, occurrence, step, nowMs));
-      }
+    for (const { occurrence, step } of entry.job.waitingSteps) {
+      if (step.waitingTasks.some((task) => task.notBeforeMs <= nowMs))
+        into.push(this.cachedOrCreate(entry, occurrence, step, nowMs));
     }
   }
 
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -17,6 +17,12 @@
  */
 export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'lost';
 
+/** An open step with tasks that need a new start. */
+export interface WaitingStepPlace {
+  readonly occurrence: Occurrence;
+  readonly step: StepState;
+}
+
 /** A task with the job, occurrence and step that it belongs to. */
 export interface TaskPlace {
   readonly job: Job;
@@ -35,6 +41,9 @@
   /** Occurrences that have ended and whose tasks are no longer kept. */
   readonly endedOccurrences = new Set<number>();
 
+  /** Caches `waitingSteps`; undefined after a change. */
+  private knownWaitingSteps: readonly WaitingStepPlace[] | undefined;
+
   constructor(public definition: JobDefinition) {
     if (!definition.spec.schedule) this.openOccurrence(0, definition.acceptedUnixMs);
   }
@@ -79,6 +88,20 @@
     return { job: this, occurrence, step, task };
   }
 
+  /** The open steps with tasks that need a new start. Every pass reads them of every active job. */
+  get waitingSteps(): readonly WaitingStepPlace[] {
+    this.knownWaitingSteps ??= this.findWaitingSteps();
+    return this.knownWaitingSteps;
+  }
+
+  private findWaitingSteps(): WaitingStepPlace[] {
+    return [...this.occurrences.values()].flatMap((occurrence) =>
+      occurrence.openSteps
+        .filter((step) => step.waitingTasks.length > 0)
+        .map((step) => ({ occurrence, step })),
+    );
+  }
+
   /** Returns every task with a run that may still be alive. */
   liveTasks(): TaskPlace[] {
     const places: TaskPlace[] = [];
@@ -131,8 +154,13 @@
   }
 
   private openOccurrence(index: number, dueUnixMs: number): Occurrence {
-    const occurrence = new Occurrence(this.jobId, index, this.definition.spec, dueUnixMs);
+    const { spec } = this.definition;
+    const dropCached = (): void => {
+      this.knownWaitingSteps = undefined;
+    };
+    const occurrence = new Occurrence(this.jobId, index, spec, dueUnixMs, dropCached);
     this.occurrences.set(index, occurrence);
+    dropCached();
     return occurrence;
   }
 
@@ -142,6 +170,7 @@
     );
     if (!haveAllRunsEnded) return;
     this.occurrences.delete(occurrence.index);
+    this.knownWaitingSteps = undefined;
     this.endedOccurrences.add(occurrence.index);
   }
 
--- a/packages/jobs/src/Occurrence.ts
+++ b/packages/jobs/src/Occurrence.ts
@@ -10,9 +10,12 @@
     readonly index: number,
     spec: JobSpec,
     readonly dueUnixMs: number,
+    /** Called after each change of a task. */
+    onChanged: () => void = () => undefined,
   ) {
     this.steps = spec.steps.map(
-      (step, stepIndex) => new StepState(step, `${jobId}.${index}.${stepIndex}`, stepIndex),
+      (step, stepIndex) =>
+        new StepState(step, `${jobId}.${index}.${stepIndex}`, stepIndex, onChanged),
     );
   }
 
@@ -26,8 +29,10 @@
 
   /** Steps that are not done and whose predecessors are all done. */
   get openSteps(): StepState[] {
-    return this.steps.filter(
-      (step) => !step.isDone && step.spec.afterSteps.every((after) => this.steps[after]?.isDone),
-    );
+    return this.steps.filter((step) => this.isOpen(step));
+  }
+
+  private isOpen(step: StepState): boolean {
+    return !step.isDone && step.spec.afterSteps.every((after) => this.steps[after]?.isDone);
   }
 }
--- a/packages/jobs/src/StepState.ts
+++ b/packages/jobs/src/StepState.ts
@@ -5,30 +5,42 @@
 export class StepState {
   readonly tasks: TaskState[];
 
-  private wasDone = false;
+  /** Caches `isDone`; undefined after a change of a task. */
+  private knownDone: boolean | undefined;
+
+  /** Caches `waitingTasks`; undefined after a change of a task. */
+  private knownWaiting: readonly TaskState[] | undefined;
 
   constructor(
     readonly spec: StepSpec,
     readonly stepId: string,
     readonly index: number,
+    /** Called after each change of a task. */
+    private readonly onChanged: () => void = () => undefined,
   ) {
     this.tasks = Array.from(
       { length: spec.taskCount },
-      (_, task) => new TaskState(`${stepId}.${task}`, task),
+      (_, task) => new TaskState(`${stepId}.${task}`, task, () => this.recordChange()),
     );
   }
 
-  /** Cached once true: a task that is done stays done, and so does the step. */
   get isDone(): boolean {
-    this.wasDone ||= this.tasks.every((task) => task.done);
-    return this.wasDone;
+    this.knownDone ??= this.tasks.every((task) => task.done);
+    return this.knownDone;
   }
 
-  get waitingTasks(): TaskState[] {
-    return this.tasks.filter((task) => task.isWaiting);
+  get waitingTasks(): readonly TaskState[] {
+    this.knownWaiting ??= this.tasks.filter((task) => task.isWaiting);
+    return this.knownWaiting;
   }
 
   get hasStarted(): boolean {
     return this.tasks.some((task) => task.lastRun > 0);
   }
+
+  private recordChange(): void {
+    this.knownDone = undefined;
+    this.knownWaiting = undefined;
+    this.onChanged();
+  }
 }
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -45,6 +45,8 @@
   constructor(
     readonly taskId: string,
     readonly index: number,
+    /** Called after each change of `done` or `runs`. */
+    private readonly onChanged: () => void = () => undefined,
   ) {}
 
   /** Whether the task needs a new start. */
@@ -56,15 +58,18 @@
     this.lastRun += 1;
     const run = { run: this.lastRun, targetId, bornMs };
     this.runs = [...this.runs, run];
+    this.onChanged();
     return run;
   }
 
   removeRun(run: number): void {
     this.runs = this.runs.filter((other) => other.run !== run);
+    this.onChanged();
   }
 
   markDone(): void {
     this.done = true;
+    this.onChanged();
   }
 
   /** Stores a checkpoint; an empty one leaves the previous checkpoint in place. */
@@ -99,5 +104,6 @@
     this.lastRun = record.lastRun;
     this.checkpoint = record.checkpoint;
     this.runs = [...record.runs];
+    this.onChanged();
   }
 }
