--- a/packages/placement/src/PoolSizer.test.ts
+++ b/packages/placement/src/PoolSizer.test.ts
@@ -54,6 +54,21 @@
     t.ok(size.needed >= 5);
   });
 
+  it('does not remember the instances tried for a waiting long-running task as a turn', (t) => {
+    // Fails if the need of one more than the open instances enters the peak: a task that no added
+    // instance helps then makes every later turn ask for as many instances as were ever added.
+    const sizer = new PoolSizer();
+    const waiting = { demand: cpu(INSTANCE_MILLI), hasLongRunningWaiting: true };
+    [8, 9, 10, 11].forEach((openCount, round) => {
+      const { needed } = sizeAfter(sizer, demand({ ...waiting, openCount }), round * 5_000);
+      t.ok(needed > openCount, 'one more is still needed now');
+    });
+    t.same(
+      sizer.memories.map(({ turnPeak }) => turnPeak),
+      [3],
+    );
+  });
+
   it('needs another instance while a long-running task finds no room', (t) => {
     const pool = demand({
       instanceCount: 1,
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -117,6 +117,17 @@
   readonly isSeenBeforeTurn: boolean;
 }
 
+interface CurrentNeed {
+  readonly count: number;
+  /**
+   * The part of `count` that the next turn is expected to need again. One more than the open
+   * instances, for a waiting long-running task, would raise it with every instance that is added
+   * and with every idle one that the pool still has, so it counts as one more than the work needs.
+   */
+  readonly turnNeed: number;
+  readonly limitedBy: LimitingResource;
+}
+
 /** What is worth keeping of a pool's history when another process continues the sizing. */
 export interface PoolMemory {
   readonly poolId: string;
@@ -176,13 +187,13 @@
   ): PoolSize {
     const { poolId, hasHadTurn } = pool;
     const history = this.historyOf(pool, nowMs);
-    const { count: currentNeed, limitedBy } = PoolSizer.currentNeedOf(pool);
+    const { count: currentNeed, turnNeed, limitedBy } = PoolSizer.currentNeedOf(pool);
     const needed = currentNeed + PoolSizer.extrapolatedGrowth(history, currentNeed, nowMs);
     const { peak, extrapolatedPeak } = history;
     PoolSizer.update(peak, currentNeed, nowMs, SHRINK_AFTER_MS);
     PoolSizer.update(extrapolatedPeak, needed, nowMs, EXTRAPOLATION_KEPT_MS);
-    history.turnPeak = Math.max(history.turnPeak, currentNeed);
-    if (hasHadTurn) history.start = PoolSizer.startAfter(history, currentNeed, nowMs);
+    history.turnPeak = Math.max(history.turnPeak, turnNeed);
+    if (hasHadTurn) history.start = PoolSizer.startAfter(history, turnNeed, nowMs);
     const recentNeed = Math.max(peak.count, extrapolatedPeak.count);
     const isTurnNear = next?.poolId === poolId && next.inMs < PREPARE_AHEAD_MS;
     const forecastNeed = isTurnNear ? history.turnPeak : 0;
@@ -227,7 +238,7 @@
   }
 
   /** Instances for the work that runs, waits and arrives, by the resource that needs the most. */
-  private static currentNeedOf(pool: PoolDemand): { count: number; limitedBy: LimitingResource } {
+  private static currentNeedOf(pool: PoolDemand): CurrentNeed {
     const { bounds, capacity } = pool;
     const { cpuMilli, memoryMb, gpuCount } = pool.demand.max(pool.arriving);
     const byCpu = Math.ceil(cpuMilli / Math.max(1, capacity.cpuMilli * USABLE_SHARE));
@@ -239,10 +250,12 @@
       ['memory', Math.max(bounds.byMemory, byMemory)],
       ['gpu', Math.max(bounds.byGpu, byGpu)],
       ['tasks-per-target', bounds.byTaskLimit],
-      ['long-running', pool.hasLongRunningWaiting ? pool.openCount + 1 : 0],
     ];
-    const [limitedBy, count] = needs.reduce((most, need) => (need[1] > most[1] ? need : most));
-    return { count, limitedBy };
+    const largest = needs.reduce((most, need) => (need[1] > most[1] ? need : most));
+    const [, byWork] = largest;
+    const byLongRunning = pool.hasLongRunningWaiting ? pool.openCount + 1 : 0;
+    if (byLongRunning <= byWork) return { count: byWork, turnNeed: byWork, limitedBy: largest[0] };
+    return { count: byLongRunning, turnNeed: byWork + 1, limitedBy: 'long-running' };
   }
 
   /** Instances that provide the amount; 0 if they have none of the resource. */
