--- a/packages/coordinator/src/HealthMonitor.ts
+++ b/packages/coordinator/src/HealthMonitor.ts
@@ -49,6 +49,7 @@
     super();
     this.speed = this.register(new SpeedTracker(deps));
     this.register(deps.runTracker.onEnded((ended) => this.onEnded(ended)));
+    this.register(deps.targets.onRemoved(() => this.forgetDeparted()));
   }
 
   /** Filters out the targets of a pool that are ejected. */
@@ -161,6 +162,12 @@
     if (end === 'failed') this.note(run.targetId, jobId, 'bad');
   }
 
+  private forgetDeparted(): void {
+    const { targets, clock } = this.deps;
+    const isPresent = (targetId: string): boolean => targets.get(targetId) !== undefined;
+    this.health.forgetDeparted(isPresent, clock.monotonicMs());
+  }
+
   /** Records the result of a run and logs whether it ejects the target. */
   private note(targetId: string, jobId: string, verdict: 'good' | 'bad'): void {
     const nowMs = this.deps.clock.monotonicMs();
--- a/packages/placement/src/TargetHealth.test.ts
+++ b/packages/placement/src/TargetHealth.test.ts
@@ -41,4 +41,16 @@
     pool.forEach(({ targetId }) => failJobs(health, targetId, 3));
     t.equal(health.usable(pool, 1).length, 4);
   });
+
+  it('forgets a target that has left once its ejections no longer count', (t) => {
+    // Fails if records of targets that will never return are kept as long as the owner runs.
+    const health = new TargetHealth();
+    failJobs(health, 'left', 3);
+    failJobs(health, 'present', 3);
+    const isPresent = (targetId: string): boolean => targetId === 'present';
+    health.forgetDeparted(isPresent, 40_000);
+    t.equal(health.recordCount, 2, 'a relapse soon after its return still counts');
+    health.forgetDeparted(isPresent, 60_000);
+    t.equal(health.recordCount, 1);
+  });
 });
--- a/packages/placement/src/TargetHealth.ts
+++ b/packages/placement/src/TargetHealth.ts
@@ -15,12 +15,19 @@
 /** Maximum fraction of a pool that is ejected at once. */
 const MAX_EJECTED_SHARE = 0.34;
 
+/**
+ * A target that has left is forgotten this long after its last run, in milliseconds: one that comes
+ * back within twice the longest ejection is still ejected, or is ejected again sooner.
+ */
+const FORGET_AFTER_MS = 2 * MAX_EJECTION_MS;
+
 export type RunVerdict = 'good' | 'bad';
 
 interface HealthRecord {
   readonly failedJobIds: Set<string>;
   ejections: number;
   ejectedUntilMs: number;
+  notedMs: number;
 }
 
 export class TargetHealth {
@@ -29,6 +36,7 @@
   /** Records the result of a run; returns true if it ejects the target. */
   note(targetId: string, jobId: string, verdict: RunVerdict, nowMs: number): boolean {
     const record = this.recordOf(targetId);
+    record.notedMs = nowMs;
     if (verdict === 'good') {
       record.failedJobIds.clear();
       if (nowMs >= record.ejectedUntilMs) record.ejections = 0;
@@ -57,10 +65,27 @@
     return pool.filter((target) => !leftOut.has(target));
   }
 
+  /** Number of targets of which something is known. */
+  get recordCount(): number {
+    return this.records.size;
+  }
+
+  /** Forgets targets that have left, as their ids may never be used again. */
+  forgetDeparted(isPresent: (targetId: string) => boolean, nowMs: number): void {
+    this.records.forEach(({ notedMs }, targetId) => {
+      if (nowMs - notedMs > FORGET_AFTER_MS && !isPresent(targetId)) this.records.delete(targetId);
+    });
+  }
+
   private recordOf(targetId: string): HealthRecord {
     const known = this.records.get(targetId);
     if (known) return known;
-    const created = { failedJobIds: new Set<string>(), ejections: 0, ejectedUntilMs: 0 };
+    const created = {
+      failedJobIds: new Set<string>(),
+      ejections: 0,
+      ejectedUntilMs: 0,
+      notedMs: 0,
+    };
     this.records.set(targetId, created);
     return created;
   }
