--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { type Job, type JobStatus } from './Job.js';
 import { type JobDefinition } from './JobSpec.js';
+import { type Occurrence } from './Occurrence.js';
 import { type TaskRecord } from './TaskState.js';
 
 export interface RecordUnreadable {
@@ -38,16 +39,23 @@
   }
 }
 
+/** Loops without intermediate lists: each batch encodes the whole progress of every changed job. */
+function taskEntries({ steps }: Occurrence): TaskEntry[] {
+  const entries: TaskEntry[] = [];
+  for (const { index: step, tasks } of steps) {
+    for (const task of tasks) {
+      const record = task.toRecord();
+      if (record) entries.push({ step, index: task.index, ...record });
+    }
+  }
+  return entries;
+}
+
 function occurrenceEntries(job: Job): OccurrenceEntry[] {
   return [...job.occurrences.values()].map((occurrence) => ({
     index: occurrence.index,
     dueUnixMs: occurrence.dueUnixMs,
-    tasks: occurrence.steps.flatMap((step) =>
-      step.tasks.flatMap((task) => {
-        const record = task.toRecord();
-        return record ? [{ step: step.index, index: task.index, ...record }] : [];
-      }),
-    ),
+    tasks: taskEntries(occurrence),
   }));
 }
 
