--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -363,6 +363,9 @@
     if (failure.kind === 'no-room') this.target.closedUntilMs = nowMs + NO_ROOM_PAUSE_MS;
     if (failure.kind === 'unhealthy') this.target.closedUntilMs = nowMs + UNHEALTHY_PAUSE_MS;
     if (failure.kind === 'unreachable') this.target.consecutiveFailures += 1;
+    // The estimate of the target's clock is too low, as it is after a pause of this process in which
+    // monotonic time stood still. Only a report corrects it, and an idle target is not asked for one.
+    if (failure.kind === 'late') this.target.isConfirmed = false;
     if (this.handleCommonFailure(failure)) return;
     void runTracker.finish(live, 'lost', '');
   }
