--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -7,7 +7,7 @@
 import { JournalWriter, type OwnedJournal, type RecordLog } from '@acaciadock/journal';
 
 /**
- * Leases are extended only this long after the last acknowledged append, in milliseconds, because
+ * Leases are extended only this long after the last acknowledged append was sent, in milliseconds, because
  * only an acknowledged append proves that no other entry has claimed the journal. Together with
  * the length of a lease it covers an outage of the store of 9 s. A successor waits this long, plus
  * a lease, before it gives up the runs of targets that it can't reach.
@@ -137,7 +137,7 @@
   }
 
   /**
-   * Whether the last acknowledged append is recent enough to rule out, except for the time since
+   * Whether the last acknowledged append was sent recently enough to rule out, except for the time since
    * then, that another owner has accepted jobs that are unknown here.
    */
   get isProven(): boolean {
@@ -165,8 +165,8 @@
 
   /**
    * Whether leases may be extended: not before the owner record is durable, not later than
-   * `EXTENSION_BOUND_MS` after the last acknowledged append, and not while the clocks show that the
-   * process was suspended since that append.
+   * `EXTENSION_BOUND_MS` after the last acknowledged append was sent, and not while the clocks show
+   * that the process was suspended since.
    */
   get mayExtendLeases(): boolean {
     return this.isOwnerRecordDurable && this.isProvenWithin(EXTENSION_BOUND_MS);
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -6,6 +6,7 @@
  * so that its keys can still be withdrawn.
  */
 import { type Clock, Disposable, EventEmitter } from '@acaciadock/core';
+import { type Result } from 'neverthrow';
 import { CallRepeater } from './CallRepeater.js';
 import { type KeyedRecord, type LogFailure, type RecordLog } from './RecordLog.js';
 import { type OwnedJournal } from './JournalClaim.js';
@@ -47,6 +48,12 @@
   readonly bytes: number;
 }
 
+/** Times at which an attempt was sent, on both clocks. */
+interface SendTime {
+  readonly monotonicMs: number;
+  readonly unixMs: number;
+}
+
 /** `rejected`: no attempt had an effect. */
 type AppendOutcome = CommitOutcome | 'rejected';
 
@@ -98,10 +105,13 @@
   /** Whether the store has rejected the last attempt, so that nothing is in flight. */
   isRejected = false;
 
-  /** Monotonic time of the last acknowledged append. */
+  /**
+   * Monotonic time at which the last acknowledged append was sent. The acknowledgement proves the
+   * ownership only as of then: a process that was paused may receive it much later.
+   */
   lastDurableMs: number;
 
-  /** Wall clock time of the last acknowledged append, Unix milliseconds. */
+  /** Wall clock time at which the last acknowledged append was sent, Unix milliseconds. */
   lastDurableUnixMs: number;
 
   /** Monotonic time of the first attempt of the append in flight; undefined when idle. */
@@ -222,21 +232,20 @@
   /** Repeats the append until its outcome is certain. */
   private async appendUntilSettled({ records, bytes }: Batch): Promise<AppendOutcome> {
     this.appendingSinceMs ??= this.clock.monotonicMs();
+    const firstSent = this.sendTime();
     let mayHaveEffect = false;
     while (!this.lost) {
-      const done = await this.repeater.call((signal) => {
-        this.appendCount += 1;
-        return this.log.append(this.nextOffset, records, signal);
-      }, bytes);
+      const done = await this.repeater.call((signal) => this.attempt(records, signal), bytes);
       if (this.lost) return 'ownership-lost';
-      if (done.isOk()) return this.advance(records.length, bytes);
+      if (done.isOk()) return this.advance(records.length, bytes, done.value);
       const { error } = done;
       this.recordFailure(error);
       if (error.kind === 'rejected' && !mayHaveEffect) return 'rejected';
       mayHaveEffect ||= error.kind === 'unknown-outcome';
       if (error.kind === 'offset-mismatch') {
         const isOwn = await this.hasOwnRecords(records);
-        if (isOwn === true) return this.advance(records.length, bytes);
+        // Which attempt had the effect is unknown, so it may have been the first.
+        if (isOwn === true) return this.advance(records.length, bytes, firstSent);
         if (isOwn === false) return this.endOwnership(error);
         mayHaveEffect = true;
       }
@@ -245,20 +254,35 @@
     return 'ownership-lost';
   }
 
+  /** Sends an append; the result is the time at which it was sent. */
+  private async attempt(
+    records: readonly KeyedRecord[],
+    signal: AbortSignal,
+  ): Promise<Result<SendTime, LogFailure>> {
+    this.appendCount += 1;
+    const sent = this.sendTime();
+    const done = await this.log.append(this.nextOffset, records, signal);
+    return done.map(() => sent);
+  }
+
+  private sendTime(): SendTime {
+    return { monotonicMs: this.clock.monotonicMs(), unixMs: this.clock.unixMs() };
+  }
+
   private recordFailure(failure: LogFailure): void {
     this.failures += 1;
     if (this.failures === 1) this.stalledEmitter.fire(failure);
   }
 
-  private advance(records: number, bytes: number): CommitOutcome {
+  private advance(records: number, bytes: number, sent: SendTime): CommitOutcome {
     if (this.failures > 0) {
       const { stalledMs, failures } = this;
       this.resumedEmitter.fire({ stalledMs, failures, records, bytes });
     }
     this.failures = 0;
     this.nextOffset += records;
-    this.lastDurableMs = this.clock.monotonicMs();
-    this.lastDurableUnixMs = this.clock.unixMs();
+    this.lastDurableMs = sent.monotonicMs;
+    this.lastDurableUnixMs = sent.unixMs;
     this.appendingSinceMs = undefined;
     return 'durable';
   }
