--- a/packages/coordinator/src/FleetController.ts
+++ b/packages/coordinator/src/FleetController.ts
@@ -6,7 +6,7 @@
 import { type JobsConfigView } from '@acaciadock/jobs';
 import { type InstanceFleet, type UpkeepWave, type WaveReports } from './contracts/index.js';
 import { type DemandMeter } from './DemandMeter.js';
-import { DUTY_KEY, type DutyRecord, FleetOrders, type FleetOrdersOptions } from './FleetOrders.js';
+import { DUTY_KEY, FleetOrders, type FleetOrdersOptions } from './FleetOrders.js';
 import { type Ownership } from './Ownership.js';
 import { PoolController } from './PoolController.js';
 import { type TargetTable } from './TargetTable.js';
@@ -75,7 +75,7 @@
   /** Restores a journaled record if it is about the fleet; ignores any other. */
   restore(key: string, value: Buffer): void {
     if (key === DUTY_KEY) {
-      this.orders.restoreDuty(JSON.parse(value.toString('utf8')) as DutyRecord);
+      this.orders.restore(value);
       return;
     }
     if (this.pools.restore(key, value)) return;
--- a/packages/coordinator/src/FleetOrders.test.ts
+++ b/packages/coordinator/src/FleetOrders.test.ts
@@ -153,6 +153,19 @@
     });
   });
 
+  describe('when the record of a previous holder is malformed', () => {
+    it('sends no order to any instance within the order separation time', async (t) => {
+      // Fails if such a record is only skipped: it may have listed any instance.
+      const { base, orders } = await createFixture();
+      orders.restore(Buffer.from('{"orders":5}'));
+      t.equal(await orders.move(INSTANCE, 'x'), 'busy');
+      base.advance(ORDER_SEPARATION_MS);
+      t.ok(orders.isBlocked('m0'));
+      base.advance(1_000);
+      t.notOk(orders.isBlocked('m0'));
+    });
+  });
+
   describe('when an upkeep follows a move of the same instance', () => {
     it('refuses the upkeep', async (t) => {
       const { fleet, orders, settle } = await createFixture();
--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -7,6 +7,7 @@
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
 import { OrderBudget } from '@acaciadock/placement';
+import * as z from 'zod';
 import { type FleetFailure, type FleetInstance, type InstanceFleet } from './contracts/index.js';
 import { type Ownership } from './Ownership.js';
 import { type TargetTable } from './TargetTable.js';
@@ -33,21 +34,17 @@
   readonly sinceMs: number;
 }
 
-/** An order to an instance, with its age at the time when the record was written. */
-export interface RecentOrder {
-  readonly instanceId: string;
-  readonly agoMs: number;
-}
-
 /**
  * Journaled holder of the right to send orders to instances, and the recent orders to instances by
- * it or by a previous holder.
+ * it or by a previous holder. Each order has its age at the time when the record was written.
  */
-export interface DutyRecord {
-  readonly holderId: string;
-  readonly bootMs: number;
-  readonly orders: readonly RecentOrder[];
-}
+const dutyRecordSchema = z.object({
+  holderId: z.string(),
+  bootMs: z.number(),
+  orders: z.array(z.object({ instanceId: z.string(), agoMs: z.number() })),
+});
+
+export type DutyRecord = Readonly<z.infer<typeof dutyRecordSchema>>;
 
 export interface FleetOrdersOptions {
   readonly holderId: string;
@@ -86,6 +83,9 @@
 
   private readonly budget: OrderBudget;
 
+  /** Monotonic time of the last order of a previous holder to an unknown instance. */
+  private unknownOrdersMs = -Infinity;
+
   /** Instances whose last order came from a previous holder. */
   private readonly inherited = new Set<string>();
 
@@ -119,6 +119,17 @@
     return this.isActive && this.listed.length > 0 && this.deps.ownership.mayExtendLeases;
   }
 
+  /** Restores the journaled record. If it is malformed, any instance may have been ordered. */
+  restore(value: Buffer): void {
+    const duty = FleetOrders.parseDuty(value);
+    if (duty) {
+      this.restoreDuty(duty);
+      return;
+    }
+    this.deps.logger.error('duty-unreadable', { bytes: value.length });
+    this.unknownOrdersMs = this.deps.clock.monotonicMs();
+  }
+
   /**
    * Restores the recent orders of a previous holder. The record is durable before an order is sent,
    * so it lists all of them. It holds ages as measured by the previous holder rather than times,
@@ -150,14 +161,14 @@
    */
   isBlocked(instanceId: string): boolean {
     if (this.pending.has(instanceId)) return true;
-    return this.inherited.has(instanceId) && this.isRecent(instanceId);
+    return this.wasOrderedByPreviousHolder(instanceId);
   }
 
   /** Whether the instance may be down for upkeep although the list does not show it yet. */
   mayBeInUpkeep(instanceId: string): boolean {
     if (this.pending.get(instanceId)?.isUpkeep === true) return true;
     // A recent order of a previous holder may have been an upkeep order.
-    return this.inherited.has(instanceId) && this.isRecent(instanceId);
+    return this.wasOrderedByPreviousHolder(instanceId);
   }
 
   /** The pool of the instance once its pending order, if any, has been carried out. */
@@ -274,11 +285,29 @@
     return { holderId, bootMs, orders };
   }
 
+  /** Whether a previous holder may have sent an order to the instance recently. */
+  private wasOrderedByPreviousHolder(instanceId: string): boolean {
+    if (this.isWithinSeparation(this.unknownOrdersMs)) return true;
+    return this.inherited.has(instanceId) && this.isRecent(instanceId);
+  }
+
   private isRecent(instanceId: string): boolean {
-    const agoMs = this.deps.clock.monotonicMs() - (this.lastOrderedMs.get(instanceId) ?? -Infinity);
+    return this.isWithinSeparation(this.lastOrderedMs.get(instanceId) ?? -Infinity);
+  }
+
+  private isWithinSeparation(orderedMs: number): boolean {
+    const agoMs = this.deps.clock.monotonicMs() - orderedMs;
     return agoMs < this.options.orderSeparationMs + ORDER_SEPARATION_MARGIN_MS;
   }
 
+  private static parseDuty(value: Buffer): DutyRecord | undefined {
+    try {
+      return dutyRecordSchema.parse(JSON.parse(value.toString('utf8')));
+    } catch {
+      return undefined;
+    }
+  }
+
   private note(instanceId: string, poolId: string, isUpkeep: boolean): void {
     const nowMs = this.deps.clock.monotonicMs();
     this.budget.spend();
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -48,7 +48,7 @@
     records.forEach(({ key, value }) => {
       if (!value || !key.startsWith(DEFINITION_PREFIX)) return;
       const jobId = key.slice(DEFINITION_PREFIX.length);
-      if (!this.restoreOne(value, progress.get(jobId))) unreadable.push(jobId);
+      if (!this.restoreOne(jobId, value, progress.get(jobId))) unreadable.push(jobId);
     });
     return unreadable;
   }
@@ -126,9 +126,9 @@
     );
   }
 
-  private restoreOne(definition: Buffer, progress: Buffer | undefined): boolean {
+  private restoreOne(jobId: string, definition: Buffer, progress: Buffer | undefined): boolean {
     const decoded = JobCodec.decodeDefinition(definition);
-    if (decoded.isErr()) return false;
+    if (decoded.isErr() || decoded.value.jobId !== jobId) return false;
     const job = new Job(decoded.value);
     if (progress && JobCodec.restoreProgress(job, progress).isErr()) return false;
     const entry = new JobEntry(job);
--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -5,6 +5,8 @@
  */
 import { type Clock, Disposable, EventEmitter } from '@acaciadock/core';
 import { JournalWriter, type OwnedJournal, type RecordLog } from '@acaciadock/journal';
+import { err, ok, type Result } from 'neverthrow';
+import * as z from 'zod';
 
 /**
  * Leases are extended only this long after the last acknowledged append was sent, in milliseconds, because
@@ -48,21 +50,35 @@
 export const INCUMBENT_KEY = 'incumbent';
 
 /** Identity of the owner that wrote the newest records, as stored in the journal. */
-export interface OwnerRecord {
-  readonly entryId: string;
+const ownerRecordSchema = z.object({
+  entryId: z.string(),
   /** Start time of the owner's process, Unix milliseconds. */
-  readonly bootMs: number;
+  bootMs: z.number(),
   /** `host:port` at which the owner answers other entries. */
-  readonly peerAddress: string;
-  readonly epoch: number;
+  peerAddress: z.string(),
+  epoch: z.number(),
   /** An owner before this one may still have been extending leases when this was written. */
-  readonly formerMayExtend: boolean;
+  formerMayExtend: z.boolean(),
+});
+
+export type OwnerRecord = Readonly<z.infer<typeof ownerRecordSchema>>;
+
+export interface OwnerRecordUnreadable {
+  readonly kind: 'owner-record-unreadable';
+  readonly detail: string;
 }
 
 /** Reads the record of the last owner before the claim `owned`; undefined if there is none. */
-export function readOwnerRecord({ records }: OwnedJournal): OwnerRecord | undefined {
+export function readOwnerRecord({
+  records,
+}: OwnedJournal): Result<OwnerRecord | undefined, OwnerRecordUnreadable> {
   const value = records.find(({ key }) => key === INCUMBENT_KEY)?.value;
-  return value ? (JSON.parse(value.toString('utf8')) as OwnerRecord) : undefined;
+  if (!value) return ok(undefined);
+  try {
+    return ok(ownerRecordSchema.parse(JSON.parse(value.toString('utf8'))));
+  } catch (cause) {
+    return err({ kind: 'owner-record-unreadable', detail: String(cause) });
+  }
 }
 
 /**
--- a/packages/coordinator/src/UpkeepController.ts
+++ b/packages/coordinator/src/UpkeepController.ts
@@ -5,6 +5,7 @@
  */
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
 import { type PoolPressure, type UpkeepCandidate, UpkeepPlanner } from '@acaciadock/placement';
+import * as z from 'zod';
 import { type FleetInstance, type UpkeepWave, type WaveReports } from './contracts/index.js';
 import { type FleetOrders } from './FleetOrders.js';
 import { type Ownership } from './Ownership.js';
@@ -17,6 +18,8 @@
 /** Prefix of the journal keys that hold the instances in `begun` of each wave. */
 const WAVE_PREFIX = 'wave/';
 
+const begunSchema = z.array(z.string());
+
 export interface UpkeepControllerDeps {
   readonly orders: FleetOrders;
   readonly reports: WaveReports;
@@ -51,8 +54,10 @@
   /** Restores the progress of a wave from the journal; returns false if the key is another one. */
   restore(key: string, value: Buffer): boolean {
     if (!key.startsWith(WAVE_PREFIX)) return false;
-    const instanceIds = JSON.parse(value.toString('utf8')) as string[];
-    this.begun.set(Number(key.slice(WAVE_PREFIX.length)), new Set(instanceIds));
+    const waveId = Number(key.slice(WAVE_PREFIX.length));
+    const instanceIds = UpkeepController.parseBegun(value);
+    if (instanceIds && Number.isInteger(waveId)) this.begun.set(waveId, new Set(instanceIds));
+    else this.deps.logger.error('wave-progress-unreadable', { key });
     return true;
   }
 
@@ -158,6 +163,14 @@
     this.journal(waveId);
   }
 
+  private static parseBegun(value: Buffer): string[] | undefined {
+    try {
+      return begunSchema.parse(JSON.parse(value.toString('utf8')));
+    } catch {
+      return undefined;
+    }
+  }
+
   private begunOf(waveId: number): Set<string> {
     const known = this.begun.get(waveId);
     if (known) return known;
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -57,6 +57,15 @@
 /** Minimum uptime before an entry claims if there was never an owner, in milliseconds. */
 const FIRST_CLAIM_DELAY_MS = 900;
 
+/** Stands for an owner whose record is malformed. It has no address to send a notice to. */
+const UNIDENTIFIED_OWNER: OwnerRecord = {
+  entryId: '',
+  bootMs: 0,
+  peerAddress: '',
+  epoch: -1,
+  formerMayExtend: true,
+};
+
 /** Interval between attempts to reach the previous owner, in milliseconds. */
 const PREVIOUS_OWNER_RETRY_MS = 200;
 
@@ -351,7 +360,7 @@
 
   private startOwnership(owned: OwnedJournal): void {
     const { clock, log, logger } = this.deps;
-    const previousOwner = readOwnerRecord(owned);
+    const previousOwner = this.previousOwnerOf(owned);
     const hasPreviousOwnerStopped = this.hasStoppedExtending(previousOwner);
     const ownerRecord = { ...this.self, formerMayExtend: !hasPreviousOwnerStopped };
     const ownership = new Ownership(log, owned, ownerRecord, clock);
@@ -370,6 +379,17 @@
       void this.notifyPreviousOwner(previousOwner, ownership);
   }
 
+  /** An owner whose record is malformed can't be identified, so it may still extend leases. */
+  private previousOwnerOf(owned: OwnedJournal): OwnerRecord | undefined {
+    return readOwnerRecord(owned).match(
+      (found) => found,
+      ({ kind, detail }) => {
+        this.deps.logger.error(kind, { epoch: owned.epoch, detail });
+        return UNIDENTIFIED_OWNER;
+      },
+    );
+  }
+
   /**
    * Notifies the previous owner of this claim until it answers. The answer proves that it has
    * stepped down or that its process has ended, so the upper bound on its lease extensions need not
--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -1,5 +1,6 @@
 /** Tests the stored form of jobs and the transitions of their state machine. */
 import { describe, it } from '@acaciadock/core/testing';
+import fc from 'fast-check';
 import { Job } from './Job.js';
 import { JobCodec } from './JobCodec.js';
 import { type JobDefinition, jobSpecSchema } from './JobSpec.js';
@@ -33,6 +34,14 @@
   job.endRun(place, run, 'done', '');
 }
 
+function startedJob(): Job {
+  const job = new Job(definition());
+  finishTask(job, 0, 0, 0);
+  job.find(0, 0, 1)!.task.addRun('b', 6);
+  job.markStarted();
+  return job;
+}
+
 describe('Job', () => {
   it('opens a step only after the steps before it have ended', (t) => {
     const job = new Job(definition());
@@ -129,4 +138,33 @@
     const failure = JobCodec.restoreProgress(new Job(definition()), Buffer.from('{"status"'));
     t.equal(failure._unsafeUnwrapErr().kind, 'record-unreadable');
   });
+
+  it('reports any malformed record as an error and throws nothing', (t) => {
+    // Fails if a record is used without a check of its fields: an exception while the journal is
+    // loaded ends the takeover, and the next entry that claims meets the same record.
+    const encoded = [
+      JSON.parse(String(JobCodec.encodeDefinition(definition()))),
+      JSON.parse(String(JobCodec.encodeProgress(startedJob()))),
+    ] as Record<string, unknown>[];
+    const change = fc.record({
+      record: fc.constantFrom(...encoded),
+      key: fc.constantFrom(...encoded.flatMap((record) => Object.keys(record))),
+      value: fc.jsonValue(),
+    });
+    const bytes = fc.oneof(
+      fc.jsonValue().map((value) => JSON.stringify(value)),
+      change.map(({ record, key, value }) => JSON.stringify({ ...record, [key]: value })),
+      fc.string(),
+    );
+    fc.assert(
+      fc.property(bytes, (text) => {
+        const decoded = JobCodec.decodeDefinition(Buffer.from(text));
+        if (decoded.isOk()) t.ok(new Job(decoded.value).openDue(1_000));
+        JobCodec.restoreProgress(new Job(definition()), Buffer.from(text));
+      }),
+      { seed: 1, numRuns: 2_000 },
+    );
+    t.equal(JobCodec.decodeDefinition(Buffer.from('{}')).isErr(), true);
+    t.equal(JobCodec.restoreProgress(new Job(definition()), Buffer.from('null')).isErr(), true);
+  });
 });
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -3,36 +3,46 @@
  * complete progress, so a new owner needs only the newest record of each key.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { type Job, type JobStatus } from './Job.js';
-import { type JobDefinition } from './JobSpec.js';
-import { type TaskRecord } from './TaskState.js';
+import * as z from 'zod';
+import { type Job } from './Job.js';
+import { type JobDefinition, jobDefinitionSchema } from './JobSpec.js';
 
 export interface RecordUnreadable {
   readonly kind: 'record-unreadable';
   readonly detail: string;
 }
 
-interface TaskEntry extends TaskRecord {
-  readonly step: number;
-  readonly index: number;
-}
+const indexSchema = z.number().int().min(0);
 
-interface OccurrenceEntry {
-  readonly index: number;
-  readonly dueUnixMs: number;
-  readonly tasks: readonly TaskEntry[];
-}
+const taskEntrySchema = z.object({
+  step: indexSchema,
+  index: indexSchema,
+  done: z.boolean(),
+  failures: z.number(),
+  lastRun: z.number(),
+  checkpoint: z.string(),
+  runs: z.array(z.object({ run: z.number(), targetId: z.string(), bornMs: z.number() })).readonly(),
+});
 
-interface ProgressRecord {
-  readonly status: JobStatus;
-  readonly finishedUnixMs: number;
-  readonly ended: readonly number[];
-  readonly occurrences: readonly OccurrenceEntry[];
-}
+const occurrenceEntrySchema = z.object({
+  index: indexSchema,
+  dueUnixMs: z.number(),
+  tasks: z.array(taskEntrySchema),
+});
+
+const progressSchema = z.object({
+  status: z.enum(['pending', 'running', 'completed', 'failed', 'cancelled']),
+  finishedUnixMs: z.number(),
+  ended: z.array(indexSchema),
+  occurrences: z.array(occurrenceEntrySchema),
+});
+
+type OccurrenceEntry = z.infer<typeof occurrenceEntrySchema>;
+type ProgressRecord = z.infer<typeof progressSchema>;
 
-function parse<T>(bytes: Buffer): Result<T, RecordUnreadable> {
+function parse<T>(bytes: Buffer, schema: z.ZodType<T>): Result<T, RecordUnreadable> {
   try {
-    return ok(JSON.parse(bytes.toString('utf8')) as T);
+    return ok(schema.parse(JSON.parse(bytes.toString('utf8'))));
   } catch (cause) {
     return err({ kind: 'record-unreadable', detail: String(cause) });
   }
@@ -57,7 +67,7 @@
   },
 
   decodeDefinition(bytes: Buffer): Result<JobDefinition, RecordUnreadable> {
-    return parse<JobDefinition>(bytes);
+    return parse(bytes, jobDefinitionSchema);
   },
 
   /** A finished job without live runs keeps only its status and its finish time. */
@@ -74,7 +84,7 @@
 
   /** Applies recorded progress to a job that was created from its definition. */
   restoreProgress(job: Job, bytes: Buffer): Result<Job, RecordUnreadable> {
-    return parse<ProgressRecord>(bytes).map((record) => {
+    return parse(bytes, progressSchema).map((record) => {
       Object.assign(job, { status: record.status, finishedUnixMs: record.finishedUnixMs });
       record.ended.forEach((index) => job.endedOccurrences.add(index));
       record.occurrences.forEach((entry) => {
--- a/packages/jobs/src/JobSpec.ts
+++ b/packages/jobs/src/JobSpec.ts
@@ -51,41 +51,56 @@
   mostUnavailable: count.optional(),
 });
 
+export type StepSpec = z.infer<typeof stepSpecSchema>;
+
 export const scheduleSchema = z.object({
   firstDueUnixMs: z.number(),
   periodMs: z.number().min(0),
   repeatCount: z.number().int().min(1),
 });
 
+/** Whether every step comes only after steps that are listed before it. */
+function hasOrderedSteps({ steps }: { readonly steps: readonly StepSpec[] }): boolean {
+  return steps.every((step, index) => step.afterSteps.every((after) => after < index));
+}
+
 export const jobSpecSchema = z
   .object({
     spec: z.string().max(MAX_SPEC_CHARACTERS),
     steps: z.array(stepSpecSchema).min(1).max(MAX_STEPS),
     schedule: scheduleSchema.optional(),
   })
-  .refine(
-    (job) => job.steps.every((step, index) => step.afterSteps.every((after) => after < index)),
-    { message: 'a step may come only after earlier steps', path: ['steps'] },
-  );
+  .refine(hasOrderedSteps, {
+    message: 'a step may come only after earlier steps',
+    path: ['steps'],
+  });
 
-export type StepSpec = z.infer<typeof stepSpecSchema>;
 export type JobSchedule = z.infer<typeof scheduleSchema>;
 export type JobSpec = z.infer<typeof jobSpecSchema>;
 
 /** An accepted job: its specification and the settings of its queue at the time of acceptance. */
-export interface JobDefinition {
-  readonly jobId: string;
-  readonly queueId: string;
-  readonly poolId: string;
-  readonly teamId: string;
+export const jobDefinitionSchema = z.object({
+  jobId: z.string(),
+  queueId: z.string(),
+  poolId: z.string(),
+  teamId: z.string(),
   /** 0 is the highest priority. Used only if the queue is no longer configured. */
-  readonly priority: number;
-  readonly maxAttempts: number;
+  priority: z.number(),
+  maxAttempts: z.number(),
   /** The latency objective is the critical path times this factor, plus `targetLatencyMs`. */
-  readonly stretch: number;
-  readonly targetLatencyMs: number;
-  readonly acceptedUnixMs: number;
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+  acceptedUnixMs: z.number(),
   /** The team had used up its share in the second before the job was accepted. */
-  readonly isBeyondShare: boolean;
-  readonly spec: JobSpec;
-}
+  isBeyondShare: z.boolean(),
+  /** The definition of a finished job keeps no steps. */
+  spec: z
+    .object({
+      spec: z.string(),
+      steps: z.array(stepSpecSchema).max(MAX_STEPS),
+      schedule: scheduleSchema.optional(),
+    })
+    .refine(hasOrderedSteps),
+});
+
+export type JobDefinition = Readonly<z.infer<typeof jobDefinitionSchema>>;
