--- a/packages/jobdesk/src/PeerCallServer.ts
+++ b/packages/jobdesk/src/PeerCallServer.ts
@@ -38,8 +38,14 @@
       call: ServerUnaryCall<NoticeRequest, NoticeReply>,
       done: sendUnaryData<NoticeReply>,
     ) => {
-      const { notice, isHealthyOwner } = exchange(call.request.notice ?? undefined);
-      done(null, { notice: notice ?? null, isHealthyOwner });
+      let answer: PeerAnswer;
+      try {
+        answer = exchange(call.request.notice ?? undefined);
+      } catch (cause) {
+        done({ code: status.INTERNAL, details: String(cause) });
+        return;
+      }
+      done(null, { notice: answer.notice ?? null, isHealthyOwner: answer.isHealthyOwner });
     };
     this.server.addService(
       { call: callMethod, notice: noticeMethod },
--- a/packages/journal/src/JournalWriter.test.ts
+++ b/packages/journal/src/JournalWriter.test.ts
@@ -150,4 +150,20 @@
       t.same(fixture.keys, ['a'], 'once');
     });
   });
+
+  it('gives up the journal if a record cannot be encoded', async (t) => {
+    // Fails if the exception stops the writer but not the ownership: the owner would accept jobs
+    // that never become durable, and no other entry would take over.
+    const fixture = new Fixture();
+    let isLost = false;
+    fixture.writer.onLost(() => {
+      isLost = true;
+    });
+    const written = fixture.writer.write('bad', () => {
+      throw new Error('not encodable');
+    });
+    await fixture.run();
+    t.ok(isLost);
+    t.equal(await written, 'ownership-lost');
+  });
 });
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -174,7 +174,10 @@
     this.isWriting = true;
     // All changes within one turn of the event loop share an append.
     setImmediate(() => {
-      void this.run();
+      // A writer that has stopped must not keep the journal: another entry can then claim it.
+      this.run().catch((cause: unknown) => {
+        this.endOwnership({ kind: 'rejected', detail: String(cause) });
+      });
     });
   }
 
