--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -7,6 +7,13 @@
 import { type StepState } from './StepState.js';
 import { type TaskState } from './TaskState.js';
 
+/**
+ * Maximum number of tasks in the open occurrences of a scheduled job, unless one occurrence alone has
+ * more. A schedule whose start time is omitted has all its occurrences due at once, and a million of
+ * them would exceed the memory of the process. Further ones open as earlier ones end.
+ */
+const MAX_OPEN_TASKS = 20_000;
+
 export type JobStatus = 'pending' | 'running' | 'completed' | 'failed' | 'cancelled';
 
 /**
@@ -56,14 +63,17 @@
     return [...this.occurrences.values()].some((occurrence) => occurrence.hasStarted);
   }
 
-  /** Opens every occurrence that is due and not yet open, and returns them. */
+  /**
+   * Opens the occurrences that are due and not yet open, in their order and as far as
+   * `MAX_OPEN_TASKS` permits, and returns them.
+   */
   openDue(nowUnixMs: number): Occurrence[] {
     const { schedule } = this.definition.spec;
     if (!schedule || this.isFinished) return [];
     const opened: Occurrence[] = [];
     for (let index = 0; index < schedule.repeatCount; index += 1) {
       const dueUnixMs = schedule.firstDueUnixMs + index * schedule.periodMs;
-      if (dueUnixMs > nowUnixMs) break;
+      if (dueUnixMs > nowUnixMs || this.occurrences.size >= this.maxOpenOccurrences) break;
       if (!this.occurrences.has(index) && !this.endedOccurrences.has(index)) {
         opened.push(this.openOccurrence(index, dueUnixMs));
       }
@@ -71,6 +81,12 @@
     return opened;
   }
 
+  private get maxOpenOccurrences(): number {
+    const { steps } = this.definition.spec;
+    const taskCount = steps.reduce((sum, step) => sum + step.taskCount, 0);
+    return Math.max(1, Math.floor(MAX_OPEN_TASKS / Math.max(1, taskCount)));
+  }
+
   find(occurrenceIndex: number, stepIndex: number, taskIndex: number): TaskPlace | undefined {
     const occurrence = this.occurrences.get(occurrenceIndex);
     const step = occurrence?.steps[stepIndex];
--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -116,6 +116,36 @@
   });
 });
 
+describe('Job with very many occurrences due at once', () => {
+  it('opens a bounded number of them, and the next as earlier ones end', (t) => {
+    // Fails if one submission with a short period and no start time exhausts the memory.
+    const job = new Job(definition({}, 1_000_000));
+    const opened = job.openDue(1e12).length;
+    t.ok(opened > 0 && opened < 20_000);
+    t.equal(job.openDue(1e12).length, 0);
+    finishTask(job, 0, 0, 0);
+    finishTask(job, 0, 0, 1);
+    finishTask(job, 0, 1, 0);
+    t.equal(job.openDue(1e12).length, 1);
+  });
+
+  it('restores the same open occurrences', (t) => {
+    const job = new Job(definition({}, 100_000));
+    job.openDue(1e12);
+    finishTask(job, 0, 0, 0);
+    finishTask(job, 0, 0, 1);
+    finishTask(job, 0, 1, 0);
+    job.openDue(1e12);
+    [...job.occurrences.values()].forEach(({ index }) => {
+      job.find(index, 0, 0)!.task.addRun('a', 1);
+    });
+    const restored = new Job(definition({}, 100_000));
+    JobCodec.restoreProgress(restored, JobCodec.encodeProgress(job));
+    t.same([...restored.occurrences.keys()], [...job.occurrences.keys()]);
+    t.ok([...restored.occurrences.values()].every(({ hasStarted }) => hasStarted));
+  });
+});
+
 describe('JobCodec', () => {
   it('restores done tasks, failures, checkpoints and live runs', (t) => {
     const job = new Job(definition());
