--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -27,6 +27,7 @@
 import { EXTENSION_BOUND_MS, type Ownership } from './Ownership.js';
 import { ReportProcessor } from './ReportProcessor.js';
 import { RunTracker } from './RunTracker.js';
+import { ShareTracker } from './ShareTracker.js';
 import { LEASE_MS } from './TargetDriver.js';
 import { TargetDrivers } from './TargetDrivers.js';
 import { TargetTable } from './TargetTable.js';
@@ -85,6 +86,8 @@
 
   private readonly health: HealthMonitor;
 
+  private readonly shares: ShareTracker;
+
   private readonly drivers: TargetDrivers;
 
   private readonly callHandler: JobCallHandler;
@@ -117,6 +120,7 @@
       }),
     );
     this.demand = new DemandMeter(estimates, clock);
+    this.shares = new ShareTracker(deps);
     this.scheduler = this.register(
       new JobScheduler({
         jobs: this.jobs,
@@ -127,6 +131,7 @@
         demand: this.demand,
         tickets: this.tickets,
         health: this.health,
+        shares: this.shares,
         ownership,
         clock,
         logger,
@@ -182,7 +187,7 @@
   private restore(owned: OwnedJournal): void {
     const unreadable = this.jobs.restore(owned.records);
     const adopted = this.runTracker.adoptJournaled();
-    this.restoreFleet(owned);
+    this.restoreDecisions(owned);
     this.deps.logger.info('coordinator-started', {
       epoch: owned.epoch,
       jobs: this.jobs.activeCount,
@@ -211,9 +216,10 @@
     );
   }
 
-  private restoreFleet(owned: OwnedJournal): void {
+  private restoreDecisions(owned: OwnedJournal): void {
     owned.records.forEach(({ key, value }) => {
-      if (value) this.fleetController?.restore(key, value);
+      if (!value || this.shares.restore(key, value)) return;
+      this.fleetController?.restore(key, value);
     });
   }
 
--- a/packages/coordinator/src/DemandMeter.ts
+++ b/packages/coordinator/src/DemandMeter.ts
@@ -39,6 +39,11 @@
     this.waitingByPool.set(poolId, steps);
   }
 
+  /** Whether the last pass over the pool left tasks without room. */
+  isScarce(poolId: string): boolean {
+    return (this.waitingByPool.get(poolId)?.length ?? 0) > 0;
+  }
+
   /** Records the expected CPU time of a job that has just been accepted. */
   recordArrival(poolId: string, entry: JobEntry): void {
     const { queueId, spec } = entry.job.definition;
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -13,6 +13,7 @@
 import { QueuedStepCollector } from './QueuedStepCollector.js';
 import { type Ownership } from './Ownership.js';
 import { type RunTracker } from './RunTracker.js';
+import { type ShareTracker } from './ShareTracker.js';
 import { type TargetTable } from './TargetTable.js';
 import { TaskPlacer } from './TaskPlacer.js';
 import { type TeamUsage } from './TeamUsage.js';
@@ -33,6 +34,7 @@
   readonly demand: DemandMeter;
   readonly tickets: TicketCache;
   readonly health: HealthMonitor;
+  readonly shares: ShareTracker;
   readonly ownership: Ownership;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -98,17 +100,20 @@
   }
 
   private placePool(poolId: string, steps: readonly QueuedStep[]): void {
-    const { clock, targets } = this.deps;
+    const { clock, demand, shares } = this.deps;
     const nowMs = clock.monotonicMs();
+    const targets = this.deps.targets.ofPool(poolId);
     // Targets that accept new tasks.
-    const open = this.deps.health
-      .usable(targets.ofPool(poolId))
-      .filter((target) => target.isOpen(nowMs));
-    const ordered = QueueOrder.sort(steps, clock.unixMs());
+    const open = this.deps.health.usable(targets).filter((target) => target.isOpen(nowMs));
+    // Without scarcity there is room for all, and the order is by slack alone.
+    const sharePass = demand.isScarce(poolId) ? shares.passOver(poolId, steps, targets) : undefined;
+    const orderClass = sharePass && shares.orderOf(sharePass);
+    const ordered = QueueOrder.sort(steps, clock.unixMs(), orderClass);
     const rejectedSizes = new RejectedSizes();
     const blocked = ordered.filter(
       (step) => this.placer.placeStep(step, open, rejectedSizes) === 'no-room',
     );
-    this.deps.demand.recordWaiting(poolId, blocked);
+    demand.recordWaiting(poolId, blocked);
+    if (sharePass) shares.recordDenied(sharePass, blocked);
   }
 }
--- /dev/null
+++ b/packages/coordinator/src/ShareTracker.ts
@@ -0,0 +1,96 @@
+/** Applies fair sharing to the passes over scarce pools, and journals the credits of teams. */
+import { type Clock, type Logger } from '@acaciadock/core';
+import { type JobsConfigView } from '@acaciadock/jobs';
+import {
+  type ClassOrder,
+  FairShares,
+  QueueOrder,
+  ResourceSums,
+  type ShareClaim,
+  type SharePass,
+} from '@acaciadock/placement';
+import { type FleetTarget } from './FleetTarget.js';
+import { type Ownership } from './Ownership.js';
+import { type QueuedStep } from './QueuedStep.js';
+import { ShareRecord, SHARES_KEY } from './ShareRecord.js';
+
+/** Shortest interval between two records of the credits, in milliseconds. */
+const JOURNAL_MS = 1_000;
+
+/** Weight of teams that are not configured, e.g. of callers without a key on public queues. */
+const DEFAULT_WEIGHT = 1;
+
+export interface ShareTrackerDeps {
+  readonly ownership: Ownership;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly config: () => JobsConfigView;
+}
+
+export class ShareTracker {
+  private readonly shares = new FairShares();
+
+  private journaledMs = -Infinity;
+
+  constructor(private readonly deps: ShareTrackerDeps) {}
+
+  /** Restores the credits of a previous owner; returns false if the key is another one. */
+  restore(key: string, value: Buffer): boolean {
+    if (key !== SHARES_KEY) return false;
+    const restored = ShareRecord.restore(value, this.shares, this.deps.clock);
+    if (restored.isErr()) this.deps.logger.warn('shares-unreadable', { ...restored.error });
+    return true;
+  }
+
+  passOver(
+    poolId: string,
+    steps: readonly QueuedStep[],
+    targets: readonly FleetTarget[],
+  ): SharePass {
+    const capacity = new ResourceSums();
+    const byTeam = new Map<string, ResourceSums>();
+    targets.forEach((target) => {
+      capacity.add(target.capacity);
+      target.runs.forEach(({ place }) => {
+        const { teamId } = place.job.definition;
+        byTeam.set(teamId, (byTeam.get(teamId) ?? new ResourceSums()).add(place.step.spec));
+      });
+    });
+    return {
+      poolId,
+      holdings: { capacity, byTeam },
+      waitingTeamIds: new Set(steps.map(({ entry }) => entry.job.definition.teamId)),
+      weightOf: (teamId) => this.deps.config().team(teamId)?.weight ?? DEFAULT_WEIGHT,
+      nowMs: this.deps.clock.monotonicMs(),
+    };
+  }
+
+  orderOf(pass: SharePass): ClassOrder<QueuedStep> {
+    const order = this.shares.orderFor(pass);
+    return (steps) => order.order(steps, ShareTracker.claimOf);
+  }
+
+  /** Credits the teams whose entitled work found no room. */
+  recordDenied(pass: SharePass, blocked: readonly QueuedStep[]): void {
+    const nowUnixMs = this.deps.clock.unixMs();
+    const entitled = blocked.filter((step) =>
+      ['in-time', 'late'].includes(QueueOrder.urgencyOf(step, nowUnixMs)),
+    );
+    const teamIds = entitled.map(({ entry }) => entry.job.definition.teamId);
+    this.shares.recordDenied(pass, new Set(teamIds));
+    this.journal(pass.nowMs);
+  }
+
+  private journal(nowMs: number): void {
+    if (nowMs - this.journaledMs < JOURNAL_MS) return;
+    if (this.shares.current(nowMs).length === 0) return;
+    this.journaledMs = nowMs;
+    const { ownership, clock } = this.deps;
+    void ownership.writer.write(SHARES_KEY, () => ShareRecord.encode(this.shares, clock));
+  }
+
+  private static claimOf({ entry, step }: QueuedStep): ShareClaim {
+    const { teamId } = entry.job.definition;
+    return { teamId, amount: step.spec, taskCount: step.waitingTasks.length };
+  }
+}
--- a/packages/placement/src/QueueOrder.test.ts
+++ b/packages/placement/src/QueueOrder.test.ts
@@ -69,6 +69,15 @@
     });
   });
 
+  describe('with an order of teams', () => {
+    it('applies it only among steps of the same priority and urgency', (t) => {
+      const late = { objectiveUnixMs: NOW_MS + 500 };
+      const steps = [step('a'), step('b', late), step('c', late), step('d', { priority: 1 })];
+      const sorted = QueueOrder.sort(steps, NOW_MS, (ofClass) => ofClass.toReversed());
+      t.equal(sorted.map(({ name }) => name).join(' '), 'a c b d');
+    });
+  });
+
   describe('under twice the load that the pool can serve', () => {
     it('completes as many steps in time as the capacity allows', (t) => {
       const SERVED_PER_TURN = 5;
--- a/packages/placement/src/QueueOrder.ts
+++ b/packages/placement/src/QueueOrder.ts
@@ -3,7 +3,8 @@
  * a priority, long-running tasks come first, because they are few and each second in which they do
  * not run is lost for good. Then come steps that can still meet their objective, by least slack,
  * then late ones. Jobs that a team submitted beyond its share follow, so that they do not delay
- * what other teams are entitled to. Steps whose result has lost its value come last.
+ * what other teams are entitled to. Steps whose result has lost its value come last. While a pool is
+ * scarce, `FairShares` orders the teams within each of these classes.
  */
 
 export interface WaitingStep {
@@ -41,13 +42,28 @@
   worthless: 3,
 };
 
+/** Orders the steps of one class, i.e. of the same priority and urgency, which are sorted by slack. */
+export type ClassOrder<T> = (steps: readonly T[]) => readonly T[];
+
 export class QueueOrder {
-  /** Orders the steps, most urgent first. */
-  static sort<T extends WaitingStep>(steps: readonly T[], nowUnixMs: number): T[] {
-    return [...steps]
+  /** Orders the steps, most urgent first. Within a class, `orderClass` may change the order. */
+  static sort<T extends WaitingStep>(
+    steps: readonly T[],
+    nowUnixMs: number,
+    orderClass?: ClassOrder<T>,
+  ): T[] {
+    const sorted = [...steps]
       .map((step) => ({ step, keys: QueueOrder.keysOf(step, nowUnixMs) }))
-      .sort((a, b) => QueueOrder.compare(a.keys, b.keys))
-      .map(({ step }) => step);
+      .sort((a, b) => QueueOrder.compare(a.keys, b.keys));
+    if (!orderClass) return sorted.map(({ step }) => step);
+    const classes = new Map<string, T[]>();
+    sorted.forEach(({ step, keys }) => {
+      const classKey = keys.slice(0, -1).join();
+      const ofClass = classes.get(classKey) ?? [];
+      ofClass.push(step);
+      classes.set(classKey, ofClass);
+    });
+    return [...classes.values()].flatMap((ofClass) => orderClass(ofClass));
   }
 
   private static keysOf(step: WaitingStep, nowUnixMs: number): number[] {
