--- a/packages/coordinator/src/AdmissionController.ts
+++ b/packages/coordinator/src/AdmissionController.ts
@@ -13,7 +13,7 @@
   type PoolRoom,
   QueueOrder,
   type RejectedSizes,
-  ResourceSums,
+  ResourceVector,
   type RuntimeEstimates,
 } from '@acaciadock/placement';
 import { OVERLOADED } from './JobService.js';
@@ -129,7 +129,9 @@
 
   private candidateOf(definition: JobDefinition): JobCandidate {
     const { queueId, teamId, spec, acceptedUnixMs, isBeyondShare } = definition;
-    const { chainMs, objectiveMs } = plannedTimesOf(definition, this.deps.estimates);
+    const { chainMs, objectiveMs } = plannedTimesOf(definition, (step) =>
+      this.deps.estimates.meanMs(queueId, step.estimatedRuntimeMs),
+    );
     return {
       priority: this.deps.config().queue(queueId)?.priority ?? definition.priority,
       isLongRunning: false,
@@ -151,16 +153,19 @@
     const ofPool = targets.ofPool(poolId);
     const known = roomOf ? roomOf(poolId) : undefined;
     if (roomOf && !known) return undefined;
-    const present = new ResourceSums();
-    if (known) present.add(known.present);
-    else ofPool.forEach(({ capacity }) => present.add(capacity));
+    let present = ResourceVector.ZERO;
+    if (known) present = present.plus(known.present);
+    else
+      ofPool.forEach(({ capacity }) => {
+        present = present.plus(capacity);
+      });
     ofPool.forEach(({ runs }) =>
       runs.forEach(({ place }) => {
         const { spec } = place.step;
-        if (spec.longRunning && !spec.filler) present.add(spec, -1);
+        if (spec.longRunning && !spec.filler) present = present.plus(spec, -1);
       }),
     );
-    return { movable: new ResourceSums(), spareCount: 0, ...known, present };
+    return { movable: ResourceVector.ZERO, spareCount: 0, ...known, present };
   }
 
   private log(
--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -16,9 +16,11 @@
   type WaveReports,
 } from './contracts/index.js';
 import { AdmissionController, type AdmissionOptions } from './AdmissionController.js';
+import { CopyController } from './CopyController.js';
 import { FleetController, type FleetControllerOptions } from './FleetController.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { DemandMeter } from './DemandMeter.js';
+import { EvacuationController } from './EvacuationController.js';
 import { HealthMonitor } from './HealthMonitor.js';
 import { JobCallHandler } from './JobCallHandler.js';
 import { type JobCall, type JobReply, type JobService } from './JobService.js';
@@ -32,8 +34,10 @@
 import { LEASE_MS } from './TargetDriver.js';
 import { TargetDrivers } from './TargetDrivers.js';
 import { TargetTable } from './TargetTable.js';
+import { TaskRelocator } from './TaskRelocator.js';
 import { TeamUsage } from './TeamUsage.js';
 import { TicketCache } from './TicketCache.js';
+import { type EvacuationRequests, ZoneEvacuation } from './ZoneEvacuation.js';
 
 /** Interval of the checks for expired leases and due occurrences, in milliseconds. */
 const TICK_MS = 50;
@@ -63,6 +67,7 @@
   readonly fleet: InstanceFleet | undefined;
   readonly reports: WaveReports;
   readonly waves: () => readonly UpkeepWave[];
+  readonly evacuationRequests: () => EvacuationRequests;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
@@ -81,6 +86,12 @@
 
   private readonly demand: DemandMeter;
 
+  private readonly zoneEvacuation: ZoneEvacuation;
+
+  private readonly relocator: TaskRelocator;
+
+  private readonly evacuations: EvacuationController;
+
   private readonly fleetController: FleetController | undefined;
 
   private readonly tickets: TicketCache;
@@ -89,6 +100,8 @@
 
   private readonly shares: ShareTracker;
 
+  private readonly copies: CopyController;
+
   private readonly drivers: TargetDrivers;
 
   private readonly callHandler: JobCallHandler;
@@ -104,12 +117,23 @@
     const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
     this.jobs = new JobTable(ownership, clock);
-    this.targets = this.register(
-      new TargetTable({ maxLeaseMs: options.maxLeaseMs, inheritedUntilMs }),
-    );
+    const { maxLeaseMs } = options;
+    const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock);
+    this.zoneEvacuation = evacuation;
+    this.targets = this.register(new TargetTable({ maxLeaseMs, inheritedUntilMs, evacuation }));
     this.runTracker = this.register(
       new RunTracker(this.jobs, this.targets, this.usage, estimates, clock, logger),
     );
+    this.relocator = new TaskRelocator(this.targets, this.runTracker, clock);
+    this.evacuations = this.register(
+      new EvacuationController({
+        evacuation,
+        targets: this.targets,
+        relocator: this.relocator,
+        clock,
+        logger,
+      }),
+    );
     this.tickets = this.register(new TicketCache(advice, clock, logger));
     this.health = this.register(
       new HealthMonitor({
@@ -118,6 +142,7 @@
         estimates,
         clock,
         logger,
+        handleStraggler: (live, verdict) => this.copies.handleStraggler(live, verdict),
       }),
     );
     this.demand = new DemandMeter(estimates, clock);
@@ -148,6 +173,13 @@
         config: deps.config,
       }),
     );
+    this.copies = new CopyController({
+      ...deps,
+      targets: this.targets,
+      runTracker: this.runTracker,
+      scheduler: this.scheduler,
+      demand: this.demand,
+    });
     this.drivers = this.register(
       new TargetDrivers({
         ...deps,
@@ -210,14 +242,16 @@
   private createFleetController(): FleetController | undefined {
     const { fleet, reports, waves, ownership, clock, logger, config } = this.deps;
     if (!fleet) return undefined;
-    const { targets, runTracker, demand } = this;
+    const { targets, relocator, demand } = this;
     return this.register(
       new FleetController(this.options, {
         fleet,
         reports,
         waves,
         targets,
-        runTracker,
+        relocator,
+        evacuation: this.zoneEvacuation,
+        evacuationLacksRoom: (poolId) => this.evacuations.lacksRoom(poolId),
         demand,
         ownership,
         clock,
@@ -257,6 +291,7 @@
         this.expireRuns(target);
     }
     this.health.check();
+    this.copies.check();
     for (const entry of this.jobs.activeJobs) this.scheduler.openDue(entry);
     this.jobs.dropFinished(this.options.keepFinishedMs);
   }
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -7,9 +7,10 @@
  */
 import { LeaseClock, SLOWEST_CLOCK_RATE, type TargetAddress } from '@acaciadock/execution';
 import { type CommitOutcome } from '@acaciadock/journal';
-import { type PlacementTarget } from '@acaciadock/placement';
+import { type PlacementTarget, type Resources } from '@acaciadock/placement';
 import { type Capacity, type RegistryEntry } from './contracts/index.js';
 import { type LiveRun } from './LiveRun.js';
+import { type ZoneEvacuation } from './ZoneEvacuation.js';
 
 const NO_CAPACITY: Capacity = { cpuMilli: 0, memoryMb: 0, gpuCount: 0 };
 
@@ -57,6 +58,9 @@
    */
   isReserved = false;
 
+  /** Share of the capacity that new tasks may use, below 1 if the target is slow. */
+  weight = 1;
+
   usedCpuMilli = 0;
 
   usedMemoryMb = 0;
@@ -78,6 +82,7 @@
     readonly targetId: string,
     private readonly maxLeaseMs: number,
     inheritedUntilMs: number,
+    private readonly evacuation: ZoneEvacuation,
   ) {
     this.lease = new LeaseClock(maxLeaseMs, inheritedUntilMs);
   }
@@ -90,6 +95,10 @@
     return this.entry?.poolId ?? '';
   }
 
+  get zoneId(): string {
+    return this.entry?.zoneId ?? '';
+  }
+
   get rackId(): string {
     return this.entry?.rackId ?? '';
   }
@@ -106,6 +115,11 @@
     return this.capacity.cpuMilli - this.usedCpuMilli;
   }
 
+  /** CPU that is kept free because the target is slow; an empty target always takes a task. */
+  get withheldCpuMilli(): number {
+    return this.runs.size === 0 ? 0 : this.capacity.cpuMilli * (1 - this.weight);
+  }
+
   get freeMemoryMb(): number {
     return this.capacity.memoryMb - this.usedMemoryMb;
   }
@@ -114,15 +128,34 @@
     return this.capacity.gpuCount - this.usedGpuCount;
   }
 
+  /** What the runs on the target use; the runs of filler tasks use no CPU. */
+  get used(): Resources {
+    return {
+      cpuMilli: this.usedCpuMilli,
+      memoryMb: this.usedMemoryMb,
+      gpuCount: this.usedGpuCount,
+    };
+  }
+
   /** Whether the target itself has announced its shutdown. */
   get isDraining(): boolean {
     return this.entry?.state === 'draining';
   }
 
+  /** Whether the operator has requested to evacuate the target's zone. */
+  get isEvacuated(): boolean {
+    return this.entry !== undefined && this.evacuation.isEvacuated(this.zoneId);
+  }
+
+  /** Whether tasks may start in the target's zone. */
+  get mayStartInZone(): boolean {
+    return this.evacuation.mayStartIn(this.zoneId);
+  }
+
   /** Whether new tasks may be placed on the target. */
   isOpen(nowMs: number): boolean {
     if (!this.isListed || this.isDraining || this.isReserved) return false;
-    if (this.hasUnknownLifetime) return false;
+    if (this.hasUnknownLifetime || !this.mayStartInZone) return false;
     return this.isConfirmed && this.consecutiveFailures === 0 && nowMs >= this.closedUntilMs;
   }
 
--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -14,7 +14,7 @@
   type PoolRoom,
   type PoolSize,
   PoolSizer,
-  ResourceSums,
+  ResourceVector,
   TurnForecast,
 } from '@acaciadock/placement';
 import { type DemandMeter } from './DemandMeter.js';
@@ -23,6 +23,7 @@
 import { type Ownership } from './Ownership.js';
 import { type TargetTable } from './TargetTable.js';
 import { TurnRecord, TURNS_KEY } from './TurnRecord.js';
+import { type ZoneEvacuation } from './ZoneEvacuation.js';
 
 /** An instance counts as idle after nothing has run on it for this long, in milliseconds. */
 const IDLE_BEFORE_MOVE_MS = 400;
@@ -43,8 +44,12 @@
   readonly config: () => JobsConfigView;
   /** Whether an instance is closed to new tasks for upkeep. */
   readonly isReservedForUpkeep: (instanceId: string) => boolean;
-  /** Whether a long-running task can't move off an instance of the pool that is due for upkeep. */
-  readonly upkeepLacksRoom: (poolId: string) => boolean;
+  readonly evacuation: ZoneEvacuation;
+  /**
+   * Whether a long-running task can't move off an instance of the pool that is due for upkeep or in
+   * an evacuated zone.
+   */
+  readonly relocationLacksRoom: (poolId: string) => boolean;
 }
 
 /** A pool with its computed size, its current instances and its part of the fleet. */
@@ -91,10 +96,11 @@
     this.dropInvalidMoves();
     const demands = this.demands();
     this.forecast.observe(
-      demands.map(({ poolId, arrivingCpuMilli }) => ({ poolId, cpuMilli: arrivingCpuMilli })),
+      demands.map(({ poolId, arriving }) => ({ poolId, cpuMilli: arriving.cpuMilli })),
       nowMs,
     );
-    const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs);
+    const spareCount = this.availableSpares().length;
+    const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs, spareCount);
     this.journalTurns();
     const pools = this.divide(demands, sizes);
     this.logSizes(demands, pools, nowMs);
@@ -124,8 +130,7 @@
         {
           openCount: this.deps.targets.ofPool(poolId).filter((target) => target.isOpen(nowMs))
             .length,
-          hasWaitingWork:
-            this.deps.demand.waitingCpuMilli(poolId) > 0 || this.isInTurn(poolId, nowMs),
+          hasWaitingWork: this.deps.demand.hasWaitingWork(poolId) || this.isInTurn(poolId, nowMs),
         },
       ]),
     );
@@ -136,31 +141,32 @@
    * and at least its part of the fleet. Undefined without a recent list of instances.
    */
   roomOf(poolId: string): PoolRoom | undefined {
-    const { orders, isReservedForUpkeep } = this.deps;
+    const { orders } = this.deps;
     if (orders.instances.length === 0 || orders.listAgeMs > MAX_LIST_AGE_MS) return undefined;
-    const present = new ResourceSums();
-    const movable = new ResourceSums();
+    let present = ResourceVector.ZERO;
+    let movable = ResourceVector.ZERO;
     let count = 0;
     let spareCount = 0;
     orders.instances.forEach((one) => {
-      if (one.state === 'down' || isReservedForUpkeep(one.instanceId)) return;
+      if (one.state === 'down' || this.isExcluded(one)) return;
       const isAssigned = this.assignedPoolId(one) === poolId;
       const isSpare = this.isSpare(one.poolId) && this.isAvailable(one);
       if (!isAssigned && !isSpare && !this.isIdle(one)) return;
       const isPresent = isAssigned && one.poolId === poolId && one.state === 'up';
-      (isPresent ? present : movable).add(one.capacity);
+      if (isPresent) present = present.plus(one.capacity);
+      else movable = movable.plus(one.capacity);
       count += 1;
       if (isSpare && !isAssigned) spareCount += 1;
     });
     const missing = PoolController.partOf(this.parts, poolId) - count;
     const [example] = orders.instances;
-    if (example && missing > 0) movable.add(example.capacity, missing);
+    if (example && missing > 0) movable = movable.plus(example.capacity, missing);
     return { present, movable, spareCount };
   }
 
   private divide(demands: readonly PoolDemand[], sizes: readonly PoolSize[]): PoolState[] {
     const fleetSize = this.deps.orders.instances.filter(
-      (one) => one.state !== 'down' && !this.deps.isReservedForUpkeep(one.instanceId),
+      (one) => one.state !== 'down' && !this.isExcluded(one),
     ).length;
     const parts = FleetDivider.divide(sizes, fleetSize);
     this.parts = parts;
@@ -295,8 +301,7 @@
       const recipient = pools.find(({ size }) => size.poolId === poolId);
       if (!instance || !target) return;
       if (recipient && recipient.part < recipient.count) {
-        target.isReserved = false;
-        this.pendingMoves.delete(instanceId);
+        this.cancelMove(instance);
         return;
       }
       if (target.runs.size > 0 || this.deps.orders.allowance === 0) return;
@@ -305,16 +310,24 @@
     });
   }
 
-  /** Drops pending moves of instances that are not up, have an order or are due for upkeep. */
+  /** Drops pending moves of instances that are not up, have an order or must not move any more. */
   private dropInvalidMoves(): void {
-    const { orders, isReservedForUpkeep } = this.deps;
+    const { orders, evacuation, isReservedForUpkeep } = this.deps;
     this.pendingMoves.forEach((_, instanceId) => {
       const instance = orders.instances.find((one) => one.instanceId === instanceId);
       const isUnavailable = orders.hasOrder(instanceId) || isReservedForUpkeep(instanceId);
       if (instance?.state !== 'up' || isUnavailable) this.pendingMoves.delete(instanceId);
+      else if (evacuation.isEvacuated(instance.zoneId)) this.cancelMove(instance);
     });
   }
 
+  /** Drops a pending move, so that the instance takes tasks again. */
+  private cancelMove({ instanceId, targetId }: FleetInstance): void {
+    this.pendingMoves.delete(instanceId);
+    const target = this.deps.targets.get(targetId);
+    if (target) target.isReserved = false;
+  }
+
   private demands(): PoolDemand[] {
     return this.deps
       .config()
@@ -323,22 +336,22 @@
   }
 
   private demandOf(poolId: string): PoolDemand {
-    const { clock, orders, demand, targets, upkeepLacksRoom } = this.deps;
+    const { clock, orders, demand, targets, relocationLacksRoom } = this.deps;
     const present = orders.instances.filter(
       (one) => this.assignedPoolId(one) === poolId && this.countsTowardsSize(one),
     );
-    const running = targets.ofPool(poolId).reduce((sum, target) => sum + target.usedCpuMilli, 0);
+    const capacity =
+      present[0]?.capacity ?? orders.instances[0]?.capacity ?? new ResourceVector(1, 0, 0);
+    const poolTargets = targets.ofPool(poolId);
     return {
       poolId,
-      demandCpuMilli: demand.neededCpuMilli(poolId) + running,
-      arrivingCpuMilli: demand.arrivingCpuMilli(poolId),
+      ...demand.needed(poolId, poolTargets, capacity),
+      arriving: demand.arriving(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
-      hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || upkeepLacksRoom(poolId),
+      hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || relocationLacksRoom(poolId),
       instanceCount: present.length,
-      openCount: targets.ofPool(poolId).filter((target) => target.isOpen(clock.monotonicMs()))
-        .length,
-      cpuMilliPerInstance:
-        present[0]?.capacity.cpuMilli ?? orders.instances[0]?.capacity.cpuMilli ?? 1,
+      openCount: poolTargets.filter((target) => target.isOpen(clock.monotonicMs())).length,
+      capacity,
     };
   }
 
@@ -347,19 +360,26 @@
   }
 
   /**
-   * Whether the instance takes tasks or soon will. False while it is emptied for upkeep or while
-   * its target does not answer.
+   * Whether the instance takes tasks or soon will. False while it is emptied for upkeep, while its
+   * zone is evacuated or while its target does not answer.
    */
-  private countsTowardsSize({ instanceId, targetId }: FleetInstance): boolean {
-    if (this.deps.isReservedForUpkeep(instanceId)) return false;
+  private countsTowardsSize(instance: FleetInstance): boolean {
+    if (this.isExcluded(instance)) return false;
+    const { instanceId, targetId } = instance;
     if (this.deps.orders.hasOrder(instanceId) || this.pendingMoves.has(instanceId)) return true;
     const target = this.deps.targets.get(targetId);
     return target === undefined || (!target.isReserved && target.consecutiveFailures === 0);
   }
 
-  private isAvailable({ instanceId, state }: FleetInstance): boolean {
+  private isAvailable(instance: FleetInstance): boolean {
+    const { instanceId, state } = instance;
     if (state !== 'up' || this.pendingMoves.has(instanceId)) return false;
-    return !this.deps.orders.isBlocked(instanceId) && !this.deps.isReservedForUpkeep(instanceId);
+    return !this.deps.orders.isBlocked(instanceId) && !this.isExcluded(instance);
+  }
+
+  /** Whether the instance is left out of sizes and moves, for upkeep or an evacuation. */
+  private isExcluded({ instanceId, zoneId }: FleetInstance): boolean {
+    return this.deps.isReservedForUpkeep(instanceId) || this.deps.evacuation.isEvacuated(zoneId);
   }
 
   private idleOf(poolId: string): FleetInstance[] {
@@ -414,8 +434,10 @@
         kept: pools[index]?.size.kept,
         part: pools[index]?.part,
         ...this.useOf(demand.poolId),
-        demandCpuMilli: demand.demandCpuMilli,
-        arrivingCpuMilli: Math.round(demand.arrivingCpuMilli),
+        limitedBy: pools[index]?.size.limitedBy,
+        demandCpuMilli: demand.demand.cpuMilli,
+        demandMemoryMb: Math.round(demand.demand.memoryMb),
+        arrivingCpuMilli: Math.round(demand.arriving.cpuMilli),
       })),
       turnPoolId: this.forecast.currentPoolId,
       next: this.forecast.next(nowMs),
--- a/packages/coordinator/src/QueuedStepCollector.ts
+++ b/packages/coordinator/src/QueuedStepCollector.ts
@@ -4,13 +4,16 @@
   type JobsConfigView,
   criticalPathMs,
   type Occurrence,
+  type StepSpec,
   type StepState,
+  type TaskState,
 } from '@acaciadock/jobs';
 import { type RuntimeEstimates } from '@acaciadock/placement';
 import { type JobEntry } from './JobEntry.js';
 import { type JobTable } from './JobTable.js';
 import { plannedTimesOf } from './plannedTimes.js';
 import { type QueuedStep } from './QueuedStep.js';
+import { type TargetTable } from './TargetTable.js';
 
 /** Time to live of a cached `QueuedStep`, in milliseconds: runtime estimates change slowly. */
 const CACHE_TTL_MS = 250;
@@ -23,6 +26,7 @@
 
 export interface QueuedStepCollectorDeps {
   readonly jobs: JobTable;
+  readonly targets: TargetTable;
   readonly estimates: RuntimeEstimates;
   readonly clock: Clock;
   readonly config: () => JobsConfigView;
@@ -62,7 +66,8 @@
     }
   }
 
-  private cachedOrCreate(
+  /** The step with the values for its queue order. */
+  cachedOrCreate(
     entry: JobEntry,
     occurrence: Occurrence,
     step: StepState,
@@ -77,11 +82,11 @@
 
   private createQueuedStep(entry: JobEntry, occurrence: Occurrence, step: StepState): QueuedStep {
     const { definition } = entry.job;
-    const { objectiveMs } = plannedTimesOf(definition, this.deps.estimates);
+    const runtimeMsOf = (spec: StepSpec, index: number): number =>
+      this.runtimeMsOf(entry, occurrence, spec, index);
+    const { objectiveMs } = plannedTimesOf(definition, runtimeMsOf);
     const remainingMs = criticalPathMs(definition.spec.steps, (spec, index) =>
-      occurrence.steps[index]?.isDone
-        ? 0
-        : this.deps.estimates.meanMs(definition.queueId, spec.estimatedRuntimeMs),
+      occurrence.steps[index]?.isDone ? 0 : runtimeMsOf(spec, index),
     );
     return {
       entry,
@@ -96,4 +101,35 @@
       hasReturned: entry.hasReturned,
     };
   }
+
+  /**
+   * Expected runtime of a step: the longest total of its tasks, of which those that have not started
+   * take the mean of the queue.
+   */
+  private runtimeMsOf(
+    { job }: JobEntry,
+    occurrence: Occurrence,
+    spec: StepSpec,
+    index: number,
+  ): number {
+    const { queueId } = job.definition;
+    const step = occurrence.steps[index];
+    const meanMs = this.deps.estimates.meanMs(queueId, spec.estimatedRuntimeMs);
+    if (!step?.hasStarted || spec.longRunning) return meanMs;
+    return step.tasks.reduce(
+      (longestMs, task) => Math.max(longestMs, this.totalMsOf(task, spec, queueId) ?? meanMs),
+      0,
+    );
+  }
+
+  /** Runtime of a task that is done, or expected total of its oldest run; undefined if unknown. */
+  private totalMsOf(task: TaskState, spec: StepSpec, queueId: string): number | undefined {
+    if (task.runtimeMs > 0) return task.runtimeMs;
+    const targetId = task.runs[0]?.targetId;
+    const live = targetId && this.deps.targets.get(targetId)?.runs.get(task.taskId);
+    if (!live || live.startedMs === 0) return undefined;
+    if (live.projectedTotalMs > 0) return live.projectedTotalMs;
+    const ageMs = this.deps.clock.monotonicMs() - live.startedMs;
+    return this.deps.estimates.expectedTotalMs(queueId, ageMs, spec.estimatedRuntimeMs);
+  }
 }
--- a/packages/coordinator/src/ShareTracker.ts
+++ b/packages/coordinator/src/ShareTracker.ts
@@ -5,7 +5,7 @@
   type ClassOrder,
   FairShares,
   QueueOrder,
-  ResourceSums,
+  ResourceVector,
   type ShareClaim,
   type SharePass,
 } from '@acaciadock/placement';
@@ -47,13 +47,13 @@
     steps: readonly QueuedStep[],
     targets: readonly FleetTarget[],
   ): SharePass {
-    const capacity = new ResourceSums();
-    const byTeam = new Map<string, ResourceSums>();
+    let capacity = ResourceVector.ZERO;
+    const byTeam = new Map<string, ResourceVector>();
     targets.forEach((target) => {
-      capacity.add(target.capacity);
+      capacity = capacity.plus(target.capacity);
       target.runs.forEach(({ place }) => {
         const { teamId } = place.job.definition;
-        byTeam.set(teamId, (byTeam.get(teamId) ?? new ResourceSums()).add(place.step.spec));
+        byTeam.set(teamId, (byTeam.get(teamId) ?? ResourceVector.ZERO).plus(place.step.spec));
       });
     });
     return {
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -115,7 +115,8 @@
     const { target } = this;
     const { port, ownership, clock } = this.deps;
     if (!this.isCurrent(live) || live.phase !== 'planned') return;
-    if (!ownership.mayExtendLeases) {
+    // The zone may have been evacuated since the run was planned.
+    if (!ownership.mayExtendLeases || !target.mayStartInZone) {
       this.deps.runTracker.stop(live);
       return;
     }
@@ -153,7 +154,7 @@
       });
       if (done.isOk() || done.error.kind === 'stale-run') {
         this.log('stop', live, 'accepted');
-        Object.assign(live, { absenceProvenAfterMs: clock.monotonicMs() });
+        this.deps.runTracker.markStopAccepted(live);
         await this.requestReport(0, NO_END_SEEN);
         this.wake();
         return;
--- a/packages/coordinator/src/plannedTimes.ts
+++ b/packages/coordinator/src/plannedTimes.ts
@@ -1,6 +1,5 @@
-/** Times of a job that follow from its specification and the estimated runtimes of its queue. */
-import { criticalPathMs, type JobDefinition } from '@acaciadock/jobs';
-import { type RuntimeEstimates } from '@acaciadock/placement';
+/** Times of a job that follow from its specification and the expected runtimes of its steps. */
+import { criticalPathMs, type JobDefinition, type StepSpec } from '@acaciadock/jobs';
 
 export interface PlannedTimes {
   /** Duration of the whole job if no step waits, in milliseconds. */
@@ -10,11 +9,9 @@
 }
 
 export function plannedTimesOf(
-  { stretch, targetLatencyMs, queueId, spec }: JobDefinition,
-  estimates: RuntimeEstimates,
+  { stretch, targetLatencyMs, spec }: JobDefinition,
+  runtimeMsOf: (step: StepSpec, index: number) => number,
 ): PlannedTimes {
-  const chainMs = criticalPathMs(spec.steps, (step) =>
-    estimates.meanMs(queueId, step.estimatedRuntimeMs),
-  );
+  const chainMs = criticalPathMs(spec.steps, runtimeMsOf);
   return { chainMs, objectiveMs: stretch * chainMs + targetLatencyMs };
 }
--- a/packages/jobdesk/src/fairShares.test.ts
+++ b/packages/jobdesk/src/fairShares.test.ts
@@ -12,7 +12,7 @@
 
 function submitAll(world: JobWorld, jobIds: readonly string[]): void {
   jobIds.forEach((jobId) => {
-    void world.call(jobId, { steps: ONE_STEP }, jobId.slice(0, 1));
+    void world.call(jobId, { steps: ONE_STEP }, { teamId: jobId.slice(0, 1) });
   });
 }
 
--- a/packages/jobdesk/src/overload.test.ts
+++ b/packages/jobdesk/src/overload.test.ts
@@ -55,10 +55,10 @@
   const firstTryMs = clock.monotonicMs();
   for (let tries = 0; tries < MAX_TRIES; tries += 1) {
     const triedMs = clock.monotonicMs();
-    const reply = await world.call(jobId, { steps: STEPS }, teamId);
+    const reply = await world.call(jobId, { steps: STEPS }, { teamId });
     if (reply?.kind === 'accepted') {
       countInTime(world, jobId, triedMs, () => count(result.inTime, teamId));
-      const repeated = await world.call(jobId, { steps: STEPS }, teamId);
+      const repeated = await world.call(jobId, { steps: STEPS }, { teamId });
       if (repeated?.kind === 'refused')
         world.observer.broken.push(`${jobId} refused when repeated`);
       return;
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -15,7 +15,7 @@
   OVERLOADED,
   type UpkeepWave,
 } from '@acaciadock/coordinator';
-import { ManualClock, Random } from '@acaciadock/core';
+import { type Logger, ManualClock, Random, SilentLogger } from '@acaciadock/core';
 import {
   jobsConfigSchema,
   JobsConfigView,
@@ -32,12 +32,16 @@
   readonly seed: number;
   readonly entryCount: number;
   readonly targetCount: number;
+  /** Number of targets in each rack; 0 means that all are in one. */
+  readonly targetsPerRack: number;
   readonly runtimeMs: number;
   readonly failShare: number;
   readonly maxAttempts: number;
   /** Number of instances that run targets. 0 means no fleet, only `targetCount` fixed targets. */
   readonly instanceCount: number;
   readonly spareCount: number;
+  /** Pools beside the usual one, each with a queue and `instanceCount` instances of its own. */
+  readonly otherPoolIds: readonly string[];
   /** Orders to instances that the platform accepts in a second. */
   readonly ordersPerS: number;
   /** CPU limit of the team over all targets, in thousandths of a core; 0 means no limit. */
@@ -45,23 +49,36 @@
   /** Weights of the teams by id. */
   readonly weights: Readonly<Record<string, number>>;
   readonly refusesOverload: boolean;
+  /** Number of zones over which targets and instances are spread in turn: `z0`, `z1` and so on. */
+  readonly zoneCount: number;
+  readonly logger: Logger;
 }
 
 export const DEFAULT_WORLD: JobWorldOptions = {
   seed: 1,
   entryCount: 3,
   targetCount: 4,
+  targetsPerRack: 0,
   runtimeMs: 600,
   failShare: 0,
   maxAttempts: 3,
   instanceCount: 0,
   spareCount: 0,
+  otherPoolIds: [],
   ordersPerS: 64,
   teamLimitCpuMilli: 0,
   weights: { team: 1 },
   refusesOverload: true,
+  zoneCount: 1,
+  logger: new SilentLogger(),
 };
 
+/** The team that submits a job, and its pool if it is not the default one. */
+export interface JobOrigin {
+  readonly teamId?: string | undefined;
+  readonly otherPoolId?: string | undefined;
+}
+
 /** A job as callers submit it; fields with defaults may be omitted. */
 export interface JobInput {
   readonly spec?: string;
@@ -104,7 +121,13 @@
   /** Upkeep waves that the operator has published. */
   readonly waves: UpkeepWave[] = [];
 
+  /** Zones under evacuation, with the time of each request. */
+  readonly evacuatedZones = new Map<string, number>();
+
+  readonly logger: Logger;
+
   constructor(readonly options: JobWorldOptions) {
+    this.logger = options.logger;
     this.random = new Random(options.seed);
     this.ordersPerS = options.ordersPerS;
     this.refusesOverload = options.refusesOverload;
@@ -122,9 +145,18 @@
             maxAttempts: options.maxAttempts,
             stretch: 2,
           },
+          ...options.otherPoolIds.map((poolId) => ({
+            queueId: `${QUEUE_ID}-${poolId}`,
+            host: 'h',
+            pathPrefix: `/${poolId}`,
+            poolId,
+            maxAttempts: options.maxAttempts,
+            stretch: 2,
+          })),
         ],
         pools: [
           { poolId: POOL_ID, rejectsOverload: true },
+          ...options.otherPoolIds.map((poolId) => ({ poolId, rejectsOverload: true })),
           { poolId: SPARE_POOL_ID, isSpare: true },
         ],
         teams: Object.entries(options.weights).map(([teamId, weight]) => ({
@@ -136,7 +168,8 @@
       }),
     );
     this.fleet = options.instanceCount > 0 ? this.createFleet() : undefined;
-    for (let index = 0; index < options.targetCount; index += 1) this.addTarget(`t${index}`);
+    for (let index = 0; index < options.targetCount; index += 1)
+      this.addTarget(`t${index}`, this.zoneOf(index), this.rackOf(index));
     for (let index = 0; index < options.entryCount; index += 1) this.startEntry(`e${index}`);
   }
 
@@ -178,17 +211,28 @@
   }
 
   /** Submits a job to the owner, if there is one, and records whether it was accepted. */
-  async submit(jobId: string, spec: JobInput): Promise<void> {
-    const reply = await this.call(jobId, spec);
+  async submit(jobId: string, spec: JobInput, otherPoolId?: string): Promise<void> {
+    const reply = await this.call(jobId, spec, { otherPoolId });
     if (reply?.kind === 'accepted') this.accepted.add(jobId);
     if (reply?.kind === 'refused' && reply.reason === OVERLOADED) this.refused.add(jobId);
   }
 
   /** Submits a job to the owner; undefined if there is none. */
-  call(jobId: string, spec: JobInput, teamId = 'team'): Promise<JobReply> | undefined {
+  call(
+    jobId: string,
+    spec: JobInput,
+    { teamId, otherPoolId }: JobOrigin = {},
+  ): Promise<JobReply> | undefined {
+    const other = { poolId: otherPoolId, queueId: `${QUEUE_ID}-${otherPoolId}` };
+    spec.steps.forEach(({ speculative }, index) => {
+      if (speculative) this.observer.permitCopies(`${jobId}.0.${index}`);
+    });
     return this.entries.get(this.ownerId() ?? '')?.call({
       kind: 'submit' as const,
-      context: JobWorld.context(teamId),
+      context: {
+        ...JobWorld.context(teamId),
+        ...(otherPoolId === undefined ? {} : other),
+      } as CallContext,
       jobId,
       spec: jobSpecSchema.parse({ spec: '', ...spec }),
     });
@@ -206,14 +250,32 @@
     return [...this.entries].find(([, entry]) => entry.isOwner && !entry.clock.isPaused)?.[0];
   }
 
+  evacuate(zoneId: string): void {
+    this.evacuatedZones.set(zoneId, this.clock.monotonicMs());
+  }
+
+  withdrawEvacuation(zoneId: string): void {
+    this.evacuatedZones.delete(zoneId);
+  }
+
+  private zoneOf(index: number): string {
+    return `z${index % this.options.zoneCount}`;
+  }
+
   private createFleet(): SimulatedFleet {
-    const { instanceCount, spareCount } = this.options;
+    const { instanceCount, spareCount, otherPoolIds } = this.options;
     const { clock, random, observer, targets } = this;
     const options = this.targetOptions();
     const sparePoolId = SPARE_POOL_ID;
     const fleet = new SimulatedFleet({ clock, random, observer, targets, options, sparePoolId });
-    for (let index = 0; index < instanceCount; index += 1) fleet.add(`m${index}`, POOL_ID);
-    for (let index = 0; index < spareCount; index += 1) fleet.add(`s${index}`, SPARE_POOL_ID);
+    for (let index = 0; index < instanceCount; index += 1)
+      fleet.add(`m${index}`, POOL_ID, this.zoneOf(index));
+    otherPoolIds.forEach((poolId) => {
+      for (let index = 0; index < instanceCount; index += 1)
+        fleet.add(`${poolId}-${index}`, poolId, this.zoneOf(index));
+    });
+    for (let index = 0; index < spareCount; index += 1)
+      fleet.add(`s${index}`, SPARE_POOL_ID, this.zoneOf(index));
     return fleet;
   }
 
@@ -222,13 +284,18 @@
     return { maxLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare };
   }
 
-  private addTarget(targetId: string): void {
+  private rackOf(index: number): string {
+    const { targetsPerRack } = this.options;
+    return targetsPerRack > 0 ? `r${Math.floor(index / targetsPerRack)}` : 'r';
+  }
+
+  addTarget(targetId: string, zoneId: string, rackId = 'r'): void {
     this.targets.set(
       targetId,
       new SimulatedTarget(
         targetId,
         POOL_ID,
-        this.targetOptions(),
+        { ...this.targetOptions(), zoneId, rackId },
         this.clock,
         this.random,
         this.observer,
--- a/packages/jobdesk/src/testing/runSchedule.ts
+++ b/packages/jobdesk/src/testing/runSchedule.ts
@@ -137,9 +137,15 @@
 
 /**
  * Runs the schedule of this seed, with jobs of several times the size if `load` is above 1; returns a
- * description of each violated guarantee.
+ * description of each violated guarantee. With copies, every second job permits several concurrent
+ * runs of its tasks.
  */
-export async function runSchedule(random: Random, seed: number, load = 1): Promise<string[]> {
+export async function runSchedule(
+  random: Random,
+  seed: number,
+  hasCopies: boolean,
+  load = 1,
+): Promise<string[]> {
   const world = new JobWorld({
     ...DEFAULT_WORLD,
     seed,
@@ -151,10 +157,11 @@
   let jobs = 0;
   for (let elapsedMs = 0; elapsedMs < FAULTY_MS; elapsedMs += PERIOD_MS) {
     jobs += 1;
+    const speculative = hasCopies && jobs % 2 === 0;
     void world.submit(`j${jobs}`, {
       steps: [
-        { taskCount: load * random.integer(1, 4), cpuMilli: 700 },
-        { taskCount: load * random.integer(1, 2), cpuMilli: 900, afterSteps: [0] },
+        { taskCount: load * random.integer(1, 4), cpuMilli: 700, speculative },
+        { taskCount: load * random.integer(1, 2), cpuMilli: 900, afterSteps: [0], speculative },
       ],
     });
     if (random.chance(0.35)) random.pick(FAULTS)?.(world, random);
--- a/packages/placement/src/AdmissionPolicy.test.ts
+++ b/packages/placement/src/AdmissionPolicy.test.ts
@@ -9,13 +9,13 @@
 } from './AdmissionPolicy.js';
 import { PoolBacklog, type WorkClass } from './PoolBacklog.js';
 import { RejectedSizes } from './RejectedSizes.js';
-import { type ResourceAmount } from './ResourceSums.js';
+import { type Resources } from './ResourceVector.js';
 
 const NOW_MS = 5_000;
 const NOW_UNIX_MS = 1_000_000;
 const MOVE_MS = 1_500;
 
-function cores(cpuMilli: number): ResourceAmount {
+function cores(cpuMilli: number): Resources {
   return { cpuMilli, memoryMb: 0, gpuCount: 0 };
 }
 
--- a/packages/placement/src/AdmissionPolicy.ts
+++ b/packages/placement/src/AdmissionPolicy.ts
@@ -11,7 +11,7 @@
 import { type PoolBacklog, type WorkClass } from './PoolBacklog.js';
 import { QueueOrder, type WaitingStep, WORTHLESS_FACTOR } from './QueueOrder.js';
 import { type RejectedSizes } from './RejectedSizes.js';
-import { type ResourceAmount, ResourceSums } from './ResourceSums.js';
+import { type Resources, ResourceVector } from './ResourceVector.js';
 
 /** A prediction is stale after three regular passes without a new one, in milliseconds. */
 const MAX_AGE_MS = 300;
@@ -29,9 +29,9 @@
 /** The room of a pool, without what long-running tasks hold. */
 export interface PoolRoom {
   /** Resources of the pool's instances. */
-  readonly present: ResourceAmount;
+  readonly present: Resources;
   /** Resources of the instances that move to the pool or could be moved there. */
-  readonly movable: ResourceAmount;
+  readonly movable: Resources;
   /** Spare instances that could be moved now. */
   readonly spareCount: number;
 }
@@ -63,7 +63,7 @@
   /** Part of the pool that the team gets among the teams that wait. */
   readonly portion: number;
   /** Work ahead of the job, in resources times milliseconds. */
-  readonly ahead: ResourceAmount;
+  readonly ahead: Resources;
 }
 
 const NOT_PREDICTED: JobAdmission = {
@@ -71,7 +71,7 @@
   predictedWaitMs: 0,
   budgetMs: Infinity,
   portion: 1,
-  ahead: new ResourceSums(),
+  ahead: ResourceVector.ZERO,
 };
 
 export class AdmissionPolicy {
@@ -143,7 +143,7 @@
     ofClass: 'in-time' | 'late' | 'beyond-share',
     backlog: PoolBacklog,
     portion: number,
-  ): ResourceSums {
+  ): ResourceVector {
     const counted = job.isBeyondShare ? ['in-time', 'late', 'beyond-share'] : ['in-time', 'late'];
     const sameClass = ofClass === 'late' ? counted : [ofClass];
     const isSame = (one: WorkClass): boolean =>
@@ -165,7 +165,7 @@
       portion > 0
         ? Math.min(ownWork + otherWork, fluidWaitMs(ownWork, portion))
         : ownWork + otherWork;
-    return backlog.sumOf(isBefore).add({
+    return backlog.sumOf(isBefore).plus({
       cpuMilli: limit(own.cpuMilli, others.cpuMilli),
       memoryMb: limit(own.memoryMb, others.memoryMb),
       gpuCount: limit(own.gpuCount, others.gpuCount),
@@ -173,11 +173,11 @@
   }
 
   /** Time until the room has served the work; movable instances help once they have moved. */
-  private waitMs(ahead: ResourceSums, { present, movable }: PoolRoom): number {
+  private waitMs(ahead: ResourceVector, { present, movable }: PoolRoom): number {
     const presentMs = ahead.largestPartOf(present);
     if (presentMs <= this.moveMs) return presentMs;
-    const all = new ResourceSums().add(present).add(movable);
-    const left = new ResourceSums().add(ahead).add(present, -this.moveMs);
+    const all = ResourceVector.ZERO.plus(present).plus(movable);
+    const left = ahead.plus(present, -this.moveMs);
     return this.moveMs + Math.max(0, left.largestPartOf(all));
   }
 
--- a/packages/placement/src/FairShares.ts
+++ b/packages/placement/src/FairShares.ts
@@ -5,7 +5,7 @@
  * team can't save up a claim to the whole pool.
  */
 import { type PoolHoldings, ShareOrder } from './ShareOrder.js';
-import { ResourceSums } from './ResourceSums.js';
+import { ResourceVector } from './ResourceVector.js';
 
 /**
  * Time constant of the credits, in milliseconds. Callers leave 3 s after their first try, so a denial
@@ -61,7 +61,7 @@
     const { poolId, holdings, nowMs } = pass;
     const portionOf = FairShares.portions(pass);
     deniedTeamIds.forEach((teamId) => {
-      const held = new ResourceSums().add(holdings.byTeam.get(teamId) ?? new ResourceSums());
+      const held = ResourceVector.ZERO.plus(holdings.byTeam.get(teamId) ?? ResourceVector.ZERO);
       const lacking = 1 - held.largestPartOf(holdings.capacity) / portionOf(teamId);
       const updatedMs = this.credits.get(FairShares.keyOf(poolId, teamId))?.updatedMs ?? -Infinity;
       const elapsedMs = Math.min(MAX_PASS_GAP_MS, nowMs - updatedMs);
--- a/packages/placement/src/PoolBacklog.ts
+++ b/packages/placement/src/PoolBacklog.ts
@@ -4,7 +4,7 @@
  * many tasks wait.
  */
 import { type Urgency } from './QueueOrder.js';
-import { type ResourceAmount, ResourceSums } from './ResourceSums.js';
+import { type Resources, ResourceVector } from './ResourceVector.js';
 
 /** Latest starts are told apart to this many milliseconds. */
 const BUCKET_MS = 250;
@@ -23,24 +23,23 @@
 interface WaitingSum {
   readonly ofClass: WorkClass;
   /** Resources times milliseconds. */
-  readonly work: ResourceSums;
+  readonly work: ResourceVector;
 }
 
 export class PoolBacklog {
   private readonly sums = new Map<string, WaitingSum>();
 
   /** Adds work that takes the resources for `durationMs` in total. */
-  add(ofClass: WorkClass, amount: ResourceAmount, durationMs: number): void {
+  add(ofClass: WorkClass, amount: Resources, durationMs: number): void {
     const { priority, urgency, hasReturned, teamId } = ofClass;
     const bucket = Math.floor(ofClass.latestStartUnixMs / BUCKET_MS);
     const key = JSON.stringify([priority, urgency, hasReturned, teamId, bucket]);
     const latestStartUnixMs = bucket * BUCKET_MS;
     const known = this.sums.get(key) ?? {
       ofClass: { ...ofClass, latestStartUnixMs },
-      work: new ResourceSums(),
+      work: ResourceVector.ZERO,
     };
-    known.work.add(amount, durationMs);
-    this.sums.set(key, known);
+    this.sums.set(key, { ...known, work: known.work.plus(amount, durationMs) });
   }
 
   /** The teams that have waiting work. */
@@ -49,10 +48,10 @@
   }
 
   /** The sum of the work that fulfils the condition. */
-  sumOf(isIncluded: (ofClass: WorkClass) => boolean): ResourceSums {
-    const sum = new ResourceSums();
+  sumOf(isIncluded: (ofClass: WorkClass) => boolean): ResourceVector {
+    let sum = ResourceVector.ZERO;
     this.sums.forEach(({ ofClass, work }) => {
-      if (isIncluded(ofClass)) sum.add(work);
+      if (isIncluded(ofClass)) sum = sum.plus(work);
     });
     return sum;
   }
--- a/packages/placement/src/ShareOrder.ts
+++ b/packages/placement/src/ShareOrder.ts
@@ -4,19 +4,19 @@
  * with the smallest share is next, and its share grows by what its step needs. A team's own steps
  * keep their order.
  */
-import { type ResourceAmount, ResourceSums } from './ResourceSums.js';
+import { type Resources, ResourceVector } from './ResourceVector.js';
 
 /** What a waiting step needs, and for which team. */
 export interface ShareClaim {
   readonly teamId: string;
-  readonly amount: ResourceAmount;
+  readonly amount: Resources;
   readonly taskCount: number;
 }
 
 export interface PoolHoldings {
-  readonly capacity: ResourceAmount;
+  readonly capacity: Resources;
   /** What the runs of each team hold in the pool. */
-  readonly byTeam: ReadonlyMap<string, ResourceAmount>;
+  readonly byTeam: ReadonlyMap<string, Resources>;
 }
 
 export interface ShareOrderInput {
@@ -27,10 +27,10 @@
 }
 
 export class ShareOrder {
-  private readonly sums = new Map<string, ResourceSums>();
+  private readonly sums = new Map<string, ResourceVector>();
 
   constructor(private readonly input: ShareOrderInput) {
-    input.holdings.byTeam.forEach((held, teamId) => this.sumsOf(teamId).add(held));
+    input.holdings.byTeam.forEach((held, teamId) => this.add(teamId, held));
   }
 
   /** Orders steps that are sorted by slack. They count as placed for the classes after this one. */
@@ -51,7 +51,7 @@
       const ofTeam = waiting.get(teamId) ?? [];
       const next = ofTeam.pop() as T;
       const { amount, taskCount } = claimOf(next);
-      this.sumsOf(teamId).add(amount, taskCount);
+      this.add(teamId, amount, taskCount);
       if (ofTeam.length > 0) scores.set(teamId, this.scoreOf(teamId));
       else scores.delete(teamId);
       return next;
@@ -71,15 +71,15 @@
 
   /** Weighted dominant share, 1 at the team's portion of the pool, less the team's credit. */
   private scoreOf(teamId: string): number {
-    const share = this.sumsOf(teamId).largestPartOf(this.input.holdings.capacity);
+    const share = this.sumOf(teamId).largestPartOf(this.input.holdings.capacity);
     return share / this.input.portionOf(teamId) - this.input.creditOf(teamId);
   }
 
-  private sumsOf(teamId: string): ResourceSums {
-    const known = this.sums.get(teamId);
-    if (known) return known;
-    const created = new ResourceSums();
-    this.sums.set(teamId, created);
-    return created;
+  private sumOf(teamId: string): ResourceVector {
+    return this.sums.get(teamId) ?? ResourceVector.ZERO;
+  }
+
+  private add(teamId: string, amount: Resources, factor = 1): void {
+    this.sums.set(teamId, this.sumOf(teamId).plus(amount, factor));
   }
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,14 +1,17 @@
 /** Public interface: pure decision logic for queue order, placement, pool sizes and upkeep. */
 export * from './AdmissionPolicy.js';
 export * from './ArrivalMeter.js';
+export * from './CopyPolicy.js';
 export * from './TurnForecast.js';
 export * from './QueueOrder.js';
 export * from './RetryAfter.js';
+export * from './RuntimeDistribution.js';
 export * from './RuntimeEstimates.js';
 export * from './ShareMeter.js';
 export * from './StragglerDetector.js';
 export * from './TargetChooser.js';
 export * from './TargetHealth.js';
+export * from './TargetSpeed.js';
 export * from './OrderBudget.js';
 export * from './PaceController.js';
 export * from './FairShares.js';
@@ -17,5 +20,6 @@
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
 export * from './RejectedSizes.js';
-export * from './ResourceSums.js';
+export * from './ResourceVector.js';
 export * from './ShareOrder.js';
+export * from './TaskFitBound.js';
