--- a/packages/coordinator/src/QueuedStepCollector.ts
+++ b/packages/coordinator/src/QueuedStepCollector.ts
@@ -74,13 +74,25 @@
     nowMs: number,
   ): QueuedStep {
     const known = this.cache.get(step);
-    if (known && nowMs - known.createdAtMs < CACHE_TTL_MS) return known.open;
-    const open = this.createQueuedStep(entry, occurrence, step);
+    const hasStarted = QueuedStepCollector.hasStarted(occurrence);
+    const isValid = known?.open.hasStarted === hasStarted;
+    if (known && isValid && nowMs - known.createdAtMs < CACHE_TTL_MS) return known.open;
+    const open = this.createQueuedStep(entry, occurrence, step, hasStarted);
     this.cache.set(step, { createdAtMs: nowMs, open });
     return open;
   }
 
-  private createQueuedStep(entry: JobEntry, occurrence: Occurrence, step: StepState): QueuedStep {
+  /** Whether tasks run or are done. Runs that have failed don't count, as nothing of them is left. */
+  private static hasStarted({ steps }: Occurrence): boolean {
+    return steps.some(({ tasks }) => tasks.some(({ done, runs }) => done || runs.length > 0));
+  }
+
+  private createQueuedStep(
+    entry: JobEntry,
+    occurrence: Occurrence,
+    step: StepState,
+    hasStarted: boolean,
+  ): QueuedStep {
     const { definition } = entry.job;
     const runtimeMsOf = (spec: StepSpec, index: number): number =>
       this.runtimeMsOf(entry, occurrence, spec, index);
@@ -98,6 +110,7 @@
       objectiveUnixMs: occurrence.dueUnixMs + objectiveMs,
       remainingMs,
       isBeyondShare: definition.isBeyondShare,
+      hasStarted,
       hasReturned: entry.hasReturned,
     };
   }
--- a/packages/coordinator/src/ShareTracker.ts
+++ b/packages/coordinator/src/ShareTracker.ts
@@ -65,9 +65,14 @@
     };
   }
 
+  /** Orders teams among jobs that have not started; started ones keep their order and are counted. */
   orderOf(pass: SharePass): ClassOrder<QueuedStep> {
     const order = this.shares.orderFor(pass);
-    return (steps) => order.order(steps, ShareTracker.claimOf);
+    return (steps) => {
+      if (!steps[0]?.hasStarted) return order.order(steps, ShareTracker.claimOf);
+      order.count(steps, ShareTracker.claimOf);
+      return steps;
+    };
   }
 
   /** Credits the teams whose entitled work found no room. */
--- a/packages/placement/src/FairShares.test.ts
+++ b/packages/placement/src/FairShares.test.ts
@@ -46,6 +46,13 @@
     t.equal(order(new FairShares(), pass, 'a1 a2 b1 b2 b3 b4'), 'b1 b2 a1 b3 a2 b4');
   });
 
+  it('counts steps that keep their order against the share of their team', (t) => {
+    // Fails if the work of started jobs is left out: team a would go first again.
+    const shareOrder = new FairShares().orderFor(passOf({ a: { cpuMilli: 10 }, b: {} }));
+    shareOrder.count(['b1', 'b2'], claimOf);
+    t.equal(shareOrder.order(['b3', 'a1'], claimOf).join(' '), 'a1 b3');
+  });
+
   it('compares teams by the resource of which they hold most', (t) => {
     const pass = passOf({ a: { cpuMilli: 20 }, b: { cpuMilli: 5, memoryMb: 60 } });
     t.equal(order(new FairShares(), pass, 'b1 a1'), 'a1 b1');
--- a/packages/placement/src/QueueOrder.test.ts
+++ b/packages/placement/src/QueueOrder.test.ts
@@ -68,6 +68,24 @@
       t.equal(order(step('new'), returned), 'returned new');
     });
 
+    it('puts jobs that have started before others, even before those with less slack', (t) => {
+      // Fails if started jobs wait for new ones, become late and have run their first steps in vain.
+      const started = step('started', { hasStarted: true, objectiveUnixMs: NOW_MS + 3_000 });
+      const returned = step('returned', { hasReturned: true });
+      t.equal(order(step('new'), returned, started), 'started returned new');
+    });
+
+    it('puts late jobs that have started behind new ones that can be in time', (t) => {
+      const late = step('late', { hasStarted: true, objectiveUnixMs: NOW_MS + 700 });
+      t.equal(order(late, step('new')), 'new late');
+    });
+
+    it('counts a job that has started as in time until its slack is used up', (t) => {
+      // Fails if the margin of the estimate puts a started job behind all new ones.
+      const edge = step('edge', { hasStarted: true, objectiveUnixMs: NOW_MS + 800 });
+      t.equal(order(step('new'), edge), 'edge new');
+    });
+
     it('counts slack below the margin of the estimate as late', (t) => {
       const tight = step('tight', { objectiveUnixMs: NOW_MS + 900 });
       t.equal(order(tight, step('easy')), 'easy tight');
--- a/packages/placement/src/QueueOrder.ts
+++ b/packages/placement/src/QueueOrder.ts
@@ -1,10 +1,12 @@
 /**
  * Orders the steps that wait for a pool whose queues may demand several times its capacity. Within
  * a priority, long-running tasks come first, because they are few and each second in which they do
- * not run is lost for good. Then come steps that can still meet their objective, by least slack,
- * then late ones. Jobs that a team submitted beyond its share follow, so that they do not delay
- * what other teams are entitled to. Steps whose result has lost its value come last. While a pool is
- * scarce, `FairShares` orders the teams within each of these classes.
+ * not run is lost for good. Then come steps that can still meet their objective, then late ones.
+ * Jobs that a team submitted beyond its share follow, so that they do not delay what other teams are
+ * entitled to. Steps whose result has lost its value come last. Within each of these classes, jobs
+ * that have started come first: if they become late between their steps, their work was wasted. Jobs
+ * that have not started follow, in the order of `FairShares` while a pool is scarce, else by least
+ * slack.
  */
 
 export interface WaitingStep {
@@ -18,6 +20,8 @@
   readonly remainingMs: number;
   /** The team submitted the job beyond its share. */
   readonly isBeyondShare: boolean;
+  /** Tasks of the job run or are done, so that work is wasted if the job becomes late. */
+  readonly hasStarted?: boolean;
   /** The job was refused because of load before, and goes before new jobs of its urgency. */
   readonly hasReturned?: boolean;
 }
@@ -30,7 +34,8 @@
 
 /**
  * Slack that a job needs to count as in time, as a fraction of the remaining work. Estimates are
- * means, but a step ends only with its slowest task.
+ * means, but a step ends only with its slowest task. A job that has started needs no margin: behind
+ * the jobs that have not, it would lose the work that is done.
  */
 const SLACK_MARGIN_SHARE = 0.25;
 
@@ -44,7 +49,10 @@
   worthless: 3,
 };
 
-/** Orders the steps of one class, i.e. of the same priority and urgency, which are sorted by slack. */
+/**
+ * Orders the steps of one class, which are sorted by slack: those of the same priority and urgency
+ * whose jobs have either all started or not.
+ */
 export type ClassOrder<T> = (steps: readonly T[]) => readonly T[];
 
 export class QueueOrder {
@@ -72,7 +80,14 @@
     const urgency = QueueOrder.urgencyOf(step, nowUnixMs);
     const slackMs = QueueOrder.slackMsOf(step, nowUnixMs);
     const rank = URGENCY_RANK[urgency];
-    return [step.priority, step.isLongRunning ? 0 : 1, rank, step.hasReturned ? 0 : 1, slackMs];
+    return [
+      step.priority,
+      step.isLongRunning ? 0 : 1,
+      rank,
+      step.hasStarted ? 0 : 1,
+      step.hasReturned ? 0 : 1,
+      slackMs,
+    ];
   }
 
   private static slackMsOf(step: WaitingStep, nowUnixMs: number): number {
@@ -85,7 +100,8 @@
     const graceMs = step.objectiveMs * (WORTHLESS_FACTOR - 1);
     if (slackMs + graceMs < 0) return 'worthless';
     if (step.isBeyondShare) return 'beyond-share';
-    return slackMs >= step.remainingMs * SLACK_MARGIN_SHARE ? 'in-time' : 'late';
+    const marginMs = step.hasStarted ? 0 : step.remainingMs * SLACK_MARGIN_SHARE;
+    return slackMs >= marginMs ? 'in-time' : 'late';
   }
 
   private static compare(a: readonly number[], b: readonly number[]): number {
--- a/packages/placement/src/ShareOrder.ts
+++ b/packages/placement/src/ShareOrder.ts
@@ -33,6 +33,13 @@
     input.holdings.byTeam.forEach((held, teamId) => this.add(teamId, held));
   }
 
+  /** Counts steps that keep their order as placed for the classes after them. */
+  count<T>(steps: readonly T[], claimOf: (step: T) => ShareClaim): void {
+    steps.map(claimOf).forEach(({ teamId, amount, taskCount }) => {
+      this.add(teamId, amount, taskCount);
+    });
+  }
+
   /** Orders steps that are sorted by slack. They count as placed for the classes after this one. */
   order<T>(steps: readonly T[], claimOf: (step: T) => ShareClaim): T[] {
     const waiting = new Map<string, T[]>();
