--- a/packages/coordinator/src/AdmissionController.ts
+++ b/packages/coordinator/src/AdmissionController.ts
@@ -146,11 +146,14 @@
     };
   }
 
-  /** Without a fleet that can be moved, the room of a pool is that of its targets. */
+  /**
+   * Without a fleet that can be moved, the room of a pool is that of its targets. Targets under
+   * evacuation are no room, so what their long-running tasks hold isn't taken from that of the others.
+   */
   private roomOf(poolId: string): PoolRoom | undefined {
     const { targets, roomOf } = this.deps;
     if (!targets.isListed) return undefined;
-    const ofPool = targets.ofPool(poolId);
+    const ofPool = targets.ofPool(poolId).filter((target) => !target.isEvacuated);
     const known = roomOf ? roomOf(poolId) : undefined;
     if (roomOf && !known) return undefined;
     let present = ResourceVector.ZERO;
