--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -15,6 +15,7 @@
   type UpkeepWave,
   type WaveReports,
 } from './contracts/index.js';
+import { AdmissionController, type AdmissionOptions } from './AdmissionController.js';
 import { CopyController } from './CopyController.js';
 import { FleetController, type FleetControllerOptions } from './FleetController.js';
 import { type FleetTarget } from './FleetTarget.js';
@@ -29,6 +30,7 @@
 import { EXTENSION_BOUND_MS, type Ownership } from './Ownership.js';
 import { ReportProcessor } from './ReportProcessor.js';
 import { RunTracker } from './RunTracker.js';
+import { ShareTracker } from './ShareTracker.js';
 import { LEASE_MS } from './TargetDriver.js';
 import { TargetDrivers } from './TargetDrivers.js';
 import { TargetTable } from './TargetTable.js';
@@ -47,7 +49,7 @@
 const RESTART_DELAY_MS = 100;
 const MAX_RESTART_DELAY_MS = 1_600;
 
-export interface CoordinatorOptions extends FleetControllerOptions {
+export interface CoordinatorOptions extends FleetControllerOptions, AdmissionOptions {
   /** No previous owner extends leases any more: each has released the journal or has exited. */
   readonly hasPreviousOwnerStopped: boolean;
   /** Longest lease that a target grants, in milliseconds. */
@@ -101,6 +103,8 @@
 
   private readonly health: HealthMonitor;
 
+  private readonly shares: ShareTracker;
+
   private readonly copies: CopyController;
 
   private readonly drivers: TargetDrivers;
@@ -147,6 +151,15 @@
       }),
     );
     this.demand = new DemandMeter(estimates, clock);
+    this.shares = new ShareTracker(deps);
+    const admission = new AdmissionController(options, {
+      estimates,
+      targets: this.targets,
+      clock,
+      logger,
+      config: deps.config,
+      roomOf: deps.fleet && ((poolId) => this.fleetController?.roomOf(poolId)),
+    });
     this.scheduler = this.register(
       new JobScheduler({
         jobs: this.jobs,
@@ -157,6 +170,8 @@
         demand: this.demand,
         tickets: this.tickets,
         health: this.health,
+        shares: this.shares,
+        admission,
         ownership,
         clock,
         logger,
@@ -187,6 +202,7 @@
       runTracker,
       demand,
       scheduler,
+      admission,
     });
     this.fleetController = this.createFleetController();
     this.restore(owned);
@@ -219,7 +235,7 @@
   private restore(owned: OwnedJournal): void {
     const unreadable = this.jobs.restore(owned.records);
     const adopted = this.runTracker.adoptJournaled();
-    this.restoreFleet(owned);
+    this.restoreDecisions(owned);
     this.deps.logger.info('coordinator-started', {
       epoch: owned.epoch,
       jobs: this.jobs.activeCount,
@@ -250,9 +266,10 @@
     );
   }
 
-  private restoreFleet(owned: OwnedJournal): void {
+  private restoreDecisions(owned: OwnedJournal): void {
     owned.records.forEach(({ key, value }) => {
-      if (value) this.fleetController?.restore(key, value);
+      if (!value || this.shares.restore(key, value)) return;
+      this.fleetController?.restore(key, value);
     });
   }
 
--- a/packages/coordinator/src/DemandMeter.ts
+++ b/packages/coordinator/src/DemandMeter.ts
@@ -46,6 +46,11 @@
     this.waitingByPool.set(poolId, steps);
   }
 
+  /** Whether the last pass over the pool left tasks without room. */
+  isScarce(poolId: string): boolean {
+    return (this.waitingByPool.get(poolId)?.length ?? 0) > 0;
+  }
+
   /** Records, before a pass over the pool, the work that its open targets run. */
   recordRunning(poolId: string, targets: readonly FleetTarget[]): void {
     const running = targets.reduce((sum, { used }) => sum.plus(used), ResourceVector.ZERO);
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -5,6 +5,7 @@
 import { type Clock, Disposable, type IDisposable, type Logger } from '@acaciadock/core';
 import { type JobsConfigView, type TaskPlace, type TaskState } from '@acaciadock/jobs';
 import { QueueOrder, RejectedSizes, type RuntimeEstimates } from '@acaciadock/placement';
+import { type AdmissionController } from './AdmissionController.js';
 import { type DemandMeter } from './DemandMeter.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type HealthMonitor } from './HealthMonitor.js';
@@ -15,6 +16,7 @@
 import { QueuedStepCollector } from './QueuedStepCollector.js';
 import { type Ownership } from './Ownership.js';
 import { type RunTracker } from './RunTracker.js';
+import { type ShareTracker } from './ShareTracker.js';
 import { type TargetTable } from './TargetTable.js';
 import { TaskPlacer } from './TaskPlacer.js';
 import { type TeamUsage } from './TeamUsage.js';
@@ -35,6 +37,8 @@
   readonly demand: DemandMeter;
   readonly tickets: TicketCache;
   readonly health: HealthMonitor;
+  readonly shares: ShareTracker;
+  readonly admission: AdmissionController;
   readonly ownership: Ownership;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -135,13 +139,21 @@
   }
 
   private placePool(poolId: string, steps: readonly QueuedStep[]): void {
+    const { admission, clock, demand, shares } = this.deps;
     const open = this.openTargets(poolId);
-    this.deps.demand.recordRunning(poolId, open);
-    const ordered = QueueOrder.sort(steps, this.deps.clock.unixMs());
+    demand.recordRunning(poolId, open);
+    // Without scarcity there is room for all, and the order is by slack alone.
+    const sharePass = demand.isScarce(poolId)
+      ? shares.passOver(poolId, steps, this.deps.targets.ofPool(poolId))
+      : undefined;
+    const orderClass = sharePass && shares.orderOf(sharePass);
+    const ordered = QueueOrder.sort(steps, clock.unixMs(), orderClass);
     const rejectedSizes = new RejectedSizes();
     const blocked = ordered.filter(
       (step) => this.placer.placeStep(step, open, rejectedSizes) === 'no-room',
     );
-    this.deps.demand.recordWaiting(poolId, blocked);
+    demand.recordWaiting(poolId, blocked);
+    admission.refresh(poolId, blocked, rejectedSizes);
+    if (sharePass) shares.recordDenied(sharePass, blocked);
   }
 }
--- a/packages/coordinator/src/QueuedStepCollector.ts
+++ b/packages/coordinator/src/QueuedStepCollector.ts
@@ -11,6 +11,7 @@
 import { type RuntimeEstimates } from '@acaciadock/placement';
 import { type JobEntry } from './JobEntry.js';
 import { type JobTable } from './JobTable.js';
+import { plannedTimesOf } from './plannedTimes.js';
 import { type QueuedStep } from './QueuedStep.js';
 import { type TargetTable } from './TargetTable.js';
 
@@ -72,17 +73,31 @@
     nowMs: number,
   ): QueuedStep {
     const known = this.cache.get(step);
-    if (known && nowMs - known.createdAtMs < CACHE_TTL_MS) return known.open;
-    const open = this.createQueuedStep(entry, occurrence, step);
+    const hasStarted = QueuedStepCollector.hasStarted(occurrence);
+    const isValid = known?.open.hasStarted === hasStarted;
+    if (known && isValid && nowMs - known.createdAtMs < CACHE_TTL_MS) return known.open;
+    const open = this.createQueuedStep(entry, occurrence, step, hasStarted);
     this.cache.set(step, { createdAtMs: nowMs, open });
     return open;
   }
 
-  private createQueuedStep(entry: JobEntry, occurrence: Occurrence, step: StepState): QueuedStep {
+  /** Whether tasks run or are done. Runs that have failed don't count, as nothing of them is left. */
+  private static hasStarted({ steps }: Occurrence): boolean {
+    return steps.some(({ tasks }) => tasks.some(({ done, runs }) => done || runs.length > 0));
+  }
+
+  private createQueuedStep(
+    entry: JobEntry,
+    occurrence: Occurrence,
+    step: StepState,
+    hasStarted: boolean,
+  ): QueuedStep {
     const { definition } = entry.job;
-    const objectiveMs = this.objectiveMsOf(entry, occurrence);
+    const runtimeMsOf = (spec: StepSpec, index: number): number =>
+      this.runtimeMsOf(entry, occurrence, spec, index);
+    const { objectiveMs } = plannedTimesOf(definition, runtimeMsOf);
     const remainingMs = criticalPathMs(definition.spec.steps, (spec, index) =>
-      occurrence.steps[index]?.isDone ? 0 : this.runtimeMsOf(entry, occurrence, spec, index),
+      occurrence.steps[index]?.isDone ? 0 : runtimeMsOf(spec, index),
     );
     return {
       entry,
@@ -94,18 +109,11 @@
       objectiveUnixMs: occurrence.dueUnixMs + objectiveMs,
       remainingMs,
       isBeyondShare: definition.isBeyondShare,
+      hasStarted,
+      hasReturned: entry.hasReturned,
     };
   }
 
-  /** Latency objective of the whole job, in milliseconds after its acceptance. */
-  private objectiveMsOf(entry: JobEntry, occurrence: Occurrence): number {
-    const { stretch, targetLatencyMs, spec } = entry.job.definition;
-    const chainMs = criticalPathMs(spec.steps, (step, index) =>
-      this.runtimeMsOf(entry, occurrence, step, index),
-    );
-    return stretch * chainMs + targetLatencyMs;
-  }
-
   /**
    * Expected runtime of a step: the longest total of its tasks, of which those that have not started
    * take the mean of the queue.
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -9,7 +9,12 @@
   SimulatedTarget,
   type SimulatedTargetOptions,
 } from '@acaciadock/coordinator/testing';
-import { type CallContext, type JobReply, type UpkeepWave } from '@acaciadock/coordinator';
+import {
+  type CallContext,
+  type JobReply,
+  OVERLOADED,
+  type UpkeepWave,
+} from '@acaciadock/coordinator';
 import { type Logger, ManualClock, Random, SilentLogger } from '@acaciadock/core';
 import {
   jobsConfigSchema,
@@ -41,6 +46,9 @@
   readonly ordersPerS: number;
   /** CPU limit of the team over all targets, in thousandths of a core; 0 means no limit. */
   readonly teamLimitCpuMilli: number;
+  /** Weights of the teams by id. */
+  readonly weights: Readonly<Record<string, number>>;
+  readonly refusesOverload: boolean;
   /** Number of zones over which targets and instances are spread in turn: `z0`, `z1` and so on. */
   readonly zoneCount: number;
   /** Bound on starts in an evacuated zone, in milliseconds; undefined if there is none. */
@@ -61,11 +69,19 @@
   otherPoolIds: [],
   ordersPerS: 64,
   teamLimitCpuMilli: 0,
+  weights: { team: 1 },
+  refusesOverload: true,
   zoneCount: 1,
   evacuateMs: undefined,
   logger: new SilentLogger(),
 };
 
+/** The team that submits a job, and its pool if it is not the default one. */
+export interface JobOrigin {
+  readonly teamId?: string | undefined;
+  readonly otherPoolId?: string | undefined;
+}
+
 /** A job as callers submit it; fields with defaults may be omitted. */
 export interface JobInput {
   readonly spec?: string;
@@ -94,6 +110,9 @@
   /** Jobs whose acceptance was reported to a caller. */
   readonly accepted = new Set<string>();
 
+  /** Jobs that were refused because of load; a submitted job is accepted only if it is repeated. */
+  readonly refused = new Set<string>();
+
   readonly config: JobsConfigView;
 
   readonly fleet: SimulatedFleet | undefined;
@@ -101,6 +120,7 @@
   readonly ordersPerS: number;
 
   readonly evacuateMs: number | undefined;
+  readonly refusesOverload: boolean;
 
   /** Upkeep waves that the operator has published. */
   readonly waves: UpkeepWave[] = [];
@@ -115,6 +135,7 @@
     this.random = new Random(options.seed);
     this.ordersPerS = options.ordersPerS;
     this.evacuateMs = options.evacuateMs;
+    this.refusesOverload = options.refusesOverload;
     this.store = new SimulatedStore(this.clock, this.random);
     this.observer = new RunObserver(options.maxAttempts);
     this.config = new JobsConfigView(
@@ -143,13 +164,12 @@
           ...options.otherPoolIds.map((poolId) => ({ poolId, rejectsOverload: true })),
           { poolId: SPARE_POOL_ID, isSpare: true },
         ],
-        teams: [
-          {
-            teamId: 'team',
-            keys: ['key'],
-            limit: { cpuMilli: options.teamLimitCpuMilli },
-          },
-        ],
+        teams: Object.entries(options.weights).map(([teamId, weight]) => ({
+          teamId,
+          weight,
+          keys: [`key-${teamId}`],
+          limit: { cpuMilli: options.teamLimitCpuMilli },
+        })),
       }),
     );
     this.fleet = options.instanceCount > 0 ? this.createFleet() : undefined;
@@ -197,12 +217,17 @@
 
   /** Submits a job to the owner, if there is one, and records whether it was accepted. */
   async submit(jobId: string, spec: JobInput, otherPoolId?: string): Promise<void> {
-    const reply = await this.call(jobId, spec, otherPoolId);
+    const reply = await this.call(jobId, spec, { otherPoolId });
     if (reply?.kind === 'accepted') this.accepted.add(jobId);
+    if (reply?.kind === 'refused' && reply.reason === OVERLOADED) this.refused.add(jobId);
   }
 
   /** Submits a job to the owner; undefined if there is none. */
-  call(jobId: string, spec: JobInput, otherPoolId?: string): Promise<JobReply> | undefined {
+  call(
+    jobId: string,
+    spec: JobInput,
+    { teamId, otherPoolId }: JobOrigin = {},
+  ): Promise<JobReply> | undefined {
     const other = { poolId: otherPoolId, queueId: `${QUEUE_ID}-${otherPoolId}` };
     spec.steps.forEach(({ speculative }, index) => {
       if (speculative) this.observer.permitCopies(`${jobId}.0.${index}`);
@@ -210,7 +235,7 @@
     return this.entries.get(this.ownerId() ?? '')?.call({
       kind: 'submit' as const,
       context: {
-        ...JobWorld.context(),
+        ...JobWorld.context(teamId),
         ...(otherPoolId === undefined ? {} : other),
       } as CallContext,
       jobId,
@@ -283,13 +308,13 @@
     );
   }
 
-  static context(): CallContext {
+  static context(teamId = 'team'): CallContext {
     return {
-      access: { host: 'h', path: '/', key: 'key' },
+      access: { host: 'h', path: '/', key: `key-${teamId}` },
       configVersion: 1,
       queueId: QUEUE_ID,
       poolId: POOL_ID,
-      teamId: 'team',
+      teamId,
       priority: 0,
       maxAttempts: 3,
       stretch: 2,
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -48,6 +48,8 @@
   readonly waves: readonly UpkeepWave[];
   /** Orders to instances that the platform accepts in a second. */
   readonly ordersPerS: number;
+  /** Whether jobs that would end too late are refused. */
+  readonly refusesOverload: boolean;
   readonly evacuatedZones: ReadonlyMap<string, number>;
   /** Bound on starts in an evacuated zone, in milliseconds; undefined if there is none. */
   readonly evacuateMs: number | undefined;
@@ -116,6 +118,8 @@
           upkeepMs: 2_000,
           ordersPerS: environment.ordersPerS,
           evacuateMs: environment.evacuateMs,
+          moveMs: 1_500,
+          refusesOverload: environment.refusesOverload,
         },
         {
           ownership,
--- a/packages/placement/src/QueueOrder.test.ts
+++ b/packages/placement/src/QueueOrder.test.ts
@@ -63,12 +63,44 @@
       t.equal(order(step('easy'), near, long), 'long near easy');
     });
 
+    it('puts a job that was refused because of load before new ones', (t) => {
+      const returned = step('returned', { hasReturned: true, objectiveUnixMs: NOW_MS + 3_000 });
+      t.equal(order(step('new'), returned), 'returned new');
+    });
+
+    it('puts jobs that have started before others, even before those with less slack', (t) => {
+      // Fails if started jobs wait for new ones, become late and have run their first steps in vain.
+      const started = step('started', { hasStarted: true, objectiveUnixMs: NOW_MS + 3_000 });
+      const returned = step('returned', { hasReturned: true });
+      t.equal(order(step('new'), returned, started), 'started returned new');
+    });
+
+    it('puts late jobs that have started behind new ones that can be in time', (t) => {
+      const late = step('late', { hasStarted: true, objectiveUnixMs: NOW_MS + 700 });
+      t.equal(order(late, step('new')), 'new late');
+    });
+
+    it('counts a job that has started as in time until its slack is used up', (t) => {
+      // Fails if the margin of the estimate puts a started job behind all new ones.
+      const edge = step('edge', { hasStarted: true, objectiveUnixMs: NOW_MS + 800 });
+      t.equal(order(step('new'), edge), 'edge new');
+    });
+
     it('counts slack below the margin of the estimate as late', (t) => {
       const tight = step('tight', { objectiveUnixMs: NOW_MS + 900 });
       t.equal(order(tight, step('easy')), 'easy tight');
     });
   });
 
+  describe('with an order of teams', () => {
+    it('applies it only among steps of the same priority and urgency', (t) => {
+      const late = { objectiveUnixMs: NOW_MS + 500 };
+      const steps = [step('a'), step('b', late), step('c', late), step('d', { priority: 1 })];
+      const sorted = QueueOrder.sort(steps, NOW_MS, (ofClass) => ofClass.toReversed());
+      t.equal(sorted.map(({ name }) => name).join(' '), 'a c b d');
+    });
+  });
+
   describe('under twice the load that the pool can serve', () => {
     it('completes as many steps in time as the capacity allows', (t) => {
       const SERVED_PER_TURN = 5;
--- a/packages/placement/src/ResourceVector.ts
+++ b/packages/placement/src/ResourceVector.ts
@@ -34,6 +34,19 @@
     return ResourceVector.ZERO.plus(this, factor);
   }
 
+  /**
+   * The largest part of the capacity that this vector is in any resource. A resource without any
+   * capacity is left out: whatever needs it can't be placed and takes no room from others.
+   */
+  largestPartOf(capacity: Resources): number {
+    const part = (amount: number, all: number): number => (all > 0 ? amount / all : 0);
+    return Math.max(
+      part(this.cpuMilli, capacity.cpuMilli),
+      part(this.memoryMb, capacity.memoryMb),
+      part(this.gpuCount, capacity.gpuCount),
+    );
+  }
+
   /** The larger amount of each resource. */
   max(other: Resources): ResourceVector {
     return new ResourceVector(
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,4 +1,5 @@
 /** Public interface: pure decision logic for queue order, placement, pool sizes and upkeep. */
+export * from './AdmissionPolicy.js';
 export * from './ArrivalMeter.js';
 export * from './CopyPolicy.js';
 export * from './TurnForecast.js';
@@ -13,9 +14,12 @@
 export * from './TargetSpeed.js';
 export * from './OrderBudget.js';
 export * from './PaceController.js';
+export * from './FairShares.js';
 export * from './FleetDivider.js';
+export * from './PoolBacklog.js';
 export * from './PoolSizer.js';
 export * from './UpkeepPlanner.js';
 export * from './RejectedSizes.js';
 export * from './ResourceVector.js';
+export * from './ShareOrder.js';
 export * from './TaskFitBound.js';
