--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -120,6 +120,7 @@
   readonly ordersPerS: number;
 
   readonly evacuateMs: number | undefined;
+
   readonly refusesOverload: boolean;
 
   /** Upkeep waves that the operator has published. */
