--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -147,6 +147,13 @@
 });
 
 describe('JobCodec', () => {
+  it('reads a definition that lacks the share, as an earlier build may have written it', (t) => {
+    // Fails if the job is skipped as unreadable: a repeat of its submission would run it again.
+    const stored = JSON.stringify({ ...definition(), isBeyondShare: undefined });
+    const decoded = JobCodec.decodeDefinition(Buffer.from(stored));
+    t.equal(decoded.isOk() && decoded.value.isBeyondShare, false);
+  });
+
   it('restores done tasks, failures, checkpoints and live runs', (t) => {
     const job = new Job(definition());
     finishTask(job, 0, 0, 0);
--- a/packages/jobs/src/JobSpec.ts
+++ b/packages/jobs/src/JobSpec.ts
@@ -91,8 +91,11 @@
   stretch: z.number(),
   targetLatencyMs: z.number(),
   acceptedUnixMs: z.number(),
-  /** The team had used up its share in the second before the job was accepted. */
-  isBeyondShare: z.boolean(),
+  /**
+   * The team had used up its share in the second before the job was accepted. A record without it
+   * stays readable, because a job that is skipped could be accepted again.
+   */
+  isBeyondShare: z.boolean().default(false),
   /** The definition of a finished job keeps no steps. */
   spec: z
     .object({
