--- a/packages/journal/src/JournalWriter.test.ts
+++ b/packages/journal/src/JournalWriter.test.ts
@@ -42,7 +42,11 @@
 
   readonly log = new FaultyLog();
 
-  readonly writer = new JournalWriter(this.log, { epoch: 0, nextOffset: 0, records: [] }, this.clock);
+  readonly writer = new JournalWriter(
+    this.log,
+    { epoch: 0, nextOffset: 0, records: [] },
+    this.clock,
+  );
 
   /** Outcomes by key, in the order in which they became known. */
   readonly outcomes: [string, CommitOutcome][] = [];
@@ -105,7 +109,10 @@
       fixture.write('a', 'new');
       fixture.log.mode = 'answers';
       await fixture.run();
-      t.same(fixture.log.records.map(({ value }) => value?.toString()), ['new']);
+      t.same(
+        fixture.log.records.map(({ value }) => value?.toString()),
+        ['new'],
+      );
     });
 
     it('settles all writes as lost when it is disposed', async (t) => {
@@ -116,7 +123,10 @@
       fixture.write('b');
       fixture.writer.dispose();
       await fixture.run();
-      t.same(fixture.outcomes.map(([, outcome]) => outcome), ['ownership-lost', 'ownership-lost']);
+      t.same(
+        fixture.outcomes.map(([, outcome]) => outcome),
+        ['ownership-lost', 'ownership-lost'],
+      );
     });
 
     it('reports the stall and its end', async (t) => {
