--- a/packages/coordinator/src/JobCallHandler.test.ts
+++ b/packages/coordinator/src/JobCallHandler.test.ts
@@ -47,6 +47,28 @@
   return { reply, stored };
 }
 
+/** The waiting count of a queue with one job, of which a run is planned. */
+async function waitingCount(hasBegun: boolean): Promise<JobReply> {
+  const spec = jobSpecSchema.parse({ spec: '', steps: [{ taskCount: 1 }] });
+  const job = new Job({ ...CONTEXT, jobId: 'j', acceptedUnixMs: 0, isBeyondShare: false, spec });
+  const { task } = job.find(0, 0, 0)!;
+  task.addRun('target', 1);
+  if (hasBegun) task.markBegun();
+  const handler = new JobCallHandler({
+    jobs: { activeJobs: [new JobEntry(job)].values() },
+  } as unknown as JobCallHandlerDeps);
+  return handler.call({ kind: 'waiting', context: CONTEXT });
+}
+
+describe('the waiting count of a queue', () => {
+  it('has the jobs whose runs are planned and have not begun', async (t) => {
+    // Fails if planned runs count as started: just after a change of owner hundreds are planned at once,
+    // and those of an owner that can't append stay planned.
+    t.same(await waitingCount(false), { kind: 'waiting', count: 1 });
+    t.same(await waitingCount(true), { kind: 'waiting', count: 0 });
+  });
+});
+
 describe('JobCallHandler under overload', () => {
   it('refuses a job before anything of it is stored', async (t) => {
     t.same(await submitTo({ isProven: true, knows: false }), {
--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -192,7 +192,7 @@
   private waiting(queueId: string): JobReply {
     let count = 0;
     for (const { job } of this.deps.jobs.activeJobs) {
-      if (job.definition.queueId === queueId && !job.hasStarted) count += 1;
+      if (job.definition.queueId === queueId && !job.hasBegun) count += 1;
     }
     return { kind: 'waiting', count };
   }
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -82,6 +82,7 @@
 
   markRunning(live: LiveRun): void {
     Object.assign(live, { isConfirmed: true });
+    live.place.task.markBegun();
     this.checkStarts(live.taskId);
     if (live.phase === 'stopping') return;
     const nowMs = this.clock.monotonicMs();
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -67,9 +67,10 @@
     return this.definition.spec.schedule !== undefined;
   }
 
-  get hasStarted(): boolean {
+  /** Whether a task of the job has begun on a target. */
+  get hasBegun(): boolean {
     if (this.endedOccurrences.size > 0) return true;
-    return [...this.occurrences.values()].some((occurrence) => occurrence.hasStarted);
+    return [...this.occurrences.values()].some((occurrence) => occurrence.hasBegun);
   }
 
   /**
--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -57,6 +57,26 @@
     );
   });
 
+  it('has begun only once a run has begun on a target', (t) => {
+    // Fails if a run that was planned and never began takes the job off the waiting count.
+    const job = new Job(definition());
+    const place = job.find(0, 0, 0)!;
+    const { run } = place.task.addRun('target', 1);
+    t.notOk(job.hasBegun);
+    job.endRun(place, run, 'lost', '');
+    t.notOk(job.hasBegun);
+    place.task.markBegun();
+    t.ok(job.hasBegun);
+    const failed = new Job(definition());
+    failed.endRun(
+      failed.find(0, 0, 0)!,
+      failed.find(0, 0, 0)!.task.addRun('b', 1).run,
+      'failed',
+      '',
+    );
+    t.ok(failed.hasBegun);
+  });
+
   it('runs out of attempts only through failed runs, not through lapsed or stopped ones', (t) => {
     const job = new Job(definition());
     const place = job.find(0, 0, 0)!;
@@ -142,7 +162,7 @@
     const restored = new Job(definition({}, 100_000));
     JobCodec.restoreProgress(restored, JobCodec.encodeProgress(job));
     t.same([...restored.occurrences.keys()], [...job.occurrences.keys()]);
-    t.ok([...restored.occurrences.values()].every(({ hasStarted }) => hasStarted));
+    t.ok([...restored.occurrences.values()].every(({ steps }) => steps.some((s) => s.hasStarted)));
   });
 });
 
--- a/packages/jobs/src/Occurrence.ts
+++ b/packages/jobs/src/Occurrence.ts
@@ -23,8 +23,8 @@
     return this.steps.every((step) => step.isDone);
   }
 
-  get hasStarted(): boolean {
-    return this.steps.some((step) => step.hasStarted);
+  get hasBegun(): boolean {
+    return this.steps.some((step) => step.tasks.some((task) => task.hasBegun));
   }
 
   /** Steps that are not done and whose predecessors are all done. */
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -42,6 +42,8 @@
   /** The task must not be started before this monotonic time. */
   notBeforeMs = 0;
 
+  private isBegun = false;
+
   constructor(
     readonly taskId: string,
     readonly index: number,
@@ -49,6 +51,18 @@
     private readonly onChanged: () => void = () => undefined,
   ) {}
 
+  /**
+   * Whether a run of the task has certainly begun on a target. A run that is planned may never begin,
+   * and one that a previous owner planned counts only once its target has listed it.
+   */
+  get hasBegun(): boolean {
+    return this.isBegun || this.done || this.failures > 0 || this.checkpoint !== '';
+  }
+
+  markBegun(): void {
+    this.isBegun = true;
+  }
+
   /** Whether the task needs a new start. */
   get isWaiting(): boolean {
     return !this.done && this.runs.length === 0;
