--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -42,6 +42,9 @@
 /** Interval of the checks for expired leases and due occurrences, in milliseconds. */
 const TICK_MS = 50;
 
+/** Interval of the checks of all runs, in milliseconds: targets report about every 250 ms. */
+const RUN_CHECK_MS = 150;
+
 /**
  * Restart backoff of a long-running task after its first failure, in milliseconds. It doubles with
  * each failure up to the maximum.
@@ -215,6 +218,7 @@
     this.register(ownership.onEnd(() => this.dispose()));
     this.register(ownership.onPreviousOwnerStopped(() => this.onPreviousOwnerStopped()));
     this.register(clock.every(TICK_MS, () => this.tick()));
+    this.register(clock.every(RUN_CHECK_MS, () => this.checkRuns()));
     void this.drivers.followRegistry();
     void this.fleetController?.run();
   }
@@ -295,9 +299,12 @@
       if (target.runs.size > 0 && nowMs >= target.lease.certainlyExpiredAtMs())
         this.expireRuns(target);
     }
-    this.health.check();
     this.copies.check();
     for (const entry of this.jobs.activeJobs) this.scheduler.openDue(entry);
+  }
+
+  private checkRuns(): void {
+    this.health.check();
     this.jobs.dropFinished(this.options.keepFinishedMs);
   }
 
--- a/packages/coordinator/src/ShareTracker.ts
+++ b/packages/coordinator/src/ShareTracker.ts
@@ -4,6 +4,7 @@
 import {
   type ClassOrder,
   FairShares,
+  type PoolHoldings,
   QueueOrder,
   ResourceVector,
   type ShareClaim,
@@ -17,6 +18,12 @@
 /** Shortest interval between two records of the credits, in milliseconds. */
 const JOURNAL_MS = 1_000;
 
+/**
+ * What the teams hold in a pool is summed up at most this often, in milliseconds: passes over a busy pool
+ * come hundreds of times a second, and shares change little within a tenth of a short task.
+ */
+const HOLDINGS_MS = 50;
+
 /** Weight of teams that are not configured, e.g. of callers without a key on public queues. */
 const DEFAULT_WEIGHT = 1;
 
@@ -30,6 +37,8 @@
 export class ShareTracker {
   private readonly shares = new FairShares();
 
+  private readonly holdings = new Map<string, { atMs: number; held: PoolHoldings }>();
+
   private journaledMs = -Infinity;
 
   constructor(private readonly deps: ShareTrackerDeps) {}
@@ -47,6 +56,25 @@
     steps: readonly QueuedStep[],
     targets: readonly FleetTarget[],
   ): SharePass {
+    const nowMs = this.deps.clock.monotonicMs();
+    return {
+      poolId,
+      holdings: this.holdingsOf(poolId, targets, nowMs),
+      waitingTeamIds: new Set(steps.map(({ entry }) => entry.job.definition.teamId)),
+      weightOf: (teamId) => this.deps.config().team(teamId)?.weight ?? DEFAULT_WEIGHT,
+      nowMs,
+    };
+  }
+
+  private holdingsOf(poolId: string, targets: readonly FleetTarget[], nowMs: number): PoolHoldings {
+    const known = this.holdings.get(poolId);
+    if (known && nowMs - known.atMs < HOLDINGS_MS) return known.held;
+    const held = ShareTracker.sumUp(targets);
+    this.holdings.set(poolId, { atMs: nowMs, held });
+    return held;
+  }
+
+  private static sumUp(targets: readonly FleetTarget[]): PoolHoldings {
     let capacity = ResourceVector.ZERO;
     const byTeam = new Map<string, ResourceVector>();
     targets.forEach((target) => {
@@ -56,13 +84,7 @@
         byTeam.set(teamId, (byTeam.get(teamId) ?? ResourceVector.ZERO).plus(place.step.spec));
       });
     });
-    return {
-      poolId,
-      holdings: { capacity, byTeam },
-      waitingTeamIds: new Set(steps.map(({ entry }) => entry.job.definition.teamId)),
-      weightOf: (teamId) => this.deps.config().team(teamId)?.weight ?? DEFAULT_WEIGHT,
-      nowMs: this.deps.clock.monotonicMs(),
-    };
+    return { capacity, byTeam };
   }
 
   /** Orders teams among jobs that have not started; started ones keep their order and are counted. */
