Log what a crash of a target ends, apart from other lost runs

Stop orders to a target that is down filled a third of the log. Change: such runs end as crashed; target-crashed names the proof and the runs with the time for which they were reported at work. run-ended has reportedWorkMs. A retried stop logs new outcomes only. Which runs end and when is unchanged.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -16,6 +16,7 @@
   type WaveReports,
 } from './contracts/index.js';
 import { AdmissionController, type AdmissionOptions } from './AdmissionController.js';
+import { CrashHandler } from './CrashHandler.js';
 import { CopyController } from './CopyController.js';
 import { FleetController, type FleetControllerOptions } from './FleetController.js';
 import { type FleetTarget } from './FleetTarget.js';
@@ -188,12 +189,14 @@
       scheduler: this.scheduler,
       demand: this.demand,
     });
+    const crashes = new CrashHandler(this.runTracker, clock, logger);
     this.drivers = this.register(
       new TargetDrivers({
         ...deps,
         targets: this.targets,
         runTracker: this.runTracker,
-        reportProcessor: new ReportProcessor(this.runTracker, clock, logger),
+        reportProcessor: new ReportProcessor(this.runTracker, crashes, clock, logger),
+        crashes,
         onConfirmed: ({ poolId }) => this.scheduler.requestPass(poolId),
         areInstancesMoving: () => this.fleetController?.hasOrders ?? false,
       }),
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -107,6 +107,11 @@
     this.nextPaceFrom = { atMs: nowMs, percent };
   }
 
+  /** How long the run was at work by the reports of its target; 0 if none has listed it. */
+  get reportedWorkMs(): number {
+    return this.reportedMs === 0 ? 0 : Math.max(0, this.reportedMs - this.startedMs);
+  }
+
   /** Total runtime at the pace since the start, in milliseconds; 0 if unknown. */
   get projectedTotalMs(): number {
     if (this.isContinued) return this.recentTotalMs;
--- a/packages/coordinator/src/ReportProcessor.ts
+++ b/packages/coordinator/src/ReportProcessor.ts
@@ -6,6 +6,7 @@
 import { type Clock, type Logger } from '@acaciadock/core';
 import { type EndedRun, type HoldReport, type RunningTask } from '@acaciadock/execution';
 import { type CommitOutcome } from '@acaciadock/journal';
+import { type CrashHandler } from './CrashHandler.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type RunTracker } from './RunTracker.js';
@@ -32,6 +33,7 @@
 
   constructor(
     private readonly runTracker: RunTracker,
+    private readonly crashes: CrashHandler,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
@@ -109,10 +111,20 @@
     sentAtMs: number,
   ): Promise<CommitOutcome>[] {
     const listed = new Map(report.running.map(({ taskId, run }) => [taskId, run]));
-    return [...target.runs.values()]
+    const absent = [...target.runs.values()]
       .filter((live) => listed.get(live.taskId) !== live.run)
-      .filter((live) => ReportProcessor.isProvenAbsent(live, report.bornMs, sentAtMs))
-      .map((live) => this.runTracker.finish(live, 'lost', ''));
+      .filter((live) => ReportProcessor.isProvenAbsent(live, report.bornMs, sentAtMs));
+    const ofFormer = absent.filter((live) => ReportProcessor.isOfFormer(live, report.bornMs));
+    const others = absent.filter((live) => !ofFormer.includes(live));
+    return [
+      ...this.crashes.endRuns(target, ofFormer, 'reborn'),
+      ...others.map((live) => this.runTracker.finish(live, 'lost', '')),
+    ];
+  }
+
+  /** Whether the run was meant for an earlier lifetime of its target than the one that reports. */
+  private static isOfFormer({ bornMs }: LiveRun, reportedBornMs: number): boolean {
+    return bornMs !== 0 && reportedBornMs !== 0 && bornMs !== reportedBornMs;
   }
 
   private static isProvenAbsent(live: LiveRun, bornMs: number, sentAtMs: number): boolean {
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -141,6 +141,7 @@
       phase: live.phase,
       failures: live.place.task.failures,
       runtimeMs: Math.round(runtimeMs),
+      reportedWorkMs: Math.round(live.reportedWorkMs),
     };
     // Successful ends are logged at debug level only, as the placement of the tasks and the end of
     // the step and of the job are logged.
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -12,6 +12,7 @@
 } from '@acaciadock/execution';
 import { PaceController } from '@acaciadock/placement';
 import { ok, type Result } from 'neverthrow';
+import { type CrashHandler } from './CrashHandler.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type Ownership } from './Ownership.js';
@@ -76,6 +77,7 @@
   readonly port: TargetPort;
   readonly runTracker: RunTracker;
   readonly reportProcessor: ReportProcessor;
+  readonly crashes: CrashHandler;
   readonly ownership: Ownership;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -146,6 +148,7 @@
   /** Sends a stop order and retries it until the target has answered. */
   async stop(live: LiveRun): Promise<void> {
     const { port, ownership, clock } = this.deps;
+    let loggedOutcome = '';
     while (this.isActive && this.isCurrent(live)) {
       const { taskId, run } = live;
       const done = await port.stop(this.target.address, {
@@ -160,7 +163,9 @@
         this.wake();
         return;
       }
-      this.log('stop', live, done.error.kind);
+      // A target that is down refuses every retry, so only a new outcome is logged.
+      if (done.error.kind !== loggedOutcome) this.log('stop', live, done.error.kind);
+      loggedOutcome = done.error.kind;
       if (this.handleCommonFailure(done.error)) return;
       await clock.sleep(STOP_RETRY_MS);
     }
@@ -395,9 +400,7 @@
     }
     if (failure.kind !== 'other-lifetime') return false;
     // Another lifetime answers at the address, so the one that had the runs has ended.
-    [...this.target.runs.values()].forEach((live) => {
-      void this.deps.runTracker.finish(live, 'lost', '');
-    });
+    void this.deps.crashes.endRuns(this.target, [...this.target.runs.values()], 'other-lifetime');
     this.target.consecutiveFailures += 1;
     return true;
   }
--- a/packages/coordinator/src/TargetDrivers.ts
+++ b/packages/coordinator/src/TargetDrivers.ts
@@ -2,6 +2,7 @@
 import { type Clock, Disposable, type Logger } from '@acaciadock/core';
 import { type TargetPort } from '@acaciadock/execution';
 import { type TargetRegistry } from './contracts/index.js';
+import { type CrashHandler } from './CrashHandler.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type Ownership } from './Ownership.js';
@@ -23,6 +24,7 @@
   readonly targets: TargetTable;
   readonly runTracker: RunTracker;
   readonly reportProcessor: ReportProcessor;
+  readonly crashes: CrashHandler;
   readonly ownership: Ownership;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -66,6 +68,7 @@
       port: this.deps.port,
       runTracker: this.deps.runTracker,
       reportProcessor: this.deps.reportProcessor,
+      crashes: this.deps.crashes,
       ownership: this.deps.ownership,
       clock: this.deps.clock,
       logger: this.deps.logger,
--- a/packages/coordinator/src/testing/HealthFixture.ts
+++ b/packages/coordinator/src/testing/HealthFixture.ts
@@ -6,6 +6,7 @@
 import { type EndedRun } from '@acaciadock/execution';
 import { Job, jobSpecSchema, type RunEnd } from '@acaciadock/jobs';
 import { RuntimeEstimates } from '@acaciadock/placement';
+import { CrashHandler } from '../CrashHandler.js';
 import { type FleetTarget } from '../FleetTarget.js';
 import { HealthMonitor, type HealthMonitorDeps } from '../HealthMonitor.js';
 import { JobTable } from '../JobTable.js';
@@ -82,7 +83,8 @@
     const jobs = new JobTable({} as Ownership, clock);
     this.random = new Random(options.seed);
     this.runTracker = new RunTracker(jobs, targets, new TeamUsage(), estimates, clock, logger);
-    this.reports = new ReportProcessor(this.runTracker, clock, logger);
+    const crashes = new CrashHandler(this.runTracker, clock, logger);
+    this.reports = new ReportProcessor(this.runTracker, crashes, clock, logger);
     const { runTracker } = this;
     const { handleStraggler } = options;
     this.monitor = new HealthMonitor({
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -18,11 +18,13 @@
 
 /**
  * How a run ended, as reported by the target or as proven otherwise: `lapsed` also follows from the
- * certain expiry of the lease, and `lost` means that the run is certainly not running, although no
- * end was reported. Only `failed` counts as a failed attempt, and only `done` completes the task,
- * unless it is long-running.
+ * certain expiry of the lease, `crashed` means that the process of the target has ended without
+ * notice, and `lost` that the run is certainly not running for any other reason, although no end was
+ * reported. Only `failed` counts as a failed attempt, and only `done` completes the task, unless it is
+ * long-running.
  */
-export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'lost';
+export type RunEnd =
+  'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'crashed' | 'lost';
 
 /** An open step with tasks that need a new start. */
 export interface WaitingStepPlace {
