Failing test: tasks that crash each target that starts them

Cause: a run that is lost with its target counts as no attempt, copies of its task start at once on further targets, and the tasks of a crashed target are placed on the next one together. Change: the simulated target crashes on such a task; the observer counts starts after three crashes.

--- a/packages/coordinator/src/testing/RunObserver.ts
+++ b/packages/coordinator/src/testing/RunObserver.ts
@@ -1,10 +1,15 @@
 /**
  * Observes what simulated targets actually run and records each violated guarantee: two runs of a
  * task at the same time (three, or two on one target, if its step permits copies), a run number that
- * is used twice, a start after an acknowledged end, more failed attempts than allowed, and a step
- * that starts before the previous one has ended.
+ * is used twice, a start after an acknowledged end, more failed attempts than allowed, a step that
+ * starts before the previous one has ended, and more starts than allowed of a task that has crashed
+ * targets.
  */
 
+/** A task that has crashed this many targets may be started fewer than that many times more. */
+const MAX_CRASHES = 3;
+const MAX_STARTS_AFTER_CRASHES = 2;
+
 interface ObservedTask {
   readonly running: Map<string, number>;
   isDoneAcknowledged: boolean;
@@ -12,6 +17,11 @@
   readonly runNumbers: Set<number>;
   starts: number;
   isDone: boolean;
+  /** Targets that the task has crashed. */
+  crashes: number;
+  startsAfterCrashes: number;
+  /** Targets that crashed while the task ran there, whichever task was the cause. */
+  crashesUnder: number;
 }
 
 export class RunObserver {
@@ -48,9 +58,31 @@
     return this.tasks.get(taskId)?.isDone ?? false;
   }
 
+  /** Number of targets that the task has crashed. */
+  crashesOf(taskId: string): number {
+    return this.tasks.get(taskId)?.crashes ?? 0;
+  }
+
+  /** Number of targets that crashed while the task ran there, whichever task was the cause. */
+  crashesUnder(taskId: string): number {
+    return this.tasks.get(taskId)?.crashesUnder ?? 0;
+  }
+
+  /** Records that a task has crashed its target, with all tasks that ran there. */
+  crashed(taskId: string, runningTaskIds: readonly string[]): void {
+    this.ensure(taskId).crashes += 1;
+    runningTaskIds.forEach((running) => {
+      this.ensure(running).crashesUnder += 1;
+    });
+  }
+
   started(taskId: string, run: number, targetId: string): void {
     const task = this.ensure(taskId);
     task.starts += 1;
+    if (task.crashes >= MAX_CRASHES) task.startsAfterCrashes += 1;
+    if (task.startsAfterCrashes > MAX_STARTS_AFTER_CRASHES) {
+      this.broken.push(`${taskId} run ${run} after it crashed ${task.crashes} targets`);
+    }
     this.startsByTarget.set(targetId, this.startsOn(targetId) + 1);
     const maxOthers = this.copiedSteps.has(taskId.slice(0, taskId.lastIndexOf('.'))) ? 1 : 0;
     if (task.running.size > maxOthers || task.running.has(targetId)) {
@@ -101,6 +133,9 @@
       acknowledgedFailures: 0,
       starts: 0,
       isDone: false,
+      crashes: 0,
+      startsAfterCrashes: 0,
+      crashesUnder: 0,
     };
     this.tasks.set(taskId, created);
     return created;
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -39,6 +39,16 @@
 /** Prefix of the specifications of tasks that run until they are stopped. */
 export const LONG_RUNNING_PREFIX = 'serves';
 
+/**
+ * Prefix of the specifications of jobs with a task that crashes each target that starts it; the rest
+ * is the index of the task in its step.
+ */
+export const DEADLY_PREFIX = 'deadly:';
+
+/** Time from the start of such a task to the crash, and from the crash to the new lifetime. */
+const CRASH_DELAY_MS = 10;
+const CRASH_DOWN_MS = 3_000;
+
 const NEVER_MS = 1e9;
 
 function refusal(kind: OrderFailure['kind']): Result<never, OrderFailure> {
@@ -61,6 +71,9 @@
   /** Factor on the runtimes of runs that start from now on. */
   slowdown = 1;
 
+  /** Replaces the CPU capacity of the options; undefined leaves it. */
+  cpuMilli: number | undefined;
+
   private bornMs: number;
 
   private highestToken = 0;
@@ -104,7 +117,7 @@
       zoneId: this.options.zoneId ?? 'z',
       rackId: this.options.rackId ?? 'r',
       labels: ['a', 'r'],
-      capacity: { cpuMilli: this.options.cpuMilli, memoryMb: 64_000, gpuCount: 0 },
+      capacity: { cpuMilli: this.cpuMilli ?? this.options.cpuMilli, memoryMb: 64_000, gpuCount: 0 },
       state: this.isDraining ? 'draining' : 'ready',
       remainingMs: undefined,
       bornMs: this.bornMs,
@@ -174,6 +187,7 @@
       ? this.clock.after(NEVER_MS, () => undefined)
       : this.clock.after(spreadMs, () => this.end(taskId, isFailing ? 'failed' : 'done'));
     this.running.set(taskId, { taskId, run, timer, percent: this.isStalling ? 0 : 100 });
+    if (SimulatedTarget.isDeadly(order)) this.crashSoon(taskId);
     return ok({ clockMs: this.clockMs });
   }
 
@@ -189,6 +203,24 @@
     return ok({ clockMs: this.clockMs });
   }
 
+  private static isDeadly({ taskId, spec }: StartOrder): boolean {
+    const [, index] = spec.split(DEADLY_PREFIX);
+    return index !== undefined && taskId.endsWith(`.${index}`);
+  }
+
+  /** Crashes because of the task, unless it has been stopped by then, and comes back later. */
+  private crashSoon(taskId: string): void {
+    const { bornMs } = this;
+    this.clock.after(CRASH_DELAY_MS, () => {
+      if (!this.isUp || this.bornMs !== bornMs || !this.running.has(taskId)) return;
+      this.observer.crashed(taskId, [...this.running.keys()]);
+      this.crash();
+      this.clock.after(CRASH_DOWN_MS, () => {
+        if (!this.isUp) this.restart();
+      });
+    });
+  }
+
   /** Whether there are ends after `lastSeenEnd`. */
   hasUnseenEnds(lastSeenEnd: number): boolean {
     return this.ends.some((end) => end.sequence > lastSeenEnd);
--- /dev/null
+++ b/packages/jobdesk/src/deadlyTasks.test.ts
@@ -0,0 +1,183 @@
+/**
+ * Tasks that crash each target that starts them. Guards against one task taking down target after
+ * target, against neighbours that suffer or are blamed for it, and against blaming tasks for targets
+ * that were only silent or crashed by themselves.
+ */
+import { describe, it } from '@acaciadock/core/testing';
+import { DEADLY_PREFIX, LONG_RUNNING_PREFIX } from '@acaciadock/coordinator/testing';
+import { type Test } from 'tap';
+import { type JobWorld } from './testing/JobWorld.js';
+import {
+  assertCompletes,
+  createWorld,
+  statusOf,
+  type StepInput,
+} from './testing/takeoverHelpers.js';
+
+const SETTLE_MS = 40_000;
+const LEASE_MS = 5_000;
+
+/** Targets that a task may crash in all: three, and then fewer than three more. */
+const MAX_CRASHES = 5;
+
+const TASK = 'deadly.0.0.0';
+const FIRST_TASK_DEADLY = `${DEADLY_PREFIX}0`;
+const DEADLY_STEP: StepInput = { taskCount: 2, cpuMilli: 500 };
+
+function submitDeadly(world: JobWorld, jobId = 'deadly', step: Partial<StepInput> = {}): void {
+  void world.submit(jobId, { spec: FIRST_TASK_DEADLY, steps: [{ ...DEADLY_STEP, ...step }] });
+}
+
+function submitNeighbours(world: JobWorld, count: number, step: Partial<StepInput> = {}): string[] {
+  const jobIds = Array.from({ length: count }, (_, index) => `n${index}`);
+  jobIds.forEach((jobId) => {
+    void world.submit(jobId, { steps: [{ taskCount: 4, cpuMilli: 400, ...step }] });
+  });
+  return jobIds;
+}
+
+async function assertGivenUp(t: Test, world: JobWorld, jobId = 'deadly'): Promise<void> {
+  let status = '';
+  for (let waitedMs = 0; waitedMs < SETTLE_MS && status !== 'failed'; waitedMs += 500) {
+    await world.run(450);
+    status = await statusOf(world, jobId);
+  }
+  t.equal(status, 'failed', 'the job is shown as failed');
+  const crashes = world.observer.crashesOf(`${jobId}.0.0.0`);
+  t.ok(crashes >= 2, `given up only after two crashes, was ${crashes}`);
+  t.ok(crashes <= MAX_CRASHES, `crashes at most ${MAX_CRASHES} targets, was ${crashes}`);
+  const startCount = world.observer.startsOf(`${jobId}.0.0.0`);
+  await world.run(2 * LEASE_MS);
+  t.equal(world.observer.startsOf(`${jobId}.0.0.0`), startCount, 'is not started again');
+}
+
+describe('a task that crashes each target that starts it', () => {
+  it('is given up while its neighbours complete', async (t) => {
+    const world = await createWorld({ targetCount: 4 });
+    const neighbours = submitNeighbours(world, 6);
+    submitDeadly(world);
+    await world.run(60);
+    await assertGivenUp(t, world);
+    await assertCompletes(t, world, neighbours);
+  });
+
+  it('is given up if its step permits copies', async (t) => {
+    const world = await createWorld({ targetCount: 4 });
+    const neighbours = submitNeighbours(world, 6, { speculative: true });
+    submitDeadly(world, 'deadly', { speculative: true });
+    await world.run(60);
+    await assertGivenUp(t, world);
+    await assertCompletes(t, world, neighbours);
+  });
+
+  it('is given up if the pool is full all the time', async (t) => {
+    const world = await createWorld({ targetCount: 4, refusesOverload: false });
+    const neighbours = submitNeighbours(world, 24);
+    submitDeadly(world);
+    await world.run(60);
+    await assertGivenUp(t, world);
+    await assertCompletes(t, world, neighbours);
+  });
+
+  it('is given up although the owner is killed after each crash', async (t) => {
+    const world = await createWorld({ targetCount: 4 });
+    const neighbours = submitNeighbours(world, 4);
+    submitDeadly(world);
+    for (let crashes = 1; crashes <= 2; crashes += 1) {
+      const seen = crashes;
+      await world.runUntil(() => world.observer.crashesOf(TASK) >= seen, SETTLE_MS);
+      const ownerId = world.ownerId() ?? '';
+      world.killEntry(ownerId);
+      world.startEntry(ownerId);
+      await world.runUntil(() => world.owner !== undefined, 5_000);
+    }
+    await assertGivenUp(t, world);
+    await assertCompletes(t, world, neighbours);
+  });
+
+  it('is given up if it is to run for good, and its neighbours run on', async (t) => {
+    const world = await createWorld({ targetCount: 4 });
+    const steps = [{ taskCount: 4, cpuMilli: 300, longRunning: true, mostPerTarget: 1 }];
+    void world.submit('lasting', { spec: LONG_RUNNING_PREFIX, steps });
+    submitDeadly(world, 'deadly', { longRunning: true });
+    await world.run(60);
+    await assertGivenUp(t, world);
+    t.equal(await statusOf(world, 'lasting'), 'running');
+    t.equal(world.runningCount, 4, 'the others are at work');
+  });
+
+  it('is given up if it is a member of a gang', async (t) => {
+    const world = await createWorld({ targetCount: 4 });
+    const neighbours = submitNeighbours(world, 4);
+    submitDeadly(world, 'deadly', { taskCount: 3, gang: true });
+    await world.run(60);
+    await assertGivenUp(t, world);
+    await assertCompletes(t, world, neighbours);
+  });
+});
+
+describe('several tasks that crash targets', () => {
+  const DEADLY_JOBS = 4;
+
+  it('are all given up, and no neighbour is given up or caught again and again', async (t) => {
+    const world = await createWorld({ targetCount: 8 });
+    const neighbours = submitNeighbours(world, 12);
+    const deadly = Array.from({ length: DEADLY_JOBS }, (_, index) => `deadly${index}`);
+    deadly.forEach((jobId) => submitDeadly(world, jobId));
+    await world.run(60);
+    await assertCompletes(t, world, neighbours);
+    for (const jobId of deadly) await assertGivenUp(t, world, jobId);
+    const caught = neighbours
+      .flatMap((jobId) => [0, 1, 2, 3].map((index) => `${jobId}.0.0.${index}`))
+      .map((taskId) => world.observer.crashesUnder(taskId));
+    t.ok(Math.max(...caught) <= 2, `a neighbour was under ${Math.max(...caught)} crashes`);
+  });
+});
+
+describe('a task whose targets fail without its doing', () => {
+  it('is not given up if they are only silent, each for less than a lease', async (t) => {
+    const world = await createWorld({ targetCount: 3, runtimeMs: 20_000 });
+    void world.submit('a', { steps: [{ taskCount: 2, cpuMilli: 500 }] });
+    for (let times = 0; times < 5; times += 1) {
+      await world.run(60);
+      world.entries.forEach(({ portFaults }) =>
+        world.targets.forEach((_, targetId) => portFaults.cutTargets.add(targetId)),
+      );
+      await world.run(LEASE_MS / 2);
+      world.entries.forEach(({ portFaults }) => portFaults.cutTargets.clear());
+      await world.run(LEASE_MS / 2);
+    }
+    t.equal(world.observer.startsOf('a.0.0.0'), 1, 'its run was kept');
+    await assertCompletes(t, world, ['a']);
+  });
+
+  it('is not given up if their leases expire time and again', async (t) => {
+    const world = await createWorld({ targetCount: 3, runtimeMs: 3_000 });
+    void world.submit('a', { steps: [{ taskCount: 1, cpuMilli: 500 }] });
+    for (let times = 0; times < 5; times += 1) {
+      const before = world.observer.startsOf('a.0.0.0');
+      await world.runUntil(() => world.runningCount > 0, 4_000);
+      world.entries.forEach(({ portFaults }) =>
+        world.targets.forEach((_, targetId) => portFaults.cutTargets.add(targetId)),
+      );
+      await world.run(2 * LEASE_MS);
+      world.entries.forEach(({ portFaults }) => portFaults.cutTargets.clear());
+      await world.runUntil(() => world.observer.startsOf('a.0.0.0') > before, 4_000);
+    }
+    t.ok(world.observer.startsOf('a.0.0.0') > 3, 'it was started several times');
+    await assertCompletes(t, world, ['a']);
+  });
+
+  it('is not given up if they crash by themselves while it is at work', async (t) => {
+    const world = await createWorld({ targetCount: 3, runtimeMs: 4_000 });
+    const jobIds = submitNeighbours(world, 2);
+    for (let times = 0; times < 3; times += 1) {
+      await world.run(1_500);
+      const target = world.targets.get(`t${times}`);
+      target?.crash();
+      await world.run(500);
+      target?.restart();
+    }
+    await assertCompletes(t, world, jobIds);
+  });
+});
