Give up tasks that crash the targets that start them

Cause: a run that is lost with its target counted as no attempt, so nothing bounded the restarts; and the tasks of a crashed target waited and were placed together, the cause among them, so counting alone would blame the neighbours (120 to 130 tasks were under four to twelve crashes). Change: crashes are counted per task and journaled with its progress, so a new owner knows them. Runs that had only just started are suspects. Each is started again on a target that is kept for its job and where every other run has been at work for a while; if that one crashes too, the task is given up and its job fails. Silence and expired leases count as nothing; a target that drained or was emptied has not crashed.

--- a/packages/coordinator/src/CrashHandler.ts
+++ b/packages/coordinator/src/CrashHandler.ts
@@ -1,9 +1,11 @@
 /**
  * Ends the runs of a target whose process has ended without notice. The proof is that a later
- * process answers at its address or reports under its id; silence alone proves nothing.
+ * process answers at its address or reports under its id; silence alone proves nothing. A task that causes such
+ * crashes is given up, which fails its job.
  */
 import { type Clock, type Logger } from '@acaciadock/core';
 import { type CommitOutcome } from '@acaciadock/journal';
+import { CrashPolicy } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type RunTracker } from './RunTracker.js';
@@ -25,11 +27,44 @@
     evidence: CrashEvidence,
   ): Promise<CommitOutcome>[] {
     const hasLeft = target.isDraining || target.isReserved;
-    const ordered = runs.filter(({ phase }) => phase !== 'planned');
-    if (ordered.length > 0 && !hasLeft) this.logCrash(target, ordered, evidence);
-    return runs.map((live) => {
-      const isCrash = !hasLeft && ordered.includes(live);
-      return this.runTracker.finish(live, isCrash ? 'crashed' : 'lost', '');
+    const crashed = hasLeft ? [] : runs.filter(({ phase }) => phase !== 'planned');
+    if (crashed.length > 0) {
+      this.logCrash(target, crashed, evidence);
+      this.recordCrash(crashed);
+    }
+    return runs.map((live) =>
+      this.runTracker.finish(live, crashed.includes(live) ? 'crashed' : 'lost', ''),
+    );
+  }
+
+  /** Records the crash with each task, and gives up the one that has caused it. */
+  private recordCrash(crashed: readonly LiveRun[]): void {
+    const suspectJobs = new Set(
+      crashed.filter(({ isEarly }) => isEarly).map(({ place }) => place.job.jobId),
+    );
+    crashed.forEach((live) => {
+      const { isEarly, isConfirmed } = live;
+      const { task } = live.place;
+      task.recordCrash({ isEarly, isConfirmed });
+      task.recordAvoidedTarget(live.targetId);
+      const isOnlySuspect = isEarly && isConfirmed && suspectJobs.size === 1;
+      const { crashes, earlyCrashes } = task;
+      if (CrashPolicy.shouldGiveUp({ crashes, earlyCrashes, isOnlySuspect })) this.giveUp(live);
+    });
+  }
+
+  private giveUp({ place, run, targetId }: LiveRun): void {
+    const { job, task } = place;
+    const { taskId, crashes, earlyCrashes } = task;
+    task.isGivenUp = true;
+    this.logger.warn('task-given-up', {
+      jobId: job.jobId,
+      taskId,
+      run,
+      targetId,
+      reason: 'crashes-targets',
+      crashes,
+      earlyCrashes,
     });
   }
 
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -58,6 +58,9 @@
    */
   isReserved = false;
 
+  /** Job whose suspect tasks alone may start here; empty if any task may. See `SuspectIsolation`. */
+  isolatedJobId = '';
+
   /** Share of the capacity that new tasks may use, below 1 if the target is slow. */
   weight = 1;
 
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -17,6 +17,7 @@
 import { type Ownership } from './Ownership.js';
 import { type RunTracker } from './RunTracker.js';
 import { type ShareTracker } from './ShareTracker.js';
+import { SuspectIsolation } from './SuspectIsolation.js';
 import { type TargetTable } from './TargetTable.js';
 import { TaskPlacer } from './TaskPlacer.js';
 import { type TeamUsage } from './TeamUsage.js';
@@ -52,12 +53,17 @@
 
   private readonly stepCollector: QueuedStepCollector;
 
+  private readonly isolation: SuspectIsolation;
+
   private readonly placer: TaskPlacer;
 
   constructor(private readonly deps: JobSchedulerDeps) {
     super();
     this.stepCollector = new QueuedStepCollector(deps);
-    this.placer = this.register(new TaskPlacer(deps));
+    this.isolation = new SuspectIsolation(deps.jobs, (target) =>
+      target.isOpen(deps.clock.monotonicMs()),
+    );
+    this.placer = this.register(new TaskPlacer({ ...deps, isolation: this.isolation }));
     this.register(deps.clock.every(REGULAR_PASS_MS, () => this.requestAllPasses()));
     this.register({ dispose: () => this.passTimer?.dispose() });
   }
@@ -140,6 +146,7 @@
 
   private placePool(poolId: string, steps: readonly QueuedStep[]): void {
     const { admission, clock, demand, shares } = this.deps;
+    this.isolation.refresh();
     const open = this.openTargets(poolId);
     demand.recordRunning(poolId, open);
     // Without scarcity there is room for all, and the order is by slack alone.
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -1,5 +1,6 @@
 /** A run that may be alive on a target, with its last reported state. */
 import { type TaskPlace } from '@acaciadock/jobs';
+import { CrashPolicy } from '@acaciadock/placement';
 
 /**
  * `planned`: the run is being journaled, no order has been sent. `ordered`: the start order is in
@@ -112,6 +113,11 @@
     return this.reportedMs === 0 ? 0 : Math.max(0, this.reportedMs - this.startedMs);
   }
 
+  /** Whether the target may yet crash because it started the run. */
+  get isEarly(): boolean {
+    return CrashPolicy.isEarly(this.isConfirmed, this.reportedWorkMs);
+  }
+
   /** Total runtime at the pace since the start, in milliseconds; 0 if unknown. */
   get projectedTotalMs(): number {
     if (this.isContinued) return this.recentTotalMs;
--- a/packages/coordinator/src/ReportProcessor.ts
+++ b/packages/coordinator/src/ReportProcessor.ts
@@ -78,6 +78,9 @@
   private applyEnd(target: FleetTarget, ended: EndedRun): Promise<CommitOutcome> {
     Object.assign(target, { processedEnd: ended.sequence });
     const live = target.runs.get(ended.taskId);
+    // A target that lists the failure of a run has not crashed because of it.
+    if (live?.run === ended.run && ended.end === 'failed')
+      live.place.task.clearSuspicion(live.place.step.spec.longRunning);
     const commit =
       live?.run === ended.run
         ? this.runTracker.finish(live, ended.end, ended.checkpoint)
@@ -100,8 +103,9 @@
       live.checkpoint = running.checkpoint;
       live.checkpointPercent = running.percent;
     }
-    if (this.runTracker.isFurthest(live)) live.place.task.recordCheckpoint(running.checkpoint);
     if (live.phase === 'uncertain' || live.phase === 'ordered') this.runTracker.markRunning(live);
+    if (!live.isEarly) live.place.task.clearSuspicion(live.place.step.spec.longRunning);
+    if (this.runTracker.isFurthest(live)) live.place.task.recordCheckpoint(running.checkpoint);
     return true;
   }
 
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -4,7 +4,7 @@
  * anything that depends on it is reported outside.
  */
 import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
-import { type JobStatus, type RunEnd, type TaskPlace } from '@acaciadock/jobs';
+import { Job, type JobStatus, type RunEnd, type TaskPlace } from '@acaciadock/jobs';
 import { type CommitOutcome } from '@acaciadock/journal';
 import { CopyPolicy, type RuntimeEstimates } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
@@ -241,7 +241,7 @@
     place: TaskPlace,
   ): Extract<JobStatus, 'completed' | 'failed'> | undefined {
     if (place.job.isComplete) return 'completed';
-    return place.job.isOutOfAttempts(place) ? 'failed' : undefined;
+    return place.job.isOutOfAttempts(place) || Job.isGivenUp(place) ? 'failed' : undefined;
   }
 
   /**
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -35,6 +35,12 @@
  */
 const SHORT_REPORT_WAIT_MS = 250;
 
+/**
+ * Long-poll time of a target that is kept for suspects of a crash, in milliseconds: it stays closed to
+ * other tasks until a report shows them at work.
+ */
+const SUSPECT_REPORT_WAIT_MS = 50;
+
 /**
  * Interval at which filler tasks beside serving ones are paced, in milliseconds. The load figures
  * cover half a second.
@@ -214,6 +220,7 @@
     const isSettled = target.durableEnd === target.processedEnd;
     const mayWait = target.isConfirmed && isSettled && target.consecutiveFailures === 0;
     if (!mayWait || target.runs.size === 0) return 0;
+    if (target.isolatedJobId !== '') return SUSPECT_REPORT_WAIT_MS;
     if (target.runs.size > target.longRunningCount) return SHORT_REPORT_WAIT_MS;
     return this.needsPacing ? PACE_PERIOD_MS : REPORT_WAIT_MS;
   }
--- a/packages/coordinator/src/TaskPlacer.ts
+++ b/packages/coordinator/src/TaskPlacer.ts
@@ -5,12 +5,18 @@
  */
 import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
 import { type AdviceRule, type JobsConfigView, type TaskState } from '@acaciadock/jobs';
-import { QueueOrder, type RejectedSizes, TargetChooser } from '@acaciadock/placement';
+import {
+  type PlacementRequest,
+  QueueOrder,
+  type RejectedSizes,
+  TargetChooser,
+} from '@acaciadock/placement';
 import { type DemandMeter } from './DemandMeter.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type QueuedStep } from './QueuedStep.js';
 import { type RunTracker } from './RunTracker.js';
+import { type SuspectIsolation } from './SuspectIsolation.js';
 import { type TeamUsage } from './TeamUsage.js';
 import { type TicketCache } from './TicketCache.js';
 
@@ -22,6 +28,7 @@
   readonly runTracker: RunTracker;
   readonly tickets: TicketCache;
   readonly demand: DemandMeter;
+  readonly isolation: SuspectIsolation;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
@@ -43,36 +50,81 @@
     targets: readonly FleetTarget[],
     rejectedSizes: RejectedSizes,
   ): PlaceOutcome {
-    if (rejectedSizes.excludes(open.step.spec)) return 'no-room';
     const placed: LiveRun[] = [];
-    const outcome = open.step.spec.gang
-      ? this.placeGang(open, targets, placed)
-      : this.placeTasks(open, targets, placed);
+    this.placeSuspects(open, targets, placed);
+    const shared = this.deps.isolation.shared(targets);
+    const outcome = this.placeOthers(open, shared, rejectedSizes, placed);
     // With an advice rule, a target may have room and still not be permitted.
     if (outcome === 'no-room' && !this.adviceFor(open)) rejectedSizes.note(open.step.spec);
     if (placed.length > 0) this.logPlaced(open, placed, targets.length);
     return outcome;
   }
 
+  private placeOthers(
+    open: QueuedStep,
+    targets: readonly FleetTarget[],
+    rejectedSizes: RejectedSizes,
+    placed: LiveRun[],
+  ): PlaceOutcome {
+    if (open.step.spec.gang) return this.placeGang(open, targets, placed);
+    const waiting = open.step.waitingTasks.filter((task) => !task.isSuspect);
+    if (waiting.length === 0) return 'placed';
+    if (rejectedSizes.excludes(open.step.spec)) return 'no-room';
+    return this.placeTasks(open, waiting, targets, placed);
+  }
+
+  /**
+   * Places the suspects among the waiting tasks on targets that are kept for their job. The members
+   * of a gang can't be kept apart, so they are placed like any other gang.
+   */
+  private placeSuspects(
+    open: QueuedStep,
+    targets: readonly FleetTarget[],
+    placed: LiveRun[],
+  ): void {
+    if (open.step.spec.gang) return;
+    const nowMs = this.deps.clock.monotonicMs();
+    open.step.waitingTasks
+      .filter((task) => task.isSuspect && task.notBeforeMs <= nowMs)
+      .forEach((task) => {
+        const live = this.placeSuspect(open, task, targets);
+        if (live) placed.push(live);
+      });
+  }
+
+  private placeSuspect(
+    open: QueuedStep,
+    task: TaskState,
+    targets: readonly FleetTarget[],
+  ): LiveRun | undefined {
+    if (!this.teamAllows(open, 1)) return undefined;
+    const request = TaskPlacer.requestFor(open, task, '');
+    const target = this.deps.isolation.targetFor(open.entry.job, request, targets);
+    const chosen = target && this.choose(open, task, [target], '');
+    return chosen && this.plan(open, task, chosen);
+  }
+
   /** Plans a second run of the task on one of the targets; undefined if there is no room. */
   placeCopy(
     open: QueuedStep,
     task: TaskState,
     targets: readonly FleetTarget[],
   ): LiveRun | undefined {
+    if (task.isSuspect) return this.placeSuspect(open, task, targets);
     if (!this.teamAllows(open, 1)) return undefined;
-    const target = this.choose(open, task, targets, '');
+    const target = this.choose(open, task, this.deps.isolation.shared(targets), '');
     return target && this.plan(open, task, target);
   }
 
   private placeTasks(
     open: QueuedStep,
+    tasks: readonly TaskState[],
     targets: readonly FleetTarget[],
     placed: LiveRun[],
   ): PlaceOutcome {
     const nowMs = this.deps.clock.monotonicMs();
-    for (const task of open.step.tasks) {
-      if (!task.isWaiting || task.notBeforeMs > nowMs) continue;
+    for (const task of tasks) {
+      if (task.notBeforeMs > nowMs) continue;
       const outcome = this.placeTask(open, task, targets, placed);
       if (outcome !== 'placed') return outcome;
     }
@@ -117,12 +169,7 @@
     targets: readonly FleetTarget[],
     onlyRackId: string,
   ): FleetTarget | undefined {
-    const request = {
-      step: open.step.spec,
-      stepId: open.step.stepId,
-      avoidTargetId: task.avoidTargetId,
-      onlyRackId,
-    };
+    const request = TaskPlacer.requestFor(open, task, onlyRackId);
     const work = this.deps.demand.workOf(targets[0]?.poolId ?? '');
     if (!this.adviceFor(open)) return TargetChooser.choose(targets, request, work);
     const fitting = targets.filter((target) => TargetChooser.fits(target, request));
@@ -134,6 +181,14 @@
     return TargetChooser.choose(allowed, request, work);
   }
 
+  private static requestFor(
+    { step }: QueuedStep,
+    { avoidTargetId }: TaskState,
+    onlyRackId: string,
+  ): PlacementRequest {
+    return { step: step.spec, stepId: step.stepId, avoidTargetId, onlyRackId };
+  }
+
   private adviceFor({ entry }: QueuedStep): AdviceRule | undefined {
     return this.deps.config().queue(entry.job.definition.queueId)?.advice;
   }
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -160,6 +160,11 @@
     return task.failures >= this.definition.maxAttempts;
   }
 
+  /** Whether the task is not started again, which fails the whole job. */
+  static isGivenUp({ task }: TaskPlace): boolean {
+    return task.isGivenUp && !task.done && task.runs.length === 0;
+  }
+
   finish(status: 'completed' | 'failed' | 'cancelled', nowUnixMs: number): void {
     if (this.isFinished) return;
     this.status = status;
--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -42,6 +42,26 @@
   return job;
 }
 
+describe('the crashes of targets that ran a task', () => {
+  it('survive a change of owner, so that they are not counted anew', (t) => {
+    const job = startedJob();
+    const { task } = job.find(0, 0, 1)!;
+    task.recordCrash({ isEarly: true, isConfirmed: true });
+    task.recordCrash({ isEarly: false, isConfirmed: true });
+    const restored = new Job(definition());
+    t.ok(JobCodec.restoreProgress(restored, JobCodec.encodeProgress(job)).isOk());
+    t.match(restored.find(0, 0, 1)?.task, { crashes: 2, earlyCrashes: 1, isSuspect: true });
+  });
+
+  it('are none in a record without them, as earlier versions wrote', (t) => {
+    const encoded = JobCodec.encodeProgress(startedJob());
+    t.notOk(encoded.toString().includes('rashes'));
+    const restored = new Job(definition());
+    t.ok(JobCodec.restoreProgress(restored, encoded).isOk());
+    t.match(restored.find(0, 0, 1)?.task, { crashes: 0, earlyCrashes: 0, isSuspect: false });
+  });
+});
+
 describe('Job', () => {
   it('opens a step only after the steps before it have ended', (t) => {
     const job = new Job(definition());
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -23,6 +23,8 @@
   lastRun: z.number(),
   checkpoint: z.string(),
   runs: z.array(z.object({ run: z.number(), targetId: z.string(), bornMs: z.number() })).readonly(),
+  crashes: z.number().optional(),
+  earlyCrashes: z.number().optional(),
 });
 
 const occurrenceEntrySchema = z.object({
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -1,5 +1,6 @@
 /**
- * One task: its failures, the runs that may still be alive, and its checkpoint. A run counts as
+ * One task: its failures, the crashes of targets that ran it, the runs that may still be alive, and
+ * its checkpoint. A run counts as
  * alive from before its start order is sent until its end, or the expiry of its lease, is certain.
  */
 
@@ -17,6 +18,17 @@
   readonly lastRun: number;
   readonly checkpoint: string;
   readonly runs: readonly TaskRun[];
+  /** Omitted if no target has crashed while the task ran there. */
+  readonly crashes?: number | undefined;
+  readonly earlyCrashes?: number | undefined;
+}
+
+/** What is known about the run of a task whose target has crashed. */
+export interface RunCrash {
+  /** The run had only just started, as far as is known. */
+  readonly isEarly: boolean;
+  /** The target had accepted or listed the run, so it had begun. */
+  readonly isConfirmed: boolean;
 }
 
 export class TaskState {
@@ -26,6 +38,15 @@
 
   lastRun = 0;
 
+  /** Targets that crashed while the task ran there, or may have. */
+  crashes = 0;
+
+  /** Those of them that crashed soon after they had started the task, in a row. */
+  earlyCrashes = 0;
+
+  /** The task is not started again, because it crashes the targets that start it. */
+  isGivenUp = false;
+
   checkpoint = '';
 
   runs: TaskRun[] = [];
@@ -44,6 +65,9 @@
 
   private isBegun = false;
 
+  /** A target may have crashed because it started the task. Not kept by a new owner. */
+  private isSuspected = false;
+
   constructor(
     readonly taskId: string,
     readonly index: number,
@@ -101,15 +125,41 @@
     this.avoidTargetId = targetId;
   }
 
+  /** Whether the task may crash the targets that start it. */
+  get isSuspect(): boolean {
+    return this.earlyCrashes > 0 || this.isSuspected;
+  }
+
+  markSuspected(): void {
+    this.isSuspected = true;
+  }
+
+  recordCrash({ isEarly, isConfirmed }: RunCrash): void {
+    this.crashes += 1;
+    if (isEarly && isConfirmed) this.earlyCrashes += 1;
+    if (isEarly) this.isSuspected = true;
+  }
+
+  /**
+   * Clears the suspicion: a target runs the task and has not crashed. A task that runs for good is
+   * bound to be under a crash now and then, so its crashes are counted anew.
+   */
+  clearSuspicion(isLongRunning: boolean): void {
+    this.earlyCrashes = 0;
+    this.isSuspected = false;
+    if (isLongRunning) this.crashes = 0;
+  }
+
   hasRun(run: number): boolean {
     return this.runs.some((other) => other.run === run);
   }
 
   /** Returns the stored form; undefined for a task that was never started and is not done. */
   toRecord(): TaskRecord | undefined {
-    const { done, failures, lastRun, checkpoint, runs } = this;
+    const { done, failures, lastRun, checkpoint, runs, crashes, earlyCrashes } = this;
     if (lastRun === 0 && !done) return undefined;
-    return { done, failures, lastRun, checkpoint, runs };
+    const record = { done, failures, lastRun, checkpoint, runs };
+    return crashes === 0 ? record : { ...record, crashes, earlyCrashes };
   }
 
   restore(record: TaskRecord): void {
@@ -118,6 +168,8 @@
     this.lastRun = record.lastRun;
     this.checkpoint = record.checkpoint;
     this.runs = [...record.runs];
+    this.crashes = record.crashes ?? 0;
+    this.earlyCrashes = record.earlyCrashes ?? 0;
     this.onChanged();
   }
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -10,6 +10,7 @@
 export * from './ShareMeter.js';
 export * from './StragglerDetector.js';
 export * from './TargetChooser.js';
+export * from './CrashPolicy.js';
 export * from './TargetHealth.js';
 export * from './TargetSpeed.js';
 export * from './OrderBudget.js';
