Copies of runs that had only just started go to a target kept for them

What callers saw: tasks that had just started elsewhere were lost with the copy's target. Cause: a silent target is the reason for a copy, so a task that has just crashed one target was started on a second one, beside other new tasks, before the first was known to have crashed. Change: such a copy is a suspect like a task under a crash; a task under a known crash gets no copy for silence.

--- a/packages/coordinator/src/CopyController.ts
+++ b/packages/coordinator/src/CopyController.ts
@@ -30,7 +30,7 @@
   check(): void {
     const candidates = this.silentTargets()
       .flatMap((target) => [...target.runs.values()])
-      .filter((live) => CopyController.mayCopy(live))
+      .filter((live) => CopyController.mayCopy(live) && live.place.task.crashes === 0)
       .flatMap((live) => {
         const open = this.deps.scheduler.queuedStepOf(live.place);
         return open ? [{ ...open, open, live }] : [];
@@ -118,6 +118,8 @@
       .openTargets(scheduler.poolOf(open.entry))
       .filter((target) => !target.runs.has(live.taskId));
     const rackId = targets.get(live.targetId)?.rackId ?? '';
+    // The target may be silent because it crashed when it started the task.
+    if (reason === 'silent' && live.isEarly) task.markSuspected();
     // A fault often hits a whole rack, so another rack is preferred.
     const copy =
       scheduler.placeCopy(
