A planned run is not ordered on a target that has shrunk meanwhile

Cause: the room of a target was checked when a run was planned. Its record may take seconds while the store is away, and the order was sent without a second look. The class is a check whose result is used after it has become outdated; silence and evacuation of the target were re-checked, capacity was not. Change: the driver names what speaks against an order right before it is sent, and logs it.

--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -6,6 +6,7 @@
  * the answer to the call `hold`, which also extends the lease and acknowledges ends.
  */
 import { LeaseClock, SLOWEST_CLOCK_RATE, type TargetAddress } from '@acaciadock/execution';
+import { type StepSpec } from '@acaciadock/jobs';
 import { type CommitOutcome } from '@acaciadock/journal';
 import { type PlacementTarget, type Resources } from '@acaciadock/placement';
 import { type Capacity, type RegistryEntry } from './contracts/index.js';
@@ -198,6 +199,16 @@
     return listedMs !== 0 && this.bornMs !== 0 && listedMs > this.bornMs;
   }
 
+  /**
+   * Whether the runs exceed the capacity, which may have shrunk since they were placed, in a resource
+   * that the step uses.
+   */
+  isOverfilledFor(step: StepSpec): boolean {
+    if (!step.filler && step.cpuMilli > 0 && this.freeCpuMilli < 0) return true;
+    if (step.memoryMb > 0 && this.freeMemoryMb < 0) return true;
+    return step.gpuCount > 0 && this.freeGpuCount < 0;
+  }
+
   private updateUsage(run: LiveRun, sign: 1 | -1): void {
     const { spec, stepId } = run.place.step;
     if (!spec.filler) this.usedCpuMilli += sign * spec.cpuMilli;
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -79,6 +79,8 @@
 /** No tasks are placed this long after an `unhealthy` answer, in milliseconds. */
 const UNHEALTHY_PAUSE_MS = 1_500;
 
+type StartObstacle = 'ownership-unproven' | 'target-silent' | 'zone-evacuated' | 'capacity-shrunk';
+
 export interface TargetDriverDeps {
   readonly port: TargetPort;
   readonly runTracker: RunTracker;
@@ -123,9 +125,9 @@
     const { target } = this;
     const { port, ownership, clock } = this.deps;
     if (!this.isCurrent(live) || live.phase !== 'planned') return;
-    // Since the run was planned, the zone may have been evacuated and the target fallen silent.
-    const isReachable = target.consecutiveFailures === 0 && target.mayStartInZone;
-    if (!ownership.mayExtendLeases || !isReachable) {
+    const obstacle = this.obstacleTo(live);
+    if (obstacle) {
+      this.log('start', live, obstacle);
       this.deps.runTracker.stop(live);
       return;
     }
@@ -141,6 +143,18 @@
     this.wake();
   }
 
+  /**
+   * Why a planned run must not be ordered any more: it may have taken seconds to record it, and what
+   * its placement rests on may have changed meanwhile. Undefined if nothing speaks against it.
+   */
+  private obstacleTo({ place }: LiveRun): StartObstacle | undefined {
+    const { target } = this;
+    if (!this.deps.ownership.mayExtendLeases) return 'ownership-unproven';
+    if (target.consecutiveFailures > 0) return 'target-silent';
+    if (!target.mayStartInZone) return 'zone-evacuated';
+    return target.isOverfilledFor(place.step.spec) ? 'capacity-shrunk' : undefined;
+  }
+
   /** Handles a start that may have reached a lifetime of the target that has not reported yet. */
   private checkLifetime(done: Result<OrderReceipt, OrderFailure>, sentAtMs: number): void {
     const { lease } = this.target;
