No task starts on a new lifetime of a target before the registry lists it

What could go wrong: a target that came back with a smaller capacity was filled up to its former one. Cause: a report reveals a new lifetime at once, while the capacity known is that of the listed one, up to a listing interval older, or more while the store can't be read. Change: a target whose listing is of an earlier lifetime than its report is closed to new tasks.

--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -159,7 +159,7 @@
   /** Whether new tasks may be placed on the target. */
   isOpen(nowMs: number): boolean {
     if (!this.isListed || this.isDraining || this.isReserved) return false;
-    if (this.hasUnknownLifetime || !this.mayStartInZone) return false;
+    if (this.hasUnknownLifetime || this.isListingOutdated || !this.mayStartInZone) return false;
     return this.isConfirmed && this.consecutiveFailures === 0 && nowMs >= this.closedUntilMs;
   }
 
@@ -199,6 +199,12 @@
     return listedMs !== 0 && this.bornMs !== 0 && listedMs > this.bornMs;
   }
 
+  /** Whether the registry still lists an earlier lifetime, whose capacity may differ. */
+  get isListingOutdated(): boolean {
+    const listedMs = this.entry?.bornMs ?? 0;
+    return listedMs !== 0 && this.bornMs > listedMs;
+  }
+
   /**
    * Whether the runs exceed the capacity, which may have shrunk since they were placed, in a resource
    * that the step uses.
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -79,7 +79,8 @@
 /** No tasks are placed this long after an `unhealthy` answer, in milliseconds. */
 const UNHEALTHY_PAUSE_MS = 1_500;
 
-type StartObstacle = 'ownership-unproven' | 'target-silent' | 'zone-evacuated' | 'capacity-shrunk';
+type StartObstacle =
+  'ownership-unproven' | 'target-silent' | 'zone-evacuated' | 'target-reborn' | 'capacity-shrunk';
 
 export interface TargetDriverDeps {
   readonly port: TargetPort;
@@ -152,6 +153,7 @@
     if (!this.deps.ownership.mayExtendLeases) return 'ownership-unproven';
     if (target.consecutiveFailures > 0) return 'target-silent';
     if (!target.mayStartInZone) return 'zone-evacuated';
+    if (target.isListingOutdated) return 'target-reborn';
     return target.isOverfilledFor(place.step.spec) ? 'capacity-shrunk' : undefined;
   }
 
--- a/packages/jobdesk/src/shrunkTargets.test.ts
+++ b/packages/jobdesk/src/shrunkTargets.test.ts
@@ -96,6 +96,24 @@
     await assertCompletes(t, world, ['a', 'b']);
     t.same(overruns, []);
   });
+
+  it('starts again with less: its former capacity counts no more', async (t) => {
+    const world = await createWorld({ targetCount: 1, runtimeMs: 2_000, refusesOverload: false });
+    await submitTasks(world, 'a', 4);
+    await submitTasks(world, 'b', 4);
+    const target = targetOf(world);
+    const entry = { ...target.entry };
+    const overruns = recordOverruns(world);
+    setCapacity(world, 't0', TASK_CPU_MILLI);
+    target.restart();
+    // The registry lists the former lifetime for a while longer.
+    Object.defineProperty(target, 'entry', { value: entry, configurable: true });
+    await world.run(1_000);
+    t.equal(target.runningCount, 0, 'nothing starts before the registry lists the new lifetime');
+    Reflect.deleteProperty(target, 'entry');
+    await assertCompletes(t, world, ['a', 'b']);
+    t.same(overruns, []);
+  });
 });
 
 describe('a pool whose targets have shrunk', () => {
