Random schedules with tasks that crash targets and with changing capacities

Cause: no random test had a fault that travels with the work, or a capacity that changes, so neither could be found by them. Change: 30 schedules submit such tasks and change capacities among all other faults; targets record each start beyond their capacity, with the grace that the rule allows.

--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -124,7 +124,7 @@
   /** Sends the start order of a durable run. */
   async start(live: LiveRun): Promise<void> {
     const { target } = this;
-    const { port, ownership, clock } = this.deps;
+    const { port, clock } = this.deps;
     if (!this.isCurrent(live) || live.phase !== 'planned') return;
     const obstacle = this.obstacleTo(live);
     if (obstacle) {
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -24,6 +24,11 @@
   readonly cpuMilli: number;
   readonly runtimeMs: number;
   readonly failShare: number;
+  /**
+   * CPU of every task. If given, the target records each start that exceeds its capacity, as one that
+   * does not reject it would.
+   */
+  readonly taskCpuMilli?: number;
   /** `z` if omitted. */
   readonly zoneId?: string;
   readonly rackId?: string;
@@ -49,6 +54,9 @@
 const CRASH_DELAY_MS = 10;
 const CRASH_DOWN_MS = 3_000;
 
+/** A capacity that has shrunk counts only after this time: a contact time and a heartbeat. */
+const FORMER_CAPACITY_MS = 4_500;
+
 const NEVER_MS = 1e9;
 
 function refusal(kind: OrderFailure['kind']): Result<never, OrderFailure> {
@@ -71,8 +79,10 @@
   /** Factor on the runtimes of runs that start from now on. */
   slowdown = 1;
 
-  /** Replaces the CPU capacity of the options; undefined leaves it. */
-  cpuMilli: number | undefined;
+  private cpuMilli: number;
+
+  /** The capacity before the last change, which counts for a while, and the time of that change. */
+  private formerCapacity = { cpuMilli: 0, untilMs: 0 };
 
   private bornMs: number;
 
@@ -107,6 +117,14 @@
     private readonly observer: RunObserver,
   ) {
     this.bornMs = clock.unixMs();
+    this.cpuMilli = options.cpuMilli;
+  }
+
+  /** Changes the CPU capacity while the target runs. */
+  setCapacity(cpuMilli: number): void {
+    const untilMs = this.clock.monotonicMs() + FORMER_CAPACITY_MS;
+    this.formerCapacity = { cpuMilli: this.cpuMilli, untilMs };
+    this.cpuMilli = cpuMilli;
   }
 
   get entry(): RegistryEntry {
@@ -117,7 +135,7 @@
       zoneId: this.options.zoneId ?? 'z',
       rackId: this.options.rackId ?? 'r',
       labels: ['a', 'r'],
-      capacity: { cpuMilli: this.cpuMilli ?? this.options.cpuMilli, memoryMb: 64_000, gpuCount: 0 },
+      capacity: { cpuMilli: this.cpuMilli, memoryMb: 64_000, gpuCount: 0 },
       state: this.isDraining ? 'draining' : 'ready',
       remainingMs: undefined,
       bornMs: this.bornMs,
@@ -187,6 +205,7 @@
       ? this.clock.after(NEVER_MS, () => undefined)
       : this.clock.after(spreadMs, () => this.end(taskId, isFailing ? 'failed' : 'done'));
     this.running.set(taskId, { taskId, run, timer, percent: this.isStalling ? 0 : 100 });
+    this.checkCapacity(taskId);
     if (SimulatedTarget.isDeadly(order)) this.crashSoon(taskId);
     return ok({ clockMs: this.clockMs });
   }
@@ -203,6 +222,16 @@
     return ok({ clockMs: this.clockMs });
   }
 
+  private checkCapacity(taskId: string): void {
+    const { taskCpuMilli } = this.options;
+    if (taskCpuMilli === undefined) return;
+    const { cpuMilli, untilMs } = this.formerCapacity;
+    const formerCpuMilli = this.clock.monotonicMs() < untilMs ? cpuMilli : 0;
+    const limitCpuMilli = Math.max(this.cpuMilli, formerCpuMilli);
+    if (this.running.size * taskCpuMilli <= limitCpuMilli) return;
+    this.observer.broken.push(`${taskId} brings ${this.targetId} over ${limitCpuMilli}`);
+  }
+
   private static isDeadly({ taskId, spec }: StartOrder): boolean {
     const [, index] = spec.split(DEADLY_PREFIX);
     return index !== undefined && taskId.endsWith(`.${index}`);
--- a/packages/jobdesk/src/schedules.test.ts
+++ b/packages/jobdesk/src/schedules.test.ts
@@ -10,6 +10,9 @@
 const OVERLOADED_COUNT = 12;
 const LOAD = 5;
 
+/** Schedules with tasks that crash the targets that start them and capacities that change. */
+const DISTURBED_COUNT = 30;
+
 /**
  * Seeds of schedules that once exposed a fault; don't remove any. They run without copies, which
  * would change what happens in them.
@@ -38,6 +41,14 @@
     t.pass('all schedules passed');
   });
 
+  it(`keep the guarantees while tasks crash targets and capacities change (${DISTURBED_COUNT} seeds)`, async (t) => {
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + DISTURBED_COUNT; seed += 1) {
+      const disturbances = new Random(seed + 1);
+      const found = await runSchedule(new Random(seed), seed, true, 1, disturbances);
+      t.same(found, [], `seed ${seed}`);
+    }
+  });
+
   it(`keep the guarantees under ${LOAD} times the load (${OVERLOADED_COUNT} seeds)`, async (t) => {
     for (let seed = FIRST_SEED; seed < FIRST_SEED + OVERLOADED_COUNT; seed += 1) {
       t.same(await runSchedule(new Random(seed), seed, false, LOAD), [], `seed ${seed}`);
--- a/packages/jobdesk/src/shrunkTargets.test.ts
+++ b/packages/jobdesk/src/shrunkTargets.test.ts
@@ -24,7 +24,7 @@
 }
 
 function setCapacity(world: JobWorld, targetId: string, cpuMilli: number): void {
-  Object.assign(targetOf(world, targetId), { cpuMilli });
+  targetOf(world, targetId).setCapacity(cpuMilli);
 }
 
 /** Records the starts that bring a target over its capacity; what is being stopped still counts. */
@@ -127,7 +127,7 @@
     });
     await world.run(1_000);
     const own = [...world.targets.values()];
-    own.forEach((target) => Object.assign(target, { cpuMilli: TASK_CPU_MILLI }));
+    own.forEach((target) => target.setCapacity(TASK_CPU_MILLI));
     await world.run(500);
     const jobIds: string[] = [];
     let atMost = 0;
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -53,6 +53,8 @@
   readonly zoneCount: number;
   /** Bound on starts in an evacuated zone, in milliseconds; undefined if there is none. */
   readonly evacuateMs: number | undefined;
+  /** CPU of every task, if the targets are to record starts beyond their capacity. */
+  readonly taskCpuMilli?: number;
   readonly logger: Logger;
 }
 
@@ -286,8 +288,9 @@
   }
 
   private targetOptions(): SimulatedTargetOptions {
-    const { runtimeMs, failShare } = this.options;
-    return { maxLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare };
+    const { runtimeMs, failShare, taskCpuMilli } = this.options;
+    const common = { maxLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare };
+    return taskCpuMilli === undefined ? common : { ...common, taskCpuMilli };
   }
 
   private rackOf(index: number): string {
--- a/packages/jobdesk/src/testing/runSchedule.ts
+++ b/packages/jobdesk/src/testing/runSchedule.ts
@@ -1,5 +1,6 @@
 /** Runs one random schedule of jobs and faults and returns the guarantees it violated. */
 import { type Random } from '@acaciadock/core';
+import { DEADLY_PREFIX } from '@acaciadock/coordinator/testing';
 import { DEFAULT_WORLD, JobWorld } from './JobWorld.js';
 
 const FAULTY_MS = 12_000;
@@ -16,6 +17,12 @@
 /** Minimum time that a process takes to restart, in milliseconds. */
 const MIN_RESTART_MS = 150;
 
+/** CPU of every task in schedules with targets that crash or shrink, in thousandths of a core. */
+const TASK_CPU_MILLI = 800;
+
+const DEADLY_CHANCE = 0.15;
+const SHRINK_CHANCE = 0.2;
+
 type Fault = (world: JobWorld, random: Random) => void;
 
 function pickEntry(world: JobWorld, random: Random): string {
@@ -92,6 +99,19 @@
   (world) => world.store.startGeneration(),
 ];
 
+/** Submits a job with a task that crashes the targets that start it, or changes a target's capacity. */
+function disturbTargets(world: JobWorld, random: Random, jobId: string): void {
+  if (random.chance(DEADLY_CHANCE)) {
+    const step = { taskCount: random.integer(1, 3), cpuMilli: TASK_CPU_MILLI };
+    const speculative = random.chance(0.5);
+    void world.submit(jobId, { spec: `${DEADLY_PREFIX}0`, steps: [{ ...step, speculative }] });
+  }
+  if (random.chance(SHRINK_CHANCE)) {
+    const cpuMilli = random.pick([1, 2, 5]) ?? 1;
+    world.targets.get(pickTarget(world, random))?.setCapacity(cpuMilli * TASK_CPU_MILLI);
+  }
+}
+
 function clearFaults(world: JobWorld): void {
   Object.assign(world.store.faults, { isDown: false, lostAnswerShare: 0 });
   world.entries.forEach((entry) => {
@@ -138,13 +158,14 @@
 /**
  * Runs the schedule of this seed, with jobs of several times the size if `load` is above 1; returns a
  * description of each violated guarantee. With copies, every second job permits several concurrent
- * runs of its tasks.
+ * runs of its tasks. `disturbances` draws tasks that crash their targets, and capacities that change.
  */
 export async function runSchedule(
   random: Random,
   seed: number,
   hasCopies: boolean,
   load = 1,
+  disturbances?: Random,
 ): Promise<string[]> {
   const world = new JobWorld({
     ...DEFAULT_WORLD,
@@ -152,18 +173,22 @@
     failShare: 0.1,
     maxAttempts: MAX_ATTEMPTS,
     runtimeMs: 300 + random.next() * 1_500,
+    ...(disturbances ? { taskCpuMilli: TASK_CPU_MILLI } : {}),
   });
   await world.run(1_500);
+  const firstCpuMilli = disturbances ? TASK_CPU_MILLI : 700;
+  const cpuMilli = disturbances ? TASK_CPU_MILLI : 900;
   let jobs = 0;
   for (let elapsedMs = 0; elapsedMs < FAULTY_MS; elapsedMs += PERIOD_MS) {
     jobs += 1;
     const speculative = hasCopies && jobs % 2 === 0;
     void world.submit(`j${jobs}`, {
       steps: [
-        { taskCount: load * random.integer(1, 4), cpuMilli: 700, speculative },
-        { taskCount: load * random.integer(1, 2), cpuMilli: 900, afterSteps: [0], speculative },
+        { taskCount: load * random.integer(1, 4), cpuMilli: firstCpuMilli, speculative },
+        { taskCount: load * random.integer(1, 2), cpuMilli, afterSteps: [0], speculative },
       ],
     });
+    if (disturbances) disturbTargets(world, disturbances, `deadly${jobs}`);
     if (random.chance(0.35)) random.pick(FAULTS)?.(world, random);
     await world.run(PERIOD_MS);
   }
