A target has ended once another one is listed on its instance

What callers saw: after some crashes a task was started again 5 s later, as after a silence, and the crash was not counted. Cause: the proof of a crash was an answer from the target's address. A worker that comes back at another address, or whose machine moves on, leaves nobody to answer, and the runs ended as lapsed. Change: listings of instances are compared; a new target on an instance ends the runs of the former one as crashed, unless it was emptied or drained. Instances are listed each 0.4 s while runs are on silent targets, 2 s otherwise. A side effect is that such runs restart before their lease expires.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -210,7 +210,7 @@
       scheduler,
       admission,
     });
-    this.fleetController = this.createFleetController();
+    this.fleetController = this.createFleetController(crashes);
     this.restore(owned);
     this.connect();
   }
@@ -251,7 +251,7 @@
     });
   }
 
-  private createFleetController(): FleetController | undefined {
+  private createFleetController(crashes: CrashHandler): FleetController | undefined {
     const { fleet, reports, waves, ownership, clock, logger, config } = this.deps;
     if (!fleet) return undefined;
     const { targets, relocator, demand } = this;
@@ -261,6 +261,7 @@
         reports,
         waves,
         targets,
+        crashes,
         relocator,
         evacuation: this.zoneEvacuation,
         evacuationLacksRoom: (poolId) => this.evacuations.lacksRoom(poolId),
--- a/packages/coordinator/src/CrashHandler.ts
+++ b/packages/coordinator/src/CrashHandler.ts
@@ -1,7 +1,7 @@
 /**
- * Ends the runs of a target whose process has ended without notice. The proof is that a later
- * process answers at its address or reports under its id; silence alone proves nothing. A task that causes such
- * crashes is given up, which fails its job.
+ * Ends the runs of a target whose process has ended without notice. The proof is a later process in
+ * its place, see `CrashEvidence`; silence alone proves nothing. A task that causes such crashes is
+ * given up, which fails its job.
  */
 import { type Clock, type Logger } from '@acaciadock/core';
 import { type CommitOutcome } from '@acaciadock/journal';
@@ -10,8 +10,11 @@
 import { type LiveRun } from './LiveRun.js';
 import { type RunTracker } from './RunTracker.js';
 
-/** How the end of the process is known: another one answered, or its successor reported. */
-export type CrashEvidence = 'other-lifetime' | 'reborn';
+/**
+ * How the end of the process is known: another one answered at its address, its successor reported
+ * under its id, or another target is listed on its instance.
+ */
+export type CrashEvidence = 'other-lifetime' | 'reborn' | 'replaced';
 
 export class CrashHandler {
   constructor(
--- a/packages/coordinator/src/FleetController.ts
+++ b/packages/coordinator/src/FleetController.ts
@@ -6,10 +6,12 @@
 import { type JobsConfigView } from '@acaciadock/jobs';
 import { type PoolRoom } from '@acaciadock/placement';
 import { type InstanceFleet, type UpkeepWave, type WaveReports } from './contracts/index.js';
+import { type CrashHandler } from './CrashHandler.js';
 import { type DemandMeter } from './DemandMeter.js';
 import { DUTY_KEY, FleetOrders, type FleetOrdersOptions } from './FleetOrders.js';
 import { type Ownership } from './Ownership.js';
 import { PoolController } from './PoolController.js';
+import { ReplacementMonitor } from './ReplacementMonitor.js';
 import { type TargetTable } from './TargetTable.js';
 import { type TaskRelocator } from './TaskRelocator.js';
 import { UpkeepController } from './UpkeepController.js';
@@ -25,6 +27,7 @@
   readonly reports: WaveReports;
   readonly waves: () => readonly UpkeepWave[];
   readonly targets: TargetTable;
+  readonly crashes: CrashHandler;
   readonly relocator: TaskRelocator;
   readonly evacuation: ZoneEvacuation;
   /** Whether a long-running task can't leave an evacuated zone for another target of the pool. */
@@ -49,6 +52,8 @@
   ) {
     super();
     this.orders = this.register(new FleetOrders(options, deps));
+    const replacements = new ReplacementMonitor(deps.targets, deps.crashes);
+    this.register(this.orders.onListed((listed) => replacements.compare(listed)));
     this.upkeep = this.register(
       new UpkeepController(options.upkeepMs, {
         ...deps,
--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -5,7 +5,7 @@
  * minimum time between their orders to one instance, so an instance that a previous holder sent an
  * order to recently gets none until that time has passed; all others can be ordered at once.
  */
-import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
 import { OrderBudget } from '@acaciadock/placement';
 import * as z from 'zod';
 import { type FleetFailure, type FleetInstance, type InstanceFleet } from './contracts/index.js';
@@ -15,8 +15,11 @@
 /** Journal key of the `DutyRecord`. */
 export const DUTY_KEY = 'duty';
 
-/** Refresh intervals of the instance list, in milliseconds, with and without pending orders. */
-const PENDING_ORDER_LIST_MS = 400;
+/**
+ * Refresh intervals of the instance list, in milliseconds: while orders are pending or runs are on
+ * silent targets, and otherwise.
+ */
+const URGENT_LIST_MS = 400;
 const IDLE_LIST_MS = 2_000;
 
 /** Safety margin on top of `orderSeparationMs`, in milliseconds. */
@@ -70,6 +73,11 @@
 export type OrderOutcome = 'accepted' | 'not-sent' | FleetFailure['kind'];
 
 export class FleetOrders extends Disposable {
+  private readonly listedEmitter = this.register(new EventEmitter<readonly FleetInstance[]>());
+
+  /** Fires when the instances have been listed. */
+  readonly onListed = this.listedEmitter.event;
+
   private listed: readonly FleetInstance[] = [];
 
   private listedMs = -Infinity;
@@ -190,7 +198,8 @@
   async refresh(): Promise<void> {
     const { clock, fleet, logger } = this.deps;
     const nowMs = clock.monotonicMs();
-    const periodMs = this.pending.size > 0 ? PENDING_ORDER_LIST_MS : IDLE_LIST_MS;
+    const isUrgent = this.pending.size > 0 || this.hasSilentRuns;
+    const periodMs = isUrgent ? URGENT_LIST_MS : IDLE_LIST_MS;
     if (nowMs - this.listedMs < periodMs) return;
     const listed = await fleet.list();
     this.listedMs = nowMs;
@@ -200,6 +209,7 @@
     }
     this.listed = listed.value;
     this.settlePending(nowMs);
+    this.listedEmitter.fire(this.listed);
   }
 
   /**
@@ -235,6 +245,14 @@
     return this.recordOutcome('upkeep', instance, poolId, done.isErr() ? done.error : undefined);
   }
 
+  /** Whether runs are on a target that does not answer; the list may show that it was replaced. */
+  private get hasSilentRuns(): boolean {
+    for (const { consecutiveFailures, runs } of this.deps.targets.all) {
+      if (consecutiveFailures > 0 && runs.size > 0) return true;
+    }
+    return false;
+  }
+
   private get duty(): { holderId: string; fencingToken: number } {
     return { holderId: this.options.holderId, fencingToken: this.deps.ownership.epoch };
   }
--- a/packages/coordinator/src/testing/SimulatedFleet.ts
+++ b/packages/coordinator/src/testing/SimulatedFleet.ts
@@ -17,6 +17,9 @@
 const MOVE_MS = 1_500;
 const UPKEEP_MS = 2_000;
 
+/** Time until the registry drops a target that is silent, from its replacement on. */
+const UNLISTED_AFTER_MS = 1_500;
+
 interface Instance {
   readonly instanceId: string;
   readonly zoneId: string;
@@ -132,9 +135,12 @@
     this.bootCount += 1;
     const targetId = `${instance.instanceId}-${this.bootCount}`;
     Object.assign(instance, { targetId });
-    targets.set(
-      targetId,
-      new SimulatedTarget(targetId, instance.poolId, options, clock, random, observer),
-    );
+    const target = new SimulatedTarget(targetId, instance.poolId, options, clock, random, observer);
+    // Another target takes the place of one that crashed; the registry lists that one a while longer.
+    target.recover = () => {
+      clock.after(UNLISTED_AFTER_MS, () => Object.assign(target, { isListed: false }));
+      if (instance.state === 'up' && instance.targetId === targetId) this.boot(instance);
+    };
+    targets.set(targetId, target);
   }
 }
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -84,6 +84,11 @@
   /** The capacity before the last change, which counts for a while, and the time of that change. */
   private formerCapacity = { cpuMilli: 0, untilMs: 0 };
 
+  /** Brings the target back after a task has crashed it: as a new lifetime under its id, by default. */
+  recover: () => void = () => {
+    if (!this.isUp) this.restart();
+  };
+
   private bornMs: number;
 
   private highestToken = 0;
@@ -244,9 +249,7 @@
       if (!this.isUp || this.bornMs !== bornMs || !this.running.has(taskId)) return;
       this.observer.crashed(taskId, [...this.running.keys()]);
       this.crash();
-      this.clock.after(CRASH_DOWN_MS, () => {
-        if (!this.isUp) this.restart();
-      });
+      this.clock.after(CRASH_DOWN_MS, () => this.recover());
     });
   }
 
--- a/packages/jobdesk/src/deadlyTasks.test.ts
+++ b/packages/jobdesk/src/deadlyTasks.test.ts
@@ -117,6 +117,18 @@
   });
 });
 
+describe('a task whose crashed targets are replaced by others at other addresses', () => {
+  it('is given up, though nobody answers for those it crashed', async (t) => {
+    const world = await createWorld({ targetCount: 0, instanceCount: 6, spareCount: 2 });
+    await world.run(1_000);
+    const neighbours = submitNeighbours(world, 3);
+    submitDeadly(world);
+    await world.run(60);
+    await assertGivenUp(t, world);
+    await assertCompletes(t, world, neighbours);
+  });
+});
+
 describe('several tasks that crash targets', () => {
   const DEADLY_JOBS = 4;
 
