A suspect for which no target can be kept counts as demand of its pool

Cause: found while reading: a waiting suspect was reported as placed, so a pool with no other work and no target fit for it would not have grown. Change: such a step reports that it lacks room.

--- a/packages/coordinator/src/SuspectIsolation.ts
+++ b/packages/coordinator/src/SuspectIsolation.ts
@@ -43,6 +43,11 @@
     return undefined;
   }
 
+  /** Whether one of the targets is kept for the job. */
+  static hasTargetFor({ jobId }: Job, targets: readonly FleetTarget[]): boolean {
+    return targets.some(({ isolatedJobId }) => isolatedJobId === jobId);
+  }
+
   /** Opens the targets again whose jobs have no use for them any more. */
   refresh(): void {
     this.isolated.forEach((target) => {
--- a/packages/coordinator/src/TaskPlacer.ts
+++ b/packages/coordinator/src/TaskPlacer.ts
@@ -16,7 +16,7 @@
 import { type LiveRun } from './LiveRun.js';
 import { type QueuedStep } from './QueuedStep.js';
 import { type RunTracker } from './RunTracker.js';
-import { type SuspectIsolation } from './SuspectIsolation.js';
+import { SuspectIsolation } from './SuspectIsolation.js';
 import { type TeamUsage } from './TeamUsage.js';
 import { type TicketCache } from './TicketCache.js';
 
@@ -51,13 +51,13 @@
     rejectedSizes: RejectedSizes,
   ): PlaceOutcome {
     const placed: LiveRun[] = [];
-    this.placeSuspects(open, targets, placed);
+    const isSuspectWaiting = this.placeSuspects(open, targets, placed);
     const shared = this.deps.isolation.shared(targets);
     const outcome = this.placeOthers(open, shared, rejectedSizes, placed);
     // With an advice rule, a target may have room and still not be permitted.
     if (outcome === 'no-room' && !this.adviceFor(open)) rejectedSizes.note(open.step.spec);
     if (placed.length > 0) this.logPlaced(open, placed, targets.length);
-    return outcome;
+    return outcome === 'placed' && isSuspectWaiting ? 'no-room' : outcome;
   }
 
   private placeOthers(
@@ -75,21 +75,25 @@
 
   /**
    * Places the suspects among the waiting tasks on targets that are kept for their job. The members
-   * of a gang can't be kept apart, so they are placed like any other gang.
+   * of a gang can't be kept apart, so they are placed like any other gang. Returns whether a suspect
+   * waits for which no target could be kept, so that the pool needs more room.
    */
   private placeSuspects(
     open: QueuedStep,
     targets: readonly FleetTarget[],
     placed: LiveRun[],
-  ): void {
-    if (open.step.spec.gang) return;
+  ): boolean {
+    if (open.step.spec.gang) return false;
     const nowMs = this.deps.clock.monotonicMs();
-    open.step.waitingTasks
-      .filter((task) => task.isSuspect && task.notBeforeMs <= nowMs)
-      .forEach((task) => {
-        const live = this.placeSuspect(open, task, targets);
-        if (live) placed.push(live);
-      });
+    const suspects = open.step.waitingTasks.filter(
+      (task) => task.isSuspect && task.notBeforeMs <= nowMs,
+    );
+    suspects.forEach((task) => {
+      const live = this.placeSuspect(open, task, targets);
+      if (live) placed.push(live);
+    });
+    const isAnyWaiting = suspects.some((task) => task.isWaiting);
+    return isAnyWaiting && !SuspectIsolation.hasTargetFor(open.entry.job, targets);
   }
 
   private placeSuspect(
--- a/packages/jobdesk/src/deadlyTasks.test.ts
+++ b/packages/jobdesk/src/deadlyTasks.test.ts
@@ -129,6 +129,19 @@
   });
 });
 
+describe('a suspect that is all the work of its pool', () => {
+  it('gets an instance, as it counts as demand like any waiting task', async (t) => {
+    const world = await createWorld({ targetCount: 0, instanceCount: 1, spareCount: 4 });
+    await world.run(1_000);
+    submitDeadly(world, 'deadly', { taskCount: 1 });
+    await world.runUntil(() => world.observer.crashesOf(TASK) === 1, 5_000);
+    // Its only instance leaves the pool.
+    const [only] = [...world.targets.values()].filter(({ isListed }) => isListed);
+    Object.assign(only ?? {}, { recover: () => Object.assign(only ?? {}, { isListed: false }) });
+    t.ok(await world.runUntil(() => world.observer.startsOf(TASK) === 2, 20_000), 'starts again');
+  });
+});
+
 describe('several tasks that crash targets', () => {
   const DEADLY_JOBS = 4;
 
