Only starts that certainly happened count as crashes under a task

Cause: its task was given up at five crashes, of which two were of starts that a new owner had adopted and that no target had confirmed: the targets may have been down already. The other three were real. Change: an unconfirmed start counts only if the task was alone on its target as a suspect.

--- a/packages/coordinator/src/CrashHandler.test.ts
+++ b/packages/coordinator/src/CrashHandler.test.ts
@@ -53,6 +53,38 @@
     });
   });
 
+  it('gives up a task that was alone each time, although a new owner has seen neither start', (t) => {
+    const fixture = new RunFixture(2);
+    const job = fixture.accept('a');
+    const neighbour = fixture.accept('b', { taskCount: 2 });
+    ['t0', 't1'].forEach((targetId, index) => {
+      fixture.start(neighbour, targetId, index);
+      const live = fixture.start(job, targetId);
+      Object.assign(live, { isAlone: true });
+      fixture.target(targetId).runs.forEach((run) => {
+        Object.assign(run, { phase: 'uncertain', isConfirmed: false });
+      });
+      fixture.crash(targetId);
+    });
+    t.equal(job.status, 'failed');
+    t.equal(neighbour.status, 'running');
+  });
+
+  it('keeps a task however often a target was down before its start was answered', (t) => {
+    const fixture = new RunFixture(6);
+    const jobs = ['a', 'b'].map((jobId) => fixture.accept(jobId));
+    fixture.all.forEach(({ targetId }) => {
+      jobs.forEach((job) => {
+        Object.assign(fixture.start(job, targetId), { phase: 'uncertain', isConfirmed: false });
+      });
+      fixture.crash(targetId);
+    });
+    t.same(
+      jobs.map(({ status }) => status),
+      ['running', 'running'],
+    );
+  });
+
   it('gives up a task at its fifth crash, however long it had been at work', (t) => {
     const fixture = new RunFixture(5);
     const job = fixture.accept('a');
--- a/packages/coordinator/src/CrashHandler.ts
+++ b/packages/coordinator/src/CrashHandler.ts
@@ -46,11 +46,12 @@
       crashed.filter(({ isEarly }) => isEarly).map(({ place }) => place.job.jobId),
     );
     crashed.forEach((live) => {
-      const { isEarly, isConfirmed } = live;
+      const { isEarly, isAlone, isConfirmed } = live;
       const { task } = live.place;
-      task.recordCrash({ isEarly, isConfirmed });
+      const isCounted = isConfirmed || isAlone;
+      task.recordCrash({ isEarly, isCounted });
       task.recordAvoidedTarget(live.targetId);
-      const isOnlySuspect = isEarly && isConfirmed && suspectJobs.size === 1;
+      const isOnlySuspect = isEarly && isCounted && (isAlone || suspectJobs.size === 1);
       const { crashes, earlyCrashes } = task;
       if (CrashPolicy.shouldGiveUp({ crashes, earlyCrashes, isOnlySuspect })) this.giveUp(live);
     });
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -34,6 +34,9 @@
   /** The result of the run is no longer needed, so it is stopped as soon as its target lists it. */
   isObsolete = false;
 
+  /** The task is a suspect, and no task of another job had only just started on the target. */
+  isAlone = false;
+
   startedMs = 0;
 
   /** Last reported work rate (long-running tasks) or progress (all others), 0 to 100. */
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -66,9 +66,11 @@
    * before the start order is sent.
    */
   plan(place: TaskPlace, target: FleetTarget): LiveRun {
-    const { run } = place.task.addRun(target.targetId, target.bornMs);
+    const isAlone = target.isolatedJobId === place.job.jobId;
+    const { run } = place.task.addRun(target.targetId, target.bornMs, isAlone);
     place.job.markStarted();
     const live = new LiveRun(place, run, target.targetId, target.bornMs);
+    live.isAlone = isAlone;
     live.isContinued = place.task.checkpoint !== '';
     this.track(live, target);
     return live;
@@ -281,6 +283,7 @@
       place.task.runs.forEach((run) => {
         const live = new LiveRun(place, run.run, run.targetId, run.bornMs);
         live.phase = 'uncertain';
+        live.isAlone = run.isAlone ?? false;
         live.isContinued = true;
         // The target rejects orders of the previous owner once it has seen the new fencing token,
         // so the first report that does not list the run proves that it is not there.
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -22,7 +22,16 @@
   failures: z.number(),
   lastRun: z.number(),
   checkpoint: z.string(),
-  runs: z.array(z.object({ run: z.number(), targetId: z.string(), bornMs: z.number() })).readonly(),
+  runs: z
+    .array(
+      z.object({
+        run: z.number(),
+        targetId: z.string(),
+        bornMs: z.number(),
+        isAlone: z.boolean().optional(),
+      }),
+    )
+    .readonly(),
   crashes: z.number().optional(),
   earlyCrashes: z.number().optional(),
 });
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -10,6 +10,11 @@
   readonly targetId: string;
   /** Start of the target lifetime that the order was addressed to, Unix milliseconds. */
   readonly bornMs: number;
+  /**
+   * The task is suspected of crashing targets, and no task of another job had only just started on
+   * the target. Omitted if not.
+   */
+  readonly isAlone?: boolean | undefined;
 }
 
 export interface TaskRecord {
@@ -27,8 +32,11 @@
 export interface RunCrash {
   /** The run had only just started, as far as is known. */
   readonly isEarly: boolean;
-  /** The target had accepted or listed the run, so it had begun. */
-  readonly isConfirmed: boolean;
+  /**
+   * The crash counts against the task: the run had certainly begun, or it was alone on the target. The
+   * start of any other run may have reached a target that was already down.
+   */
+  readonly isCounted: boolean;
 }
 
 export class TaskState {
@@ -38,7 +46,7 @@
 
   lastRun = 0;
 
-  /** Targets that crashed while the task ran there, or may have. */
+  /** Targets that crashed while the task ran there. */
   crashes = 0;
 
   /** Those of them that crashed soon after they had started the task, in a row. */
@@ -92,9 +100,9 @@
     return !this.done && this.runs.length === 0;
   }
 
-  addRun(targetId: string, bornMs: number): TaskRun {
+  addRun(targetId: string, bornMs: number, isAlone = false): TaskRun {
     this.lastRun += 1;
-    const run = { run: this.lastRun, targetId, bornMs };
+    const run = { run: this.lastRun, targetId, bornMs, ...(isAlone ? { isAlone } : {}) };
     this.runs = [...this.runs, run];
     this.onChanged();
     return run;
@@ -134,9 +142,9 @@
     this.isSuspected = true;
   }
 
-  recordCrash({ isEarly, isConfirmed }: RunCrash): void {
-    this.crashes += 1;
-    if (isEarly && isConfirmed) this.earlyCrashes += 1;
+  recordCrash({ isEarly, isCounted }: RunCrash): void {
+    if (isCounted) this.crashes += 1;
+    if (isEarly && isCounted) this.earlyCrashes += 1;
     if (isEarly) this.isSuspected = true;
   }
 
--- a/packages/placement/src/CrashPolicy.ts
+++ b/packages/placement/src/CrashPolicy.ts
@@ -11,7 +11,7 @@
   readonly crashes: number;
   /** Those of them that crashed soon after they had started the task. */
   readonly earlyCrashes: number;
-  /** The task had certainly begun, and no task of another job had only just started there. */
+  /** The crash counts against the task, and no task of another job had only just started there. */
   readonly isOnlySuspect: boolean;
 }
 
