A report requested before a start does not end the run it lacks

Cause: a run that was planned for the former lifetime and accepted by the next one was ended by any report of the next, also by one that had been requested before the start was accepted. Change: only a report that was requested after the start was confirmed proves that the run is not there. Evidence: ReportProcessor, 'is not ended by a report that was requested before': failed before.

--- /dev/null
+++ b/packages/coordinator/src/ReportProcessor.test.ts
@@ -0,0 +1,42 @@
+/** Guards against runs that are ended although they are alive, around a restart of their target. */
+import { type RunningTask } from '@acaciadock/execution';
+import { describe, it } from '@acaciadock/core/testing';
+import { ReportProcessor } from './ReportProcessor.js';
+import { RunFixture } from './testing/RunFixture.js';
+
+const LATER_BORN_MS = 2;
+
+function createProcessor({ runTracker, crashes, clock, logger }: RunFixture): ReportProcessor {
+  return new ReportProcessor(runTracker, crashes, clock, logger);
+}
+
+function report(bornMs: number, running: readonly RunningTask[] = []) {
+  return { clockMs: 1, bornMs, running, ended: [] };
+}
+
+describe('ReportProcessor', () => {
+  describe('a start that the next lifetime of its target has accepted', () => {
+    it('is not ended by a report that was requested before', (t) => {
+      const fixture = new RunFixture(1);
+      const processor = createProcessor(fixture);
+      const job = fixture.accept('a');
+      const requestedMs = fixture.clock.monotonicMs();
+      fixture.clock.advance(5);
+      // The run was planned for the former lifetime, which nobody knew to be over.
+      const live = fixture.start(job, 't0');
+      processor.process(fixture.target('t0'), report(LATER_BORN_MS), requestedMs);
+      t.equal(fixture.target('t0').runs.get('a.0.0.0'), live, 'it may be at work');
+    });
+
+    it('is ended by a report that was requested after it and lacks it', (t) => {
+      const fixture = new RunFixture(1);
+      const processor = createProcessor(fixture);
+      const job = fixture.accept('a');
+      fixture.start(job, 't0');
+      fixture.clock.advance(5);
+      const requestedMs = fixture.clock.monotonicMs();
+      processor.process(fixture.target('t0'), report(LATER_BORN_MS), requestedMs);
+      t.equal(fixture.target('t0').runs.size, 0);
+    });
+  });
+});
--- a/packages/coordinator/src/ReportProcessor.ts
+++ b/packages/coordinator/src/ReportProcessor.ts
@@ -117,7 +117,7 @@
     const listed = new Map(report.running.map(({ taskId, run }) => [taskId, run]));
     const absent = [...target.runs.values()]
       .filter((live) => listed.get(live.taskId) !== live.run)
-      .filter((live) => ReportProcessor.isProvenAbsent(live, report.bornMs, sentAtMs));
+      .filter((live) => ReportProcessor.isProvenAbsent(live, sentAtMs));
     const ofFormer = absent.filter((live) => ReportProcessor.isOfFormer(live, report.bornMs));
     const others = absent.filter((live) => !ofFormer.includes(live));
     return [
@@ -131,9 +131,11 @@
     return bornMs !== 0 && reportedBornMs !== 0 && bornMs !== reportedBornMs;
   }
 
-  private static isProvenAbsent(live: LiveRun, bornMs: number, sentAtMs: number): boolean {
-    // A confirmed run ends with the lifetime of its target.
-    if (live.phase === 'running' && live.bornMs !== 0 && live.bornMs !== bornMs) return true;
-    return live.absenceProvenAfterMs !== undefined && live.absenceProvenAfterMs < sentAtMs;
+  /**
+   * A later lifetime of the target is no proof by itself: it may have accepted the start after it was
+   * asked for the report.
+   */
+  private static isProvenAbsent({ absenceProvenAfterMs }: LiveRun, sentAtMs: number): boolean {
+    return absenceProvenAfterMs !== undefined && absenceProvenAfterMs < sentAtMs;
   }
 }
