--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -10,9 +10,9 @@
   type StartOrder,
   type TargetPort,
 } from '@acaciadock/execution';
-import { PaceController } from '@acaciadock/placement';
 import { ok, type Result } from 'neverthrow';
 import { type CrashHandler } from './CrashHandler.js';
+import { FillerPacer, PACE_PERIOD_MS } from './FillerPacer.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type Ownership } from './Ownership.js';
@@ -41,12 +41,6 @@
  */
 const SUSPECT_REPORT_WAIT_MS = 50;
 
-/**
- * Interval at which filler tasks beside serving ones are paced, in milliseconds. The load figures
- * cover half a second.
- */
-const PACE_PERIOD_MS = 450;
-
 /**
  * Ends are acknowledged only within this time after a report, in milliseconds. A target that has
  * not reported for longer may have restarted under the same id. The numbering of its ends has then
@@ -64,9 +58,6 @@
 /** Maximum wait for a report's ends to become durable before the next request, in milliseconds. */
 const COMMIT_WAIT_MS = 150;
 
-/** A pace order that the reports don't confirm by then is repeated, in milliseconds. */
-const PACE_REPEAT_MS = 1_000;
-
 /** Retry delay for a target that does not answer, in milliseconds. */
 const SILENT_RETRY_MS = 250;
 
@@ -97,15 +88,17 @@
 export class TargetDriver extends Disposable {
   private wakeUp: (() => void) | undefined;
 
-  private readonly pacing = new PaceController();
-
-  private pacedMs = -Infinity;
+  private readonly pacer: FillerPacer;
 
   constructor(
     private readonly target: FleetTarget,
     private readonly deps: TargetDriverDeps,
   ) {
     super();
+    this.pacer = new FillerPacer(target, {
+      ...deps,
+      log: (live, outcome) => this.log('pace', live, outcome),
+    });
   }
 
   /** Requests reports until the driver is disposed or the ownership ends. */
@@ -193,21 +186,6 @@
     }
   }
 
-  /** Orders the pace of a filler task, its work rate in percent. */
-  private async pace(live: LiveRun, percent: number): Promise<void> {
-    const { port, ownership } = this.deps;
-    Object.assign(live, { pacePercent: percent, pacedMs: this.deps.clock.monotonicMs() });
-    const { taskId, run } = live;
-    const done = await port.pace(this.target.address, {
-      taskId,
-      run,
-      percent,
-      fencingToken: ownership.epoch,
-    });
-    // The next report contains the actual pace; if it differs, the order is repeated.
-    this.log('pace', live, done.isOk() ? `accepted ${percent}` : done.error.kind);
-  }
-
   private get isActive(): boolean {
     return !this.isDisposed && this.deps.ownership.isActive;
   }
@@ -255,16 +233,6 @@
     });
   }
 
-  /**
-   * Whether a pace order is needed. A target reports the work rate only of long-running tasks, so
-   * only those can be compared with it; for all others it reports the progress.
-   */
-  private static needsPaceOrder(live: LiveRun, percent: number, nowMs: number): boolean {
-    if (live.pacePercent !== percent) return true;
-    const isOverdue = live.place.step.spec.longRunning && nowMs - live.pacedMs > PACE_REPEAT_MS;
-    return isOverdue && live.percent !== percent;
-  }
-
   private async report(): Promise<void> {
     const lastSeenEnd = this.endToAcknowledge(this.deps.clock.monotonicMs());
     const done = await this.requestReport(this.reportWaitMs, lastSeenEnd);
@@ -296,7 +264,7 @@
     result.unknownRuns.forEach((unknownRun) => {
       void port.stop(target.address, { ...unknownRun, fencingToken: ownership.epoch });
     });
-    this.paceFillers();
+    this.pacer.update();
     return ok(result);
   }
 
@@ -322,26 +290,6 @@
     }
   }
 
-  /** Paces the filler tasks by the tail latencies just reported for serving tasks beside them. */
-  private paceFillers(): void {
-    const { target } = this;
-    if (target.fillerCount === 0) return;
-    const nowMs = this.deps.clock.monotonicMs();
-    if (nowMs - this.pacedMs < PACE_PERIOD_MS) return;
-    this.pacedMs = nowMs;
-    const runs = [...target.runs.values()].filter((live) => live.phase === 'running');
-    const serving = runs
-      .filter((live) => live.place.step.spec.tailTargetMs > 0)
-      .map((live) => ({ tailMs: live.loadFigure, targetMs: live.place.step.spec.tailTargetMs }));
-    const percent = this.pacing.next(serving, nowMs);
-    runs
-      .filter((live) => live.place.step.spec.filler)
-      .filter((live) => TargetDriver.needsPaceOrder(live, percent, nowMs))
-      .forEach((live) => {
-        void this.pace(live, percent);
-      });
-  }
-
   /**
    * Waits up to `COMMIT_WAIT_MS` for the ends of a report to become durable. The next request then
    * acknowledges them.
