--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -151,6 +151,11 @@
     return this.running.size;
   }
 
+  /** Each run as `task#run@target`. */
+  get runningNames(): string[] {
+    return [...this.running.values()].map(({ taskId, run }) => `${taskId}#${run}@${this.targetId}`);
+  }
+
   crash(): void {
     this.isUp = false;
     this.leaseTimer?.dispose();
