A slow target that runs only long-running tasks takes a task

Cause: a slow target keeps CPU free unless it is empty. The only target of a pool had long-running tasks and was slow (7.4 times), so it never took the next step; the pool's size counts what the tasks need, not what is withheld, so no instance came. FleetTarget, 'takes a task while it runs none or only long-running ones': failed before. Result: coordinator, HealthMonitor, copies, takeover: 279 passed, 0 failed.

--- a/packages/coordinator/src/CopyController.ts
+++ b/packages/coordinator/src/CopyController.ts
@@ -26,7 +26,10 @@
 export class CopyController {
   constructor(private readonly deps: CopyControllerDeps) {}
 
-  /** Copies the tasks that run on silent targets, in the order of the queue. */
+  /**
+   * Copies the tasks that run on silent targets, in the order of the queue. A task under a crash gets
+   * no such copy, as the silence may be the next crash.
+   */
   check(): void {
     const candidates = this.silentTargets()
       .flatMap((target) => [...target.runs.values()])
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -119,9 +119,14 @@
     return this.capacity.cpuMilli - this.usedCpuMilli;
   }
 
-  /** CPU that is kept free because the target is slow; an empty target always takes a task. */
+  /**
+   * CPU that is kept free because the target is slow. A target without tasks that will end always takes
+   * one: it may be the only one of its pool, whose size does not allow for what is withheld.
+   */
   get withheldCpuMilli(): number {
-    return this.runs.size === 0 ? 0 : this.capacity.cpuMilli * (1 - this.weight);
+    return this.runs.size === this.longRunningCount
+      ? 0
+      : this.capacity.cpuMilli * (1 - this.weight);
   }
 
   get freeMemoryMb(): number {
