A suspect waits for a target that the advice rule of its queue permits

What callers would see: under an advice rule, a suspect waited for ever if a target that may not run its step was kept for it. Cause: the target was chosen without asking for advice, and only then rejected. Change: only permitted targets are kept; advice is asked for if none is known.

--- a/packages/coordinator/src/SuspectIsolation.test.ts
+++ b/packages/coordinator/src/SuspectIsolation.test.ts
@@ -73,6 +73,19 @@
     t.equal(isolation.targetFor(job, requestFor(job), fixture.all)?.targetId, 't0');
   });
 
+  it('uses a slow target once only long-running tasks are left there', (t) => {
+    const fixture = new RunFixture(1);
+    const isolation = createIsolation(fixture);
+    fixture.target('t0').weight = 0.25;
+    fixture.start(fixture.accept('lasting', { longRunning: true }), 't0');
+    const short = fixture.start(fixture.accept('other'), 't0');
+    fixture.work(1_000);
+    const job = suspect(fixture, 'a', { cpuMilli: TARGET_CPU_MILLI / 2 });
+    t.equal(isolate(isolation, fixture, job), undefined);
+    void fixture.runTracker.finish(short, 'done', '');
+    t.equal(isolation.targetFor(job, requestFor(job), fixture.all)?.targetId, 't0');
+  });
+
   it('keeps at most a third of the targets, each for one job', (t) => {
     const fixture = new RunFixture(6);
     const isolation = createIsolation(fixture);
--- a/packages/coordinator/src/TaskPlacer.ts
+++ b/packages/coordinator/src/TaskPlacer.ts
@@ -103,9 +103,18 @@
   ): LiveRun | undefined {
     if (!this.teamAllows(open, 1)) return undefined;
     const request = TaskPlacer.requestFor(open, task, '');
-    const target = this.deps.isolation.targetFor(open.entry.job, request, targets);
-    const chosen = target && this.choose(open, task, [target], '');
-    return chosen && this.plan(open, task, chosen);
+    const permitted = this.permittedFor(open, targets);
+    const target = this.deps.isolation.targetFor(open.entry.job, request, permitted);
+    return target && this.plan(open, task, target);
+  }
+
+  /** The targets that the advice rule of the queue permits; asks for advice if it is known of none. */
+  private permittedFor(open: QueuedStep, targets: readonly FleetTarget[]): readonly FleetTarget[] {
+    if (!this.adviceFor(open)) return targets;
+    const { tickets } = this.deps;
+    const permitted = tickets.allowed(open.step.stepId, targets);
+    if (permitted.length === 0) tickets.request(open.step.stepId, targets);
+    return permitted;
   }
 
   /** Plans a second run of the task on one of the targets; undefined if there is no room. */
