Forecast the second round of turns from the first

Cause: no turn is forecast before a pool has begun its second one, so each pool is unprepared twice. Change: once every pool has had a turn, the one that has waited the longest is expected next, until its successor is known from an order that was seen.

--- a/packages/placement/src/TurnForecast.ts
+++ b/packages/placement/src/TurnForecast.ts
@@ -1,7 +1,8 @@
 /**
  * Forecasts which pool will be in demand next where pools take turns: a turn is a period in which
  * one pool receives at least half of all arrivals. The order and the length of turns are learned
- * from the arrivals, so there is no forecast before a pool has begun its second turn.
+ * from the arrivals. Until a pool has begun its second turn, the order is taken to be a round of all
+ * pools: once each of them has had a turn, the one that has waited the longest is expected next.
  */
 
 export interface PoolArrivals {
@@ -45,6 +46,9 @@
 
   private candidate: Turn | undefined;
 
+  /** The pools that were observed last. */
+  private poolIds: readonly string[] = [];
+
   /** The pool whose turn was recorded last, if any. */
   get currentPoolId(): string | undefined {
     return this.turns.at(-1)?.poolId;
@@ -65,6 +69,7 @@
   }
 
   observe(pools: readonly PoolArrivals[], nowMs: number): void {
+    this.poolIds = pools.map(({ poolId }) => poolId);
     const total = pools.reduce((sum, pool) => sum + pool.cpuMilli, 0);
     const dominant = pools.find((pool) => total > 0 && pool.cpuMilli >= total * TURN_SHARE);
     if (!dominant || dominant.poolId === this.currentPoolId) {
@@ -95,7 +100,7 @@
     const current = this.turns.at(-1);
     const lengthMs = this.typicalLengthMs();
     if (!current || lengthMs === undefined) return undefined;
-    const poolId = this.successorOf(current.poolId);
+    const poolId = this.successorOf(current.poolId) ?? this.longestWaiting();
     if (poolId === undefined) return undefined;
     const inMs = current.startMs + lengthMs - nowMs;
     return inMs < -lengthMs * OVERDUE_SHARE ? undefined : { poolId, inMs };
@@ -121,4 +126,15 @@
     const last = former.findLastIndex((turn) => turn.poolId === poolId);
     return last < 0 ? undefined : this.turns[last + 1]?.poolId;
   }
+
+  /** The pool whose last turn is the longest ago; undefined while a pool has not had any. */
+  private longestWaiting(): string | undefined {
+    if (this.poolIds.length < 2) return undefined;
+    if (!this.poolIds.every((poolId) => this.hasHadTurn(poolId))) return undefined;
+    const lastTurns = this.poolIds.map((poolId) => ({
+      poolId,
+      index: this.turns.findLastIndex((turn) => turn.poolId === poolId),
+    }));
+    return lastTurns.sort((a, b) => a.index - b.index)[0]?.poolId;
+  }
 }
