An owner that the store turns away hands over by a message

After a planned stop the successor learned of the release from the store, seconds late when the store is slow. Change: an owner whose appends and renewal are rejected asks its successor whether the store serves it; if so it releases. Submissions that were not appended are refused, not left unknown.

--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -91,12 +91,20 @@
   private awaitAcceptance(entry: JobEntry): Promise<CommitWaitOutcome> {
     const { clock, ownership, runTracker } = this.deps;
     return new Promise((resolve) => {
-      const check = clock.every(STALL_CHECK_MS, () => {
-        if (!ownership.mayAcceptWork && !entry.isWithdrawn) runTracker.withdrawJob(entry);
+      const withdraw = (): void => {
+        if (!entry.isWithdrawn) runTracker.withdrawJob(entry);
         if (entry.isWithdrawn) resolve('withdrawn');
+      };
+      const check = clock.every(STALL_CHECK_MS, () => {
+        if (!ownership.mayAcceptWork || entry.isWithdrawn) withdraw();
+      });
+      // After a loss of the journal, its new owner may have accepted a repeat of the call already.
+      const release = ownership.onEnd((reason) => {
+        if (reason === 'handover' || reason === 'shutdown') withdraw();
       });
       void this.withTimeout(entry.acceptance).then((outcome) => {
         check.dispose();
+        release.dispose();
         resolve(entry.isWithdrawn ? 'withdrawn' : outcome);
       });
     });
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -20,6 +20,7 @@
 import { OwnerAnnouncer } from './OwnerAnnouncer.js';
 import { OwnerDirectory, type OwnerDirectoryDeps } from './OwnerDirectory.js';
 import { OwnerWatch } from './OwnerWatch.js';
+import { OwnershipRelease } from './OwnershipRelease.js';
 
 /**
  * Interval between renewals of the membership, in milliseconds. Several renewals fit into the
@@ -69,8 +70,8 @@
 /** Interval between attempts to reach the previous owner, in milliseconds. */
 const PREVIOUS_OWNER_RETRY_MS = 200;
 
-/** Maximum time that a release waits for pending journal writes, in milliseconds. */
-const FLUSH_TIMEOUT_MS = 400;
+/** The store serves an entry if it has answered a renewal within this time, in milliseconds. */
+const MAX_ANSWER_AGE_MS = 2 * RENEW_PERIOD_MS;
 
 export interface OwnedPeriod {
   readonly ownership: Ownership;
@@ -113,12 +114,16 @@
 
   private storeBackMs = -Infinity;
 
+  private lastRenewedMs = -Infinity;
+
   private claims = 0;
 
   private readonly directory: OwnerDirectory;
 
   private readonly announcer: OwnerAnnouncer;
 
+  private readonly ownershipRelease: OwnershipRelease;
+
   private readonly ownerWatch: OwnerWatch;
 
   constructor(
@@ -129,6 +134,7 @@
     this.directory = this.register(new OwnerDirectory(self, deps));
     this.register(this.directory.onNotice((notice) => this.onNotice(notice)));
     this.announcer = new OwnerAnnouncer(self, this.directory, deps);
+    this.ownershipRelease = new OwnershipRelease(self, this.directory, this.announcer, deps);
     this.ownerWatch = this.register(new OwnerWatch(deps.peers, deps.logger));
     this.register(
       this.ownerWatch.onGone(() => {
@@ -177,15 +183,23 @@
     const { ownership } = this;
     if (ownership?.isActive) {
       const isHealthyOwner = ownership.isStorePrompt && !this.storeLost;
-      return { notice: this.announcer.noticeOf(ownership.epoch, false), isHealthyOwner };
+      const notice = this.announcer.noticeOf(ownership.epoch, false);
+      return { notice, isHealthyOwner, isServedByStore: this.isServedByStore };
     }
     const isLoading = this.isClaiming && this.claimedNotice !== undefined;
     const notice = isLoading ? this.claimedNotice : this.directory.notice;
-    return { notice, isHealthyOwner: false };
+    return { notice, isHealthyOwner: false, isServedByStore: this.isServedByStore };
   }
 
-  private onNotice({ epoch }: OwnerNotice): void {
+  private onNotice({ epoch, isReleased }: OwnerNotice): void {
     if (this.ownership && epoch > this.ownership.epoch) this.ownership.end('superseded');
+    // The successor claims at once: its next renewal may be 0.3 s away, or take that long.
+    if (isReleased && this.isSuccessor && !this.storeLost) void this.claim();
+  }
+
+  private get isServedByStore(): boolean {
+    const answerAgeMs = this.deps.clock.monotonicMs() - this.lastRenewedMs;
+    return !this.storeLost && answerAgeMs < MAX_ANSWER_AGE_MS;
   }
 
   private get isSuccessor(): boolean {
@@ -202,8 +216,10 @@
     if (view.isErr()) {
       // The store may still serve the other entries, and they may have elected a new owner.
       if (this.isOwner) void this.directory.queryPeers();
+      if (this.ownership) void this.ownershipRelease.toServedSuccessor(this.ownership);
       return;
     }
+    this.lastRenewedMs = this.deps.clock.monotonicMs();
     if (this.isChecking) return;
     this.isChecking = true;
     await this.processView(view.value);
@@ -232,17 +248,11 @@
     await this.announcer.confirm(this.ownership);
   }
 
-  /**
-   * Ends the ownership, if any; first waits up to `FLUSH_TIMEOUT_MS` for pending writes. The claim
-   * record is written again only because its append is acknowledged after all earlier writes.
-   */
+  /** Ends the ownership, if any, once pending writes are durable. */
   private async release(reason: 'shutdown' | 'handover'): Promise<void> {
     const { ownership } = this;
     if (!ownership?.isActive) return;
-    const flushed = ownership.writer.write(CLAIM_KEY, () => this.claimValue());
-    await Promise.race([flushed, this.deps.clock.sleep(FLUSH_TIMEOUT_MS)]);
-    ownership.end(reason);
-    await this.announcer.announceRelease(ownership);
+    await this.ownershipRelease.afterFlush(ownership, reason, () => this.claimValue());
   }
 
   /** Whether the successor has so much more CPU capacity that a handover is worthwhile. */
@@ -281,6 +291,7 @@
     const isDue =
       changed ||
       notice === undefined ||
+      notice.isReleased ||
       this.ownerWatch.isGone(notice.owner) ||
       nowMs - this.lastOwnerCheckMs > OWNER_CHECK_PERIOD_MS;
     // A claim of this entry failed after its announcement, or its ownership ended without a
@@ -326,6 +337,7 @@
       { entryId, bootMs, nonce: `${bootMs}-${this.claims}` },
       () => !this.isDisposed && !this.storeLost,
       (epoch) => this.onClaimed(epoch),
+      this.directory.notice?.endOffset,
     );
     this.isClaiming = false;
     if (this.isDisposed) return;
--- a/packages/jobdesk/src/OwnerAnnouncer.ts
+++ b/packages/jobdesk/src/OwnerAnnouncer.ts
@@ -45,8 +45,7 @@
     }
   }
 
-  async announceRelease({ epoch }: Ownership): Promise<void> {
-    const released = this.noticeOf(epoch, true);
+  async announceRelease(released: OwnerNotice): Promise<void> {
     this.directory.accept(released, 'self');
     await this.deps.group.announce(released);
   }
--- a/packages/jobdesk/src/PeerCallServer.ts
+++ b/packages/jobdesk/src/PeerCallServer.ts
@@ -45,7 +45,7 @@
         done({ code: status.INTERNAL, details: String(cause) });
         return;
       }
-      done(null, { notice: answer.notice ?? null, isHealthyOwner: answer.isHealthyOwner });
+      done(null, { ...answer, notice: answer.notice ?? null });
     };
     this.server.addService(
       { call: callMethod, notice: noticeMethod },
--- a/packages/jobdesk/src/PeerCalls.ts
+++ b/packages/jobdesk/src/PeerCalls.ts
@@ -32,6 +32,7 @@
   }),
   epoch: z.number(),
   isReleased: z.boolean(),
+  endOffset: z.number().optional(),
 });
 
 /** The gRPC library accepts no empty request or reply, so the notice is wrapped in an object. */
@@ -43,6 +44,8 @@
   /** The latest announcement known to the answering entry; null if it knows of none. */
   notice: noticeSchema.nullable(),
   isHealthyOwner: z.boolean(),
+  // Entries of earlier versions don't send it.
+  isServedByStore: z.boolean().default(false),
 });
 
 export type NoticeRequest = z.infer<typeof noticeRequestSchema>;
--- a/packages/jobdesk/src/PeerNoticeClient.test.ts
+++ b/packages/jobdesk/src/PeerNoticeClient.test.ts
@@ -23,6 +23,7 @@
   const server = new PeerCallServer(service, () => ({
     notice: known,
     isHealthyOwner: known !== undefined,
+    isServedByStore: true,
   }));
   const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
   const answer = await createClient().exchangeNotice(address);
@@ -33,7 +34,11 @@
 describe('PeerNoticeClient', () => {
   it('returns the announcement that the peer knows', async (t) => {
     // Fails if the request is empty: the gRPC library treats that as a missing request.
-    t.same(await answerOf(NOTICE), { notice: NOTICE, isHealthyOwner: true });
+    t.same(await answerOf(NOTICE), {
+      notice: NOTICE,
+      isHealthyOwner: true,
+      isServedByStore: true,
+    });
   });
 
   it('sends its own announcement to the peer', async (t) => {
@@ -41,7 +46,7 @@
     const service = { call: () => Promise.resolve({ kind: 'cancelled' as const }) };
     const server = new PeerCallServer(service, (notice) => {
       received.push(notice);
-      return { notice, isHealthyOwner: false };
+      return { notice, isHealthyOwner: false, isServedByStore: false };
     });
     const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
     const client = createClient();
@@ -51,7 +56,8 @@
   });
 
   it('returns no announcement from a peer that knows of none', async (t) => {
-    t.same(await answerOf(undefined), { notice: undefined, isHealthyOwner: false });
+    const nothing = { notice: undefined, isHealthyOwner: false, isServedByStore: true };
+    t.same(await answerOf(undefined), nothing);
   });
 
   it('gives up on an unreachable peer', async (t) => {
--- a/packages/journal/src/JournalClaim.ts
+++ b/packages/journal/src/JournalClaim.ts
@@ -44,15 +44,16 @@
    * Claims the journal and loads it. Returns undefined once `isWanted` returns false, or if another
    * claim was appended meanwhile: claiming again at once would only keep the other claimant from
    * loading. `onClaimed` receives the epoch before the load, which may take seconds on a slow link.
+   * `firstOffset` is where the log is thought to end; a rejection contains its true end offset.
    */
   async acquire(
     holder: ClaimHolder,
     isWanted: () => boolean,
     onClaimed: (epoch: number) => void,
+    firstOffset = 0,
   ): Promise<OwnedJournal | undefined> {
     const value = Buffer.from(JSON.stringify(holder));
-    // The first guess may be wrong: the rejection contains the end offset of the log.
-    let expectedOffset = 0;
+    let expectedOffset = firstOffset;
     while (isWanted()) {
       const endOffset = await this.appendClaim(expectedOffset, value, isWanted);
       if (endOffset === undefined) {
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -77,7 +77,8 @@
 
   private isWriting = false;
 
-  private nextOffset: number;
+  /** Offset of the next append. */
+  nextOffset: number;
 
   private lost = false;
 
--- a/packages/journal/src/OwnershipGroup.ts
+++ b/packages/journal/src/OwnershipGroup.ts
@@ -27,6 +27,11 @@
   readonly epoch: number;
   /** The owner has released the journal and sends no more orders. */
   readonly isReleased: boolean;
+  /**
+   * Where the journal probably ends at the release, so that the successor's first claim need not
+   * find that out.
+   */
+  readonly endOffset?: number | undefined;
 }
 
 /** Whether both are the same process of the same entry. */
