--- a/packages/coordinator/src/DemandMeter.ts
+++ b/packages/coordinator/src/DemandMeter.ts
@@ -82,6 +82,11 @@
     return this.arrivals.get(poolId)?.rate(this.clock.monotonicMs()) ?? ResourceVector.ZERO;
   }
 
+  /** CPU needed to keep up with the arrivals of the last moments, in thousandths of a core. */
+  recentArrivalCpuMilli(poolId: string): number {
+    return this.arrivals.get(poolId)?.recentRate(this.clock.monotonicMs()).cpuMilli ?? 0;
+  }
+
   /**
    * Whether tasks wait for room in the pool. Filler tasks do not count, as they use only idle CPU,
    * nor do tasks that wait because their team is at its limit.
--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -96,7 +96,10 @@
     this.dropInvalidMoves();
     const demands = this.demands();
     this.forecast.observe(
-      demands.map(({ poolId, arriving }) => ({ poolId, cpuMilli: arriving.cpuMilli })),
+      demands.map(({ poolId }) => ({
+        poolId,
+        cpuMilli: this.deps.demand.recentArrivalCpuMilli(poolId),
+      })),
       nowMs,
     );
     const spareCount = this.availableSpares().length;
--- a/packages/placement/src/TurnForecast.test.ts
+++ b/packages/placement/src/TurnForecast.test.ts
@@ -58,6 +58,23 @@
     t.ok(Math.abs((next?.inMs ?? 0) - TURN_MS / 2) < 300);
   });
 
+  it('expects a turn on time although the turns before it were noticed late', (t) => {
+    // Without it, an outage at the start of one turn leaves the pools of the next ones unprepared.
+    const forecast = new TurnForecast();
+    const lateMs = [0, 300, 0, 3_000];
+    for (let nowMs = 0; nowMs < 4 * TURN_MS; nowMs += STEP_MS) {
+      const index = Math.floor(nowMs / TURN_MS);
+      const isNoticed = nowMs - index * TURN_MS >= (lateMs[index] ?? 0);
+      const dominant = isNoticed ? POOLS[index % POOLS.length] : undefined;
+      forecast.observe(
+        POOLS.map((poolId) => ({ poolId, cpuMilli: poolId === dominant ? 1_000 : 50 })),
+        nowMs,
+      );
+    }
+    const inMs = forecast.next(4 * TURN_MS)?.inMs ?? Infinity;
+    t.ok(Math.abs(inMs) <= 1_000, `expected in ${inMs} ms`);
+  });
+
   it('drops the forecast of a turn that does not begin', (t) => {
     const forecast = new TurnForecast();
     observeTurns(forecast, 3.5 * TURN_MS);
--- a/packages/placement/src/TurnForecast.ts
+++ b/packages/placement/src/TurnForecast.ts
@@ -35,6 +35,9 @@
 /** Turns kept: more than enough for the order of all pools and the typical length. */
 const MAX_TURNS = 32;
 
+/** Turns that the start of the next one is predicted from; an error of the length adds up over more. */
+const PREDICTING_TURNS = 4;
+
 export interface Turn {
   readonly poolId: string;
   /** Start on the monotonic clock of the process that observed it. */
@@ -102,13 +105,25 @@
     if (!current || lengthMs === undefined) return undefined;
     const poolId = this.successorOf(current.poolId) ?? this.longestWaiting();
     if (poolId === undefined) return undefined;
-    const inMs = current.startMs + lengthMs - nowMs;
+    const inMs = this.nextStartMs(lengthMs) - nowMs;
     return inMs < -lengthMs * OVERDUE_SHARE ? undefined : { poolId, inMs };
   }
 
+  /**
+   * The earliest of the starts that recent turns predict for the next one. A turn is noticed late where
+   * its first jobs are few or were kept away by an outage, but never early.
+   */
+  private nextStartMs(lengthMs: number): number {
+    const recent = this.turns.slice(-PREDICTING_TURNS);
+    return Math.min(
+      ...recent.map(({ startMs }, index) => startMs + (recent.length - index) * lengthMs),
+    );
+  }
+
   /**
    * Median length of the turns that have ended. A single one is not enough, because the first may
-   * have begun before the observation did and then appears too short.
+   * have begun before the observation did and then appears too short. Of an even number of lengths, the
+   * smaller one counts: a late notice of one turn makes the one before it appear too long.
    */
   private typicalLengthMs(): number | undefined {
     if (this.turns.length < MIN_TURNS) return undefined;
@@ -116,7 +131,7 @@
       .slice(1)
       .map((turn, index) => turn.startMs - (this.turns[index]?.startMs ?? 0))
       .sort((a, b) => a - b);
-    return lengths[Math.floor(lengths.length / 2)];
+    return lengths[Math.floor((lengths.length - 1) / 2)];
   }
 
   /** The pool whose turn followed the last ended turn of the given pool. */
