--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -160,9 +160,12 @@
     return this.isProvenWithin(PROOF_BOUND_MS);
   }
 
-  /** Whether the store acknowledges appends fast enough for new work to be accepted and placed. */
+  /**
+   * Whether the store acknowledges appends fast enough for new work to be accepted and placed, and
+   * the ownership is not being released.
+   */
   get mayAcceptWork(): boolean {
-    return this.writer.stalledMs < this.stallLimitMs;
+    return !this.writer.isClosing && this.writer.stalledMs < this.stallLimitMs;
   }
 
   private get stallLimitMs(): number {
--- a/packages/jobdesk/src/OwnershipRelease.ts
+++ b/packages/jobdesk/src/OwnershipRelease.ts
@@ -37,7 +37,7 @@
     reason: 'shutdown' | 'handover',
     claimValue: () => Buffer,
   ): Promise<void> {
-    const flushed = ownership.writer.write(CLAIM_KEY, claimValue);
+    const flushed = ownership.writer.close(CLAIM_KEY, claimValue);
     await Promise.race([flushed, this.deps.clock.sleep(FLUSH_TIMEOUT_MS)]);
     await this.end(ownership, reason);
   }
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -82,6 +82,8 @@
 
   private lost = false;
 
+  private closing = false;
+
   private readonly lostEmitter = this.register(new EventEmitter<LogFailure>());
 
   /**
@@ -152,13 +154,28 @@
    * yet. The promise resolves once the batch is durable or the ownership is lost.
    */
   write(key: string, encode: RecordEncoder): Promise<CommitOutcome> {
-    if (this.lost || this.isDisposed) return Promise.resolve('ownership-lost');
+    if (this.lost || this.closing || this.isDisposed) return Promise.resolve('ownership-lost');
     this.dirty.set(key, encode);
     const { promise } = this.nextCommit;
     this.scheduleRun();
     return promise;
   }
 
+  /**
+   * Writes what waits, with this record as the last one. Nothing is sent after it, so that the next
+   * owner's claim finds the log where this writer left it.
+   */
+  close(key: string, encode: RecordEncoder): Promise<CommitOutcome> {
+    const written = this.write(key, encode);
+    this.closing = true;
+    return written;
+  }
+
+  /** Whether the writer takes no more records. */
+  get isClosing(): boolean {
+    return this.closing;
+  }
+
   /** Cancels the write of a key that is not in a batch yet; returns false if it is too late. */
   withdraw(key: string): boolean {
     return this.dirty.delete(key);
