Learned runtimes survive a change of owner and leave out adopted runs

Cause: a run that was adopted or resumed counted with the time since its adoption. A new owner began with declared runtimes, and a mean over ten runs followed each single job. Change: only runs seen in full count; the runtimes are journaled (key runtimes) and restored; the mean covers about 50 runs.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -30,6 +30,7 @@
 import { type LiveRun } from './LiveRun.js';
 import { EXTENSION_BOUND_MS, type Ownership } from './Ownership.js';
 import { ReportProcessor } from './ReportProcessor.js';
+import { RuntimeRecord } from './RuntimeRecord.js';
 import { RunTracker } from './RunTracker.js';
 import { ShareTracker } from './ShareTracker.js';
 import { LEASE_MS } from './TargetDriver.js';
@@ -111,6 +112,8 @@
 
   private readonly copies: CopyController;
 
+  private readonly runtimeRecord: RuntimeRecord;
+
   private readonly drivers: TargetDrivers;
 
   private readonly callHandler: JobCallHandler;
@@ -125,6 +128,7 @@
     const extensionMs = options.hasPreviousOwnerStopped ? 0 : EXTENSION_BOUND_MS;
     const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
+    this.runtimeRecord = new RuntimeRecord(estimates, deps);
     this.jobs = new JobTable(ownership, clock);
     const { maxLeaseMs, evacuateMs } = options;
     const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock, evacuateMs);
@@ -277,6 +281,7 @@
   private restoreDecisions(owned: OwnedJournal): void {
     owned.records.forEach(({ key, value }) => {
       if (!value || this.shares.restore(key, value)) return;
+      if (this.runtimeRecord.restore(key, value)) return;
       this.fleetController?.restore(key, value);
     });
   }
@@ -309,6 +314,7 @@
 
   private checkRuns(): void {
     this.health.check();
+    this.runtimeRecord.update();
     this.jobs.dropFinished(this.options.keepFinishedMs);
   }
 
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -126,11 +126,13 @@
     if (end === 'done' && !wasDone) this.logCopyEndedFirst(live);
     job.endRun(live.place, live.run, end, this.isFurthest(live) ? checkpoint : '');
     const runtimeMs = live.startedMs > 0 ? nowMs - live.startedMs : 0;
-    // A run that is done after its copy was usually silent for a while, so its runtime is unknown.
-    const isRuntimeKnown = runtimeMs > 0 && !(wasDone && CopyPolicy.permits(step.spec));
+    // Of a run that was adopted or resumed, only the rest was seen. A run that is done after its copy
+    // was usually silent for a while, so its runtime is unknown as well.
+    const isSilentCopy = wasDone && CopyPolicy.permits(step.spec);
+    const isRuntimeKnown = runtimeMs > 0 && !live.isContinued && !isSilentCopy;
     if (end === 'done' && isRuntimeKnown) {
       this.estimates.record(job.definition.queueId, runtimeMs, live.isProjected);
-      if (!live.isContinued) Object.assign(live.place.task, { runtimeMs });
+      Object.assign(live.place.task, { runtimeMs });
     }
     if (step.spec.gang && end !== 'done') this.stopGang(live.place);
     // Fields of the log line.
--- a/packages/coordinator/src/testing/index.ts
+++ b/packages/coordinator/src/testing/index.ts
@@ -8,3 +8,4 @@
 export * from './SimulatedPort.js';
 export * from './SimulatedStore.js';
 export * from './SimulatedTarget.js';
+export { RUNTIMES_KEY } from '../RuntimeRecord.js';
--- a/packages/placement/src/RuntimeEstimates.ts
+++ b/packages/placement/src/RuntimeEstimates.ts
@@ -4,8 +4,11 @@
  */
 import { RuntimeDistribution } from './RuntimeDistribution.js';
 
-/** Smallest weight of the newest run in the moving average. */
-const MIN_NEWEST_WEIGHT = 0.1;
+/**
+ * Smallest weight of the newest run in the moving average: the tasks of one job take about equally long,
+ * so an average over few runs would follow each single job.
+ */
+const MIN_NEWEST_WEIGHT = 0.02;
 
 /** Estimate for a queue without any run or declared runtime, in milliseconds. */
 const DEFAULT_RUNTIME_MS = 1_000;
@@ -28,6 +31,21 @@
 /** Whether long runs are inherent in a queue; `unknown` until enough runs on sound targets ended. */
 export type TailKind = 'unknown' | 'negligible' | 'heavy';
 
+/** Values by which the distribution of a queue is handed to another process: its 20-quantiles. */
+const HANDED_VALUES = 20;
+
+/** What is worth keeping of a queue's runtimes when another process continues the estimates. */
+export interface RuntimeMemory {
+  readonly queueId: string;
+  readonly meanMs: number;
+  /** Runs that the mean is based on. */
+  readonly count: number;
+  /** Evenly spaced quantiles of the distribution. */
+  readonly quantilesMs: readonly number[];
+  readonly soundRuns: number;
+  readonly longRuns: number;
+}
+
 interface Estimate {
   meanMs: number;
   count: number;
@@ -69,6 +87,33 @@
     known.longRuns = known.longRuns * kept + (isLong ? 1 : 0);
   }
 
+  /** Number of runs recorded so far, of all queues. */
+  get recordedCount(): number {
+    return [...this.byQueue.values()].reduce((sum, { count }) => sum + count, 0);
+  }
+
+  /** What another process needs to continue the estimates. */
+  get memories(): readonly RuntimeMemory[] {
+    return [...this.byQueue].map(([queueId, known]) => ({
+      queueId,
+      meanMs: known.meanMs,
+      count: known.count,
+      quantilesMs: Array.from({ length: HANDED_VALUES }, (_, part) =>
+        known.distribution.quantileMs((part + 0.5) / HANDED_VALUES),
+      ),
+      soundRuns: known.soundRuns,
+      longRuns: known.longRuns,
+    }));
+  }
+
+  /** Continues from what another process knew of the runtimes. */
+  restore(memories: readonly RuntimeMemory[]): void {
+    memories.forEach(({ queueId, quantilesMs, ...memory }) => {
+      const restored = Object.assign(this.create(queueId), memory);
+      quantilesMs.forEach((valueMs) => restored.distribution.record(valueMs));
+    });
+  }
+
   /** Expected runtime in milliseconds. */
   meanMs(queueId: string, declaredMs: number): number {
     const known = this.byQueue.get(queueId);
