A planned stop does not wait for a slow store

Cause: an owner that stops waited up to 0.4 s for pending appends. Change: if two appends take longer than the wait, the owner releases at once and names the offset behind its append in flight.

--- a/packages/jobdesk/src/OwnershipRelease.ts
+++ b/packages/jobdesk/src/OwnershipRelease.ts
@@ -9,8 +9,12 @@
 import { type OwnerAnnouncer } from './OwnerAnnouncer.js';
 import { type OwnerDirectory, type OwnerDirectoryDeps } from './OwnerDirectory.js';
 
-/** Maximum time that a release waits for pending journal writes, in milliseconds. */
+/**
+ * Maximum time that a release waits for pending journal writes, in milliseconds. If the store takes
+ * longer for two appends, they are not waited for: meanwhile nobody would serve the callers.
+ */
 const FLUSH_TIMEOUT_MS = 400;
+const FLUSH_APPENDS = 2;
 
 /**
  * An owner whose appends the store has rejected for this long, in milliseconds, looks for a member that
@@ -37,8 +41,11 @@
     reason: 'shutdown' | 'handover',
     claimValue: () => Buffer,
   ): Promise<void> {
-    const flushed = ownership.writer.close(CLAIM_KEY, claimValue);
-    await Promise.race([flushed, this.deps.clock.sleep(FLUSH_TIMEOUT_MS)]);
+    const { writer } = ownership;
+    if (FLUSH_APPENDS * writer.overdueMs <= FLUSH_TIMEOUT_MS) {
+      const flushed = writer.close(CLAIM_KEY, claimValue);
+      await Promise.race([flushed, this.deps.clock.sleep(FLUSH_TIMEOUT_MS)]);
+    }
     await this.end(ownership, reason);
   }
 
@@ -65,9 +72,9 @@
 
   private async end(ownership: Ownership, reason: 'shutdown' | 'handover'): Promise<void> {
     if (!ownership.isActive) return;
-    const { nextOffset } = ownership.writer;
+    const { endOffset } = ownership.writer;
     ownership.end(reason);
-    const released = { ...this.announcer.noticeOf(ownership.epoch, true), endOffset: nextOffset };
+    const released = { ...this.announcer.noticeOf(ownership.epoch, true), endOffset };
     const successor = this.directory.successorOf(this.self);
     const told = successor && this.deps.peers.exchangeNotice(successor.peerAddress, released);
     await Promise.all([told, this.announcer.announceRelease(released)]);
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -78,7 +78,10 @@
   private isWriting = false;
 
   /** Offset of the next append. */
-  nextOffset: number;
+  private nextOffset: number;
+
+  /** Records of the append in flight. */
+  private inFlightRecords = 0;
 
   private lost = false;
 
@@ -138,6 +141,11 @@
     this.lastDurableUnixMs = clock.unixMs();
   }
 
+  /** Where the log ends once the append in flight, if any, has been executed. */
+  get endOffset(): number {
+    return this.nextOffset + this.inFlightRecords;
+  }
+
   /** Time that the append in flight has waited for an acknowledgement, in milliseconds. */
   get stalledMs(): number {
     if (this.appendingSinceMs === undefined) return 0;
@@ -202,7 +210,9 @@
   private async run(): Promise<void> {
     while (this.dirty.size > 0 && !this.lost) {
       const batch = this.takeBatch();
+      this.inFlightRecords = batch.records.length;
       const outcome = await this.appendUntilSettled(batch);
+      this.inFlightRecords = 0;
       this.isRejected = outcome === 'rejected';
       if (outcome === 'rejected') {
         this.dissolve(batch);
