--- a/packages/placement/src/TurnForecast.test.ts
+++ b/packages/placement/src/TurnForecast.test.ts
@@ -98,6 +98,24 @@
     t.equal(forecast.next(nowMs), undefined, 'no pool has had two turns');
   });
 
+  it('counts a turn from its first moments if the one before it resumed for a moment', (t) => {
+    // Few large jobs come unevenly, so a turn may seem to swing back and begin seconds late.
+    const forecast = new TurnForecast();
+    const dominantAt = (nowMs: number): string => {
+      if (nowMs >= 3 * TURN_MS + 1_000 && nowMs < 3 * TURN_MS + 1_800) return 'c';
+      return POOLS[Math.floor(nowMs / TURN_MS) % POOLS.length] ?? '';
+    };
+    for (let nowMs = 0; nowMs < 3.7 * TURN_MS; nowMs += STEP_MS) {
+      const dominant = dominantAt(nowMs);
+      forecast.observe(
+        POOLS.map((poolId) => ({ poolId, cpuMilli: poolId === dominant ? 1_000 : 50 })),
+        nowMs,
+      );
+    }
+    t.equal(forecast.currentPoolId, 'a');
+    t.equal(forecast.recorded.at(-1)?.startMs, 3 * TURN_MS);
+  });
+
   it('does not record a single burst as a turn', (t) => {
     const forecast = new TurnForecast();
     observeTurns(forecast, TURN_MS);
--- a/packages/placement/src/TurnForecast.ts
+++ b/packages/placement/src/TurnForecast.ts
@@ -49,6 +49,9 @@
 
   private candidate: Turn | undefined;
 
+  /** The turn that was removed last, because the one before it resumed. */
+  private interrupted: Turn | undefined;
+
   /** The pools that were observed last. */
   private poolIds: readonly string[] = [];
 
@@ -89,13 +92,24 @@
 
   /**
    * Records a turn. If the current turn only interrupted the turn of the same pool briefly, it is
-   * removed instead, and the earlier turn continues.
+   * removed instead, and the earlier turn continues. If the removed turn goes on soon after, it began
+   * when it was first seen.
    */
   private begin(turn: Turn): void {
     const current = this.turns.at(-1);
     const hasResumed = this.turns.at(-2)?.poolId === turn.poolId;
-    if (current && hasResumed && turn.startMs - current.startMs < MIN_TURN_MS) this.turns.pop();
-    else this.turns = [...this.turns, turn].slice(-MAX_TURNS);
+    if (current && hasResumed && turn.startMs - current.startMs < MIN_TURN_MS) {
+      this.interrupted = this.turns.pop();
+      return;
+    }
+    this.turns = [...this.turns, this.continued(turn)].slice(-MAX_TURNS);
+    this.interrupted = undefined;
+  }
+
+  private continued(turn: Turn): Turn {
+    const { interrupted } = this;
+    const isSame = interrupted?.poolId === turn.poolId;
+    return isSame && turn.startMs - interrupted.startMs < 2 * MIN_TURN_MS ? interrupted : turn;
   }
 
   /** Returns the next expected turn; undefined while there is no basis for a forecast. */
