--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -5,7 +5,7 @@
  * announcement is an `OwnerNotice`: the store holds the last one, and entries exchange them.
  */
 import { Disposable, EventEmitter } from '@acaciadock/core';
-import { type OwnerRecord, readOwnerRecord, Ownership } from '@acaciadock/coordinator';
+import { Ownership } from '@acaciadock/coordinator';
 import {
   CLAIM_KEY,
   type GroupMember,
@@ -21,6 +21,7 @@
 import { OwnerDirectory, type OwnerDirectoryDeps } from './OwnerDirectory.js';
 import { OwnerWatch } from './OwnerWatch.js';
 import { OwnershipRelease } from './OwnershipRelease.js';
+import { PreviousOwner } from './PreviousOwner.js';
 
 /**
  * Interval between renewals of the membership, in milliseconds. Several renewals fit into the
@@ -58,18 +59,6 @@
 /** Minimum uptime before an entry claims if there was never an owner, in milliseconds. */
 const FIRST_CLAIM_DELAY_MS = 900;
 
-/** Stands for an owner whose record is malformed. It has no address to send a notice to. */
-const UNIDENTIFIED_OWNER: OwnerRecord = {
-  entryId: '',
-  bootMs: 0,
-  peerAddress: '',
-  epoch: -1,
-  formerMayExtend: true,
-};
-
-/** Interval between attempts to reach the previous owner, in milliseconds. */
-const PREVIOUS_OWNER_RETRY_MS = 200;
-
 /** The store serves an entry if it has answered a renewal within this time, in milliseconds. */
 const MAX_ANSWER_AGE_MS = 2 * RENEW_PERIOD_MS;
 
@@ -371,79 +360,24 @@
   }
 
   private startOwnership(owned: OwnedJournal): void {
-    const { clock, log, logger } = this.deps;
-    const previousOwner = this.previousOwnerOf(owned);
-    const hasPreviousOwnerStopped = this.hasStoppedExtending(previousOwner);
-    const ownerRecord = { ...this.self, formerMayExtend: !hasPreviousOwnerStopped };
+    const { self, directory, announcer, deps } = this;
+    const { clock, log, logger } = deps;
+    const previousOwner = new PreviousOwner(owned, self, directory, announcer, deps);
+    const hasPreviousOwnerStopped = previousOwner.hasStoppedExtending;
+    const ownerRecord = { ...self, formerMayExtend: !hasPreviousOwnerStopped };
     const ownership = new Ownership(log, owned, ownerRecord, clock);
     this.ownership = ownership;
     this.ownerWatch.set(undefined);
     // Kept so that this entry can correct the announcement if nobody learns of the ownership's end.
-    this.directory.accept(this.announcer.noticeOf(ownership.epoch, false), 'self');
+    directory.accept(announcer.noticeOf(ownership.epoch, false), 'self');
     ownership.writer.onStalled((failure) => logger.warn('append-stalled', { ...failure }));
     ownership.writer.onResumed((stall) => logger.info('append-resumed', { ...stall }));
     ownership.onEnd((reason) => {
       logger.info('ownership-ended', { epoch: owned.epoch, reason });
     });
     this.ownedEmitter.fire({ ownership, owned, hasPreviousOwnerStopped });
-    void this.announcer.announce(ownership);
-    if (previousOwner && !hasPreviousOwnerStopped)
-      void this.notifyPreviousOwner(previousOwner, ownership);
-  }
-
-  /** An owner whose record is malformed can't be identified, so it may still extend leases. */
-  private previousOwnerOf(owned: OwnedJournal): OwnerRecord | undefined {
-    return readOwnerRecord(owned).match(
-      (found) => found,
-      ({ kind, detail }) => {
-        this.deps.logger.error(kind, { epoch: owned.epoch, detail });
-        return UNIDENTIFIED_OWNER;
-      },
-    );
-  }
-
-  /**
-   * Notifies the previous owner of this claim until it answers. The answer proves that it has
-   * stepped down or that its process has ended, so the upper bound on its lease extensions need not
-   * be waited out.
-   */
-  private async notifyPreviousOwner(
-    previousOwner: OwnerRecord,
-    ownership: Ownership,
-  ): Promise<void> {
-    const { peers, clock, logger } = this.deps;
-    // An even earlier owner may still extend leases: only waiting out the bound rules that out.
-    if (previousOwner.formerMayExtend) return;
-    while (ownership.isActive && ownership.formerMayExtend) {
-      const answer = await peers.exchangeNotice(
-        previousOwner.peerAddress,
-        this.announcer.noticeOf(ownership.epoch, false),
-      );
-      if ((answer?.notice?.epoch ?? -1) >= ownership.epoch) {
-        logger.info('former-owner-stopped', {
-          owner: previousOwner.entryId,
-          epoch: previousOwner.epoch,
-        });
-        ownership.markPreviousOwnerStopped();
-        return;
-      }
-      await clock.sleep(PREVIOUS_OWNER_RETRY_MS);
-    }
-  }
-
-  /**
-   * Whether neither the previous owner nor any owner before it extends leases any more: the
-   * previous owner's process has ended, or it has announced its release of exactly that epoch. The
-   * previous owner is taken from the journal, because it may never have managed to announce itself.
-   */
-  private hasStoppedExtending(previousOwner: OwnerRecord | undefined): boolean {
-    if (!previousOwner) return true;
-    if (previousOwner.formerMayExtend) return false;
-    if (this.directory.hasProcessExited(previousOwner.entryId, previousOwner.bootMs)) return true;
-    const isOwn =
-      previousOwner.entryId === this.self.entryId && previousOwner.bootMs === this.self.bootMs;
-    const { notice } = this.directory;
-    return isOwn || (notice?.isReleased === true && notice.epoch === previousOwner.epoch);
+    void announcer.announce(ownership);
+    if (!hasPreviousOwnerStopped) void previousOwner.notify(ownership);
   }
 
   private claimValue(): Buffer {
