--- a/packages/jobdesk/src/OwnershipRelease.ts
+++ b/packages/jobdesk/src/OwnershipRelease.ts
@@ -9,11 +9,13 @@
 import { type OwnerAnnouncer } from './OwnerAnnouncer.js';
 import { type OwnerDirectory, type OwnerDirectoryDeps } from './OwnerDirectory.js';
 
+/** Maximum time that a release waits for pending journal writes, in milliseconds. */
+const FLUSH_TIMEOUT_MS = 400;
+
 /**
- * Maximum time that a release waits for pending journal writes, in milliseconds. If the store takes
- * longer for two appends, they are not waited for: meanwhile nobody would serve the callers.
+ * Appends that are due at a release: the one in flight and the last one. If the store takes longer than
+ * `FLUSH_TIMEOUT_MS` for them, they are not waited for, as nobody would serve the callers meanwhile.
  */
-const FLUSH_TIMEOUT_MS = 400;
 const FLUSH_APPENDS = 2;
 
 /**
@@ -33,7 +35,7 @@
   ) {}
 
   /**
-   * Ends the ownership; first waits up to `FLUSH_TIMEOUT_MS` for pending writes. The claim record is
+   * Ends the ownership; first waits for pending writes, unless the store is slow. The claim record is
    * written again only because its append is acknowledged after all earlier writes.
    */
   async afterFlush(
