A weak entry leaves the claim to stronger ones after a restart of all

Change: an entry that has just started waits for the members that are much stronger, if the announced owner was much stronger than itself. A claim that is announced but not loaded is superseded by a much stronger entry, which tells the claimant directly; the claimant stops loading. A claimant whose load gets no answer gives the claim up to an entry of at least the same CPU. Claims are a class of their own (Claimant).

--- a/packages/coordinator/src/testing/SimulatedLog.ts
+++ b/packages/coordinator/src/testing/SimulatedLog.ts
@@ -6,9 +6,9 @@
   type NewestRecords,
   RecordLog,
 } from '@acaciadock/journal';
-import { ok, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { type PausableClock } from './PausableClock.js';
-import { type SimulatedStore, type StoreFaults } from './SimulatedStore.js';
+import { CALL_TIMEOUT_MS, type SimulatedStore, type StoreFaults } from './SimulatedStore.js';
 
 export class SimulatedLog extends RecordLog {
   constructor(
@@ -23,7 +23,11 @@
     return this.store.call(this.clock, this.faults, () => this.store.append(at, records));
   }
 
-  override readNewest(): Promise<Result<NewestRecords, LogFailure>> {
+  override async readNewest(signal?: AbortSignal): Promise<Result<NewestRecords, LogFailure>> {
+    const { loadMs = 0, stallsLoads = false } = this.faults;
+    const durationMs = stallsLoads ? CALL_TIMEOUT_MS : loadMs;
+    const isAborted = durationMs > 0 && !(await this.transfer(durationMs, signal));
+    if (isAborted || stallsLoads) return err({ kind: 'unknown-outcome', detail: 'no answer' });
     return this.store.call(this.clock, this.faults, () => ok(this.store.newest()));
   }
 
@@ -33,4 +37,12 @@
       return ok({ records, nextOffset: offset + records.length });
     });
   }
+
+  /** Waits for a transfer to end; false if it was aborted. */
+  private transfer(durationMs: number, signal?: AbortSignal): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.clock.after(durationMs, () => resolve(true));
+      signal?.addEventListener('abort', () => resolve(false));
+    });
+  }
 }
--- a/packages/coordinator/src/testing/SimulatedStore.ts
+++ b/packages/coordinator/src/testing/SimulatedStore.ts
@@ -19,7 +19,7 @@
 const MAX_LATE_MS = 4_000;
 
 /** Time limit of a call without an answer, in milliseconds. */
-const CALL_TIMEOUT_MS = 2_000;
+export const CALL_TIMEOUT_MS = 2_000;
 
 /** Injected faults of the store, for all entries or for one. */
 export interface StoreFaults {
@@ -31,6 +31,10 @@
   latencyMs: number;
   /** Whether announcements of owners get lost. */
   losesNotices?: boolean;
+  /** Additional time of a read of all newest records, as over a slow link, in milliseconds. */
+  loadMs?: number;
+  /** Whether reads of all newest records get no answer. */
+  stallsLoads?: boolean;
 }
 
 export class SimulatedStore {
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -11,17 +11,17 @@
   type GroupMember,
   type GroupView,
   isSameMember,
-  JournalClaim,
   type OwnedJournal,
   type OwnerNotice,
   type PeerAnswer,
-  type RecordLog,
 } from '@acaciadock/journal';
+import { Claimant, type ClaimantDeps } from './Claimant.js';
 import { OwnerAnnouncer } from './OwnerAnnouncer.js';
-import { OwnerDirectory, type OwnerDirectoryDeps } from './OwnerDirectory.js';
+import { OwnerDirectory } from './OwnerDirectory.js';
 import { OwnerWatch } from './OwnerWatch.js';
 import { OwnershipRelease } from './OwnershipRelease.js';
 import { PreviousOwner } from './PreviousOwner.js';
+import { Succession } from './Succession.js';
 
 /**
  * Interval between renewals of the membership, in milliseconds. Several renewals fit into the
@@ -32,15 +32,6 @@
 /** Maximum number of concurrent renewals; a store that answers after a second causes three. */
 const MAX_CONCURRENT_RENEWALS = 6;
 
-/** Minimum interval between claims, in milliseconds, so that two claimants don't livelock. */
-const MIN_CLAIM_INTERVAL_MS = 300;
-
-/**
- * Pause after another entry's claim superseded this entry's, in milliseconds. The other entry must
- * be able to load the journal over the slowest link before anyone claims again.
- */
-const SUPERSEDED_PAUSE_MS = 3_000;
-
 /** Interval of the checks of the owner while the membership doesn't change, in milliseconds. */
 const OWNER_CHECK_PERIOD_MS = 1_500;
 
@@ -50,10 +41,7 @@
 /** Time for the other entries to rejoin after a store outage before anyone claims, in ms. */
 const REJOIN_GRACE_MS = 700;
 
-/** An owner hands over to a member with at least this many times its own CPU capacity. */
-const HANDOVER_CPU_RATIO = 1.5;
-
-/** Minimum time from the last claim to such a handover, in milliseconds. */
+/** Minimum time from the last claim to a handover to a much stronger member, in milliseconds. */
 const HANDOVER_DELAY_MS = 1_500;
 
 /** Minimum uptime before an entry claims if there was never an owner, in milliseconds. */
@@ -69,9 +57,7 @@
   readonly hasPreviousOwnerStopped: boolean;
 }
 
-export interface ElectionDeps extends OwnerDirectoryDeps {
-  readonly log: RecordLog;
-}
+export type ElectionDeps = ClaimantDeps;
 
 export class Election extends Disposable {
   private readonly ownedEmitter = this.register(new EventEmitter<OwnedPeriod>());
@@ -83,20 +69,11 @@
 
   private view: GroupView = { generation: -1 };
 
-  private isClaiming = false;
-
   /** Number of renewals that the store has not answered yet. */
   private pendingRenewals = 0;
 
   private isChecking = false;
 
-  private lastClaimMs = -Infinity;
-
-  /** The announcement of this entry's latest claim; undefined until its append succeeds. */
-  private claimedNotice: OwnerNotice | undefined;
-
-  private supersededMs = -Infinity;
-
   private lastOwnerCheckMs = -Infinity;
 
   private storeLost = false;
@@ -105,12 +82,15 @@
 
   private lastRenewedMs = -Infinity;
 
-  private claims = 0;
+  /** Epoch of the latest owner that has answered that it is not loading any more. */
+  private loadedEpoch = -1;
 
   private readonly directory: OwnerDirectory;
 
   private readonly announcer: OwnerAnnouncer;
 
+  private readonly claimant: Claimant;
+
   private readonly ownershipRelease: OwnershipRelease;
 
   private readonly ownerWatch: OwnerWatch;
@@ -123,6 +103,7 @@
     this.directory = this.register(new OwnerDirectory(self, deps));
     this.register(this.directory.onNotice((notice) => this.onNotice(notice)));
     this.announcer = new OwnerAnnouncer(self, this.directory, deps);
+    this.claimant = this.register(new Claimant(self, this.directory, this.announcer, deps));
     this.ownershipRelease = new OwnershipRelease(self, this.directory, this.announcer, deps);
     this.ownerWatch = this.register(new OwnerWatch(deps.peers, deps.logger));
     this.register(
@@ -173,15 +154,21 @@
     if (ownership?.isActive) {
       const isHealthyOwner = ownership.isStorePrompt && !this.storeLost;
       const notice = this.announcer.noticeOf(ownership.epoch, false);
-      return { notice, isHealthyOwner, isServedByStore: this.isServedByStore };
+      const { isServedByStore } = this;
+      return { notice, isHealthyOwner, isLoading: false, isServedByStore };
     }
-    const isLoading = this.isClaiming && this.claimedNotice !== undefined;
-    const notice = isLoading ? this.claimedNotice : this.directory.notice;
-    return { notice, isHealthyOwner: false, isServedByStore: this.isServedByStore };
+    const { loadingNotice } = this.claimant;
+    return {
+      notice: loadingNotice ?? this.directory.notice,
+      isHealthyOwner: false,
+      isLoading: loadingNotice !== undefined,
+      isServedByStore: this.isServedByStore,
+    };
   }
 
   private onNotice({ epoch, isReleased }: OwnerNotice): void {
     if (this.ownership && epoch > this.ownership.epoch) this.ownership.end('superseded');
+    this.claimant.handleNotice(epoch);
     // The successor claims at once: its next renewal may be 0.3 s away, or take that long.
     if (isReleased && this.isSuccessor && !this.storeLost) void this.claim();
   }
@@ -224,7 +211,7 @@
     }
     await this.directory.refreshMembers(changed);
     if (!this.isOwner) {
-      if (this.claims > 0) await this.announcer.correct(() => this.isClaiming);
+      if (this.claimant.hasClaimed) await this.announcer.correct(() => this.claimant.isClaiming);
       this.ownerWatch.set(this.isSuccessor ? this.directory.notice : undefined);
       await this.watchOwner(changed);
       return;
@@ -241,15 +228,15 @@
   private async release(reason: 'shutdown' | 'handover'): Promise<void> {
     const { ownership } = this;
     if (!ownership?.isActive) return;
-    await this.ownershipRelease.afterFlush(ownership, reason, () => this.claimValue());
+    await this.ownershipRelease.afterFlush(ownership, reason, () => this.claimant.encodeClaim());
   }
 
   /** Whether the successor has so much more CPU capacity that a handover is worthwhile. */
   private get hasMuchStrongerPeer(): boolean {
-    const ownedMs = this.deps.clock.monotonicMs() - this.lastClaimMs;
+    const ownedMs = this.deps.clock.monotonicMs() - this.claimant.lastClaimMs;
     if (ownedMs < HANDOVER_DELAY_MS) return false;
     const successor = this.directory.successorOf(this.self);
-    return (successor?.cpuMilli ?? 0) >= this.self.cpuMilli * HANDOVER_CPU_RATIO;
+    return successor !== undefined && Succession.isMuchStronger(successor, this.self);
   }
 
   /**
@@ -271,7 +258,7 @@
     if (!ownership) return;
     const idleMs = this.deps.clock.monotonicMs() - ownership.writer.lastDurableMs;
     if (idleMs > IDLE_PROOF_PERIOD_MS)
-      void ownership.writer.write(CLAIM_KEY, () => this.claimValue());
+      void ownership.writer.write(CLAIM_KEY, () => this.claimant.encodeClaim());
   }
 
   private async watchOwner(changed: boolean): Promise<void> {
@@ -282,6 +269,7 @@
       notice === undefined ||
       notice.isReleased ||
       this.ownerWatch.isGone(notice.owner) ||
+      this.mayBeLoading(notice) ||
       nowMs - this.lastOwnerCheckMs > OWNER_CHECK_PERIOD_MS;
     // A claim of this entry failed after its announcement, or its ownership ended without a
     // release. The other entries then wait for this one, so it claims again.
@@ -303,60 +291,41 @@
     // Before the first claim, the other entries get time to join, so that the strongest one claims.
     if (!notice) return this.deps.clock.unixMs() - this.self.bootMs > FIRST_CLAIM_DELAY_MS;
     if (notice.isReleased || isSameMember(notice.owner, this.self)) return true;
+    if (this.awaitsStronger(notice.owner)) return false;
     if (this.ownerWatch.isGone(notice.owner)) return true;
     if (!(await directory.listMembers())) return false;
     // A later process of the owner's entry proves the owner's end before its membership expires.
     if (directory.hasProcessExited(notice.owner.entryId, notice.owner.bootMs)) return true;
-    if (directory.isMember(notice.owner)) return false;
+    if (directory.isMember(notice.owner)) return this.isLoadedTooSlowly(notice);
     // A membership may also expire by mistake. A healthy owner is not replaced because of that.
-    return !(await directory.isHealthyOwner(notice.owner));
+    return (await directory.queryPeer(notice.owner))?.isHealthyOwner !== true;
   }
 
-  private async claim(): Promise<void> {
-    const { clock, log, logger } = this.deps;
-    if (this.isClaiming || this.isOwner) return;
-    if (clock.monotonicMs() - this.lastClaimMs < MIN_CLAIM_INTERVAL_MS) return;
-    if (clock.monotonicMs() - this.supersededMs < SUPERSEDED_PAUSE_MS) return;
-    this.isClaiming = true;
-    this.claimedNotice = undefined;
-    this.lastClaimMs = clock.monotonicMs();
-    this.claims += 1;
-    const { entryId, bootMs } = this.self;
-    const owned = await new JournalClaim(log, clock).acquire(
-      { entryId, bootMs, nonce: `${bootMs}-${this.claims}` },
-      () => !this.isDisposed && !this.storeLost,
-      (epoch) => this.onClaimed(epoch),
-      this.directory.notice?.endOffset,
-    );
-    this.isClaiming = false;
-    if (this.isDisposed) return;
-    if (!owned) {
-      this.onClaimFailed();
-      return;
-    }
-    logger.info('ownership-claimed', {
-      epoch: owned.epoch,
-      records: owned.records.length,
-      tookMs: Math.round(clock.monotonicMs() - this.lastClaimMs),
-    });
-    this.startOwnership(owned);
+  private awaitsStronger(previousOwner: GroupMember): boolean {
+    const uptimeMs = this.deps.clock.unixMs() - this.self.bootMs;
+    return Succession.awaitsStronger(this.self, previousOwner, uptimeMs);
   }
 
-  /** Announces the claim before the journal is loaded, so that nobody else claims meanwhile. */
-  private onClaimed(epoch: number): void {
-    this.claimedNotice = this.announcer.announceClaim(epoch);
+  /** Whether a much weaker entry has announced its claim and may not have loaded the journal yet. */
+  private mayBeLoading({ owner, epoch }: OwnerNotice): boolean {
+    return epoch > this.loadedEpoch && Succession.isMuchStronger(this.self, owner);
   }
 
   /**
-   * Handles a claim that did not lead to ownership: before the journal was loaded, another claim
-   * superseded it or the store became unavailable. If the claim was announced, the other entries
-   * wait for this one. Recording that announcement makes `watchOwner` claim again, unless a later
-   * owner has announced itself.
+   * Whether a much weaker entry is still loading the journal. It is superseded, as this entry loads
+   * the journal in a fraction of the time and would get it by a handover anyway.
    */
-  private onClaimFailed(): void {
-    if (!this.storeLost) this.supersededMs = this.deps.clock.monotonicMs();
-    this.directory.accept(this.claimedNotice, 'self');
-    this.deps.logger.info('claim-unused', { isStoreLost: this.storeLost });
+  private async isLoadedTooSlowly(notice: OwnerNotice): Promise<boolean> {
+    if (!this.mayBeLoading(notice)) return false;
+    const answer = await this.directory.queryPeer(notice.owner);
+    if (answer?.isLoading === false) this.loadedEpoch = notice.epoch;
+    return answer?.isLoading === true && answer.notice?.epoch === notice.epoch;
+  }
+
+  private async claim(): Promise<void> {
+    if (this.isOwner) return;
+    const owned = await this.claimant.claim(() => !this.isDisposed && !this.storeLost);
+    if (owned) this.startOwnership(owned);
   }
 
   private startOwnership(owned: OwnedJournal): void {
@@ -380,11 +349,6 @@
     if (!hasPreviousOwnerStopped) void previousOwner.notify(ownership);
   }
 
-  private claimValue(): Buffer {
-    const { entryId, bootMs } = this.self;
-    return Buffer.from(JSON.stringify({ entryId, bootMs, nonce: `${bootMs}-${this.claims}` }));
-  }
-
   private updateStoreState(isBack: boolean, reason: string): void {
     if (this.storeLost === !isBack) return;
     this.storeLost = !isBack;
--- a/packages/jobdesk/src/OwnerDirectory.ts
+++ b/packages/jobdesk/src/OwnerDirectory.ts
@@ -8,6 +8,7 @@
   isSameMember,
   type OwnerNotice,
   type OwnershipGroup,
+  type PeerAnswer,
   type PeerNotices,
 } from '@acaciadock/journal';
 import { Succession } from './Succession.js';
@@ -109,11 +110,11 @@
     (await Promise.all(asked)).forEach((answer) => this.accept(answer?.notice, 'peer'));
   }
 
-  /** Whether the entry answers that it owns the journal and that the store responds promptly. */
-  async isHealthyOwner({ peerAddress }: GroupMember): Promise<boolean> {
+  /** Asks an entry what it knows of the owner and of itself; undefined if it does not answer. */
+  async queryPeer({ peerAddress }: GroupMember): Promise<PeerAnswer | undefined> {
     const answer = await this.deps.peers.exchangeNotice(peerAddress, this.newest);
     this.accept(answer?.notice, 'peer');
-    return answer?.isHealthyOwner ?? false;
+    return answer;
   }
 
   /** Accepts an announcement if it is newer than the latest one known. */
--- a/packages/jobdesk/src/PeerCallClient.test.ts
+++ b/packages/jobdesk/src/PeerCallClient.test.ts
@@ -10,7 +10,12 @@
 const CANCEL: JobCall = { kind: 'cancel', context: JobWorld.context(), jobId: 'j' };
 
 function createServer(answer: () => Promise<JobReply>): PeerCallServer {
-  const notice = { notice: undefined, isHealthyOwner: false, isServedByStore: false };
+  const notice = {
+    notice: undefined,
+    isHealthyOwner: false,
+    isLoading: false,
+    isServedByStore: false,
+  };
   return new PeerCallServer({ call: answer }, () => notice);
 }
 
--- a/packages/jobdesk/src/PeerCalls.ts
+++ b/packages/jobdesk/src/PeerCalls.ts
@@ -44,7 +44,8 @@
   /** The latest announcement known to the answering entry; null if it knows of none. */
   notice: noticeSchema.nullable(),
   isHealthyOwner: z.boolean(),
-  // Entries of earlier versions don't send it.
+  // Entries of earlier versions don't send the following.
+  isLoading: z.boolean().default(false),
   isServedByStore: z.boolean().default(false),
 });
 
--- a/packages/jobdesk/src/PeerNoticeClient.test.ts
+++ b/packages/jobdesk/src/PeerNoticeClient.test.ts
@@ -23,6 +23,7 @@
   const server = new PeerCallServer(service, () => ({
     notice: known,
     isHealthyOwner: known !== undefined,
+    isLoading: false,
     isServedByStore: true,
   }));
   const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
@@ -37,6 +38,7 @@
     t.same(await answerOf(NOTICE), {
       notice: NOTICE,
       isHealthyOwner: true,
+      isLoading: false,
       isServedByStore: true,
     });
   });
@@ -46,7 +48,7 @@
     const service = { call: () => Promise.resolve({ kind: 'cancelled' as const }) };
     const server = new PeerCallServer(service, (notice) => {
       received.push(notice);
-      return { notice, isHealthyOwner: false, isServedByStore: false };
+      return { notice, isHealthyOwner: false, isLoading: false, isServedByStore: false };
     });
     const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
     const client = createClient();
@@ -56,7 +58,12 @@
   });
 
   it('returns no announcement from a peer that knows of none', async (t) => {
-    const nothing = { notice: undefined, isHealthyOwner: false, isServedByStore: true };
+    const nothing = {
+      notice: undefined,
+      isHealthyOwner: false,
+      isLoading: false,
+      isServedByStore: true,
+    };
     t.same(await answerOf(undefined), nothing);
   });
 
--- a/packages/jobdesk/src/Succession.ts
+++ b/packages/jobdesk/src/Succession.ts
@@ -5,6 +5,15 @@
  */
 import { type GroupMember } from '@acaciadock/journal';
 
+/** A member counts as much stronger from this many times the CPU capacity of the other on. */
+const MUCH_STRONGER_RATIO = 1.5;
+
+/**
+ * After its start an entry waits this long, in milliseconds, for the members that were stronger before
+ * it claims. After a loss of all power the entries start within 0.3 s and join within another 0.3 s.
+ */
+const STRONGER_START_WAIT_MS = 1_000;
+
 export class Succession {
   /** Returns the member to claim after the previous owner, or undefined if there is none. */
   static successor(
@@ -16,4 +25,21 @@
       .sort((a, b) => b.cpuMilli - a.cpuMilli || a.entryId.localeCompare(b.entryId))
       .at(0);
   }
+
+  /** Whether a change of owner from the other to this member is worthwhile. */
+  static isMuchStronger(member: GroupMember, other: GroupMember): boolean {
+    return member.cpuMilli >= other.cpuMilli * MUCH_STRONGER_RATIO;
+  }
+
+  /**
+   * Whether a member that has just started still waits for stronger ones: the previous owner was
+   * stronger, so it or its equals may be starting, too.
+   */
+  static awaitsStronger(
+    member: GroupMember,
+    previousOwner: GroupMember,
+    uptimeMs: number,
+  ): boolean {
+    return uptimeMs < STRONGER_START_WAIT_MS && Succession.isMuchStronger(previousOwner, member);
+  }
 }
--- a/packages/journal/src/JournalClaim.test.ts
+++ b/packages/journal/src/JournalClaim.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { err, ok, type Result } from 'neverthrow';
-import { JournalClaim } from './JournalClaim.js';
+import { type ClaimRequest, JournalClaim } from './JournalClaim.js';
 import {
   type KeyedRecord,
   type LogFailure,
@@ -11,7 +11,13 @@
   RecordLog,
 } from './RecordLog.js';
 
-const HOLDER = { entryId: 'e0', bootMs: 1, nonce: '1' };
+const REQUEST: ClaimRequest = {
+  holder: { entryId: 'e0', bootMs: 1, nonce: '1' },
+  isWanted: () => true,
+  signal: new AbortController().signal,
+  onClaimed: () => undefined,
+  onLoadTimeout: () => undefined,
+};
 
 /** A log to which a rival claim may be appended just before the first load. */
 class ContestedLog extends RecordLog {
@@ -48,11 +54,10 @@
   it('reports the epoch before it loads', async (t) => {
     const log = new ContestedLog(false);
     const epochs: number[] = [];
-    const owned = await new JournalClaim(log, new ManualClock()).acquire(
-      HOLDER,
-      () => true,
-      (epoch) => epochs.push(epoch),
-    );
+    const owned = await new JournalClaim(log, new ManualClock()).acquire({
+      ...REQUEST,
+      onClaimed: (epoch) => epochs.push(epoch),
+    });
     t.equal(owned?.epoch, 0);
     t.same(epochs, [0]);
   });
@@ -60,11 +65,10 @@
   it('gives way to a claim that was appended while it loaded', async (t) => {
     // If it claimed again instead, two claimants that load slowly would never finish.
     const log = new ContestedLog(true);
-    const owned = await new JournalClaim(log, new ManualClock()).acquire(
-      HOLDER,
-      () => true,
-      () => undefined,
-    );
+    const owned = await new JournalClaim(log, new ManualClock()).acquire({
+      ...REQUEST,
+      onClaimed: () => undefined,
+    });
     t.equal(owned, undefined);
     t.equal(log.records.length, 2, 'one claim each');
   });
--- a/packages/journal/src/JournalClaim.ts
+++ b/packages/journal/src/JournalClaim.ts
@@ -30,6 +30,21 @@
   readonly nonce: string;
 }
 
+/** What a claimant asks for, and how it follows the claim. */
+export interface ClaimRequest {
+  readonly holder: ClaimHolder;
+  /** Where the log is thought to end; a rejection contains its true end offset. */
+  readonly firstOffset?: number | undefined;
+  /** Whether the claim is still wanted. */
+  readonly isWanted: () => boolean;
+  /** Aborted once the load is of no use any more. */
+  readonly signal: AbortSignal;
+  /** Receives the epoch before the load, which may take seconds on a slow link. */
+  readonly onClaimed: (epoch: number) => void;
+  /** Called each time that an answer to the load has not come in time; the load is then repeated. */
+  readonly onLoadTimeout: () => void;
+}
+
 export class JournalClaim {
   private readonly repeater: CallRepeater;
 
@@ -41,24 +56,19 @@
   }
 
   /**
-   * Claims the journal and loads it. Returns undefined once `isWanted` returns false, or if another
-   * claim was appended meanwhile: claiming again at once would only keep the other claimant from
-   * loading. `onClaimed` receives the epoch before the load, which may take seconds on a slow link.
-   * `firstOffset` is where the log is thought to end; a rejection contains its true end offset.
+   * Claims the journal and loads it. Returns undefined once the claim is not wanted any more, or if
+   * another claim was appended meanwhile: claiming again at once would only keep the other claimant
+   * from loading.
    */
-  async acquire(
-    holder: ClaimHolder,
-    isWanted: () => boolean,
-    onClaimed: (epoch: number) => void,
-    firstOffset = 0,
-  ): Promise<OwnedJournal | undefined> {
+  async acquire(request: ClaimRequest): Promise<OwnedJournal | undefined> {
+    const { holder, isWanted, firstOffset = 0 } = request;
     const value = Buffer.from(JSON.stringify(holder));
     let expectedOffset = firstOffset;
     while (isWanted()) {
       const endOffset = await this.appendClaim(expectedOffset, value, isWanted);
       if (endOffset === undefined) {
-        onClaimed(expectedOffset);
-        return this.load(expectedOffset, isWanted);
+        request.onClaimed(expectedOffset);
+        return this.load(expectedOffset, request);
       }
       expectedOffset = endOffset;
     }
@@ -96,10 +106,14 @@
     return claim?.key === CLAIM_KEY && claim.value?.equals(value) === true;
   }
 
-  private async load(epoch: number, isWanted: () => boolean): Promise<OwnedJournal | undefined> {
-    while (isWanted()) {
-      const newest = await this.log.readNewest();
+  private async load(
+    epoch: number,
+    { isWanted, signal, onLoadTimeout }: ClaimRequest,
+  ): Promise<OwnedJournal | undefined> {
+    while (isWanted() && !signal.aborted) {
+      const newest = await this.log.readNewest(signal);
       if (newest.isErr()) {
+        if (newest.error.kind === 'unknown-outcome' && !signal.aborted) onLoadTimeout();
         await this.backOffAfter(newest.error);
         continue;
       }
--- a/packages/journal/src/PeerNotices.ts
+++ b/packages/journal/src/PeerNotices.ts
@@ -8,6 +8,8 @@
   readonly notice: OwnerNotice | undefined;
   /** The entry owns the journal, and the store answers it promptly. */
   readonly isHealthyOwner: boolean;
+  /** The entry has claimed the journal and is loading it, so it is not the owner yet. */
+  readonly isLoading: boolean;
   /** The store answered the entry's latest renewal of its membership, a moment ago. */
   readonly isServedByStore: boolean;
 }
--- a/packages/journal/src/RecordLog.ts
+++ b/packages/journal/src/RecordLog.ts
@@ -46,8 +46,8 @@
     signal?: AbortSignal,
   ): Promise<Result<void, LogFailure>>;
 
-  /** Returns the newest record of each key. */
-  abstract readNewest(): Promise<Result<NewestRecords, LogFailure>>;
+  /** Returns the newest record of each key. Aborting ends the read with a failure. */
+  abstract readNewest(signal?: AbortSignal): Promise<Result<NewestRecords, LogFailure>>;
 
   /** Returns records from `offset` on; waits up to `waitMs` for the first one. */
   abstract readFrom(
