Empty instances of an evacuated zone leave their pool

A second in a pool costs about as much as a move.

Change: once such an instance runs nothing it moves to the spare pool, after the moves that the pools wait for; a zone that is taken back gets its instances again as the pools need them. The test that expected the instance of the zone to stay in the pool expects it to leave now, and that none of the zone is added meanwhile.

--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -109,6 +109,7 @@
     this.logSizes(demands, pools, nowMs);
     this.completePendingMoves(pools);
     this.balance(pools);
+    this.parkEvacuated();
   }
 
   /** Journals the turns when a new one has begun. */
@@ -252,6 +253,28 @@
     });
   }
 
+  /**
+   * Moves empty instances of evacuated zones to the spare pool. They take no tasks, and an instance in
+   * a pool costs about as much in a second as a move does.
+   */
+  private parkEvacuated(): void {
+    const evacuated = this.deps.orders.instances.filter((one) => this.isEvacuatedAndEmpty(one));
+    this.moveToSparePool(evacuated);
+  }
+
+  private isEvacuatedAndEmpty({
+    instanceId,
+    poolId,
+    zoneId,
+    targetId,
+    state,
+  }: FleetInstance): boolean {
+    const { evacuation, orders, targets, isReservedForUpkeep } = this.deps;
+    if (state !== 'up' || this.isSpare(poolId) || !evacuation.isEvacuated(zoneId)) return false;
+    if (orders.isBlocked(instanceId) || isReservedForUpkeep(instanceId)) return false;
+    return targets.get(targetId)?.runs.size === 0;
+  }
+
   /**
    * Closes instances that run tasks to new ones, in pools that have more than their part, the least
    * loaded first.
--- a/packages/jobdesk/src/evacuation.test.ts
+++ b/packages/jobdesk/src/evacuation.test.ts
@@ -185,7 +185,7 @@
 
 describe('the evacuation of a zone with long-running tasks', () => {
   it('moves them within their budget, to instances added for them outside the zone', async (t) => {
-    // Fails if instances of the zone count towards the size of the pool or are moved: then no
+    // Fails if instances of the zone count towards the size of the pool or are added to it: then no
     // instance is added, or the tasks get one of the zone.
     const world = await createWorld({
       targetCount: 0,
@@ -199,16 +199,67 @@
     t.equal(runningIn(world, 'z0'), 3, 'all on the only instance of the pool');
     world.evacuate('z0');
     let least = 3;
+    let mostOfZone = 0;
     for (let round = 0; round < 1_000; round += 1) {
       await world.run(10);
       least = Math.min(least, world.runningCount);
+      const ofZone = world.fleet?.zonesIn('pool').filter((zoneId) => zoneId === 'z0').length ?? 0;
+      mostOfZone = Math.max(mostOfZone, ofZone);
     }
     t.equal(least, 2, 'never more than one task down');
     t.same([runningIn(world, 'z0'), runningIn(world, 'z1')], [0, 3]);
-    t.same(world.fleet?.zonesIn('pool').sort(), ['z0', 'z1'], 'no instance of the zone was moved');
+    t.equal(mostOfZone, 1, 'no instance of the zone was added');
+    t.same(
+      world.fleet?.zonesIn('pool'),
+      ['z1'],
+      'the empty instance of the zone has left the pool',
+    );
     t.same(world.observer.broken, []);
   });
 
+  it('gives instances of a zone that is taken back to the pool again', async (t) => {
+    // Fails if an instance that left its pool with the zone stays closed afterwards.
+    const world = await createWorld({
+      targetCount: 0,
+      instanceCount: 1,
+      spareCount: 2,
+      zoneCount: 2,
+    });
+    world.evacuate('z0');
+    await world.run(4_000);
+    t.same(world.fleet?.zonesIn('pool'), ['z1'], 'one outside the zone has taken its place');
+    world.withdrawEvacuation('z0');
+    await world.run(500);
+    world.evacuate('z1');
+    await world.run(6_000);
+    t.same(world.fleet?.zonesIn('pool'), ['z0']);
+    await submit(world, 'a');
+    await assertCompletes(t, world, ['a']);
+    t.equal(startsIn(world, 'z0'), 4);
+  });
+
+  it('keeps upkeep in time for instances of the zone, in their pool and after they left it', async (t) => {
+    // Fails if a move out of the zone makes the wave miss an instance.
+    const world = await createWorld({
+      targetCount: 0,
+      instanceCount: 4,
+      spareCount: 4,
+      zoneCount: 2,
+    });
+    const instanceIds = ['m0', 'm1', 'm2', 'm3', 's0', 's2'];
+    const dueMs = world.clock.monotonicMs() + 12_000;
+    world.waves.push({ waveId: 1, instanceIds, dueMs, mostAtOnce: 2 });
+    await world.run(300);
+    world.evacuate('z0');
+    await world.run(3_000);
+    world.killEntry(world.ownerId() ?? '');
+    await world.run(3_000);
+    world.evacuate('z1');
+    await world.run(5_500);
+    t.same([...(world.fleet?.upkeeps ?? [])].sort(), instanceIds, 'each instance once, in time');
+    t.ok((world.fleet?.maxDown ?? 9) <= 2);
+  });
+
   it('stops none while the owner has no answer from the store', async (t) => {
     // Fails if moves do not check the ownership: a task that is stopped can't start elsewhere, and
     // another owner may be moving tasks of the same step.
