A task is not blamed for a crash before its start order

Change: a run whose start order was sent after the present lifetime of its target had begun is no suspect. The start time that the target reports is compared with the wall clock at the order, with 0.5 s for the difference of the clocks; where they differ by more, a task is still given up after its fifth crash.

--- a/packages/coordinator/src/CrashHandler.ts
+++ b/packages/coordinator/src/CrashHandler.ts
@@ -16,6 +16,12 @@
  */
 export type CrashEvidence = 'other-lifetime' | 'reborn' | 'replaced';
 
+/**
+ * The clocks of an entry and a target differ by less than this, in milliseconds. Where they differ by
+ * more, a task is still given up after its fifth crash.
+ */
+const CLOCK_DIFFERENCE_MS = 500;
+
 export class CrashHandler {
   constructor(
     private readonly runTracker: RunTracker,
@@ -33,7 +39,7 @@
     const crashed = hasLeft ? [] : runs.filter(({ phase }) => phase !== 'planned');
     if (crashed.length > 0) {
       this.logCrash(target, crashed, evidence);
-      this.recordCrash(crashed);
+      this.recordCrash(target, crashed);
     }
     return runs.map((live) =>
       this.runTracker.finish(live, crashed.includes(live) ? 'crashed' : 'lost', ''),
@@ -41,12 +47,14 @@
   }
 
   /** Records the crash with each task, and gives up the one that has caused it. */
-  private recordCrash(crashed: readonly LiveRun[]): void {
-    const suspectJobs = new Set(
-      crashed.filter(({ isEarly }) => isEarly).map(({ place }) => place.job.jobId),
+  private recordCrash(target: FleetTarget, crashed: readonly LiveRun[]): void {
+    const suspects = crashed.filter(
+      (live) => live.isEarly && !CrashHandler.hasCrashedBefore(target, live),
     );
+    const suspectJobs = new Set(suspects.map(({ place }) => place.job.jobId));
     crashed.forEach((live) => {
-      const { isEarly, isAlone, isConfirmed } = live;
+      const { isAlone, isConfirmed } = live;
+      const isEarly = suspects.includes(live);
       const { task } = live.place;
       const isCounted = isConfirmed || isAlone;
       task.recordCrash({ isEarly, isCounted });
@@ -57,6 +65,18 @@
     });
   }
 
+  /**
+   * Whether the process that was to run the task ended before the start order was sent: the present one
+   * had started by then. The order was meant for a target that had been silent, and is not its cause.
+   */
+  private static hasCrashedBefore(
+    target: FleetTarget,
+    { bornMs, orderedUnixMs }: LiveRun,
+  ): boolean {
+    if (orderedUnixMs === 0 || target.bornMs <= bornMs) return false;
+    return target.bornMs < orderedUnixMs - CLOCK_DIFFERENCE_MS;
+  }
+
   private giveUp({ place, run, targetId }: LiveRun): void {
     const { job, task } = place;
     const { taskId, crashes, earlyCrashes } = task;
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -37,6 +37,9 @@
   /** The task is a suspect, and no task of another job had only just started on the target. */
   isAlone = false;
 
+  /** Wall clock time at which the start order was sent, Unix milliseconds; 0 if that is unknown. */
+  orderedUnixMs = 0;
+
   startedMs = 0;
 
   /** Last reported work rate (long-running tasks) or progress (all others), 0 to 100. */
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -125,7 +125,7 @@
       this.deps.runTracker.stop(live);
       return;
     }
-    Object.assign(live, { phase: 'ordered' });
+    Object.assign(live, { phase: 'ordered', orderedUnixMs: clock.unixMs() });
     const sentAtMs = clock.monotonicMs();
     const order = this.startOrderOf(live, sentAtMs);
     const done = await port.start(target.address, order);
