Two suspects that were each alone are both kept after a change of owner

Change: runs of two jobs that were each alone on the crashed target contradict each other, so none of them is given up for this crash; each is started alone once more, and the fifth crash ends it anyway.

--- a/packages/coordinator/src/CrashHandler.test.ts
+++ b/packages/coordinator/src/CrashHandler.test.ts
@@ -70,6 +70,24 @@
     t.equal(neighbour.status, 'running');
   });
 
+  it('blames none of two jobs that were each alone, if a new owner has not seen which one had settled', (t) => {
+    // Fails if both count as the only suspect. Soak seeds 12 and 18 of an upgrade: a job that crashed
+    // nothing was shown as failed together with the one that did.
+    const fixture = new RunFixture(2);
+    const jobs = ['a', 'b'].map((jobId) => fixture.accept(jobId));
+    for (const targetId of ['t0', 't1']) {
+      jobs.forEach((job) => {
+        const live = fixture.start(job, targetId);
+        Object.assign(live, { phase: 'uncertain', isConfirmed: false, isAlone: true });
+      });
+      fixture.crash(targetId);
+    }
+    t.same(
+      jobs.map(({ status }) => status),
+      ['running', 'running'],
+    );
+  });
+
   it('keeps a task whose start order was sent after the crashed process had been replaced', (t) => {
     // Fails if an order that was lost on the way counts as the cause of a crash that is noticed later.
     // Soak seed 11 of an upgrade: a job failed although its tasks had never started on that target.
--- a/packages/coordinator/src/CrashHandler.ts
+++ b/packages/coordinator/src/CrashHandler.ts
@@ -51,7 +51,10 @@
     const suspects = crashed.filter(
       (live) => live.isEarly && !CrashHandler.hasCrashedBefore(target, live),
     );
-    const suspectJobs = new Set(suspects.map(({ place }) => place.job.jobId));
+    const suspectJobs = CrashHandler.jobsOf(suspects);
+    // A new owner has not seen which of the runs had settled. Runs of two jobs that were each alone
+    // contradict each other then: one of them had settled before the other was placed.
+    const aloneJobs = CrashHandler.jobsOf(suspects.filter(({ isAlone }) => isAlone));
     crashed.forEach((live) => {
       const { isAlone, isConfirmed } = live;
       const isEarly = suspects.includes(live);
@@ -59,12 +62,17 @@
       const isCounted = isConfirmed || isAlone;
       task.recordCrash({ isEarly, isCounted });
       task.recordAvoidedTarget(live.targetId);
-      const isOnlySuspect = isEarly && isCounted && (isAlone || suspectJobs.size === 1);
+      const isOnlyAlone = isAlone && aloneJobs.size === 1;
+      const isOnlySuspect = isEarly && isCounted && (isOnlyAlone || suspectJobs.size === 1);
       const { crashes, earlyCrashes } = task;
       if (CrashPolicy.shouldGiveUp({ crashes, earlyCrashes, isOnlySuspect })) this.giveUp(live);
     });
   }
 
+  private static jobsOf(runs: readonly LiveRun[]): ReadonlySet<string> {
+    return new Set(runs.map(({ place }) => place.job.jobId));
+  }
+
   /**
    * Whether the process that was to run the task ended before the start order was sent: the present one
    * had started by then. The order was meant for a target that had been silent, and is not its cause.
