--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -21,6 +21,7 @@
 import { type FleetInstance } from './contracts/index.js';
 import { type FleetOrders } from './FleetOrders.js';
 import { type Ownership } from './Ownership.js';
+import { PoolSizesLog, type PoolState } from './PoolSizesLog.js';
 import { type TargetTable } from './TargetTable.js';
 import { TurnRecord, TURNS_KEY } from './TurnRecord.js';
 import { type ZoneEvacuation } from './ZoneEvacuation.js';
@@ -31,9 +32,6 @@
 /** The room of a pool isn't known from a list of instances that is older, in milliseconds. */
 const MAX_LIST_AGE_MS = 2_000;
 
-/** Interval of the log line with the sizes of pools, in milliseconds. */
-const SIZES_LOG_MS = 1_000;
-
 export interface PoolControllerDeps {
   readonly orders: FleetOrders;
   readonly targets: TargetTable;
@@ -52,15 +50,6 @@
   readonly relocationLacksRoom: (poolId: string) => boolean;
 }
 
-/** A pool with its computed size, its current instances and its part of the fleet. */
-interface PoolState {
-  readonly size: PoolSize;
-  /** Instances that the pool has, or will have once pending moves are done. */
-  readonly count: number;
-  /** Instances that the pool is entitled to when the fleet is divided fairly. */
-  readonly part: number;
-}
-
 export class PoolController extends Disposable {
   private readonly sizer = new PoolSizer();
 
@@ -72,13 +61,14 @@
   /** Parts of the fleet in the last round. */
   private parts: readonly PoolPart[] = [];
 
-  private sizesLoggedMs = -Infinity;
-
   /** Start of the last turn that is in the journal, on the monotonic clock. */
   private journaledTurnMs: number | undefined;
 
+  private readonly sizesLog: PoolSizesLog;
+
   constructor(private readonly deps: PoolControllerDeps) {
     super();
+    this.sizesLog = new PoolSizesLog(deps);
   }
 
   /** Restores the turns recorded by a previous owner; returns false if the key is another one. */
@@ -106,7 +96,10 @@
     const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs, spareCount);
     this.journalTurns();
     const pools = this.divide(demands, sizes);
-    this.logSizes(demands, pools, nowMs);
+    this.sizesLog.write(demands, pools, {
+      turnPoolId: this.forecast.currentPoolId,
+      next: this.forecast.next(nowMs),
+    });
     this.completePendingMoves(pools);
     this.balance(pools);
     this.parkEvacuated();
@@ -428,46 +421,4 @@
   private isInTurn(poolId: string, nowMs: number): boolean {
     return this.forecast.currentPoolId === poolId || this.forecast.next(nowMs)?.poolId === poolId;
   }
-
-  /** Numbers of the pool's instances by what they do, for the log. */
-  private useOf(poolId: string): { busy: number; idle: number; closed: number; unknown: number } {
-    const use = { busy: 0, idle: 0, closed: 0, unknown: 0 };
-    const nowMs = this.deps.clock.monotonicMs();
-    this.deps.orders.instances
-      .filter((instance) => instance.poolId === poolId)
-      .forEach(({ targetId }) => {
-        const target = this.deps.targets.get(targetId);
-        if (!target) use.unknown += 1;
-        else if (!target.isOpen(nowMs)) use.closed += 1;
-        else if (target.runs.size > 0) use.busy += 1;
-        else use.idle += 1;
-      });
-    return use;
-  }
-
-  private logSizes(
-    demands: readonly PoolDemand[],
-    pools: readonly PoolState[],
-    nowMs: number,
-  ): void {
-    if (nowMs - this.sizesLoggedMs < SIZES_LOG_MS) return;
-    this.sizesLoggedMs = nowMs;
-    this.deps.logger.info('pool-sizes', {
-      pools: demands.map((demand, index) => ({
-        poolId: demand.poolId,
-        instances: demand.instanceCount,
-        needed: pools[index]?.size.needed,
-        kept: pools[index]?.size.kept,
-        part: pools[index]?.part,
-        ...this.useOf(demand.poolId),
-        limitedBy: pools[index]?.size.limitedBy,
-        demandCpuMilli: demand.demand.cpuMilli,
-        demandMemoryMb: Math.round(demand.demand.memoryMb),
-        arrivingCpuMilli: Math.round(demand.arriving.cpuMilli),
-      })),
-      turnPoolId: this.forecast.currentPoolId,
-      next: this.forecast.next(nowMs),
-      listAgeMs: Math.round(this.deps.orders.listAgeMs),
-    });
-  }
 }
