--- a/packages/coordinator/src/testing/RecordingLogger.ts
+++ b/packages/coordinator/src/testing/RecordingLogger.ts
@@ -20,6 +20,11 @@
     this.lines.push({ event, fields });
   }
 
+  /** The events of all lines, oldest first. */
+  get events(): string[] {
+    return this.lines.map(({ event }) => event);
+  }
+
   /** The fields of each line of the event, oldest first. */
   of(event: string): LogFields[] {
     return this.lines.filter((line) => line.event === event).map(({ fields }) => fields);
