The first turn of a pool is sized by the turns of other pools, from its rise on

Ways: (1) as it stood: the pool's own demand with its growth extrapolated. (2) from the recognition of the turn on, the multiple of the initial instances that other pools' turns needed for 0.8 s or longer. (3) the same from the rise on: a quarter of all arrivals for 0.3 s, while the turn before fades. The third is kept. An owner journals what the turns needed (sustainedNeed in the record turns).

--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -15,6 +15,7 @@
   type PoolSize,
   PoolSizer,
   ResourceVector,
+  RisingPools,
   TurnForecast,
 } from '@acaciadock/placement';
 import { type DemandMeter } from './DemandMeter.js';
@@ -55,6 +56,8 @@
 
   private readonly forecast = new TurnForecast();
 
+  private readonly rising = new RisingPools();
+
   /** Instances that are closed to new tasks for a move, with the destination pool of each. */
   private readonly pendingMoves = new Map<string, string>();
 
@@ -84,14 +87,8 @@
   reconcile(): void {
     const nowMs = this.deps.clock.monotonicMs();
     this.dropInvalidMoves();
+    this.observeArrivals(nowMs);
     const demands = this.demands();
-    this.forecast.observe(
-      demands.map(({ poolId }) => ({
-        poolId,
-        cpuMilli: this.deps.demand.recentArrivalCpuMilli(poolId),
-      })),
-      nowMs,
-    );
     const spareCount = this.availableSpares().length;
     const sizes = this.sizer.size(demands, this.forecast.next(nowMs), nowMs, spareCount);
     this.journalTurns();
@@ -105,6 +102,15 @@
     this.parkEvacuated();
   }
 
+  private observeArrivals(nowMs: number): void {
+    const { config, demand } = this.deps;
+    const arrivals = config()
+      .config.pools.filter((pool) => !pool.isSpare)
+      .map(({ poolId }) => ({ poolId, cpuMilli: demand.recentArrivalCpuMilli(poolId) }));
+    this.forecast.observe(arrivals, nowMs);
+    this.rising.observe(arrivals, nowMs);
+  }
+
   /** Journals the turns when a new one has begun. */
   private journalTurns(): void {
     const startMs = this.forecast.recorded.at(-1)?.startMs;
@@ -367,6 +373,7 @@
       ...demand.needed(poolId, poolTargets, capacity),
       arriving: demand.arriving(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
+      isRising: this.rising.isRising(poolId, clock.monotonicMs()),
       hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || relocationLacksRoom(poolId),
       instanceCount: present.length,
       openCount: poolTargets.filter((target) => target.isOpen(clock.monotonicMs())).length,
--- a/packages/coordinator/src/TurnRecord.test.ts
+++ b/packages/coordinator/src/TurnRecord.test.ts
@@ -30,6 +30,7 @@
     openCount: INITIAL_COUNT,
     capacity: CAPACITY,
     hasHadTurn,
+    isRising: false,
     hasLongRunningWaiting: false,
   };
 }
--- a/packages/coordinator/src/TurnRecord.ts
+++ b/packages/coordinator/src/TurnRecord.ts
@@ -18,6 +18,8 @@
       turnPeak: z.number(),
       initialCount: z.number(),
       startNeed: z.number().optional(),
+      // Owners of earlier builds don't write it.
+      sustainedNeed: z.number().optional(),
     }),
   ),
 });
--- a/packages/placement/src/PoolSizer.test.ts
+++ b/packages/placement/src/PoolSizer.test.ts
@@ -6,6 +6,10 @@
 import { TaskFitBound } from './TaskFitBound.js';
 
 const INSTANCE_MILLI = 16_000;
+
+/** Usable fraction of an instance's CPU. */
+const USABLE_SHARE = 0.85;
+
 const CAPACITY = new ResourceVector(INSTANCE_MILLI, 64_000, 0);
 
 function cpu(cpuMilli: number): ResourceVector {
@@ -28,6 +32,7 @@
     openCount: 8,
     capacity: CAPACITY,
     hasHadTurn: true,
+    isRising: false,
     hasLongRunningWaiting: false,
     ...change,
   };
@@ -144,6 +149,58 @@
     });
   });
 
+  describe('of a pool whose first turn begins, after the turn of another', () => {
+    const MS_PER_ROUND = 150;
+
+    /** Plays a turn of pool `a` that needs three times its instances, with a peak of a moment. */
+    function afterTurnOfOther(): PoolSizer {
+      const sizer = new PoolSizer();
+      const other = { poolId: 'a', instanceCount: 4, hasHadTurn: true };
+      for (let round = 0; round < 20; round += 1) {
+        const instances = round === 10 ? 30 : 12 * USABLE_SHARE;
+        const busy = demand({ ...other, demand: cpu(instances * INSTANCE_MILLI) });
+        const quiet = demand({ poolId: 'b', hasHadTurn: false });
+        sizer.size([busy, quiet], undefined, round * MS_PER_ROUND);
+      }
+      return sizer;
+    }
+
+    function neededAt(sizer: PoolSizer, nowMs: number): number {
+      const begun = demand({ poolId: 'b', demand: cpu(2 * INSTANCE_MILLI) });
+      return sizer.size([begun], undefined, nowMs)[0]?.needed ?? 0;
+    }
+
+    it('needs the same multiple of its initial instances', (t) => {
+      // Fails if the pool follows its demand, which rises faster than instances move there.
+      t.equal(neededAt(afterTurnOfOther(), 3_000), 24);
+    });
+
+    it('needs it from the rise on', (t) => {
+      const rising = demand({ poolId: 'b', hasHadTurn: false, isRising: true });
+      const [size] = afterTurnOfOther().size([rising], undefined, 3_000);
+      t.equal(size?.needed, 24);
+    });
+
+    it('follows its own demand once the start is over', (t) => {
+      const sizer = afterTurnOfOther();
+      neededAt(sizer, 3_000);
+      t.ok(neededAt(sizer, 5_300) < 5);
+    });
+
+    it('expects the same after a change of owner', (t) => {
+      const successor = new PoolSizer();
+      successor.restore(afterTurnOfOther().memories);
+      successor.size([demand({ poolId: 'b', hasHadTurn: false })], undefined, 0);
+      t.equal(neededAt(successor, 100), 24);
+    });
+
+    it('follows its own demand if no other pool has had a turn', (t) => {
+      const sizer = new PoolSizer();
+      sizer.size([demand({ poolId: 'b', hasHadTurn: false })], undefined, 0);
+      t.ok(neededAt(sizer, 100) < 8);
+    });
+  });
+
   it('prepares for a forecast turn with the largest need so far', (t) => {
     const sizer = new PoolSizer();
     sizer.size([demand({ demand: cpu(9 * INSTANCE_MILLI) })], undefined, 0);
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -6,6 +6,7 @@
  * because its peak demand is unknown; the starts of the turns of other pools bound that part.
  */
 import { type ResourceVector, type Resources } from './ResourceVector.js';
+import { type NeedSample, SustainedNeeds } from './SustainedNeeds.js';
 import { MAX_COUNTED_TASKS } from './TaskFitBound.js';
 import { type NextTurn } from './TurnForecast.js';
 
@@ -36,6 +37,8 @@
   readonly capacity: Resources;
   /** Whether the pool has had a turn, as defined by `TurnForecast`. */
   readonly hasHadTurn: boolean;
+  /** Whether its first turn seems to begin, as defined by `RisingPools`. */
+  readonly isRising: boolean;
   /**
    * Long-running tasks found no room. The pool then needs another instance, even if its total
    * demand fits the instances that it has.
@@ -82,11 +85,6 @@
 /** Growth is extrapolated over this many trend windows, which is about the time of a move. */
 const EXTRAPOLATED_WINDOWS = 0.8;
 
-interface NeedSample {
-  readonly atMs: number;
-  readonly count: number;
-}
-
 /** Largest recent need, and the time at which it was last that large. */
 interface Peak {
   count: number;
@@ -137,6 +135,8 @@
   readonly initialCount: number;
   /** Largest need at the start of the pool's first turn, if that was observed. */
   readonly startNeed?: number | undefined;
+  /** Largest need in the pool's turns that lasted; undefined before its first turn. */
+  readonly sustainedNeed?: number | undefined;
 }
 
 export interface PoolSize {
@@ -154,6 +154,8 @@
 
   private readonly restored = new Map<string, PoolMemory>();
 
+  private readonly sustained = new SustainedNeeds();
+
   /** `spareCount` is the number of instances of the spare pool that can be moved now. */
   size(
     pools: readonly PoolDemand[],
@@ -171,12 +173,17 @@
       turnPeak,
       initialCount,
       startNeed: start?.isOver === true ? start.need : undefined,
+      sustainedNeed: this.sustained.largestOf(poolId),
     }));
   }
 
   /** Continues from what another process knew of the pools. */
   restore(memories: readonly PoolMemory[]): void {
-    memories.forEach((memory) => this.restored.set(memory.poolId, memory));
+    memories.forEach((memory) => {
+      const { poolId, initialCount, sustainedNeed: largest } = memory;
+      this.restored.set(poolId, memory);
+      if (largest !== undefined) this.sustained.restore(poolId, { initialCount, largest });
+    });
   }
 
   private sizeOne(
@@ -193,10 +200,17 @@
     PoolSizer.update(peak, currentNeed, nowMs, SHRINK_AFTER_MS);
     PoolSizer.update(extrapolatedPeak, needed, nowMs, EXTRAPOLATION_KEPT_MS);
     history.turnPeak = Math.max(history.turnPeak, turnNeed);
-    if (hasHadTurn) history.start = PoolSizer.startAfter(history, turnNeed, nowMs);
+    if (hasHadTurn) {
+      history.start = PoolSizer.startAfter(history, turnNeed, nowMs);
+      this.sustained.record(poolId, history.initialCount, history.recent);
+    }
     const recentNeed = Math.max(peak.count, extrapolatedPeak.count);
     const isTurnNear = next?.poolId === poolId && next.inMs < PREPARE_AHEAD_MS;
-    const forecastNeed = isTurnNear ? history.turnPeak : 0;
+    const isBeginning = hasHadTurn ? history.start?.isOver === false : pool.isRising;
+    const forecastNeed = Math.max(
+      isTurnNear ? history.turnPeak : 0,
+      isBeginning ? this.sustained.expectedFor(poolId, history.initialCount) : 0,
+    );
     const kept = hasHadTurn
       ? recentNeed
       : Math.max(recentNeed, this.keptBeforeTurn(history.initialCount, spareCount));
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -5,6 +5,7 @@
 export * from './TurnForecast.js';
 export * from './QueueOrder.js';
 export * from './RetryAfter.js';
+export * from './RisingPools.js';
 export * from './RuntimeDistribution.js';
 export * from './RuntimeEstimates.js';
 export * from './ShareMeter.js';
