--- a/packages/coordinator/src/ReportProcessor.ts
+++ b/packages/coordinator/src/ReportProcessor.ts
@@ -79,8 +79,7 @@
     Object.assign(target, { processedEnd: ended.sequence });
     const live = target.runs.get(ended.taskId);
     // A target that lists the failure of a run has not crashed because of it.
-    if (live?.run === ended.run && ended.end === 'failed')
-      live.place.task.clearSuspicion(live.place.step.spec.longRunning);
+    if (live?.run === ended.run && ended.end === 'failed') this.clearSuspicion(live);
     const commit =
       live?.run === ended.run
         ? this.runTracker.finish(live, ended.end, ended.checkpoint)
@@ -104,11 +103,21 @@
       live.checkpointPercent = running.percent;
     }
     if (live.phase === 'uncertain' || live.phase === 'ordered') this.runTracker.markRunning(live);
-    if (!live.isEarly) live.place.task.clearSuspicion(live.place.step.spec.longRunning);
+    if (!live.isEarly) this.clearSuspicion(live);
     if (this.runTracker.isFurthest(live)) live.place.task.recordCheckpoint(running.checkpoint);
     return true;
   }
 
+  /**
+   * Clears the suspicion that the task crashes targets. A suspicion that is in the journal is cleared
+   * there, too: the next owner has not seen the run at work and would blame it for a later crash.
+   */
+  private clearSuspicion({ place }: LiveRun): void {
+    if (place.task.clearSuspicion(place.step.spec.longRunning)) {
+      void this.runTracker.journal(place);
+    }
+  }
+
   private finishAbsent(
     target: FleetTarget,
     report: HoldReport,
--- a/packages/jobdesk/src/deadlyTasks.test.ts
+++ b/packages/jobdesk/src/deadlyTasks.test.ts
@@ -4,7 +4,11 @@
  * that were only silent or crashed by themselves.
  */
 import { describe, it } from '@acaciadock/core/testing';
-import { DEADLY_PREFIX, LONG_RUNNING_PREFIX } from '@acaciadock/coordinator/testing';
+import {
+  DEADLY_PREFIX,
+  LONG_RUNNING_PREFIX,
+  type SimulatedTarget,
+} from '@acaciadock/coordinator/testing';
 import { type Test } from 'tap';
 import { type JobWorld } from './testing/JobWorld.js';
 import {
@@ -246,6 +250,28 @@
     await assertCompletes(t, world, ['a']);
   });
 
+  it('is not given up if a second one crashes long after its start, under a new owner', async (t) => {
+    // Fails if a suspicion is cleared only in the memory of the owner that saw the run at work. Soak
+    // seed 10 of an upgrade: two jobs were shown as failed that had crashed nothing.
+    const world = await createWorld({ targetCount: 3, runtimeMs: 8_000 });
+    void world.submit('a', { steps: [{ taskCount: 1, cpuMilli: 500 }] });
+    const running = (): SimulatedTarget | undefined =>
+      [...world.targets.values()].find((target) => target.runningCount > 0);
+    await world.runUntil(() => running() !== undefined, 1_000);
+    running()?.crash();
+    [...world.targets.values()].filter(({ isUp }) => !isUp).forEach((target) => target.restart());
+    await world.runUntil(() => running() !== undefined, 10_000);
+    await world.run(1_500);
+    const second = running();
+    world.killEntry(world.ownerId() ?? '');
+    second?.crash();
+    await world.run(100);
+    second?.restart();
+    await world.runUntil(() => world.owner !== undefined, 5_000);
+    await assertCompletes(t, world, ['a']);
+    t.equal(world.observer.startsOf('a.0.0.0'), 3, 'both crashes are noticed');
+  });
+
   it('is not given up if they crash by themselves while it is at work', async (t) => {
     const world = await createWorld({ targetCount: 3, runtimeMs: 4_000 });
     const jobIds = submitNeighbours(world, 2);
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -150,12 +150,17 @@
 
   /**
    * Clears the suspicion: a target runs the task and has not crashed. A task that runs for good is
-   * bound to be under a crash now and then, so its crashes are counted anew.
+   * bound to be under a crash now and then, so its crashes are counted anew. Returns whether anything
+   * of the stored form has changed.
    */
-  clearSuspicion(isLongRunning: boolean): void {
-    this.earlyCrashes = 0;
+  clearSuspicion(isLongRunning: boolean): boolean {
     this.isSuspected = false;
     if (isLongRunning) this.crashes = 0;
+    const isStored = this.earlyCrashes > 0 || this.runs.some(({ isAlone }) => isAlone === true);
+    if (!isStored) return false;
+    this.earlyCrashes = 0;
+    this.runs = this.runs.map(({ run, targetId, bornMs }) => ({ run, targetId, bornMs }));
+    return true;
   }
 
   hasRun(run: number): boolean {
