--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -22,6 +22,7 @@
 import { type FleetInstance } from './contracts/index.js';
 import { type FleetOrders } from './FleetOrders.js';
 import { type Ownership } from './Ownership.js';
+import { PendingMoves } from './PendingMoves.js';
 import { PoolSizesLog, type PoolState } from './PoolSizesLog.js';
 import { type TargetTable } from './TargetTable.js';
 import { TurnRecord, TURNS_KEY } from './TurnRecord.js';
@@ -58,8 +59,7 @@
 
   private readonly rising = new RisingPools();
 
-  /** Instances that are closed to new tasks for a move, with the destination pool of each. */
-  private readonly pendingMoves = new Map<string, string>();
+  private readonly pendingMoves: PendingMoves;
 
   /** Parts of the fleet in the last round. */
   private parts: readonly PoolPart[] = [];
@@ -71,6 +71,7 @@
 
   constructor(private readonly deps: PoolControllerDeps) {
     super();
+    this.pendingMoves = new PendingMoves(deps);
     this.sizesLog = new PoolSizesLog(deps);
   }
 
@@ -86,7 +87,7 @@
   /** Runs one round: sizes the pools, then sends the moves that are due. */
   reconcile(): void {
     const nowMs = this.deps.clock.monotonicMs();
-    this.dropInvalidMoves();
+    this.pendingMoves.dropInvalid();
     this.observeArrivals(nowMs);
     const demands = this.demands();
     const spareCount = this.availableSpares().length;
@@ -97,7 +98,7 @@
       turnPoolId: this.forecast.currentPoolId,
       next: this.forecast.next(nowMs),
     });
-    this.completePendingMoves(pools);
+    this.pendingMoves.complete(pools);
     this.balance(pools);
     this.parkEvacuated();
   }
@@ -292,14 +293,7 @@
       const poolId = wanted[index];
       const target = this.deps.targets.get(instance.targetId);
       if (poolId === undefined || !target) return;
-      target.isReserved = true;
-      this.pendingMoves.set(instance.instanceId, poolId);
-      this.deps.logger.info('instance-reclaimed', {
-        instanceId: instance.instanceId,
-        fromPoolId: instance.poolId,
-        poolId,
-        runs: target.runs.size,
-      });
+      this.pendingMoves.add(instance, target, poolId);
     });
   }
 
@@ -318,41 +312,6 @@
       .slice(0, Math.max(0, count - part));
   }
 
-  /** Moves instances that are empty now, and reopens those whose destination pool needs no more. */
-  private completePendingMoves(pools: readonly PoolState[]): void {
-    this.pendingMoves.forEach((poolId, instanceId) => {
-      const instance = this.deps.orders.instances.find((one) => one.instanceId === instanceId);
-      const target = this.deps.targets.get(instance?.targetId ?? '');
-      const recipient = pools.find(({ size }) => size.poolId === poolId);
-      if (!instance || !target) return;
-      if (recipient && recipient.part < recipient.count) {
-        this.cancelMove(instance);
-        return;
-      }
-      if (target.runs.size > 0 || this.deps.orders.allowance === 0) return;
-      this.pendingMoves.delete(instanceId);
-      void this.deps.orders.move(instance, poolId);
-    });
-  }
-
-  /** Drops pending moves of instances that are not up, have an order or must not move any more. */
-  private dropInvalidMoves(): void {
-    const { orders, evacuation, isReservedForUpkeep } = this.deps;
-    this.pendingMoves.forEach((_, instanceId) => {
-      const instance = orders.instances.find((one) => one.instanceId === instanceId);
-      const isUnavailable = orders.hasOrder(instanceId) || isReservedForUpkeep(instanceId);
-      if (instance?.state !== 'up' || isUnavailable) this.pendingMoves.delete(instanceId);
-      else if (evacuation.isEvacuated(instance.zoneId)) this.cancelMove(instance);
-    });
-  }
-
-  /** Drops a pending move, so that the instance takes tasks again. */
-  private cancelMove({ instanceId, targetId }: FleetInstance): void {
-    this.pendingMoves.delete(instanceId);
-    const target = this.deps.targets.get(targetId);
-    if (target) target.isReserved = false;
-  }
-
   private demands(): PoolDemand[] {
     return this.deps
       .config()
@@ -382,7 +341,9 @@
   }
 
   private assignedPoolId(instance: FleetInstance): string {
-    return this.pendingMoves.get(instance.instanceId) ?? this.deps.orders.poolAfterOrders(instance);
+    return (
+      this.pendingMoves.poolOf(instance.instanceId) ?? this.deps.orders.poolAfterOrders(instance)
+    );
   }
 
   /**
