--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -205,23 +205,30 @@
       this.sustained.record(poolId, history.initialCount, history.recent);
     }
     const recentNeed = Math.max(peak.count, extrapolatedPeak.count);
-    const isTurnNear = next?.poolId === poolId && next.inMs < PREPARE_AHEAD_MS;
-    const isBeginning = hasHadTurn ? history.start?.isOver === false : pool.isRising;
-    const forecastNeed = Math.max(
-      isTurnNear ? history.turnPeak : 0,
-      isBeginning ? this.sustained.expectedFor(poolId, history.initialCount) : 0,
-    );
+    const expectedNeed = this.expectedNeed(pool, history, next);
     const kept = hasHadTurn
       ? recentNeed
       : Math.max(recentNeed, this.keptBeforeTurn(history.initialCount, spareCount));
     return {
       poolId,
-      needed: Math.max(needed, forecastNeed),
-      kept: Math.max(kept, forecastNeed),
+      needed: Math.max(needed, expectedNeed),
+      kept: Math.max(kept, expectedNeed),
       limitedBy,
     };
   }
 
+  /** Instances for a turn of the pool that is forecast, or whose first one has just begun. */
+  private expectedNeed(
+    { poolId, hasHadTurn, isRising }: PoolDemand,
+    { turnPeak, start, initialCount }: History,
+    next: NextTurn | undefined,
+  ): number {
+    const isTurnNear = next?.poolId === poolId && next.inMs < PREPARE_AHEAD_MS;
+    if (isTurnNear) return turnPeak;
+    const isFirstBeginning = hasHadTurn ? start?.isOver === false : isRising;
+    return isFirstBeginning ? this.sustained.expectedFor(poolId, initialCount) : 0;
+  }
+
   /** The start of the pool's first turn, after the given need. */
   private static startAfter(
     { start, isSeenBeforeTurn }: History,
