A claimant that is loading is not gone because the store does not list it yet

Result: restartOfAll.test.ts, one of 122 checks fails without the change (a claim that is lost, 500 ms instead of 375 to an owner in the model); jobdesk passes.

--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -308,8 +308,16 @@
     // A later process of the owner's entry proves the owner's end before its membership expires.
     if (directory.hasProcessExited(notice.owner.entryId, notice.owner.bootMs)) return true;
     if (directory.isMember(notice.owner)) return this.isReplaceable(notice);
-    // A membership may also expire by mistake. A healthy owner is not replaced because of that.
-    return (await directory.queryPeer(notice.owner))?.isHealthyOwner !== true;
+    // A membership may also expire by mistake, or not be listed yet. A healthy owner, or one that is
+    // still loading, is not replaced because of that.
+    const answer = await directory.queryPeer(notice.owner);
+    if (Election.isLoading(answer, notice)) return this.mayBeLoading(notice);
+    return answer?.isHealthyOwner !== true;
+  }
+
+  /** Whether the announced owner answers that it is still loading the journal for that claim. */
+  private static isLoading(answer: PeerAnswer | undefined, { epoch }: OwnerNotice): boolean {
+    return answer?.isLoading === true && answer.notice?.epoch === epoch;
   }
 
   private awaitsStronger(previousOwner: GroupMember): boolean {
@@ -338,7 +346,7 @@
     const answer = await this.directory.queryPeer(owner);
     if (this.directory.hasProcessExited(owner.entryId, owner.bootMs)) return true;
     if (answer?.isLoading === false) this.loadedEpoch = epoch;
-    return mayBeLoading && answer?.isLoading === true && answer.notice?.epoch === epoch;
+    return mayBeLoading && Election.isLoading(answer, notice);
   }
 
   private async claim(): Promise<void> {
--- a/packages/jobdesk/src/restartOfAll.test.ts
+++ b/packages/jobdesk/src/restartOfAll.test.ts
@@ -3,6 +3,8 @@
  * CPU and link: a weak one may be up first, and takes seconds to load the journal. Nobody serves the
  * callers before an owner has loaded it.
  */
+import { RecordingLogger } from '@acaciadock/coordinator/testing';
+import { type Logger, SilentLogger } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { type Test } from 'tap';
 import { DEFAULT_WORLD, JobWorld } from './testing/JobWorld.js';
@@ -34,8 +36,8 @@
   storeFaults.loadMs = STRONG_LOAD_MS;
 }
 
-function createEmptyWorld(seed: number): JobWorld {
-  return new JobWorld({ ...DEFAULT_WORLD, seed, entryCount: 0, runtimeMs: 400 });
+function createEmptyWorld(seed: number, logger: Logger = new SilentLogger()): JobWorld {
+  return new JobWorld({ ...DEFAULT_WORLD, seed, entryCount: 0, runtimeMs: 400, logger });
 }
 
 /** A world whose strong owner has accepted a job before all entries lost power. */
@@ -105,6 +107,38 @@
     });
   });
 
+  describe('when strong entries start one after the other', () => {
+    it('leaves the claim to the one that loads the journal', async (t) => {
+      // Fails if a claimant that the store doesn't list yet counts as gone: each entry then claims in
+      // turn, and the load of the one before it is lost.
+      for (let offMs = 300; offMs <= 1_200; offMs += 150) {
+        const logger = new RecordingLogger();
+        const world = createEmptyWorld(1, logger);
+        const strongIds = Array.from({ length: STRONG_COUNT }, (_, index) => `s${index}`);
+        strongIds.forEach((entryId) => startStrong(world, entryId));
+        await world.runUntil(() => world.owner !== undefined, 3_000);
+        await submit(world, 'a');
+        await world.run(1_000);
+        strongIds.forEach((entryId) => world.killEntry(entryId));
+        await world.run(offMs);
+        const unusedBefore = logger.of('claim-unused').length;
+        // The entry that comes first by name starts last.
+        for (const entryId of [...strongIds].reverse()) {
+          const { storeFaults } = world.startEntry(entryId, STRONG_CPU_MILLI);
+          storeFaults.loadMs = 4 * STRONG_LOAD_MS;
+          await world.run(60);
+        }
+        const tookMs = await msUntilOwner(world, 9_000);
+        t.ok(
+          tookMs <= OWNER_BOUND_MS,
+          `${offMs} ms without power: ${tookMs} ms after the last start`,
+        );
+        t.equal(logger.of('claim-unused').length - unusedBefore, 0, 'no claim after claim');
+        await assertOneOwner(t, world);
+      }
+    });
+  });
+
   describe('when a strong entry starts while a weak one loads the journal', () => {
     it('takes the claim over', async (t) => {
       // Fails if a claim that is announced but not loaded keeps every other entry waiting.
