Suspects that wait are logged, and the states of a pool's instances

No line said how many suspects of a crash wait, for how long, and how many targets are kept for them; 'unknown' in pool-sizes stood for instances that are down, that move and that have come back.

Change: the line suspects-waiting, at most once a second and pool; pool-sizes counts moving and down instances apart. No change of logic.

Result: SuspectBacklog.test.ts.

--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -17,6 +17,7 @@
 import { type Ownership } from './Ownership.js';
 import { type RunTracker } from './RunTracker.js';
 import { type ShareTracker } from './ShareTracker.js';
+import { SuspectBacklog } from './SuspectBacklog.js';
 import { SuspectIsolation } from './SuspectIsolation.js';
 import { type TargetTable } from './TargetTable.js';
 import { TaskPlacer } from './TaskPlacer.js';
@@ -55,6 +56,8 @@
 
   private readonly isolation: SuspectIsolation;
 
+  private readonly suspects: SuspectBacklog;
+
   private readonly placer: TaskPlacer;
 
   constructor(private readonly deps: JobSchedulerDeps) {
@@ -63,6 +66,7 @@
     this.isolation = new SuspectIsolation(deps.jobs, (target) =>
       target.isOpen(deps.clock.monotonicMs()),
     );
+    this.suspects = new SuspectBacklog(deps.clock, deps.logger);
     this.placer = this.register(new TaskPlacer({ ...deps, isolation: this.isolation }));
     this.register(deps.clock.every(REGULAR_PASS_MS, () => this.requestAllPasses()));
     this.register({ dispose: () => this.passTimer?.dispose() });
@@ -160,6 +164,7 @@
       (step) => this.placer.placeStep(step, open, rejectedSizes) === 'no-room',
     );
     demand.recordWaiting(poolId, blocked);
+    this.suspects.record(poolId, steps, open);
     admission.refresh(poolId, blocked, rejectedSizes);
     if (sharePass) shares.recordDenied(sharePass, blocked);
   }
--- a/packages/coordinator/src/PoolSizesLog.ts
+++ b/packages/coordinator/src/PoolSizesLog.ts
@@ -1,6 +1,7 @@
 /** Logs the sizes of the pools, what they need and what their instances do, at most once a second. */
 import { type Clock, type Logger } from '@acaciadock/core';
 import { type NextTurn, type PoolDemand, type PoolSize } from '@acaciadock/placement';
+import { type FleetInstance } from './contracts/index.js';
 import { type FleetOrders } from './FleetOrders.js';
 import { type TargetTable } from './TargetTable.js';
 
@@ -34,6 +35,10 @@
   busy: number;
   idle: number;
   closed: number;
+  /** In a move or in upkeep. */
+  moving: number;
+  down: number;
+  /** Up, and not known as a target yet. */
   unknown: number;
 }
 
@@ -71,16 +76,18 @@
   }
 
   private useOf(poolId: string): InstanceUse {
-    const use: InstanceUse = { busy: 0, idle: 0, closed: 0, unknown: 0 };
+    const use: InstanceUse = { busy: 0, idle: 0, closed: 0, moving: 0, down: 0, unknown: 0 };
     this.deps.orders.instances
       .filter((instance) => instance.poolId === poolId)
-      .forEach(({ targetId }) => {
-        use[this.useOfTarget(targetId)] += 1;
+      .forEach((instance) => {
+        use[this.useOfInstance(instance)] += 1;
       });
     return use;
   }
 
-  private useOfTarget(targetId: string): keyof InstanceUse {
+  private useOfInstance({ state, targetId }: FleetInstance): keyof InstanceUse {
+    if (state === 'down') return 'down';
+    if (state !== 'up') return 'moving';
     const target = this.deps.targets.get(targetId);
     if (!target) return 'unknown';
     if (!target.isOpen(this.deps.clock.monotonicMs())) return 'closed';
--- /dev/null
+++ b/packages/coordinator/src/SuspectBacklog.test.ts
@@ -0,0 +1,43 @@
+/** Guards against suspects that wait for long without a line that says so. */
+import { describe, it } from '@acaciadock/core/testing';
+import { type QueuedStep } from './QueuedStep.js';
+import { SuspectBacklog } from './SuspectBacklog.js';
+import { RunFixture } from './testing/RunFixture.js';
+
+const SUSPECTS_WAITING = 'suspects-waiting';
+
+/** A queued step of two tasks, of which the first is a suspect. */
+function queuedStep(fixture: RunFixture, jobId: string, isSuspect: boolean): QueuedStep {
+  const job = fixture.accept(jobId, { taskCount: 2 });
+  const step = job.occurrences.get(0)!.steps[0]!;
+  if (isSuspect) step.tasks[0]!.markSuspected();
+  return { entry: fixture.jobs.get(jobId)!, step } as unknown as QueuedStep;
+}
+
+describe('SuspectBacklog', () => {
+  it('logs the suspects that wait, and for how long, at most once a second', (t) => {
+    const fixture = new RunFixture(3);
+    const backlog = new SuspectBacklog(fixture.clock, fixture.logger);
+    const steps = [queuedStep(fixture, 'a', true), queuedStep(fixture, 'b', false)];
+    Object.assign(fixture.target('t0'), { isolatedJobId: 'a' });
+    for (let round = 0; round < 4; round += 1) {
+      backlog.record('pool', steps, fixture.all);
+      fixture.clock.advance(500);
+    }
+    const common = { poolId: 'pool', jobs: 1, tasks: 1, openTargets: 3, isolatedTargets: 1 };
+    t.same(fixture.logger.of(SUSPECTS_WAITING), [
+      { ...common, oldestMs: 0 },
+      { ...common, oldestMs: 1_000 },
+    ]);
+    t.equal(backlog.jobCount('pool'), 1);
+  });
+
+  it('is empty once no suspect waits', (t) => {
+    const fixture = new RunFixture(1);
+    const backlog = new SuspectBacklog(fixture.clock, fixture.logger);
+    backlog.record('pool', [queuedStep(fixture, 'a', true)], fixture.all);
+    backlog.record('pool', [], fixture.all);
+    t.equal(backlog.jobCount('pool'), 0);
+    t.equal(fixture.logger.of(SUSPECTS_WAITING).length, 1);
+  });
+});
