Failing tests of jobs that wait though there is room, and of pools whose instances are down

Change: suspectBacklog.test.ts plays a crash each 1, 0.5 and 0.25 s in a fleet with room to spare; a case of poolSizes.test.ts takes three of four instances down. The simulated fleet lists an instance whose target has crashed as down, as the platform does.

--- a/packages/coordinator/src/testing/SimulatedFleet.ts
+++ b/packages/coordinator/src/testing/SimulatedFleet.ts
@@ -77,6 +77,7 @@
     const { cpuMilli } = this.deps.options;
     const listed = [...this.instances.values()].map((instance) => ({
       ...instance,
+      state: this.stateOf(instance),
       rackId: 'r',
       labels: ['a', 'r'],
       capacity: { cpuMilli, memoryMb: 64_000, gpuCount: 0 },
@@ -102,6 +103,12 @@
     return this.takeDown(instanceId, 'upkeep', UPKEEP_MS, duty);
   }
 
+  /** An instance is down while the process of its target is. */
+  private stateOf({ state, targetId }: Instance): InstanceState {
+    const isDown = state === 'up' && this.deps.targets.get(targetId)?.isUp === false;
+    return isDown ? 'down' : state;
+  }
+
   private takeDown(
     instanceId: string,
     state: InstanceState,
--- a/packages/jobdesk/src/poolSizes.test.ts
+++ b/packages/jobdesk/src/poolSizes.test.ts
@@ -23,4 +23,23 @@
     t.equal(world.runningCount, taskCount);
     t.same(world.observer.broken, []);
   });
+
+  it('does not count instances that are down', async (t) => {
+    // Fails if an instance counts as soon as the registry has dropped its crashed target.
+    const taskCount = 4;
+    const world = await createWorld({
+      targetCount: 0,
+      instanceCount: taskCount,
+      spareCount: taskCount,
+      runtimeMs: 60_000,
+    });
+    [...world.targets.values()].slice(1).forEach((target) => {
+      target.crash();
+      Object.assign(target, { isListed: false });
+    });
+    await world.run(5_000);
+    void world.submit('j', { steps: [{ taskCount, cpuMilli: 4_000 }] });
+    await world.run(MOVE_MS + SLACK_MS);
+    t.equal(world.runningCount, taskCount);
+  });
 });
--- /dev/null
+++ b/packages/jobdesk/src/suspectBacklog.test.ts
@@ -0,0 +1,88 @@
+/**
+ * Plays tasks that crash their targets at up to four crashes a second, in a fleet with room to spare.
+ * Guards against jobs caught in these crashes that could run and do not.
+ */
+import { describe, it } from '@acaciadock/core/testing';
+import { DEADLY_PREFIX } from '@acaciadock/coordinator/testing';
+import { type Test } from 'tap';
+import { type JobWorld } from './testing/JobWorld.js';
+import { createWorld } from './testing/takeoverHelpers.js';
+
+const PLAY_MS = 8_000;
+
+/** Time after the last submission by which every job has to have ended, in milliseconds. */
+const FINISH_MS = 14_000;
+
+/** Time from a crash until another target on the instance proves it, in milliseconds. */
+const CRASH_PROVEN_MS = 3_500;
+
+/** Longest time that a job may have nothing running while there is room for it, in milliseconds. */
+const MAX_WAIT_MS = 3_000;
+
+const POLL_MS = 250;
+const ANSWER_MS = 50;
+
+/** How long each job has had nothing running, in milliseconds. */
+class WaitMeter {
+  longestMs = 0;
+
+  private readonly sinceMs = new Map<string, number>();
+
+  constructor(private readonly world: JobWorld) {}
+
+  record(openJobIds: readonly string[]): void {
+    const nowMs = this.world.clock.monotonicMs();
+    const running = new Set(
+      [...this.world.targets.values()].flatMap(({ runningNames }) =>
+        runningNames.map((name) => name.split('.')[0] ?? ''),
+      ),
+    );
+    openJobIds.forEach((jobId) => {
+      const sinceMs = running.has(jobId) ? nowMs : (this.sinceMs.get(jobId) ?? nowMs);
+      this.sinceMs.set(jobId, sinceMs);
+      this.longestMs = Math.max(this.longestMs, nowMs - sinceMs);
+    });
+  }
+}
+
+async function openJobs(world: JobWorld): Promise<string[]> {
+  const jobIds = [...world.accepted];
+  const asked = jobIds.map((jobId) => world.stateOf(jobId));
+  await world.run(ANSWER_MS);
+  const replies = await Promise.all(asked);
+  return jobIds.filter((_, index) => {
+    const reply = replies[index];
+    return reply?.kind !== 'state' || reply.status === 'pending' || reply.status === 'running';
+  });
+}
+
+function submitRound(world: JobWorld, round: number): void {
+  const steps = [{ taskCount: 3, cpuMilli: 400 }];
+  void world.submit(`deadly${round}`, { spec: `${DEADLY_PREFIX}0`, steps });
+  void world.submit(`a${round}`, { steps });
+  void world.submit(`b${round}`, { steps });
+}
+
+async function assertNoneWaits(t: Test, seed: number, periodMs: number): Promise<void> {
+  const world = await createWorld({ seed, targetCount: 0, instanceCount: 6, spareCount: 30 });
+  const meter = new WaitMeter(world);
+  let open: string[] = [];
+  for (let elapsedMs = 0; elapsedMs < PLAY_MS + FINISH_MS; elapsedMs += POLL_MS) {
+    if (elapsedMs < PLAY_MS && elapsedMs % periodMs === 0) submitRound(world, elapsedMs);
+    await world.run(POLL_MS - ANSWER_MS);
+    open = await openJobs(world);
+    meter.record(open);
+  }
+  const { longestMs } = meter;
+  t.ok(longestMs <= CRASH_PROVEN_MS + MAX_WAIT_MS, `seed ${seed}: waits ${longestMs} ms`);
+  t.same(open, [], `seed ${seed}: every job ends in time`);
+  t.same(world.observer.broken, [], `seed ${seed}: no guarantee violated`);
+}
+
+describe('jobs that are caught in the crashes of targets', () => {
+  [1_000, 500, 250].forEach((periodMs) => {
+    it(`do not wait for each other at a crash each ${periodMs} ms`, async (t) => {
+      for (let seed = 1; seed <= 4; seed += 1) await assertNoneWaits(t, seed, periodMs);
+    });
+  });
+});
