Instances that are down do not count as room of their pool

The pool in which it waits gives away the instances that come back from a crash.

Cause: an instance counts while its target is unknown, as between a move and the first registration. A crashed target leaves the registry some three seconds after its last report; from then on its instance counted again, although the list shows it as down. With 11 instances assigned, 10 of them down, and 6 needed, five were surplus.

Why this works: room for moves and the division of the fleet left instances that are down out already; now the size does, too, so that the need and what is there are compared in the same terms.

--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -347,12 +347,12 @@
   }
 
   /**
-   * Whether the instance takes tasks or soon will. False while it is emptied for upkeep, while its
-   * zone is evacuated or while its target does not answer.
+   * Whether the instance takes tasks or soon will. False while it is down, while it is emptied for
+   * upkeep, while its zone is evacuated or while its target does not answer.
    */
   private countsTowardsSize(instance: FleetInstance): boolean {
-    if (this.isExcluded(instance)) return false;
-    const { instanceId, targetId } = instance;
+    const { instanceId, targetId, state } = instance;
+    if (state === 'down' || this.isExcluded(instance)) return false;
     if (this.deps.orders.hasOrder(instanceId) || this.pendingMoves.has(instanceId)) return true;
     const target = this.deps.targets.get(targetId);
     return target === undefined || (!target.isReserved && target.consecutiveFailures === 0);
