Targets kept for suspects follow the number of jobs that wait

Cause: a stage whose rate does not follow its backlog, and which nobody measures. Suspects of a crash start on targets kept for them, at most a third of the open ones, each for one job and given back after it; the next job had to wait for another target to settle. The room that this needs was in no pool size.

Change: a kept target starts the suspects of one job after those of another; their number follows the jobs that wait, up to the part that they are of all that waits; the pool's size has an instance for each two of them. A pass follows as soon as a kept target has settled.

Why this works: what keeps blame apart is that no two jobs have early runs on a target at once, not who has it.

--- a/packages/coordinator/src/DemandMeter.ts
+++ b/packages/coordinator/src/DemandMeter.ts
@@ -2,6 +2,7 @@
 import { type Clock } from '@acaciadock/core';
 import {
   ArrivalMeter,
+  IsolationPolicy,
   QueueOrder,
   type Resources,
   ResourceVector,
@@ -33,6 +34,9 @@
    */
   private readonly waitingByPool = new Map<string, readonly QueuedStep[]>();
 
+  /** Jobs with suspects that the last pass over each pool left waiting. */
+  private readonly suspectJobsByPool = new Map<string, number>();
+
   /** The running and arriving work of each pool at its last pass. */
   private readonly workByPool = new Map<string, ResourceVector>();
 
@@ -41,9 +45,18 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Records the steps that found no room in a pass over the pool. */
-  recordWaiting(poolId: string, steps: readonly QueuedStep[]): void {
+  /**
+   * Records the steps that found no room in a pass over the pool, and the number of jobs with suspects
+   * that wait for a target that is kept for suspects.
+   */
+  recordWaiting(poolId: string, steps: readonly QueuedStep[], suspectJobs: number): void {
     this.waitingByPool.set(poolId, steps);
+    this.suspectJobsByPool.set(poolId, suspectJobs);
+  }
+
+  /** Targets that the pool needs for suspects alone, besides those for its other work. */
+  targetsForSuspects(poolId: string): number {
+    return IsolationPolicy.neededTargets(this.suspectJobsByPool.get(poolId) ?? 0);
   }
 
   /** Whether the last pass over the pool left tasks without room. */
--- a/packages/coordinator/src/FleetTarget.ts
+++ b/packages/coordinator/src/FleetTarget.ts
@@ -59,8 +59,8 @@
    */
   isReserved = false;
 
-  /** Job whose suspect tasks alone may start here; empty if any task may. See `SuspectIsolation`. */
-  isolatedJobId = '';
+  /** Set while only suspects of a crash may start here. See `SuspectIsolation`. */
+  isIsolated = false;
 
   /** Share of the capacity that new tasks may use, below 1 if the target is slow. */
   weight = 1;
@@ -168,6 +168,11 @@
     return this.isConfirmed && this.consecutiveFailures === 0 && nowMs >= this.closedUntilMs;
   }
 
+  /** Whether the target may yet crash because it started one of its runs. */
+  get hasEarlyRuns(): boolean {
+    return [...this.runs.values()].some((live) => live.isEarly);
+  }
+
   countOfStep(stepId: string): number {
     return this.stepCounts.get(stepId) ?? 0;
   }
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -4,7 +4,12 @@
  */
 import { type Clock, Disposable, type IDisposable, type Logger } from '@acaciadock/core';
 import { type JobsConfigView, type TaskPlace, type TaskState } from '@acaciadock/jobs';
-import { QueueOrder, RejectedSizes, type RuntimeEstimates } from '@acaciadock/placement';
+import {
+  type IsolationDemand,
+  QueueOrder,
+  RejectedSizes,
+  type RuntimeEstimates,
+} from '@acaciadock/placement';
 import { type AdmissionController } from './AdmissionController.js';
 import { type DemandMeter } from './DemandMeter.js';
 import { type FleetTarget } from './FleetTarget.js';
@@ -63,9 +68,7 @@
   constructor(private readonly deps: JobSchedulerDeps) {
     super();
     this.stepCollector = new QueuedStepCollector(deps);
-    this.isolation = new SuspectIsolation(deps.jobs, (target) =>
-      target.isOpen(deps.clock.monotonicMs()),
-    );
+    this.isolation = new SuspectIsolation(deps.clock);
     this.suspects = new SuspectBacklog(deps.clock, deps.logger);
     this.placer = this.register(new TaskPlacer({ ...deps, isolation: this.isolation }));
     this.register(deps.clock.every(REGULAR_PASS_MS, () => this.requestAllPasses()));
@@ -138,6 +141,18 @@
     return this.deps.health.usable(targets).filter((target) => target.isOpen(nowMs));
   }
 
+  private static isolationDemand(
+    steps: readonly QueuedStep[],
+    open: readonly FleetTarget[],
+  ): IsolationDemand {
+    const others = steps.filter((queued) => SuspectBacklog.suspectsOf(queued).length === 0);
+    return {
+      suspectJobs: SuspectBacklog.countJobs(steps),
+      otherSteps: others.length,
+      openTargets: open.length,
+    };
+  }
+
   private runPass(): void {
     this.passTimer = undefined;
     const { ownership } = this.deps;
@@ -150,8 +165,8 @@
 
   private placePool(poolId: string, steps: readonly QueuedStep[]): void {
     const { admission, clock, demand, shares } = this.deps;
-    this.isolation.refresh();
     const open = this.openTargets(poolId);
+    this.isolation.beginPass(poolId, JobScheduler.isolationDemand(steps, open));
     demand.recordRunning(poolId, open);
     // Without scarcity there is room for all, and the order is by slack alone.
     const sharePass = demand.isScarce(poolId)
@@ -163,8 +178,8 @@
     const blocked = ordered.filter(
       (step) => this.placer.placeStep(step, open, rejectedSizes) === 'no-room',
     );
-    demand.recordWaiting(poolId, blocked);
     this.suspects.record(poolId, steps, open);
+    demand.recordWaiting(poolId, blocked, this.suspects.jobCount(poolId));
     admission.refresh(poolId, blocked, rejectedSizes);
     if (sharePass) shares.recordDenied(sharePass, blocked);
   }
--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -331,6 +331,7 @@
       poolId,
       ...demand.needed(poolId, poolTargets, capacity),
       arriving: demand.arriving(poolId),
+      targetsForSuspects: demand.targetsForSuspects(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
       isRising: this.rising.isRising(poolId, clock.monotonicMs()),
       hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || relocationLacksRoom(poolId),
--- a/packages/coordinator/src/PoolSizesLog.ts
+++ b/packages/coordinator/src/PoolSizesLog.ts
@@ -71,6 +71,7 @@
       limitedBy: pool?.size.limitedBy,
       demandCpuMilli: demand.demand.cpuMilli,
       demandMemoryMb: Math.round(demand.demand.memoryMb),
+      targetsForSuspects: demand.targetsForSuspects,
       arrivingCpuMilli: Math.round(demand.arriving.cpuMilli),
     };
   }
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -66,7 +66,7 @@
    * before the start order is sent.
    */
   plan(place: TaskPlace, target: FleetTarget): LiveRun {
-    const isAlone = target.isolatedJobId === place.job.jobId;
+    const isAlone = target.isIsolated;
     const { run } = place.task.addRun(target.targetId, target.bornMs, isAlone);
     place.job.markStarted();
     const live = new LiveRun(place, run, target.targetId, target.bornMs);
--- a/packages/coordinator/src/SuspectBacklog.ts
+++ b/packages/coordinator/src/SuspectBacklog.ts
@@ -1,6 +1,6 @@
 /**
  * Tracks, pool by pool, the tasks that are suspected of crashing targets and wait for one that is kept
- * for suspects. Their number is logged, as they wait by themselves while the pool has room for others.
+ * for suspects. They are logged, as they may wait while the pool has room for other tasks.
  */
 import { type Clock, type Logger } from '@acaciadock/core';
 import { type TaskState } from '@acaciadock/jobs';
@@ -10,10 +10,16 @@
 /** Interval of the log line of a pool, in milliseconds. */
 const LOG_PERIOD_MS = 1_000;
 
+/** When a task was first seen waiting after its last run. */
+interface Wait {
+  readonly lastRun: number;
+  readonly sinceMs: number;
+}
+
 export class SuspectBacklog {
   private readonly jobCounts = new Map<string, number>();
 
-  private readonly waitingSinceMs = new WeakMap<TaskState, number>();
+  private readonly waits = new WeakMap<TaskState, Wait>();
 
   private readonly loggedMs = new Map<string, number>();
 
@@ -22,21 +28,28 @@
     private readonly logger: Logger,
   ) {}
 
+  /** The waiting suspects of a step. Members of a gang can't be kept apart, so they don't count. */
+  static suspectsOf({ step }: QueuedStep): readonly TaskState[] {
+    return step.spec.gang ? [] : step.waitingTasks.filter((task) => task.isSuspect);
+  }
+
+  /** Number of jobs with waiting suspects in the steps. */
+  static countJobs(steps: readonly QueuedStep[]): number {
+    return new Set(
+      steps
+        .filter((queued) => SuspectBacklog.suspectsOf(queued).length > 0)
+        .map(({ entry }) => entry.job.jobId),
+    ).size;
+  }
+
   /** Records the suspects that a pass over the pool has left waiting, of all its queued steps. */
   record(poolId: string, steps: readonly QueuedStep[], openTargets: readonly FleetTarget[]): void {
-    const waiting = steps
-      .filter(({ step }) => !step.spec.gang)
-      .map(({ entry, step }) => ({
-        jobId: entry.job.jobId,
-        tasks: step.waitingTasks.filter((task) => task.isSuspect),
-      }))
-      .filter(({ tasks }) => tasks.length > 0);
-    const tasks = waiting.flatMap((one) => one.tasks);
-    const jobCount = new Set(waiting.map(({ jobId }) => jobId)).size;
-    this.jobCounts.set(poolId, jobCount);
-    const oldestMs = this.oldestMs(tasks);
-    if (jobCount > 0)
-      this.log(poolId, { jobs: jobCount, tasks: tasks.length, oldestMs }, openTargets);
+    const jobs = SuspectBacklog.countJobs(steps);
+    this.jobCounts.set(poolId, jobs);
+    if (jobs === 0) return;
+    const tasks = steps.flatMap((queued) => SuspectBacklog.suspectsOf(queued));
+    const oldestMs = Math.max(...tasks.map((task) => this.waitedMs(task)));
+    this.log(poolId, { jobs, tasks: tasks.length, oldestMs: Math.round(oldestMs) }, openTargets);
   }
 
   /** Number of jobs with waiting suspects after the last pass over the pool. */
@@ -44,15 +57,13 @@
     return this.jobCounts.get(poolId) ?? 0;
   }
 
-  /** How long the first of the tasks has been waiting, as far as passes have seen. */
-  private oldestMs(tasks: readonly TaskState[]): number {
+  /** How long the task has been waiting since its last run, as far as passes have seen. */
+  private waitedMs(task: TaskState): number {
     const nowMs = this.clock.monotonicMs();
-    const agesMs = tasks.map((task) => {
-      const sinceMs = this.waitingSinceMs.get(task) ?? nowMs;
-      this.waitingSinceMs.set(task, sinceMs);
-      return nowMs - sinceMs;
-    });
-    return Math.max(0, ...agesMs);
+    const known = this.waits.get(task);
+    if (known?.lastRun === task.lastRun) return nowMs - known.sinceMs;
+    this.waits.set(task, { lastRun: task.lastRun, sinceMs: nowMs });
+    return 0;
   }
 
   private log(
@@ -66,9 +77,8 @@
     this.logger.info('suspects-waiting', {
       poolId,
       ...backlog,
-      oldestMs: Math.round(backlog.oldestMs),
       openTargets: openTargets.length,
-      isolatedTargets: openTargets.filter(({ isolatedJobId }) => isolatedJobId !== '').length,
+      isolatedTargets: openTargets.filter(({ isIsolated }) => isIsolated).length,
     });
   }
 }
--- a/packages/coordinator/src/SuspectIsolation.ts
+++ b/packages/coordinator/src/SuspectIsolation.ts
@@ -1,86 +1,133 @@
 /**
- * Keeps targets for tasks that are suspected of crashing the targets that start them. Such a target
- * starts tasks of one job only, and none of these before all other runs there have been at work for a
- * while, so that a crash has one possible cause and new tasks are not lost with it.
+ * Keeps targets for tasks that are suspected of crashing the targets that start them. Only suspects
+ * start there, those of one job after those of another: none starts before all runs of other jobs have
+ * been at work for a while, so that a crash has one possible cause and new tasks are not lost with it.
  */
-import { type Job, type TaskState } from '@acaciadock/jobs';
-import { CrashPolicy, type PlacementRequest, TargetChooser } from '@acaciadock/placement';
+import { type Clock } from '@acaciadock/core';
+import { type Job } from '@acaciadock/jobs';
+import {
+  type IsolationDemand,
+  IsolationPolicy,
+  type PlacementRequest,
+  TargetChooser,
+} from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
-import { type JobTable } from './JobTable.js';
-import { type LiveRun } from './LiveRun.js';
+
+/**
+ * A target for which no suspect has asked this long is opened to other tasks, in milliseconds: two
+ * regular passes.
+ */
+const RELEASE_AFTER_MS = 250;
 
 export class SuspectIsolation {
-  private readonly isolated = new Set<FleetTarget>();
+  /** The isolated targets, with the monotonic time at which a suspect last asked for each. */
+  private readonly askedMs = new Map<FleetTarget, number>();
+
+  /** The isolated targets that suspects have asked for in the present pass. */
+  private readonly askedInPass = new Set<FleetTarget>();
 
-  constructor(
-    private readonly jobs: JobTable,
-    private readonly isOpen: (target: FleetTarget) => boolean,
-  ) {}
+  /** Maximum number of isolated targets by pool, as of its last pass. */
+  private readonly maxTargets = new Map<string, number>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Starts a pass over a pool, of which the demand is known. */
+  beginPass(poolId: string, demand: IsolationDemand): void {
+    this.askedInPass.clear();
+    this.maxTargets.set(poolId, IsolationPolicy.maxTargets(demand));
+    this.refresh();
+  }
 
-  /** The targets that are not kept for the suspects of some job. */
+  /** The targets that are not kept for suspects. */
   shared(targets: readonly FleetTarget[]): readonly FleetTarget[] {
-    if (this.isolated.size === 0) return targets;
-    return targets.filter((target) => target.isolatedJobId === '');
+    if (this.askedMs.size === 0) return targets;
+    return targets.filter((target) => !target.isIsolated);
   }
 
   /**
-   * The target that may start a suspect of the job now; undefined if there is none yet. Keeps one of
-   * the open targets for the job if none is kept for it.
+   * The target that may start a suspect of the job now; undefined if there is none yet. Keeps another
+   * one of the open targets if those that are kept have other suspects to start.
    */
   targetFor(
     job: Job,
     request: PlacementRequest,
     openTargets: readonly FleetTarget[],
   ): FleetTarget | undefined {
-    const kept = openTargets.find((target) => target.isolatedJobId === job.jobId);
-    if (!kept) {
-      this.isolate(job, request, openTargets);
-      return undefined;
+    const usable = SuspectIsolation.usableFor(request, openTargets);
+    const ready = usable.filter((target) => SuspectIsolation.isReady(target, job, request));
+    const target = SuspectIsolation.bestOf(ready, request);
+    if (target) {
+      this.recordAsked(target);
+      return target;
     }
-    if (SuspectIsolation.earlyRunsOfOthers(kept, job.jobId).length > 0) return undefined;
-    if (TargetChooser.fits(kept, request)) return kept;
-    this.replaceIfUseless(kept, job, request, openTargets);
+    const unasked = usable.filter((one) => !this.askedInPass.has(one));
+    const awaited = SuspectIsolation.bestOf(unasked, request);
+    if (awaited) this.recordAsked(awaited);
+    else this.isolate(request, openTargets, usable.length === 0);
     return undefined;
   }
 
-  /** Whether one of the targets is kept for the job. */
-  static hasTargetFor({ jobId }: Job, targets: readonly FleetTarget[]): boolean {
-    return targets.some(({ isolatedJobId }) => isolatedJobId === jobId);
+  /** Whether one of the targets is kept for suspects and could take the task once it has room. */
+  static hasTargetFor(request: PlacementRequest, targets: readonly FleetTarget[]): boolean {
+    return SuspectIsolation.usableFor(request, targets).length > 0;
   }
 
-  /** Opens the targets again whose jobs have no use for them any more. */
-  refresh(): void {
-    this.isolated.forEach((target) => {
-      if (!this.isOpen(target) || !this.isNeeded(target)) this.release(target);
+  /** Opens the targets again that no suspect needs any more. */
+  private refresh(): void {
+    const nowMs = this.clock.monotonicMs();
+    this.askedMs.forEach((askedMs, target) => {
+      const isAsked = nowMs - askedMs < RELEASE_AFTER_MS;
+      const isInUse = isAsked || SuspectIsolation.hasEarlySuspect(target);
+      if (target.isOpen(nowMs) && isInUse) return;
+      Object.assign(target, { isIsolated: false });
+      this.askedMs.delete(target);
     });
   }
 
-  private isNeeded(target: FleetTarget): boolean {
-    const job = this.jobs.get(target.isolatedJobId)?.job;
-    if (!job || job.isFinished) return false;
-    return SuspectIsolation.suspectsOf(job).some(
-      (task) => task.isWaiting || target.runs.has(task.taskId) || task.runs.length > 0,
-    );
+  private recordAsked(target: FleetTarget): void {
+    this.askedInPass.add(target);
+    this.askedMs.set(target, this.clock.monotonicMs());
+  }
+
+  /** `isFirst` says that none of the isolated targets could take the task, so the maximum does not hold. */
+  private isolate(
+    request: PlacementRequest,
+    openTargets: readonly FleetTarget[],
+    isFirst: boolean,
+  ): void {
+    const poolId = openTargets[0]?.poolId ?? '';
+    const isolated = [...this.askedMs.keys()].filter((target) => target.poolId === poolId);
+    if (!isFirst && isolated.length >= (this.maxTargets.get(poolId) ?? 0)) return;
+    const shared = openTargets.filter((target) => !target.isIsolated);
+    const best = SuspectIsolation.bestOf(shared, request);
+    if (!best) return;
+    Object.assign(best, { isIsolated: true });
+    this.recordAsked(best);
   }
 
-  private static suspectsOf(job: Job): readonly TaskState[] {
-    return [...job.occurrences.values()].flatMap(({ steps }) =>
-      steps.flatMap(({ tasks }) => tasks.filter((task) => task.isSuspect && !task.done)),
+  private static usableFor(
+    request: PlacementRequest,
+    targets: readonly FleetTarget[],
+  ): readonly FleetTarget[] {
+    return targets.filter(
+      (target) => target.isIsolated && SuspectIsolation.couldFit(target, request),
     );
   }
 
-  private isolate(job: Job, request: PlacementRequest, openTargets: readonly FleetTarget[]): void {
-    this.refresh();
-    const isolated = openTargets.filter((target) => target.isolatedJobId !== '');
-    if (isolated.length >= CrashPolicy.maxIsolated(openTargets.length)) return;
-    const [best] = openTargets
-      .filter((target) => target.isolatedJobId === '')
+  private static isReady(target: FleetTarget, job: Job, request: PlacementRequest): boolean {
+    if (SuspectIsolation.earlyRunsOfOthers(target, job.jobId) > 0) return false;
+    return TargetChooser.fits(target, request);
+  }
+
+  private static bestOf(
+    targets: readonly FleetTarget[],
+    request: PlacementRequest,
+  ): FleetTarget | undefined {
+    const [best] = targets
       .map((target) => ({ target, keys: SuspectIsolation.preferenceOf(target, request) }))
       .filter(({ keys }) => keys !== undefined)
       .sort((a, b) => SuspectIsolation.compare(a.keys ?? [], b.keys ?? []));
-    if (!best) return;
-    Object.assign(best.target, { isolatedJobId: job.jobId });
-    this.isolated.add(best.target);
+    return best?.target;
   }
 
   /**
@@ -97,7 +144,7 @@
     return [
       target.targetId === request.avoidTargetId ? 1 : 0,
       fitsNow ? 0 : 1,
-      SuspectIsolation.earlyRunsOfOthers(target, '').length,
+      SuspectIsolation.earlyRunsOfOthers(target, ''),
       target.runs.size,
     ];
   }
@@ -130,27 +177,13 @@
     );
   }
 
-  /** Replaces a target that can't take the task, such as one with an equal task that may not share. */
-  private replaceIfUseless(
-    kept: FleetTarget,
-    job: Job,
-    request: PlacementRequest,
-    openTargets: readonly FleetTarget[],
-  ): void {
-    if (SuspectIsolation.couldFit(kept, request)) return;
-    this.release(kept);
-    const others = openTargets.filter((target) => target !== kept);
-    this.isolate(job, request, others);
+  private static hasEarlySuspect({ runs }: FleetTarget): boolean {
+    return [...runs.values()].some((live) => live.isEarly && live.place.task.isSuspect);
   }
 
-  private release(target: FleetTarget): void {
-    Object.assign(target, { isolatedJobId: '' });
-    this.isolated.delete(target);
-  }
-
-  private static earlyRunsOfOthers({ runs }: FleetTarget, jobId: string): readonly LiveRun[] {
+  private static earlyRunsOfOthers({ runs }: FleetTarget, jobId: string): number {
     return [...runs.values()].filter(
       (live) => live.isEarly && live.place.job.jobId !== jobId && live.phase !== 'stopping',
-    );
+    ).length;
   }
 }
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -214,7 +214,7 @@
     const isSettled = target.durableEnd === target.processedEnd;
     const mayWait = target.isConfirmed && isSettled && target.consecutiveFailures === 0;
     if (!mayWait || target.runs.size === 0) return 0;
-    if (target.isolatedJobId !== '') return SUSPECT_REPORT_WAIT_MS;
+    if (target.isIsolated) return SUSPECT_REPORT_WAIT_MS;
     if (target.runs.size > target.longRunningCount) return SHORT_REPORT_WAIT_MS;
     return this.needsPacing ? PACE_PERIOD_MS : REPORT_WAIT_MS;
   }
@@ -259,12 +259,14 @@
       waitMs,
     });
     if (done.isErr() || !this.isActive) return done.map(() => ReportProcessor.IGNORED_RESULT);
+    const hadEarlyRuns = target.isIsolated && target.hasEarlyRuns;
     const result = this.deps.reportProcessor.process(target, done.value, sentAtMs);
     this.recordReport(done.value.clockMs, sentAtMs, lastSeenEnd);
     result.unknownRuns.forEach((unknownRun) => {
       void port.stop(target.address, { ...unknownRun, fencingToken: ownership.epoch });
     });
     this.pacer.update();
+    if (hadEarlyRuns && !target.hasEarlyRuns) this.deps.onConfirmed();
     return ok(result);
   }
 
--- a/packages/coordinator/src/TaskPlacer.ts
+++ b/packages/coordinator/src/TaskPlacer.ts
@@ -74,8 +74,8 @@
   }
 
   /**
-   * Places the suspects among the waiting tasks on targets that are kept for their job. The members
-   * of a gang can't be kept apart, so they are placed like any other gang. Returns whether a suspect
+   * Places the suspects among the waiting tasks on targets that are kept for suspects. The members of
+   * a gang can't be kept apart, so they are placed like any other gang. Returns whether a suspect
    * waits for which no target could be kept, so that the pool needs more room.
    */
   private placeSuspects(
@@ -92,8 +92,11 @@
       const live = this.placeSuspect(open, task, targets);
       if (live) placed.push(live);
     });
-    const isAnyWaiting = suspects.some((task) => task.isWaiting);
-    return isAnyWaiting && !SuspectIsolation.hasTargetFor(open.entry.job, targets);
+    return suspects.some(
+      (task) =>
+        task.isWaiting &&
+        !SuspectIsolation.hasTargetFor(TaskPlacer.requestFor(open, task, ''), targets),
+    );
   }
 
   private placeSuspect(
--- a/packages/coordinator/src/TurnRecord.test.ts
+++ b/packages/coordinator/src/TurnRecord.test.ts
@@ -25,6 +25,7 @@
     poolId,
     demand: new ResourceVector(cpuMilli, 0, 0),
     arriving: new ResourceVector(cpuMilli, 0, 0),
+    targetsForSuspects: 0,
     bounds: new TaskFitBound(CAPACITY),
     instanceCount: INITIAL_COUNT,
     openCount: INITIAL_COUNT,
--- a/packages/placement/src/CrashPolicy.ts
+++ b/packages/placement/src/CrashPolicy.ts
@@ -30,9 +30,6 @@
  */
 const MAX_CRASHES = 5;
 
-/** Maximum part of a pool's open targets that is kept for suspects at once; at least one is. */
-const MAX_ISOLATED_SHARE = 0.34;
-
 export class CrashPolicy {
   /** Whether the target may yet crash because it started the run. */
   static isEarly(isConfirmed: boolean, reportedWorkMs: number): boolean {
@@ -43,9 +40,4 @@
     if (crashes >= MAX_CRASHES) return true;
     return isOnlySuspect && earlyCrashes >= MAX_EARLY_CRASHES;
   }
-
-  /** Number of targets that may be kept for suspects. */
-  static maxIsolated(openTargets: number): number {
-    return Math.max(1, Math.floor(openTargets * MAX_ISOLATED_SHARE));
-  }
 }
--- a/packages/placement/src/PoolSizer.test.ts
+++ b/packages/placement/src/PoolSizer.test.ts
@@ -27,6 +27,7 @@
     poolId: 'p',
     demand: cpu(0),
     arriving: cpu(0),
+    targetsForSuspects: 0,
     bounds: new TaskFitBound(CAPACITY),
     instanceCount: 8,
     openCount: 8,
@@ -59,6 +60,18 @@
     t.ok(size.needed >= 5);
   });
 
+  it('adds instances for suspects, which it neither extrapolates nor remembers', (t) => {
+    const sizer = new PoolSizer();
+    const work = { demand: cpu(INSTANCE_MILLI) };
+    t.equal(sizeAfter(sizer, demand(work), 0).needed, 2);
+    t.equal(sizeAfter(sizer, demand({ ...work, targetsForSuspects: 5 }), 500).needed, 7);
+    t.ok(sizeAfter(sizer, demand(work), 1_000).kept >= 7, 'they are kept for a while');
+    t.same(
+      sizer.memories.map(({ turnPeak }) => turnPeak),
+      [2],
+    );
+  });
+
   it('does not remember the instances tried for a waiting long-running task as a turn', (t) => {
     // Fails if the need of one more than the open instances enters the peak: a task that no added
     // instance helps then makes every later turn ask for as many instances as were ever added.
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -27,6 +27,8 @@
   readonly demand: ResourceVector;
   /** Resources needed to keep up with the arrivals. */
   readonly arriving: ResourceVector;
+  /** Targets needed for suspects of crashes, which share them with no other new task. */
+  readonly targetsForSuspects: number;
   /** Lower bounds on the number of instances that follow from the running and waiting tasks. */
   readonly bounds: InstanceBounds;
   /** Instances that accept work or are moving to the pool; draining ones do not count. */
@@ -194,8 +196,11 @@
   ): PoolSize {
     const { poolId, hasHadTurn } = pool;
     const history = this.historyOf(pool, nowMs);
-    const { count: currentNeed, turnNeed, limitedBy } = PoolSizer.currentNeedOf(pool);
-    const needed = currentNeed + PoolSizer.extrapolatedGrowth(history, currentNeed, nowMs);
+    const { count: workNeed, turnNeed, limitedBy } = PoolSizer.currentNeedOf(pool);
+    // Suspects come and go with crashes, so their number has no trend.
+    const growth = PoolSizer.extrapolatedGrowth(history, workNeed, nowMs);
+    const currentNeed = workNeed + pool.targetsForSuspects;
+    const needed = currentNeed + growth;
     const { peak, extrapolatedPeak } = history;
     PoolSizer.update(peak, currentNeed, nowMs, SHRINK_AFTER_MS);
     PoolSizer.update(extrapolatedPeak, needed, nowMs, EXTRAPOLATION_KEPT_MS);
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -12,6 +12,7 @@
 export * from './StragglerDetector.js';
 export * from './TargetChooser.js';
 export * from './CrashPolicy.js';
+export * from './IsolationPolicy.js';
 export * from './TargetHealth.js';
 export * from './TargetSpeed.js';
 export * from './OrderBudget.js';
