Tasks of a queue that seems to crash targets start as suspects

Cause: a task became a suspect only once its own target had crashed, however many targets its queue had taken down.

Ways: (1) as it stood. (2) caution for 2 s after each target that falls silent with early runs of the queue. (3) caution after two such targets in five seconds, at least half a second apart. A target that is idle is also used in the pass in which it is first kept.

--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -17,6 +17,7 @@
 import { type JobEntry } from './JobEntry.js';
 import { type JobTable } from './JobTable.js';
 import { type LiveRun } from './LiveRun.js';
+import { QueueCaution } from './QueueCaution.js';
 import { type QueuedStep } from './QueuedStep.js';
 import { QueuedStepCollector } from './QueuedStepCollector.js';
 import { type Ownership } from './Ownership.js';
@@ -63,12 +64,15 @@
 
   private readonly suspects: SuspectBacklog;
 
+  private readonly caution: QueueCaution;
+
   private readonly placer: TaskPlacer;
 
   constructor(private readonly deps: JobSchedulerDeps) {
     super();
     this.stepCollector = new QueuedStepCollector(deps);
     this.isolation = new SuspectIsolation(deps.clock);
+    this.caution = new QueueCaution(deps.clock, deps.logger);
     this.suspects = new SuspectBacklog(deps.clock, deps.logger);
     this.placer = this.register(new TaskPlacer({ ...deps, isolation: this.isolation }));
     this.register(deps.clock.every(REGULAR_PASS_MS, () => this.requestAllPasses()));
@@ -166,6 +170,8 @@
   private placePool(poolId: string, steps: readonly QueuedStep[]): void {
     const { admission, clock, demand, shares } = this.deps;
     const open = this.openTargets(poolId);
+    this.caution.observe(this.deps.targets.ofPool(poolId));
+    steps.forEach((step) => this.caution.apply(step));
     this.isolation.beginPass(poolId, JobScheduler.isolationDemand(steps, open));
     demand.recordRunning(poolId, open);
     // Without scarcity there is room for all, and the order is by slack alone.
--- /dev/null
+++ b/packages/coordinator/src/QueueCaution.test.ts
@@ -0,0 +1,73 @@
+/** Guards against jobs that are lost with each new task of a queue whose tasks crash targets. */
+import { describe, it } from '@acaciadock/core/testing';
+import { QueueCaution } from './QueueCaution.js';
+import { type QueuedStep } from './QueuedStep.js';
+import { RunFixture } from './testing/RunFixture.js';
+
+class CautionFixture extends RunFixture {
+  readonly caution = new QueueCaution(this.clock, this.logger);
+
+  /** Lets the target fall silent right after it has started a task. */
+  silenceAfterStart(targetId: string): void {
+    this.start(this.accept(`on-${targetId}`), targetId);
+    this.silence(targetId);
+  }
+
+  silence(targetId: string): void {
+    Object.assign(this.target(targetId), { consecutiveFailures: 1 });
+    this.caution.observe(this.all);
+  }
+
+  /** Whether a new job of the queue starts as a suspect. */
+  isCautious(): boolean {
+    const jobId = `new-${this.clock.monotonicMs()}`;
+    const step = this.accept(jobId).occurrences.get(0)!.steps[0]!;
+    this.caution.apply({ entry: this.jobs.get(jobId)!, step } as unknown as QueuedStep);
+    return step.tasks.every((task) => task.isSuspect);
+  }
+}
+
+describe('QueueCaution', () => {
+  it('makes suspects of new tasks once two targets in a row fell silent at a start', (t) => {
+    const fixture = new CautionFixture(2);
+    fixture.silenceAfterStart('t0');
+    t.notOk(fixture.isCautious(), 'a single target may fail by chance');
+    fixture.clock.advance(600);
+    fixture.silenceAfterStart('t1');
+    t.ok(fixture.isCautious());
+    t.match(fixture.logger.of('queue-suspected'), [{ queueId: 'queue' }]);
+  });
+
+  it('takes targets that fall silent together for one fault of their rack or link', (t) => {
+    const fixture = new CautionFixture(3);
+    ['t0', 't1', 't2'].forEach((targetId) => fixture.silenceAfterStart(targetId));
+    t.notOk(fixture.isCautious());
+  });
+
+  it('does not count a target twice while it is silent', (t) => {
+    const fixture = new CautionFixture(1);
+    fixture.silenceAfterStart('t0');
+    fixture.clock.advance(600);
+    fixture.silence('t0');
+    t.notOk(fixture.isCautious());
+  });
+
+  it('leaves out targets whose runs had been at work for a while', (t) => {
+    const fixture = new CautionFixture(2);
+    ['t0', 't1'].forEach((targetId) => fixture.start(fixture.accept(targetId), targetId));
+    fixture.work(1_000);
+    fixture.silence('t0');
+    fixture.clock.advance(600);
+    fixture.silence('t1');
+    t.notOk(fixture.isCautious());
+  });
+
+  it('ends some seconds after the last sign', (t) => {
+    const fixture = new CautionFixture(2);
+    fixture.silenceAfterStart('t0');
+    fixture.clock.advance(600);
+    fixture.silenceAfterStart('t1');
+    fixture.clock.advance(5_000);
+    t.notOk(fixture.isCautious());
+  });
+});
--- a/packages/coordinator/src/SuspectIsolation.test.ts
+++ b/packages/coordinator/src/SuspectIsolation.test.ts
@@ -40,7 +40,7 @@
   return job;
 }
 
-/** The second pass finds the target that the first one has kept. */
+/** The target is ready by the second pass, even if the first one had to keep it. */
 function isolate(
   isolation: SuspectIsolation,
   fixture: RunFixture,
--- a/packages/coordinator/src/SuspectIsolation.ts
+++ b/packages/coordinator/src/SuspectIsolation.ts
@@ -62,9 +62,12 @@
     }
     const unasked = usable.filter((one) => !this.askedInPass.has(one));
     const awaited = SuspectIsolation.bestOf(unasked, request);
-    if (awaited) this.recordAsked(awaited);
-    else this.isolate(request, openTargets, usable.length === 0);
-    return undefined;
+    if (awaited) {
+      this.recordAsked(awaited);
+      return undefined;
+    }
+    const added = this.isolate(request, openTargets, usable.length === 0);
+    return added && SuspectIsolation.isReady(added, job, request) ? added : undefined;
   }
 
   /** Whether one of the targets is kept for suspects and could take the task once it has room. */
@@ -94,15 +97,16 @@
     request: PlacementRequest,
     openTargets: readonly FleetTarget[],
     isFirst: boolean,
-  ): void {
+  ): FleetTarget | undefined {
     const poolId = openTargets[0]?.poolId ?? '';
     const isolated = [...this.askedMs.keys()].filter((target) => target.poolId === poolId);
-    if (!isFirst && isolated.length >= (this.maxTargets.get(poolId) ?? 0)) return;
+    if (!isFirst && isolated.length >= (this.maxTargets.get(poolId) ?? 0)) return undefined;
     const shared = openTargets.filter((target) => !target.isIsolated);
     const best = SuspectIsolation.bestOf(shared, request);
-    if (!best) return;
+    if (!best) return undefined;
     Object.assign(best, { isIsolated: true });
     this.recordAsked(best);
+    return best;
   }
 
   private static usableFor(
--- a/packages/jobdesk/src/suspectBacklog.test.ts
+++ b/packages/jobdesk/src/suspectBacklog.test.ts
@@ -24,6 +24,9 @@
 
 const TASK_INDEXES = [0, 1, 2];
 
+/** Several targets have crashed by then, in milliseconds. */
+const WARNED_AFTER_MS = 2_000;
+
 const POLL_MS = 250;
 const ANSWER_MS = 50;
 
@@ -98,6 +101,36 @@
   t.same(world.observer.broken, [], `seed ${seed}: no guarantee violated`);
 }
 
+/** Jobs submitted with each cause of a crash that were at work or had just been started on its target. */
+function caughtJobs(world: JobWorld, rounds: readonly number[]): string[] {
+  const jobIds = rounds.flatMap((round) =>
+    Array.from({ length: NEIGHBOURS }, (_, index) => `n${round}-${index}`),
+  );
+  return jobIds.filter((jobId) =>
+    TASK_INDEXES.some((index) => world.observer.crashesUnder(`${jobId}.0.0.${index}`) > 0),
+  );
+}
+
+describe('jobs of a queue whose tasks crash targets time and again', () => {
+  it('are caught in few of these crashes once several targets have crashed', async (t) => {
+    // Fails if every new task starts beside others until its own target has crashed.
+    for (let seed = 1; seed <= 3; seed += 1) {
+      const world = await createWorld({ seed, targetCount: 0, instanceCount: 6, spareCount: 30 });
+      const rounds: number[] = [];
+      for (let elapsedMs = 0; elapsedMs < PLAY_MS; elapsedMs += 500) {
+        submitRound(world, elapsedMs);
+        if (elapsedMs >= WARNED_AFTER_MS) rounds.push(elapsedMs);
+        await world.run(500);
+      }
+      await world.run(FINISH_MS);
+      const caught = caughtJobs(world, rounds).length;
+      const count = rounds.length * NEIGHBOURS;
+      t.ok(caught < count / 2, `seed ${seed}: ${caught} of ${count}`);
+      t.same(world.observer.broken, []);
+    }
+  });
+});
+
 describe('jobs that are caught in the crashes of targets', () => {
   [1_000, 500, 250].forEach((periodMs) => {
     it(`do not wait for each other at a crash each ${periodMs} ms`, async (t) => {
