Targets that take no tasks do not count towards the part that may be ejected

Cause: at most a third of a pool's targets is ejected at once, but targets that are silent, reserved or not listed counted, too. While six of nine targets had crashed, all three open ones could be ejected, and nothing ran in the pool.

Change: the part is that of the open targets, as it was already for those of evacuated zones.

--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -136,9 +136,11 @@
   /** The targets of the pool that accept new tasks. */
   openTargets(poolId: string): FleetTarget[] {
     const nowMs = this.deps.clock.monotonicMs();
-    // Only a fraction of the targets may be ejected, so those of evacuated zones must not count.
-    const targets = this.deps.targets.ofPool(poolId).filter((target) => !target.isEvacuated);
-    return this.deps.health.usable(targets).filter((target) => target.isOpen(nowMs));
+    // Only a fraction of the targets may be ejected, so those that take no tasks anyway must not count.
+    const open = this.deps.targets
+      .ofPool(poolId)
+      .filter((target) => !target.isEvacuated && target.isOpen(nowMs));
+    return this.deps.health.usable(open);
   }
 
   private static isolationDemand(
