Suspects whose team is at its limit need no instances; those with advice ask about more targets

Twenty suspects of a team at its limit made their pool need ten instances, as their number was counted without regard to what they wait for. A suspect whose permitted targets were full never asked for advice about others, as any other task does.

Change: only steps whose teams allow another task count; a suspect asks about targets with room while none that it is permitted has any. After the first task of a step that finds no target, the others, which need the same, are left out of the pass.

--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -147,6 +147,11 @@
     return this.deps.health.usable(open);
   }
 
+  /** The steps whose teams have not reached their limits. */
+  private startable(steps: readonly QueuedStep[]): readonly QueuedStep[] {
+    return steps.filter((step) => this.placer.teamAllows(step, 1));
+  }
+
   private static isolationDemand(
     steps: readonly QueuedStep[],
     open: readonly FleetTarget[],
@@ -174,7 +179,7 @@
     const open = this.openTargets(poolId);
     this.caution.observe(this.deps.targets.ofPool(poolId));
     steps.forEach((step) => this.caution.apply(step));
-    this.isolation.beginPass(poolId, JobScheduler.isolationDemand(steps, open));
+    this.isolation.beginPass(poolId, JobScheduler.isolationDemand(this.startable(steps), open));
     demand.recordRunning(poolId, open);
     // Without scarcity there is room for all, and the order is by slack alone.
     const sharePass = demand.isScarce(poolId)
@@ -186,7 +191,7 @@
     const blocked = ordered.filter(
       (step) => this.placer.placeStep(step, open, rejectedSizes) === 'no-room',
     );
-    this.suspects.record(poolId, steps, open);
+    this.suspects.record(poolId, this.startable(steps), open);
     demand.recordWaiting(poolId, blocked, this.suspects.jobCount(poolId));
     admission.refresh(poolId, blocked, rejectedSizes);
     if (sharePass) shares.recordDenied(sharePass, blocked);
--- a/packages/coordinator/src/TaskPlacer.ts
+++ b/packages/coordinator/src/TaskPlacer.ts
@@ -88,15 +88,15 @@
     const suspects = open.step.waitingTasks.filter(
       (task) => task.isSuspect && task.notBeforeMs <= nowMs,
     );
-    suspects.forEach((task) => {
+    // The tasks of a step need the same, so if one finds no target, the others find none either.
+    for (const task of suspects) {
       const live = this.placeSuspect(open, task, targets);
-      if (live) placed.push(live);
-    });
-    return suspects.some(
-      (task) =>
-        task.isWaiting &&
-        !SuspectIsolation.hasTargetFor(TaskPlacer.requestFor(open, task, ''), targets),
-    );
+      if (!live) break;
+      placed.push(live);
+    }
+    const waiting = suspects.find((task) => task.isWaiting);
+    if (!waiting || !this.teamAllows(open, 1)) return false;
+    return !SuspectIsolation.hasTargetFor(TaskPlacer.requestFor(open, waiting, ''), targets);
   }
 
   private placeSuspect(
@@ -106,17 +106,26 @@
   ): LiveRun | undefined {
     if (!this.teamAllows(open, 1)) return undefined;
     const request = TaskPlacer.requestFor(open, task, '');
-    const permitted = this.permittedFor(open, targets);
+    const permitted = this.permittedFor(open, request, targets);
     const target = this.deps.isolation.targetFor(open.entry.job, request, permitted);
     return target && this.plan(open, task, target);
   }
 
-  /** The targets that the advice rule of the queue permits; asks for advice if it is known of none. */
-  private permittedFor(open: QueuedStep, targets: readonly FleetTarget[]): readonly FleetTarget[] {
+  /**
+   * The targets that the advice rule of the queue permits. Asks for advice about others while none of
+   * these has room.
+   */
+  private permittedFor(
+    open: QueuedStep,
+    request: PlacementRequest,
+    targets: readonly FleetTarget[],
+  ): readonly FleetTarget[] {
     if (!this.adviceFor(open)) return targets;
     const { tickets } = this.deps;
     const permitted = tickets.allowed(open.step.stepId, targets);
-    if (permitted.length === 0) tickets.request(open.step.stepId, targets);
+    if (permitted.some((target) => TargetChooser.fits(target, request))) return permitted;
+    const fitting = targets.filter((target) => TargetChooser.fits(target, request));
+    tickets.request(open.step.stepId, fitting.length > 0 ? fitting : targets);
     return permitted;
   }
 
@@ -173,7 +182,8 @@
     return 'placed';
   }
 
-  private teamAllows({ entry, step }: QueuedStep, taskCount: number): boolean {
+  /** Whether the limit of the team leaves room for so many tasks of the step. */
+  teamAllows({ entry, step }: QueuedStep, taskCount: number): boolean {
     const { teamId } = entry.job.definition;
     const limit = this.deps.config().team(teamId)?.limit;
     return this.deps.usage.allows(teamId, step.spec, limit, taskCount);
