Suspects use free targets beside full ones, kept targets are opened again for other work

Cause: found by review. A target was given back 250 ms after it was asked for, also if no pass had come in the meantime; a kept target without room was waited for while others were free; and the maximum held for targets that are kept anew only, so that 9 of 9 stayed kept after 1,000 other steps had come.

Change: a target is given back only if no suspect asked for it in the last pass, either; a task gets a target with room while all that are kept for such tasks are full; targets beyond a maximum that has fallen are opened, but for those that a task needs that none of the others could take. Long-running tasks are looked for only where there are any. SuspectIsolationRoom.test.ts asks for waiting jobs only: the first pass may start them now. A case of suspectBacklog.test.ts covers the growth of the pool, which no test in virtual time did.

--- a/packages/coordinator/src/SuspectIsolation.ts
+++ b/packages/coordinator/src/SuspectIsolation.ts
@@ -4,7 +4,7 @@
  * been at work for a while, so that a crash has one possible cause and new tasks are not lost with it.
  */
 import { type Clock } from '@acaciadock/core';
-import { type Job } from '@acaciadock/jobs';
+import { type Job, type StepSpec } from '@acaciadock/jobs';
 import {
   type IsolationDemand,
   IsolationPolicy,
@@ -14,8 +14,8 @@
 import { type FleetTarget } from './FleetTarget.js';
 
 /**
- * A target for which no suspect has asked this long is opened to other tasks, in milliseconds: two
- * regular passes.
+ * A target for which no suspect has asked for this long, nor in the last pass, is opened to other tasks,
+ * in milliseconds. Copies of suspects ask between passes.
  */
 const RELEASE_AFTER_MS = 250;
 
@@ -23,9 +23,12 @@
   /** The isolated targets, with the monotonic time at which a suspect last asked for each. */
   private readonly askedMs = new Map<FleetTarget, number>();
 
-  /** The isolated targets that suspects have asked for in the present pass. */
+  /** The isolated targets that suspects have asked for since the last pass over their pool began. */
   private readonly askedInPass = new Set<FleetTarget>();
 
+  /** The isolated targets beyond the maximum, for tasks that none of the others could take. */
+  private readonly extra = new Set<FleetTarget>();
+
   /** Maximum number of isolated targets by pool, as of its last pass. */
   private readonly maxTargets = new Map<string, number>();
 
@@ -33,9 +36,10 @@
 
   /** Starts a pass over a pool, of which the demand is known. */
   beginPass(poolId: string, demand: IsolationDemand): void {
-    this.askedInPass.clear();
     this.maxTargets.set(poolId, IsolationPolicy.maxTargets(demand));
-    this.refresh();
+    this.releaseUnused(poolId);
+    this.releaseExcess(poolId);
+    this.isolatedOf(poolId).forEach((target) => this.askedInPass.delete(target));
   }
 
   /** The targets that are not kept for suspects. */
@@ -61,13 +65,12 @@
       return target;
     }
     const unasked = usable.filter((one) => !this.askedInPass.has(one));
+    const hasRoom = (one: FleetTarget): boolean => TargetChooser.fits(one, request);
+    const added = unasked.some(hasRoom) ? undefined : this.isolate(request, openTargets, usable);
+    if (added) return SuspectIsolation.isReady(added, job, request) ? added : undefined;
     const awaited = SuspectIsolation.bestOf(unasked, request);
-    if (awaited) {
-      this.recordAsked(awaited);
-      return undefined;
-    }
-    const added = this.isolate(request, openTargets, usable.length === 0);
-    return added && SuspectIsolation.isReady(added, job, request) ? added : undefined;
+    if (awaited) this.recordAsked(awaited);
+    return undefined;
   }
 
   /** Whether one of the targets is kept for suspects and could take the task once it has room. */
@@ -75,16 +78,38 @@
     return SuspectIsolation.usableFor(request, targets).length > 0;
   }
 
+  private isolatedOf(poolId: string): FleetTarget[] {
+    return [...this.askedMs.keys()].filter((target) => target.poolId === poolId);
+  }
+
   /** Opens the targets again that no suspect needs any more. */
-  private refresh(): void {
+  private releaseUnused(poolId: string): void {
     const nowMs = this.clock.monotonicMs();
-    this.askedMs.forEach((askedMs, target) => {
-      const isAsked = nowMs - askedMs < RELEASE_AFTER_MS;
-      const isInUse = isAsked || SuspectIsolation.hasEarlySuspect(target);
-      if (target.isOpen(nowMs) && isInUse) return;
-      Object.assign(target, { isIsolated: false });
-      this.askedMs.delete(target);
-    });
+    this.isolatedOf(poolId)
+      .filter((target) => !target.isOpen(nowMs) || !this.isInUse(target, nowMs))
+      .forEach((target) => this.release(target));
+  }
+
+  private isInUse(target: FleetTarget, nowMs: number): boolean {
+    if (this.askedInPass.has(target) || SuspectIsolation.hasEarlySuspect(target)) return true;
+    return nowMs - (this.askedMs.get(target) ?? -Infinity) < RELEASE_AFTER_MS;
+  }
+
+  /** Opens targets beyond the maximum, which falls as other work arrives. */
+  private releaseExcess(poolId: string): void {
+    const counted = this.isolatedOf(poolId).filter((target) => !this.extra.has(target));
+    const excess = counted.length - (this.maxTargets.get(poolId) ?? 0);
+    counted
+      .filter((target) => !SuspectIsolation.hasEarlySuspect(target))
+      .slice(0, Math.max(0, excess))
+      .forEach((target) => this.release(target));
+  }
+
+  private release(target: FleetTarget): void {
+    Object.assign(target, { isIsolated: false });
+    this.askedMs.delete(target);
+    this.askedInPass.delete(target);
+    this.extra.delete(target);
   }
 
   private recordAsked(target: FleetTarget): void {
@@ -92,18 +117,24 @@
     this.askedMs.set(target, this.clock.monotonicMs());
   }
 
-  /** `isFirst` says that none of the isolated targets could take the task, so the maximum does not hold. */
+  /**
+   * Keeps another target for the task; undefined if there is none or the maximum is reached. Beyond the
+   * maximum, a task gets the first target that could ever take it, and one that has room for it while
+   * all that are usable are full.
+   */
   private isolate(
     request: PlacementRequest,
     openTargets: readonly FleetTarget[],
-    isFirst: boolean,
+    usable: readonly FleetTarget[],
   ): FleetTarget | undefined {
     const poolId = openTargets[0]?.poolId ?? '';
-    const isolated = [...this.askedMs.keys()].filter((target) => target.poolId === poolId);
-    if (!isFirst && isolated.length >= (this.maxTargets.get(poolId) ?? 0)) return undefined;
+    const isExtra = this.isolatedOf(poolId).length >= (this.maxTargets.get(poolId) ?? 0);
+    if (isExtra && usable.some((target) => TargetChooser.fits(target, request))) return undefined;
     const shared = openTargets.filter((target) => !target.isIsolated);
     const best = SuspectIsolation.bestOf(shared, request);
     if (!best) return undefined;
+    if (isExtra && usable.length > 0 && !TargetChooser.fits(best, request)) return undefined;
+    if (isExtra) this.extra.add(best);
     Object.assign(best, { isIsolated: true });
     this.recordAsked(best);
     return best;
@@ -160,9 +191,8 @@
 
   /** Whether the task would fit if the tasks that do not run for good had ended. */
   private static couldFit(target: FleetTarget, request: PlacementRequest): boolean {
-    const lasting = [...target.runs.values()].map(({ place }) => place.step.spec);
-    const kept = lasting.filter((spec) => spec.longRunning);
-    const sum = (of: (spec: (typeof kept)[number]) => number): number =>
+    const kept = SuspectIsolation.longRunningOn(target);
+    const sum = (of: (spec: StepSpec) => number): number =>
       kept.reduce((total, spec) => total + of(spec), 0);
     return TargetChooser.fits(
       {
@@ -181,6 +211,13 @@
     );
   }
 
+  private static longRunningOn({ runs, longRunningCount }: FleetTarget): readonly StepSpec[] {
+    if (longRunningCount === 0) return [];
+    return [...runs.values()]
+      .map(({ place }) => place.step.spec)
+      .filter((spec) => spec.longRunning);
+  }
+
   private static hasEarlySuspect({ runs }: FleetTarget): boolean {
     return [...runs.values()].some((live) => live.isEarly && live.place.task.isSuspect);
   }
--- a/packages/coordinator/src/SuspectIsolationRoom.test.ts
+++ b/packages/coordinator/src/SuspectIsolationRoom.test.ts
@@ -35,6 +35,7 @@
   const openTargets = fixture.all.length;
   isolation.beginPass('pool', { suspectJobs: jobs.length, otherSteps, openTargets });
   return jobs.filter((job) => {
+    if (!job.occurrences.get(0)!.steps[0]!.tasks.some((task) => task.isWaiting)) return false;
     const target = isolation.targetFor(job, requestFor(job), fixture.all);
     const index = job.occurrences.get(0)!.steps[0]!.tasks.findIndex((task) => task.isWaiting);
     if (target) fixture.start(job, target.targetId, index);
--- a/packages/jobdesk/src/suspectBacklog.test.ts
+++ b/packages/jobdesk/src/suspectBacklog.test.ts
@@ -27,6 +27,9 @@
 /** Several targets have crashed by then, in milliseconds. */
 const WARNED_AFTER_MS = 2_000;
 
+/** A round of the control loop, in milliseconds; instances count from their orders on. */
+const MOVE_MS = 500;
+
 const POLL_MS = 250;
 const ANSWER_MS = 50;
 
@@ -131,6 +134,17 @@
   });
 });
 
+describe('jobs that were on a target that crashed', () => {
+  it('get instances on which they start apart, though their work would fit on one', async (t) => {
+    // Fails if the size of a pool does not count the targets that suspects need.
+    const world = await createWorld({ targetCount: 0, instanceCount: 1, spareCount: 8 });
+    submitRound(world, 0);
+    await world.run(CRASH_PROVEN_MS + MOVE_MS);
+    const count = world.fleet?.countIn('pool') ?? 0;
+    t.ok(count >= 3, `${count} instances are in the pool`);
+  });
+});
+
 describe('jobs that are caught in the crashes of targets', () => {
   [1_000, 500, 250].forEach((periodMs) => {
     it(`do not wait for each other at a crash each ${periodMs} ms`, async (t) => {
