A crash is noticed by the list of instances, before the next process

Cause: the proofs of a crash come from the next process.

Change: a fourth proof, `listed-down`. Two lists in a row show the instance down on which this owner last saw the target; both were requested after its last report, its last call has failed, and no start order is unanswered, as the next process may have the same id and would accept it.

--- a/packages/coordinator/src/CrashHandler.ts
+++ b/packages/coordinator/src/CrashHandler.ts
@@ -1,7 +1,7 @@
 /**
  * Ends the runs of a target whose process has ended without notice. The proof is a later process in
- * its place, see `CrashEvidence`; silence alone proves nothing. A task that causes such crashes is
- * given up, which fails its job.
+ * its place, or that its instance is listed as down, see `CrashEvidence`; silence alone proves
+ * nothing. A task that causes such crashes is given up, which fails its job.
  */
 import { type Clock, type Logger } from '@acaciadock/core';
 import { type CommitOutcome } from '@acaciadock/journal';
@@ -12,9 +12,9 @@
 
 /**
  * How the end of the process is known: another one answered at its address, its successor reported
- * under its id, or another target is listed on its instance.
+ * under its id, another target is listed on its instance, or that is listed as down.
  */
-export type CrashEvidence = 'other-lifetime' | 'reborn' | 'replaced';
+export type CrashEvidence = 'other-lifetime' | 'reborn' | 'replaced' | 'listed-down';
 
 /**
  * The clocks of an entry and a target differ by less than this, in milliseconds. Where they differ by
--- a/packages/coordinator/src/FleetController.ts
+++ b/packages/coordinator/src/FleetController.ts
@@ -53,7 +53,11 @@
     super();
     this.orders = this.register(new FleetOrders(options, deps));
     const replacements = new ReplacementMonitor(deps.targets, deps.crashes);
-    this.register(this.orders.onListed((listed) => replacements.compare(listed)));
+    this.register(
+      this.orders.onListed((listed) => {
+        replacements.compare(listed, this.orders.listRequestedMs);
+      }),
+    );
     this.upkeep = this.register(
       new UpkeepController(options.upkeepMs, {
         ...deps,
--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -114,6 +114,11 @@
     return this.listed;
   }
 
+  /** Monotonic time at which the last list was requested. */
+  get listRequestedMs(): number {
+    return this.listedMs;
+  }
+
   get listAgeMs(): number {
     return this.deps.clock.monotonicMs() - this.listedMs;
   }
@@ -245,7 +250,7 @@
     return this.recordOutcome('upkeep', instance, poolId, done.isErr() ? done.error : undefined);
   }
 
-  /** Whether runs are on a target that does not answer; the list may show that it was replaced. */
+  /** Whether runs are on a target that does not answer; the list may show that it has ended. */
   private get hasSilentRuns(): boolean {
     for (const { consecutiveFailures, runs } of this.deps.targets.all) {
       if (consecutiveFailures > 0 && runs.size > 0) return true;
--- a/packages/jobdesk/src/deadlyTasks.test.ts
+++ b/packages/jobdesk/src/deadlyTasks.test.ts
@@ -7,6 +7,7 @@
 import {
   DEADLY_PREFIX,
   LONG_RUNNING_PREFIX,
+  RecordingLogger,
   type SimulatedTarget,
 } from '@acaciadock/coordinator/testing';
 import { type Test } from 'tap';
@@ -133,6 +134,72 @@
   });
 });
 
+describe('a crash of a target whose instance is listed as down', () => {
+  const NOTICED_MS = 1_000;
+
+  async function createFleet(seed = 1): Promise<{ world: JobWorld; logger: RecordingLogger }> {
+    const logger = new RecordingLogger();
+    const fleet = { targetCount: 0, instanceCount: 4, runtimeMs: 20_000 };
+    const world = await createWorld({ ...fleet, seed, logger });
+    await world.run(1_000);
+    void world.submit('a', { steps: [{ taskCount: 2, cpuMilli: 500 }] });
+    await world.runUntil(() => world.runningCount === 2, 2_000);
+    await world.run(300);
+    return { world, logger };
+  }
+
+  function busyTarget(world: JobWorld): SimulatedTarget {
+    const busy = [...world.targets.values()].find(({ runningCount }) => runningCount > 0);
+    if (!busy) throw new Error('no target has runs');
+    return busy;
+  }
+
+  it('is noticed within a second, before there is a process in its place', async (t) => {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const { world, logger } = await createFleet(seed);
+      await world.run(seed * 130);
+      const { targetId } = busyTarget(world);
+      busyTarget(world).crash();
+      const isNoticed = (): boolean => logger.events.includes('target-crashed');
+      t.ok(await world.runUntil(isNoticed, NOTICED_MS), `seed ${seed}`);
+      t.match(logger.of('target-crashed'), [{ targetId, reason: 'listed-down' }]);
+      t.ok(await world.runUntil(() => world.runningCount === 2, 5_000), 'its tasks run again');
+      t.same(world.observer.broken, []);
+    }
+  });
+
+  it('is not assumed of a target that is only cut off, whose instance is listed as up', async (t) => {
+    const { world, logger } = await createFleet();
+    const { targetId } = busyTarget(world);
+    world.entries.forEach(({ portFaults }) => portFaults.cutTargets.add(targetId));
+    await world.run(LEASE_MS / 2);
+    t.same(logger.of('target-crashed'), []);
+    t.equal(world.observer.startsOf('a.0.0.0') + world.observer.startsOf('a.0.0.1'), 2);
+    t.same(world.observer.broken, []);
+  });
+
+  it('is not assumed of the next process under its id because of lists answered late', async (t) => {
+    const { world, logger } = await createFleet();
+    const target = busyTarget(world);
+    const list = world.fleet?.list.bind(world.fleet);
+    target.crash();
+    const former = await list?.();
+    target.restart();
+    await world.run(1_000);
+    const crashes = logger.of('target-crashed').length;
+    const startCount = world.observer.startsOf('a.0.0.0') + world.observer.startsOf('a.0.0.1');
+    Object.assign(world.fleet ?? {}, { list: () => Promise.resolve(former) });
+    await world.run(5_000);
+    t.equal(logger.of('target-crashed').length, crashes);
+    t.equal(
+      world.observer.startsOf('a.0.0.0') + world.observer.startsOf('a.0.0.1'),
+      startCount,
+      'an answering target keeps its runs',
+    );
+    t.same(world.observer.broken, []);
+  });
+});
+
 describe('a suspect that is all the work of its pool', () => {
   it('gets an instance, as it counts as demand like any waiting task', async (t) => {
     const world = await createWorld({ targetCount: 0, instanceCount: 1, spareCount: 4 });
