A start in flight to a crashed target does not delay its other runs

Cause: a start whose outcome is unknown may have reached a later lifetime of the target, which limits the lease to its maximum. Until that has passed (10.2 s), every run of the target counted as possibly alive, also those that its reports had listed, whose leases end after 5.1 s. A target that crashes under load usually has a start in flight.

Change: runs that a report has listed expire with the leases that their lifetime was granted. Only the others wait for the maximum lease.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -305,8 +305,7 @@
   private tick(): void {
     const nowMs = this.deps.clock.monotonicMs();
     for (const target of this.targets.all) {
-      if (target.runs.size > 0 && nowMs >= target.lease.certainlyExpiredAtMs())
-        this.expireRuns(target);
+      if (target.runs.size > 0) this.expireRuns(target, nowMs);
     }
     this.copies.check();
     for (const entry of this.jobs.activeJobs) this.scheduler.openDue(entry);
@@ -319,12 +318,14 @@
   }
 
   /**
-   * Ends all ordered runs of a target on which no lease can be in force any more. A planned run has
-   * not been ordered yet, so it can't be on the target.
+   * Ends the ordered runs of a target whose leases can't be in force any more. A planned run has not
+   * been ordered yet, so it can't be on the target.
    */
-  private expireRuns(target: FleetTarget): void {
-    [...target.runs.values()]
-      .filter((live) => live.phase !== 'planned')
+  private expireRuns({ lease, runs }: FleetTarget, nowMs: number): void {
+    if (nowMs < lease.listedRunsExpiredAtMs()) return;
+    const haveAllExpired = nowMs >= lease.certainlyExpiredAtMs();
+    [...runs.values()]
+      .filter((live) => live.phase !== 'planned' && (haveAllExpired || live.isListed))
       .forEach((live) => {
         void this.runTracker.finish(live, 'lapsed', '');
       });
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -114,6 +114,11 @@
     this.nextPaceFrom = { atMs: nowMs, percent };
   }
 
+  /** Whether a report of its target has listed the run, so that its start was executed. */
+  get isListed(): boolean {
+    return this.reportedMs > 0;
+  }
+
   /** How long the run was at work by the reports of its target; 0 if none has listed it. */
   get reportedWorkMs(): number {
     return this.reportedMs === 0 ? 0 : Math.max(0, this.reportedMs - this.startedMs);
--- a/packages/execution/src/LeaseClock.test.ts
+++ b/packages/execution/src/LeaseClock.test.ts
@@ -41,4 +41,20 @@
     lease.recordUnconfirmedStart(300);
     t.equal(lease.certainlyExpiredAtMs(), 300 + MAX_LEASE_MS / SLOWEST_CLOCK_RATE);
   });
+
+  it('does not extend the lease of listed runs by a start in an unknown lifetime', (t) => {
+    // Fails if all work of a target waits for the maximum lease because a start was in flight.
+    const lease = new LeaseClock(MAX_LEASE_MS);
+    lease.recordClock(1_000, 0, 0);
+    lease.grant(4_900, 0);
+    lease.recordUnconfirmedStart(0);
+    t.equal(lease.listedRunsExpiredAtMs(), 4_900 / SLOWEST_CLOCK_RATE);
+  });
+
+  it('waits out leases of earlier owners for listed runs, too', (t) => {
+    const lease = new LeaseClock(MAX_LEASE_MS, 20_000);
+    t.equal(lease.listedRunsExpiredAtMs(), 20_000);
+    lease.recordClock(1_000, 100, 110);
+    t.equal(lease.listedRunsExpiredAtMs(), 100 + MAX_LEASE_MS / SLOWEST_CLOCK_RATE);
+  });
 });
--- a/packages/execution/src/LeaseClock.ts
+++ b/packages/execution/src/LeaseClock.ts
@@ -81,10 +81,17 @@
 
   /** Local time from which nothing can still be running under a lease. */
   certainlyExpiredAtMs(): number {
-    const othersUntilMs = Math.max(this.inheritedUntilMs, this.unconfirmedUntilMs);
-    if (this.reportedClockMs === undefined) return othersUntilMs;
+    return Math.max(this.listedRunsExpiredAtMs(), this.unconfirmedUntilMs);
+  }
+
+  /**
+   * Local time from which no run that a report has listed can still be running. Such a run belongs to
+   * the lifetime recorded last, so a start that may have reached a later one does not extend its lease.
+   */
+  listedRunsExpiredAtMs(): number {
+    if (this.reportedClockMs === undefined) return this.inheritedUntilMs;
     const remainingMs = Math.max(0, this.maxGrantedUntilMs - this.reportedClockMs);
     const ownUntilMs = this.reportedAtMs + remainingMs / SLOWEST_CLOCK_RATE;
-    return Math.max(ownUntilMs, othersUntilMs);
+    return Math.max(ownUntilMs, this.inheritedUntilMs);
   }
 }
