Instances are not closed for moves to and fro between two pools

Cause: a round first reopens the instances whose destination has more than its part, all of them at once, and then balances with counts from before. The pool that has just got its instances back still seems to lack them, so instances of the other one are closed for it, which the next round reopens in turn.

Change: only as many are reopened as the destination has too many, and the counts of both pools follow before the round continues.

--- a/packages/coordinator/src/PendingMoves.ts
+++ b/packages/coordinator/src/PendingMoves.ts
@@ -50,7 +50,10 @@
     });
   }
 
-  /** Moves instances that are empty now, and reopens those whose destination pool needs no more. */
+  /**
+   * Moves instances that are empty now, and reopens those that their destination pool has too many of.
+   * Updates the counts of the pools, so that what follows in the round does not move these again.
+   */
   complete(pools: readonly PoolState[]): void {
     const { orders, targets } = this.deps;
     this.destinations.forEach((poolId, instanceId) => {
@@ -60,6 +63,9 @@
       if (!instance || !target) return;
       if (recipient && recipient.part < recipient.count) {
         this.cancel(instance);
+        const donor = pools.find(({ size }) => size.poolId === instance.poolId);
+        Object.assign(recipient, { count: recipient.count - 1 });
+        if (donor) Object.assign(donor, { count: donor.count + 1 });
         return;
       }
       if (target.runs.size > 0 || orders.allowance === 0) return;
