A successor asks all earlier owners that may extend leases, not only the last

Cause: the owner record said that an earlier owner may still extend leases, but not which. After two owners in quick succession the third one therefore waited 4 s and a lease after its claim, whatever the earlier ones answered. A long-running task on a target lost for good ran again 10.2 s after its last run and 9.17 s after the last claim (trial in virtual time, two kills, each entry back after 1 s); 9 s and 7 s are allowed.

Change: the record names those owners. The successor takes each for over by the proofs that applied to the last one, and asks each. One unreachable owner still holds the others up (storeOutage.test.ts, 'makes the third one wait').

--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -49,6 +49,16 @@
 /** Key of the owner record; it is the first record that an owner writes in each period. */
 export const INCUMBENT_KEY = 'incumbent';
 
+/** Identity of an owner before the one that wrote the record. */
+const formerOwnerSchema = z.object({
+  entryId: z.string(),
+  bootMs: z.number(),
+  peerAddress: z.string(),
+  epoch: z.number(),
+});
+
+export type FormerOwner = Readonly<z.infer<typeof formerOwnerSchema>>;
+
 /** Identity of the owner that wrote the newest records, as stored in the journal. */
 const ownerRecordSchema = z.object({
   entryId: z.string(),
@@ -59,6 +69,8 @@
   epoch: z.number(),
   /** An owner before this one may still have been extending leases when this was written. */
   formerMayExtend: z.boolean(),
+  /** The owners that may; omitted if there is none, or one of them is unknown. */
+  formers: z.array(formerOwnerSchema).optional(),
 });
 
 export type OwnerRecord = Readonly<z.infer<typeof ownerRecordSchema>>;
@@ -200,7 +212,7 @@
   }
 
   private writeOwnerRecord(): void {
-    const { entryId, bootMs, peerAddress } = this.ownerRecord;
+    const { entryId, bootMs, peerAddress, formers } = this.ownerRecord;
     const commit = this.writer.write(INCUMBENT_KEY, () => {
       // The content of the record, which names the owner.
       const name: OwnerRecord = {
@@ -209,6 +221,7 @@
         peerAddress,
         epoch: this.epoch,
         formerMayExtend: this.previousMayExtend,
+        ...(this.previousMayExtend && formers ? { formers } : {}),
       };
       return Buffer.from(JSON.stringify(name));
     });
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -359,8 +359,8 @@
     const { self, directory, announcer, deps } = this;
     const { clock, log, logger } = deps;
     const previousOwner = new PreviousOwner(owned, self, directory, announcer, deps);
-    const hasPreviousOwnerStopped = previousOwner.hasStoppedExtending;
-    const ownerRecord = { ...self, formerMayExtend: !hasPreviousOwnerStopped };
+    const { hasStoppedExtending: hasPreviousOwnerStopped, extending: formers } = previousOwner;
+    const ownerRecord = { ...self, formerMayExtend: !hasPreviousOwnerStopped, formers };
     const ownership = new Ownership(log, owned, ownerRecord, clock);
     this.ownership = ownership;
     this.ownerWatch.set(undefined);
--- /dev/null
+++ b/packages/jobdesk/src/successiveTakeovers.test.ts
@@ -0,0 +1,69 @@
+/**
+ * How soon a long-running task runs elsewhere when its target is lost for good and the owner is
+ * killed, once or several times in quick succession. All leases of a killed owner have expired 5.1 s
+ * after its end: a lease of 5 s on the slowest clock.
+ */
+import { LONG_RUNNING_PREFIX } from '@acaciadock/coordinator/testing';
+import { describe, it } from '@acaciadock/core/testing';
+import { type Test } from 'tap';
+import { type JobWorld } from './testing/JobWorld.js';
+import { createWorld, type StepInput } from './testing/takeoverHelpers.js';
+
+const TASK_ID = 'a.0.0.0';
+const STEPS: readonly StepInput[] = [{ taskCount: 1, cpuMilli: 1_000, longRunning: true }];
+const SETTLE_MS = 1_500;
+
+/** Time from the end of a process to the next one of its entry, in milliseconds. */
+const RESTART_MS = 1_000;
+
+/** Between a takeover and the end of that owner: its first appends are durable, in milliseconds. */
+const OWNED_MS = 50;
+
+/** A task that lasts must run again within 6 s after its last run and 3 s more, in milliseconds. */
+const FROM_LAST_RUN_MS = 9_000;
+
+/** And within 4 s and 3 s after the last disturbance, such as the end of a process, in milliseconds. */
+const FROM_LAST_KILL_MS = 7_000;
+
+const TIMEOUT_MS = 20_000;
+
+async function createWorldWithLostTarget(): Promise<JobWorld> {
+  const world = await createWorld({ entryCount: 5, targetCount: 3 });
+  void world.submit('a', { spec: LONG_RUNNING_PREFIX, steps: STEPS });
+  await world.run(SETTLE_MS);
+  const busy = [...world.targets.values()].find(({ runningCount }) => runningCount > 0);
+  busy?.crash();
+  if (busy) busy.isListed = false;
+  return world;
+}
+
+/** Kills the owner as soon as there is one; its entry starts again unless `isRestarted` is false. */
+async function killOwner(world: JobWorld, isRestarted: boolean): Promise<void> {
+  await world.runUntil(() => world.owner !== undefined, TIMEOUT_MS);
+  await world.run(OWNED_MS);
+  const ownerId = world.ownerId() ?? '';
+  world.killEntry(ownerId);
+  if (isRestarted) world.clock.after(RESTART_MS, () => world.startEntry(ownerId));
+}
+
+async function assertRunsInTime(t: Test, kills: number, isRestarted: boolean): Promise<void> {
+  const world = await createWorldWithLostTarget();
+  const lostMs = world.clock.monotonicMs();
+  for (let kill = 1; kill <= kills; kill += 1) await killOwner(world, isRestarted);
+  const killedMs = world.clock.monotonicMs();
+  await world.runUntil(() => world.observer.startsOf(TASK_ID) > 1, TIMEOUT_MS);
+  const nowMs = world.clock.monotonicMs();
+  const [fromKillMs, fromRunMs] = [nowMs - killedMs, nowMs - lostMs];
+  t.ok(fromKillMs <= FROM_LAST_KILL_MS, `${fromKillMs} ms after the last kill`);
+  t.ok(fromRunMs <= FROM_LAST_RUN_MS, `${fromRunMs} ms after its last run`);
+  t.same(world.observer.broken, [], 'no guarantee violated');
+}
+
+describe('a long-running task whose target is lost for good', () => {
+  [1, 2, 3].forEach((kills) => {
+    it(`runs elsewhere in time after ${kills} owners were killed that start again`, async (t) => {
+      // Fails if a successor asks only the owner right before it whether it extends leases.
+      await assertRunsInTime(t, kills, true);
+    });
+  });
+});
