An owner whose process was seen to end is not waited for

Cause: after a kill the successor claims within 50 ms, as nothing listens at the owner's address any more, but took the owner for over only once a later process of its entry answered.

Change: if the owner's process accepted the watch's connection and nothing listens there later, it has ended. An address that never accepted one, a reset channel and silence still prove nothing.

--- a/packages/jobdesk/src/ProcessWatch.ts
+++ b/packages/jobdesk/src/ProcessWatch.ts
@@ -13,9 +13,12 @@
 const REFUSED_CODE = 'ECONNREFUSED';
 
 export class ProcessWatch extends Disposable {
-  private readonly refusedEmitter = this.register(new EventEmitter<void>());
+  private readonly refusedEmitter = this.register(new EventEmitter<boolean>());
 
-  /** Fires each time that a connection is refused because nothing listens at the address. */
+  /**
+   * Fires each time that a connection is refused because nothing listens at the address, with whether
+   * an earlier one was accepted.
+   */
   readonly onRefused = this.refusedEmitter.event;
 
   private socket: Socket | undefined;
@@ -25,6 +28,8 @@
   /** The first connection after the end of one is tried at once. */
   private wasConnected = false;
 
+  private hasListened = false;
+
   /** `address` is `host:port`. */
   constructor(
     private readonly address: string,
@@ -44,11 +49,12 @@
     this.wasConnected = false;
     socket.on('connect', () => {
       this.wasConnected = true;
+      this.hasListened = true;
     });
     // What the peer sends on an idle connection is not needed, but must not fill the buffers.
     socket.resume();
     socket.on('error', (cause: NodeJS.ErrnoException) => {
-      if (cause.code === REFUSED_CODE) this.refusedEmitter.fire();
+      if (cause.code === REFUSED_CODE) this.refusedEmitter.fire(this.hasListened);
     });
     socket.on('close', () => this.reconnect());
   }
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -196,12 +196,14 @@
   }
 
   /** A killed process is missing among the entries until its entry starts again. */
-  private watchPeer(address: string, onRefused: () => void): IDisposable {
+  private watchPeer(address: string, onRefused: (hasListened: boolean) => void): IDisposable {
+    let hasListened = false;
     return this.clock.every(WATCH_PERIOD_MS, () => {
       const isListening = [...this.environment.entries.keys()].includes(
         address.split(':')[0] ?? '',
       );
-      if (!isListening) onRefused();
+      if (isListening) hasListened = true;
+      else onRefused(hasListened);
     });
   }
 
--- a/packages/journal/src/PeerNotices.ts
+++ b/packages/journal/src/PeerNotices.ts
@@ -33,7 +33,8 @@
 
   /**
    * Watches the process at the address. Calls `onRefused` each time that nothing listens there any
-   * more; a process that merely doesn't answer is not reported.
+   * more; a process that merely doesn't answer is not reported. `hasListened` says whether a process
+   * has been seen to listen there since the watch began: that one has ended.
    */
-  abstract watch(peerAddress: string, onRefused: () => void): IDisposable;
+  abstract watch(peerAddress: string, onRefused: (hasListened: boolean) => void): IDisposable;
 }
