--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -115,6 +115,7 @@
       () => this.storeLost,
     );
     this.ownerWatch = this.register(new OwnerWatch(deps.peers, deps.logger));
+    this.register(this.ownerWatch.onEnded((owner) => this.directory.recordEnd(owner)));
     this.register(
       this.ownerWatch.onGone(() => {
         void this.renew();
@@ -359,8 +360,8 @@
     const { self, directory, announcer, deps } = this;
     const { clock, log, logger } = deps;
     const previousOwner = new PreviousOwner(owned, self, directory, announcer, deps);
-    const hasPreviousOwnerStopped = previousOwner.hasStoppedExtending;
-    const ownerRecord = { ...self, formerMayExtend: !hasPreviousOwnerStopped };
+    const { hasStoppedExtending: hasPreviousOwnerStopped, extending: formers } = previousOwner;
+    const ownerRecord = { ...self, formerMayExtend: !hasPreviousOwnerStopped, formers };
     const ownership = new Ownership(log, owned, ownerRecord, clock);
     this.ownership = ownership;
     this.ownerWatch.set(undefined);
