--- a/packages/coordinator/src/testing/RunObserver.ts
+++ b/packages/coordinator/src/testing/RunObserver.ts
@@ -45,6 +45,11 @@
     return [...this.tasks.values()].reduce((sum, task) => sum + task.starts, 0);
   }
 
+  /** Number of targets that tasks have crashed. */
+  get crashCount(): number {
+    return [...this.tasks.values()].reduce((sum, task) => sum + task.crashes, 0);
+  }
+
   startsOf(taskId: string): number {
     return this.tasks.get(taskId)?.starts ?? 0;
   }
