An entry that stops passes its calls on to the new owner

Cause: `leave` disposes the election, and a disposed directory accepted no announcement. The former owner took itself for the owner until its process ended, and refused every call with `no-coordinator` after 0.4 s.

Change: the directory accepts announcements also after that. Its listeners are gone by then, so the entry does not claim.

--- a/packages/jobdesk/src/OwnerDirectory.ts
+++ b/packages/jobdesk/src/OwnerDirectory.ts
@@ -127,9 +127,9 @@
     return answer;
   }
 
-  /** Accepts an announcement if it is newer than the latest one known. */
+  /** Accepts an announcement if it is newer than the latest one known, also while the entry stops. */
   accept(notice: OwnerNotice | undefined, source: 'store' | 'peer' | 'self'): void {
-    if (!notice || this.isDisposed) return;
+    if (!notice) return;
     const knownEpoch = this.newest?.epoch ?? -1;
     const isRelease = notice.isReleased && this.newest?.isReleased !== true;
     const isNewer = notice.epoch > knownEpoch || (isRelease && notice.epoch === knownEpoch);
--- a/packages/jobdesk/src/handOver.test.ts
+++ b/packages/jobdesk/src/handOver.test.ts
@@ -102,6 +102,32 @@
   });
 
   describe('when the owner stops as planned', () => {
+    it('is known to the former owner, which still takes calls', async (t) => {
+      // Fails if an entry that stops refuses the callers that reach it until its process ends.
+      const world = await createWorld();
+      const previousId = world.ownerId() ?? '';
+      const previous = world.entries.get(previousId);
+      void previous?.leave();
+      await msUntilSuccessor(world, previousId);
+      void previous?.refreshOwner();
+      await world.run(200);
+      t.equal(previous?.knownOwnerId, world.ownerId());
+    });
+
+    it('does not make the former owner claim again', async (t) => {
+      // Fails if an entry that stops, and hears of the release of its successor, claims the journal.
+      const world = await createWorld({ entryCount: 2 });
+      const firstId = world.ownerId() ?? '';
+      const first = world.entries.get(firstId);
+      void first?.leave();
+      await msUntilSuccessor(world, firstId);
+      void world.owner?.leave();
+      await world.run(200);
+      void first?.refreshOwner();
+      await world.run(3_000);
+      t.notOk(first?.isOwner);
+    });
+
     const gapOf = async (latencyMs: number): Promise<number> => {
       const world = await createWorld({ entryCount: 5 });
       await submit(world, 'a');
