--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -115,7 +115,6 @@
       () => this.storeLost,
     );
     this.ownerWatch = this.register(new OwnerWatch(deps.peers, deps.logger));
-    this.register(this.ownerWatch.onEnded((owner) => this.directory.recordEnd(owner)));
     this.register(
       this.ownerWatch.onGone(() => {
         void this.renew();
--- a/packages/jobdesk/src/OwnerDirectory.ts
+++ b/packages/jobdesk/src/OwnerDirectory.ts
@@ -48,9 +48,6 @@
 
   private nextPeerIndex = 0;
 
-  /** The latest process of each entry that was seen to end, by its start time. */
-  private readonly endedBootMs = new Map<string, number>();
-
   /** The latest process start time of each entry that was seen in the group. */
   private readonly newestBootMs = new Map<string, number>();
 
@@ -72,18 +69,6 @@
     return (this.newestBootMs.get(entryId) ?? 0) > bootMs;
   }
 
-  /** Whether that process has ended, with or without a later one. */
-  hasProcessEnded(entryId: string, bootMs: number): boolean {
-    const endedMs = this.endedBootMs.get(entryId) ?? -Infinity;
-    return bootMs <= endedMs || this.hasProcessExited(entryId, bootMs);
-  }
-
-  /** Records that the process has been seen to end. */
-  recordEnd({ entryId, bootMs }: EntryProcess): void {
-    const endedMs = this.endedBootMs.get(entryId) ?? -Infinity;
-    this.endedBootMs.set(entryId, Math.max(endedMs, bootMs));
-  }
-
   isMember(member: GroupMember): boolean {
     return this.members.some((other) => isSameMember(other, member));
   }
--- a/packages/jobdesk/src/OwnerWatch.ts
+++ b/packages/jobdesk/src/OwnerWatch.ts
@@ -14,17 +14,9 @@
 export class OwnerWatch extends Disposable {
   private readonly goneEmitter = this.register(new EventEmitter<void>());
 
-  private readonly endedEmitter = this.register(new EventEmitter<GroupMember>());
-
   /** Fires once when nothing listens any more at the address of the watched owner. */
   readonly onGone = this.goneEmitter.event;
 
-  /**
-   * Fires, before that, if the watched owner's process has certainly ended: it listened while it was
-   * watched, and nothing listens any more.
-   */
-  readonly onEnded = this.endedEmitter.event;
-
   private watched: GroupMember | undefined;
 
   private watch: IDisposable | undefined;
@@ -46,9 +38,7 @@
     this.watch?.dispose();
     this.watched = owner;
     this.gone = undefined;
-    this.watch =
-      owner &&
-      this.peers.watch(owner.peerAddress, (hasListened) => this.onRefused(owner, hasListened));
+    this.watch = owner && this.peers.watch(owner.peerAddress, () => this.onRefused(owner));
   }
 
   /** Whether this owner's process has been seen to be gone. */
@@ -56,11 +46,10 @@
     return OwnerWatch.isSame(owner, this.gone);
   }
 
-  private onRefused(owner: GroupMember, hasListened: boolean): void {
+  private onRefused(owner: GroupMember): void {
     if (this.isGone(owner)) return;
-    this.logger.warn('owner-process-gone', { owner: owner.entryId, hasListened });
+    this.logger.warn('owner-process-gone', { owner: owner.entryId });
     this.gone = owner;
-    if (hasListened) this.endedEmitter.fire(owner);
     this.goneEmitter.fire();
   }
 
--- a/packages/jobdesk/src/PeerNoticeClient.ts
+++ b/packages/jobdesk/src/PeerNoticeClient.ts
@@ -17,7 +17,7 @@
     super();
   }
 
-  override watch(peerAddress: string, onRefused: (hasListened: boolean) => void): IDisposable {
+  override watch(peerAddress: string, onRefused: () => void): IDisposable {
     const watch = new ProcessWatch(peerAddress, this.clock);
     watch.onRefused(onRefused);
     return watch;
--- a/packages/jobdesk/src/PreviousOwner.ts
+++ b/packages/jobdesk/src/PreviousOwner.ts
@@ -85,7 +85,7 @@
 
   private hasStopped({ entryId, bootMs, epoch }: FormerOwner): boolean {
     const { self, directory } = this;
-    if (directory.hasProcessEnded(entryId, bootMs)) return true;
+    if (directory.hasProcessExited(entryId, bootMs)) return true;
     const isOwn = entryId === self.entryId && bootMs === self.bootMs;
     const { notice } = directory;
     return isOwn || (notice?.isReleased === true && notice.epoch === epoch);
--- a/packages/jobdesk/src/ProcessWatch.ts
+++ b/packages/jobdesk/src/ProcessWatch.ts
@@ -13,12 +13,9 @@
 const REFUSED_CODE = 'ECONNREFUSED';
 
 export class ProcessWatch extends Disposable {
-  private readonly refusedEmitter = this.register(new EventEmitter<boolean>());
+  private readonly refusedEmitter = this.register(new EventEmitter<void>());
 
-  /**
-   * Fires each time that a connection is refused because nothing listens at the address, with whether
-   * an earlier one was accepted.
-   */
+  /** Fires each time that a connection is refused because nothing listens at the address. */
   readonly onRefused = this.refusedEmitter.event;
 
   private socket: Socket | undefined;
@@ -28,8 +25,6 @@
   /** The first connection after the end of one is tried at once. */
   private wasConnected = false;
 
-  private hasListened = false;
-
   /** `address` is `host:port`. */
   constructor(
     private readonly address: string,
@@ -49,12 +44,11 @@
     this.wasConnected = false;
     socket.on('connect', () => {
       this.wasConnected = true;
-      this.hasListened = true;
     });
     // What the peer sends on an idle connection is not needed, but must not fill the buffers.
     socket.resume();
     socket.on('error', (cause: NodeJS.ErrnoException) => {
-      if (cause.code === REFUSED_CODE) this.refusedEmitter.fire(this.hasListened);
+      if (cause.code === REFUSED_CODE) this.refusedEmitter.fire();
     });
     socket.on('close', () => this.reconnect());
   }
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -196,14 +196,12 @@
   }
 
   /** A killed process is missing among the entries until its entry starts again. */
-  private watchPeer(address: string, onRefused: (hasListened: boolean) => void): IDisposable {
-    let hasListened = false;
+  private watchPeer(address: string, onRefused: () => void): IDisposable {
     return this.clock.every(WATCH_PERIOD_MS, () => {
       const isListening = [...this.environment.entries.keys()].includes(
         address.split(':')[0] ?? '',
       );
-      if (isListening) hasListened = true;
-      else onRefused(hasListened);
+      if (!isListening) onRefused();
     });
   }
 
--- a/packages/journal/src/PeerNotices.ts
+++ b/packages/journal/src/PeerNotices.ts
@@ -33,8 +33,7 @@
 
   /**
    * Watches the process at the address. Calls `onRefused` each time that nothing listens there any
-   * more; a process that merely doesn't answer is not reported. `hasListened` says whether a process
-   * has been seen to listen there since the watch began: that one has ended.
+   * more; a process that merely doesn't answer is not reported.
    */
-  abstract watch(peerAddress: string, onRefused: (hasListened: boolean) => void): IDisposable;
+  abstract watch(peerAddress: string, onRefused: () => void): IDisposable;
 }
