The owner logs once a second what it spends its time on

Change: WorkMeter measures parts of the work, nested ones once. The coordinator measures calls, placement, queue order, reports, starts, holds, encoding, run checks, pool sizes, upkeep and the registry, and OwnerLoadLog writes one line a second with these, the busy share of the event loop, the longest delay of a timer, and the jobs, waiting tasks, targets and runs.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -3,7 +3,7 @@
  * health checks, fleet control and the job service. A `Coordinator` lives for one period of
  * ownership and rebuilds its state from the journal and from the reports of targets.
  */
-import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { type Clock, Disposable, type Logger, WorkMeter } from '@acaciadock/core';
 import { SLOWEST_CLOCK_RATE, type TargetPort } from '@acaciadock/execution';
 import { type JobsConfigView } from '@acaciadock/jobs';
 import { type OwnedJournal } from '@acaciadock/journal';
@@ -28,6 +28,7 @@
 import { JobScheduler } from './JobScheduler.js';
 import { JobTable } from './JobTable.js';
 import { type LiveRun } from './LiveRun.js';
+import { OwnerLoadLog } from './OwnerLoadLog.js';
 import { EXTENSION_BOUND_MS, type Ownership } from './Ownership.js';
 import { ReportProcessor } from './ReportProcessor.js';
 import { RuntimeRecord } from './RuntimeRecord.js';
@@ -81,6 +82,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
+  /** Total time that the event loop of the process was busy, in milliseconds. */
+  readonly busyMs?: () => number;
 }
 
 export class Coordinator extends Disposable implements JobService {
@@ -118,6 +121,10 @@
 
   private readonly callHandler: JobCallHandler;
 
+  private readonly meter: WorkMeter;
+
+  private readonly loadLog: OwnerLoadLog;
+
   constructor(
     owned: OwnedJournal,
     private readonly options: CoordinatorOptions,
@@ -125,11 +132,13 @@
   ) {
     super();
     const { ownership, clock, logger, advice } = deps;
+    const meter = new WorkMeter(clock);
+    this.meter = meter;
     const extensionMs = options.hasPreviousOwnerStopped ? 0 : EXTENSION_BOUND_MS;
     const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
     this.runtimeRecord = new RuntimeRecord(estimates, deps);
-    this.jobs = new JobTable(ownership, clock);
+    this.jobs = new JobTable(ownership, clock, meter);
     const { maxLeaseMs, evacuateMs } = options;
     const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock, evacuateMs);
     this.zoneEvacuation = evacuation;
@@ -168,8 +177,16 @@
       config: deps.config,
       roomOf: deps.fleet && ((poolId) => this.fleetController?.roomOf(poolId)),
     });
+    this.loadLog = new OwnerLoadLog(TICK_MS, {
+      ...deps,
+      busyMs: deps.busyMs,
+      meter,
+      jobs: this.jobs,
+      targets: this.targets,
+    });
     this.scheduler = this.register(
       new JobScheduler({
+        meter,
         jobs: this.jobs,
         targets: this.targets,
         usage: this.usage,
@@ -197,6 +214,7 @@
     this.drivers = this.register(
       new TargetDrivers({
         ...deps,
+        meter,
         targets: this.targets,
         runTracker: this.runTracker,
         reportProcessor: new ReportProcessor(this.runTracker, crashes, clock, logger),
@@ -224,8 +242,10 @@
     const { clock, ownership } = this.deps;
     this.register(ownership.onEnd(() => this.dispose()));
     this.register(ownership.onPreviousOwnerStopped(() => this.onPreviousOwnerStopped()));
-    this.register(clock.every(TICK_MS, () => this.tick()));
-    this.register(clock.every(RUN_CHECK_MS, () => this.checkRuns()));
+    this.register(clock.every(TICK_MS, () => this.meter.measure('tick', () => this.tick())));
+    this.register(
+      clock.every(RUN_CHECK_MS, () => this.meter.measure('run-checks', () => this.checkRuns())),
+    );
     void this.drivers.followRegistry();
     void this.fleetController?.run();
   }
@@ -240,7 +260,7 @@
   }
 
   call(call: JobCall): Promise<JobReply> {
-    return this.callHandler.call(call);
+    return this.meter.measure('calls', () => this.callHandler.call(call));
   }
 
   private restore(owned: OwnedJournal): void {
@@ -274,6 +294,7 @@
         clock,
         logger,
         config,
+        meter: this.meter,
       }),
     );
   }
@@ -309,6 +330,7 @@
     }
     this.copies.check();
     for (const entry of this.jobs.activeJobs) this.scheduler.openDue(entry);
+    this.loadLog.tick();
   }
 
   private checkRuns(): void {
--- a/packages/coordinator/src/FleetController.ts
+++ b/packages/coordinator/src/FleetController.ts
@@ -2,7 +2,7 @@
  * Control loop of the fleet while this entry owns the journal. Each round refreshes the list of
  * instances, advances upkeep waves and adjusts the sizes of pools.
  */
-import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { type Clock, Disposable, type Logger, type WorkMeter } from '@acaciadock/core';
 import { type JobsConfigView } from '@acaciadock/jobs';
 import { type PoolRoom } from '@acaciadock/placement';
 import { type InstanceFleet, type UpkeepWave, type WaveReports } from './contracts/index.js';
@@ -37,6 +37,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
+  readonly meter: WorkMeter;
 }
 
 export class FleetController extends Disposable {
@@ -108,7 +109,8 @@
     await this.orders.refresh();
     if (!this.orders.mayOrder) return;
     this.orders.refreshDuty();
-    this.upkeep.reconcile(this.deps.waves());
-    this.pools.reconcile();
+    const { meter, waves } = this.deps;
+    meter.measure('upkeep', () => this.upkeep.reconcile(waves()));
+    meter.measure('pool-sizes', () => this.pools.reconcile());
   }
 }
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -2,7 +2,13 @@
  * Schedules waiting tasks pool by pool, in queue order. A pass covers only the pools for which a
  * pass was requested, because something has changed there or on the regular interval.
  */
-import { type Clock, Disposable, type IDisposable, type Logger } from '@acaciadock/core';
+import {
+  type Clock,
+  Disposable,
+  type IDisposable,
+  type Logger,
+  type WorkMeter,
+} from '@acaciadock/core';
 import { type JobsConfigView, type TaskPlace, type TaskState } from '@acaciadock/jobs';
 import {
   type IsolationDemand,
@@ -51,6 +57,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
+  readonly meter: WorkMeter;
 }
 
 export class JobScheduler extends Disposable {
@@ -170,8 +177,11 @@
     if (this.isDisposed || !ownership.isActive || !ownership.mayAcceptWork) return;
     const pools = new Set(this.dirtyPools);
     this.dirtyPools.clear();
-    const stepsByPool = this.stepCollector.collect(pools);
-    pools.forEach((poolId) => this.placePool(poolId, stepsByPool.get(poolId) ?? []));
+    const { meter } = this.deps;
+    const stepsByPool = meter.measure('queue', () => this.stepCollector.collect(pools));
+    pools.forEach((poolId) =>
+      meter.measure('placement', () => this.placePool(poolId, stepsByPool.get(poolId) ?? [])),
+    );
   }
 
   private placePool(poolId: string, steps: readonly QueuedStep[]): void {
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -1,5 +1,5 @@
 /** All known jobs by id, and their records in the journal. */
-import { type Clock } from '@acaciadock/core';
+import { type Clock, type WorkMeter } from '@acaciadock/core';
 import { Job, JobCodec, type JobDefinition, type JobStatus } from '@acaciadock/jobs';
 import { type CommitOutcome, type StoredRecord } from '@acaciadock/journal';
 import { JobEntry } from './JobEntry.js';
@@ -17,6 +17,7 @@
   constructor(
     private readonly ownership: Ownership,
     private readonly clock: Clock,
+    private readonly meter: WorkMeter,
   ) {}
 
   /** All jobs, including finished ones that are retained. */
@@ -59,7 +60,9 @@
     this.entries.set(definition.jobId, entry);
     this.active.set(definition.jobId, entry);
     const key = `${DEFINITION_PREFIX}${definition.jobId}`;
-    void this.ownership.writer.write(key, () => JobCodec.encodeDefinition(definition));
+    void this.ownership.writer.write(key, () =>
+      this.meter.measure('encoding', () => JobCodec.encodeDefinition(definition)),
+    );
     entry.acceptance = this.writeProgress(entry);
     return entry;
   }
@@ -88,7 +91,7 @@
     let writtenStatus: JobStatus = job.status;
     const commit = this.ownership.writer.write(`${PROGRESS_PREFIX}${job.jobId}`, () => {
       writtenStatus = job.status;
-      return JobCodec.encodeProgress(job);
+      return this.meter.measure('encoding', () => JobCodec.encodeProgress(job));
     });
     if (job.isFinished) {
       this.active.delete(job.jobId);
--- a/packages/coordinator/src/QueuedStepCollector.test.ts
+++ b/packages/coordinator/src/QueuedStepCollector.test.ts
@@ -1,5 +1,5 @@
 /** Tests the objective and the remaining time of a job whose tasks differ from those of its queue. */
-import { ManualClock, SilentLogger } from '@acaciadock/core';
+import { ManualClock, SilentLogger, WorkMeter } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { jobsConfigSchema, JobsConfigView, jobSpecSchema, type TaskPlace } from '@acaciadock/jobs';
 import { RuntimeEstimates } from '@acaciadock/placement';
@@ -35,7 +35,7 @@
   constructor() {
     const { clock, targets, estimates } = this;
     const writer = { write: () => Promise.resolve('durable') };
-    this.jobs = new JobTable({ writer } as unknown as Ownership, clock);
+    this.jobs = new JobTable({ writer } as unknown as Ownership, clock, new WorkMeter(clock));
     const view = new JobsConfigView(
       jobsConfigSchema.parse({ version: 1, queues: [], pools: [], teams: [] }),
     );
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -3,7 +3,7 @@
  * the ends in them, and sends start, stop and pace orders. The outcome of a start or a stop is
  * followed up until it is certain.
  */
-import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { type Clock, Disposable, type Logger, type WorkMeter } from '@acaciadock/core';
 import {
   type OrderFailure,
   type OrderReceipt,
@@ -81,6 +81,7 @@
   readonly ownership: Ownership;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly meter: WorkMeter;
   /** Called when the target has answered and accepts new tasks from now on. */
   readonly onConfirmed: () => void;
 }
@@ -117,7 +118,7 @@
   /** Sends the start order of a durable run. */
   async start(live: LiveRun): Promise<void> {
     const { target } = this;
-    const { port, clock } = this.deps;
+    const { port, clock, meter } = this.deps;
     if (!this.isCurrent(live) || live.phase !== 'planned') return;
     const obstacle = this.obstacleTo(live);
     if (obstacle) {
@@ -128,7 +129,7 @@
     Object.assign(live, { phase: 'ordered', orderedUnixMs: clock.unixMs() });
     const sentAtMs = clock.monotonicMs();
     const order = this.startOrderOf(live, sentAtMs);
-    const done = await port.start(target.address, order);
+    const done = await meter.measure('starts', () => port.start(target.address, order));
     this.checkLifetime(done, sentAtMs);
     if (!this.isActive) return;
     this.log('start', live, done.isOk() ? 'accepted' : done.error.kind);
@@ -250,17 +251,20 @@
     lastSeenEnd: number,
   ): Promise<Result<ReportResult, OrderFailure>> {
     const { target } = this;
-    const { port, ownership, clock } = this.deps;
+    const { port, ownership, clock, meter, reportProcessor } = this.deps;
     const sentAtMs = clock.monotonicMs();
-    const done = await port.hold(target.address, {
+    const request = {
       fencingToken: ownership.epoch,
       lastSeenEnd,
       leaseUntilMs: this.leaseUntilMs(sentAtMs),
       waitMs,
-    });
+    };
+    const done = await meter.measure('holds', () => port.hold(target.address, request));
     if (done.isErr() || !this.isActive) return done.map(() => ReportProcessor.IGNORED_RESULT);
     const hadEarlyRuns = target.isIsolated && target.hasEarlyRuns;
-    const result = this.deps.reportProcessor.process(target, done.value, sentAtMs);
+    const result = meter.measure('reports', () =>
+      reportProcessor.process(target, done.value, sentAtMs),
+    );
     this.recordReport(done.value.clockMs, sentAtMs, lastSeenEnd);
     result.unknownRuns.forEach((unknownRun) => {
       void port.stop(target.address, { ...unknownRun, fencingToken: ownership.epoch });
--- a/packages/coordinator/src/TargetDrivers.ts
+++ b/packages/coordinator/src/TargetDrivers.ts
@@ -1,5 +1,5 @@
 /** Follows the target registry and keeps one driver for each target from listing to removal. */
-import { type Clock, Disposable, type Logger } from '@acaciadock/core';
+import { type Clock, Disposable, type Logger, type WorkMeter } from '@acaciadock/core';
 import { type TargetPort } from '@acaciadock/execution';
 import { type TargetRegistry } from './contracts/index.js';
 import { type CrashHandler } from './CrashHandler.js';
@@ -31,6 +31,7 @@
   /** Called when the target has answered and accepts new tasks from now on. */
   readonly onConfirmed: (target: FleetTarget) => void;
   readonly areInstancesMoving: () => boolean;
+  readonly meter: WorkMeter;
 }
 
 export class TargetDrivers extends Disposable {
@@ -72,6 +73,7 @@
       ownership: this.deps.ownership,
       clock: this.deps.clock,
       logger: this.deps.logger,
+      meter: this.deps.meter,
       onConfirmed: () => this.deps.onConfirmed(target),
     });
     this.drivers.set(target.targetId, this.register(driver));
@@ -103,12 +105,12 @@
 
   /** Polls the target registry until disposed. */
   async followRegistry(): Promise<void> {
-    const { registry, clock, logger } = this.deps;
+    const { registry, clock, logger, meter } = this.deps;
     let lost = false;
     while (!this.isDisposed) {
       const entries = await registry.list();
       if (this.isDisposed) return;
-      if (entries.isOk()) this.deps.targets.update(entries.value);
+      if (entries.isOk()) meter.measure('registry', () => this.deps.targets.update(entries.value));
       if (entries.isErr() !== lost) {
         lost = entries.isErr();
         logger.warn(lost ? 'registry-lost' : 'registry-back', {
--- a/packages/coordinator/src/testing/HealthFixture.ts
+++ b/packages/coordinator/src/testing/HealthFixture.ts
@@ -2,7 +2,7 @@
  * Sets up a health monitor with targets that are kept full of tasks and report their progress. Every
  * task belongs to a job of its own. Time advances in the steps of the coordinator's checks.
  */
-import { ManualClock, Random, SilentLogger } from '@acaciadock/core';
+import { ManualClock, Random, SilentLogger, WorkMeter } from '@acaciadock/core';
 import { type EndedRun } from '@acaciadock/execution';
 import { Job, jobSpecSchema, type RunEnd } from '@acaciadock/jobs';
 import { RuntimeEstimates } from '@acaciadock/placement';
@@ -80,7 +80,7 @@
     const { clock, targets, estimates } = this;
     const logger = new SilentLogger();
     // No job is in the table, so nothing is journaled.
-    const jobs = new JobTable({} as Ownership, clock);
+    const jobs = new JobTable({} as Ownership, clock, new WorkMeter(clock));
     this.random = new Random(options.seed);
     this.runTracker = new RunTracker(jobs, targets, new TeamUsage(), estimates, clock, logger);
     const crashes = new CrashHandler(this.runTracker, clock, logger);
--- a/packages/coordinator/src/testing/RunFixture.ts
+++ b/packages/coordinator/src/testing/RunFixture.ts
@@ -1,5 +1,5 @@
 /** Sets up targets and runs of one-step jobs without a journal, for tests of single decisions. */
-import { ManualClock } from '@acaciadock/core';
+import { ManualClock, WorkMeter } from '@acaciadock/core';
 import { type Job, jobSpecSchema, type stepSpecSchema, type TaskPlace } from '@acaciadock/jobs';
 import { RuntimeEstimates } from '@acaciadock/placement';
 import { type z } from 'zod';
@@ -32,6 +32,7 @@
   readonly jobs = new JobTable(
     { writer: { write: () => Promise.resolve('durable') } } as unknown as Ownership,
     this.clock,
+    new WorkMeter(this.clock),
   );
 
   readonly runTracker = new RunTracker(
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,3 +17,4 @@
 export * from './SilentLogger.js';
 export * from './contracts/WorkView.js';
 export * from './WaitAdmission.js';
+export * from './WorkMeter.js';
