Lost answers are not taken for crashes of the tasks of a queue

Cause: one unanswered report of a target with early runs was a sign of a crash, and stayed one for five seconds although the target answered the next call. Class: silence taken for evidence.

Change: a sign ends when its target answers again as the same process. For five seconds after such an answer a target is a sign only after three unanswered calls in a row. Tasks that wait are no suspects any more once their queue is not, unless they were under a crash themselves.

--- a/packages/coordinator/src/QueueCaution.ts
+++ b/packages/coordinator/src/QueueCaution.ts
@@ -1,12 +1,12 @@
 /**
  * Finds the queues whose tasks seem to crash the targets that start them: several targets have fallen
- * silent one after the other right after they had started tasks of the queue. Tasks of one queue often have
- * a fault in common, so its waiting tasks start as suspects from then on, for a while: they are not lost
- * with the other new tasks of a target, nor these with them. Nothing is counted against a task.
+ * silent one after the other right after they had started tasks of the queue, and none of them has answered
+ * since. Tasks of one queue often have a fault in common, so its waiting tasks start as suspects meanwhile:
+ * they are not lost with the other new tasks of a target, nor these with them. Nothing is counted against
+ * a task.
  */
 import { type Clock, type Logger } from '@acaciadock/core';
 import { type FleetTarget } from './FleetTarget.js';
-import { type LiveRun } from './LiveRun.js';
 import { type QueuedStep } from './QueuedStep.js';
 
 /** Signs of a queue are forgotten after this long, in milliseconds. */
@@ -21,46 +21,94 @@
 /** Signs after which the tasks of a queue start as suspects. */
 const MIN_SIGNS = 2;
 
+/**
+ * Calls in a row without an answer that make a sign while answers are known to get lost. Where none has
+ * been lost lately, the first one does.
+ */
+const LASTING_FAILURES = 3;
+
+/** A target that fell silent with early runs. */
+interface Sign {
+  readonly atMs: number;
+  /** The process that was to run them; one that answers later has not crashed. */
+  readonly bornMs: number;
+  readonly queueIds: ReadonlySet<string>;
+}
+
 export class QueueCaution {
-  /** Monotonic times of the signs of each queue, oldest first. */
-  private readonly signsMs = new Map<string, readonly number[]>();
+  /** The signs by target, oldest first. */
+  private readonly signs = new Map<FleetTarget, Sign>();
 
-  private readonly observed = new WeakSet<LiveRun>();
+  /** Monotonic time at which a target last answered after it had not, so that an answer was lost. */
+  private answerLostMs = -Infinity;
+
+  /** Queues whose tasks start as suspects, as of the last observation. */
+  private suspectedQueues: ReadonlySet<string> = new Set();
 
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
 
-  /** Records a sign for each queue with early runs on those of the targets that have fallen silent. */
+  /** Records a sign for each of the targets that has fallen silent with early runs. */
   observe(targets: readonly FleetTarget[]): void {
     const nowMs = this.clock.monotonicMs();
+    this.signs.forEach((sign, target) => {
+      const hasAnswered = target.consecutiveFailures === 0 && target.bornMs === sign.bornMs;
+      const isOver = nowMs - sign.atMs >= SIGN_KEPT_MS && target.runs.size === 0;
+      if (hasAnswered) this.answerLostMs = nowMs;
+      if (hasAnswered || isOver) this.signs.delete(target);
+    });
     targets
-      .filter(({ consecutiveFailures }) => consecutiveFailures > 0)
-      .flatMap(({ runs }) => [...runs.values()])
-      .filter((live) => live.isEarly && live.phase !== 'planned' && !this.observed.has(live))
-      .forEach((live) => {
-        this.observed.add(live);
-        this.recordSign(live.place.job.definition.queueId, nowMs);
-      });
+      .filter((target) => target.consecutiveFailures > 0 && !this.signs.has(target))
+      .forEach((target) => this.recordSign(target, nowMs));
+    this.updateQueues(nowMs);
   }
 
-  /** Makes suspects of the waiting tasks of the step, if its queue has had several signs lately. */
+  /** Makes suspects of the waiting tasks of the step while its queue is suspected. */
   apply({ entry, step }: QueuedStep): void {
-    const signs = this.recentSigns(entry.job.definition.queueId, this.clock.monotonicMs());
-    if (signs.length < MIN_SIGNS) return;
-    step.waitingTasks.forEach((task) => task.markSuspected());
+    const isCautious = this.suspectedQueues.has(entry.job.definition.queueId);
+    step.waitingTasks
+      .filter((task) => task.isCautious !== isCautious)
+      .forEach((task) => Object.assign(task, { isCautious }));
+  }
+
+  private recordSign(target: FleetTarget, atMs: number): void {
+    const early = [...target.runs.values()].filter(
+      (live) => live.isEarly && live.phase !== 'planned',
+    );
+    if (early.length === 0) return;
+    const queueIds = new Set(early.map(({ place }) => place.job.definition.queueId));
+    this.signs.set(target, { atMs, bornMs: target.bornMs, queueIds });
+  }
+
+  private updateQueues(nowMs: number): void {
+    if (this.signs.size === 0 && this.suspectedQueues.size === 0) return;
+    const queueIds = new Set([...this.signs.values()].flatMap((sign) => [...sign.queueIds]));
+    const suspected = [...queueIds].filter(
+      (queueId) => this.countSigns(queueId, nowMs) >= MIN_SIGNS,
+    );
+    suspected
+      .filter((queueId) => !this.suspectedQueues.has(queueId))
+      .forEach((queueId) => this.logger.warn('queue-suspected', { queueId, signs: MIN_SIGNS }));
+    this.suspectedQueues = new Set(suspected);
   }
 
-  private recordSign(queueId: string, nowMs: number): void {
-    const signs = this.recentSigns(queueId, nowMs);
-    const isSameCause = nowMs - (signs.at(-1) ?? -Infinity) < SAME_CAUSE_MS;
-    this.signsMs.set(queueId, isSameCause ? signs : [...signs, nowMs]);
-    if (!isSameCause && signs.length === MIN_SIGNS - 1)
-      this.logger.warn('queue-suspected', { queueId, signs: MIN_SIGNS });
+  private countSigns(queueId: string, nowMs: number): number {
+    let count = 0;
+    let lastMs = -Infinity;
+    const mustLast = nowMs - this.answerLostMs < SIGN_KEPT_MS;
+    this.signs.forEach((sign, target) => {
+      if (mustLast && !QueueCaution.isLasting(target, sign)) return;
+      if (!sign.queueIds.has(queueId) || nowMs - sign.atMs >= SIGN_KEPT_MS) return;
+      if (sign.atMs - lastMs < SAME_CAUSE_MS) return;
+      count += 1;
+      lastMs = sign.atMs;
+    });
+    return count;
   }
 
-  private recentSigns(queueId: string, nowMs: number): readonly number[] {
-    return (this.signsMs.get(queueId) ?? []).filter((atMs) => nowMs - atMs < SIGN_KEPT_MS);
+  private static isLasting({ consecutiveFailures, bornMs }: FleetTarget, sign: Sign): boolean {
+    return consecutiveFailures >= LASTING_FAILURES || bornMs !== sign.bornMs;
   }
 }
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -76,6 +76,9 @@
   /** A target may have crashed because it started the task. Not kept by a new owner. */
   private isSuspected = false;
 
+  /** Whether the task starts as a suspect because of what other tasks of its queue seem to do. */
+  isCautious = false;
+
   constructor(
     readonly taskId: string,
     readonly index: number,
@@ -135,7 +138,7 @@
 
   /** Whether the task may crash the targets that start it. */
   get isSuspect(): boolean {
-    return this.earlyCrashes > 0 || this.isSuspected;
+    return this.earlyCrashes > 0 || this.isSuspected || this.isCautious;
   }
 
   markSuspected(): void {
@@ -155,6 +158,7 @@
    */
   clearSuspicion(isLongRunning: boolean): boolean {
     this.isSuspected = false;
+    this.isCautious = false;
     if (isLongRunning) this.crashes = 0;
     const isStored = this.earlyCrashes > 0 || this.runs.some(({ isAlone }) => isAlone === true);
     if (!isStored) return false;
