A call without a reply takes no other calls with it, and calls of an entry share a stream

Cause: a call without a reply for 1.2 s closed the channel that all calls of an entry share. The others ended without an outcome, and the next ones had to connect to a busy owner within 300 ms.

Change: an entry sends its calls on one stream, each with its number and timeout. The channel is closed only if nothing at all has arrived since the call was sent. A malformed call fails alone.

--- a/packages/jobdesk/src/PeerCallClient.test.ts
+++ b/packages/jobdesk/src/PeerCallClient.test.ts
@@ -3,7 +3,15 @@
 import { SystemClock } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { freeAddresses } from '@acaciadock/core/testing/addresses';
+import {
+  type sendUnaryData,
+  Server,
+  ServerCredentials,
+  type ServerUnaryCall,
+  type UntypedHandleCall,
+} from '@grpc/grpc-js';
 import { PeerCallClient, UNREACHABLE } from './PeerCallClient.js';
+import { callMethod } from './PeerCalls.js';
 import { PeerCallServer } from './PeerCallServer.js';
 import { JobWorld } from './testing/JobWorld.js';
 
@@ -65,3 +73,111 @@
     server.dispose();
   });
 });
+
+const NO_REPLY = new Promise<JobReply>(() => {
+  // Never settles.
+});
+
+/** Server of a build without streams. */
+async function startFormerServer(answer: () => Promise<JobReply>): Promise<[Server, string]> {
+  const server = new Server();
+  const handle: UntypedHandleCall = (
+    _call: ServerUnaryCall<JobCall, JobReply>,
+    done: sendUnaryData<JobReply>,
+  ) => {
+    void answer().then((reply) => done(null, reply));
+  };
+  server.addService({ call: callMethod }, { call: handle });
+  const port = await new Promise<number>((resolve) => {
+    server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (_error, bound) =>
+      resolve(bound),
+    );
+  });
+  return [server, `127.0.0.1:${port}`];
+}
+
+describe('PeerCallClient at a busy owner', () => {
+  it('keeps the other calls when one gets no reply in time', async (t) => {
+    // Fails if the channel that all calls share is closed although the owner answers.
+    const held: ((reply: JobReply) => void)[] = [];
+    let count = 0;
+    const server = createServer(() => {
+      count += 1;
+      if (count === 1) return NO_REPLY;
+      if (count < 4) return Promise.resolve({ kind: 'cancelled' });
+      return new Promise((resolve) => {
+        held.push(resolve);
+      });
+    });
+    const clock = new SystemClock();
+    const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
+    const client = new PeerCallClient(address, clock);
+    const slow = client.call(CANCEL);
+    await clock.sleep(600);
+    t.match(await client.call(CANCEL), { kind: 'cancelled' });
+    t.match(await client.call(CANCEL), { kind: 'cancelled' });
+    const open = client.call(CANCEL);
+    t.match(await slow, { kind: 'unknown-outcome', reason: 'coordinator-timeout' });
+    held.forEach((resolve) => resolve({ kind: 'cancelled' }));
+    t.match(await open, { kind: 'cancelled' });
+    client.dispose();
+    server.dispose();
+  });
+
+  it('opens a new channel when nothing has arrived since the call was sent', async (t) => {
+    const answers = [NO_REPLY];
+    const server = createServer(() => answers.pop() ?? Promise.resolve({ kind: 'cancelled' }));
+    const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
+    const client = new PeerCallClient(address, new SystemClock());
+    t.match(await client.call(CANCEL), { kind: 'unknown-outcome' });
+    t.match(await client.call(CANCEL), { kind: 'cancelled' });
+    client.dispose();
+    server.dispose();
+  });
+
+  it('passes on each reply to its own call, whatever their order', async (t) => {
+    const waiting: ((reply: JobReply) => void)[] = [];
+    const server = createServer(
+      () =>
+        new Promise((resolve) => {
+          waiting.push(resolve);
+          if (waiting.length < 3) return;
+          waiting.reverse().forEach((settle, index) => settle({ kind: 'waiting', count: index }));
+        }),
+    );
+    const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
+    const client = new PeerCallClient(address, new SystemClock());
+    const replies = await Promise.all([1, 2, 3].map(() => client.call(CANCEL)));
+    t.same(
+      replies.map((reply) => reply.kind === 'waiting' && reply.count),
+      [2, 1, 0],
+    );
+    client.dispose();
+    server.dispose();
+  });
+
+  it('leaves the other calls alone when one is malformed', async (t) => {
+    const server = createServer(() => Promise.resolve({ kind: 'cancelled' }));
+    const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
+    const client = new PeerCallClient(address, new SystemClock());
+    const malformed = { ...CANCEL, jobId: 7 } as unknown as JobCall;
+    const replies = await Promise.all([client.call(malformed), client.call(CANCEL)]);
+    t.match(replies, [{ kind: 'unknown-outcome' }, { kind: 'cancelled' }]);
+    client.dispose();
+    server.dispose();
+  });
+});
+
+describe('PeerCallClient at an owner of the former build', () => {
+  it('calls it one by one', async (t) => {
+    const [server, address] = await startFormerServer(() => Promise.resolve({ kind: 'cancelled' }));
+    const client = new PeerCallClient(address, new SystemClock());
+    t.same(await Promise.all([client.call(CANCEL), client.call(CANCEL)]), [
+      { kind: 'cancelled' },
+      { kind: 'cancelled' },
+    ]);
+    t.match(await client.call(CANCEL), { kind: 'cancelled' });
+    client.dispose();
+    server.forceShutdown();
+  });
+});
--- a/packages/jobdesk/src/PeerCallClient.ts
+++ b/packages/jobdesk/src/PeerCallClient.ts
@@ -1,11 +1,13 @@
 /**
  * Calls the coordinator on another entry over a single gRPC channel. A call is sent only over a ready
- * channel, so that a call to an entry that can't be reached certainly had no effect.
+ * channel, so that a call to an entry that can't be reached certainly had no effect. The calls share a
+ * stream; an entry of a build without streams is called one by one.
  */
 import { type Clock, Disposable } from '@acaciadock/core';
 import { type JobCall, type JobReply, type JobService } from '@acaciadock/coordinator';
 import { Client, connectivityState, credentials, type ServiceError, status } from '@grpc/grpc-js';
 import { callMethod } from './PeerCalls.js';
+import { PeerCallStream } from './PeerCallStream.js';
 
 /** Call timeout in milliseconds; a running coordinator answers well within it. */
 const CALL_TIMEOUT_MS = 1_200;
@@ -27,6 +29,10 @@
 export class PeerCallClient extends Disposable implements JobService {
   private client: Client | undefined;
 
+  private stream: PeerCallStream | undefined;
+
+  private hasStreams = true;
+
   constructor(
     readonly address: string,
     private readonly clock: Clock,
@@ -52,7 +58,28 @@
     });
   }
 
-  private send(client: Client, call: JobCall): Promise<JobReply> {
+  private async send(client: Client, call: JobCall): Promise<JobReply> {
+    if (!this.hasStreams) return this.sendAlone(client, call);
+    const done = await this.openStream(client).call(call);
+    if (done.isOk()) return done.value;
+    if (done.error.kind === 'no-reply') return PeerCallClient.failed(call, done.error.reason);
+    this.hasStreams = false;
+    return this.sendAlone(client, call);
+  }
+
+  private openStream(client: Client): PeerCallStream {
+    if (this.stream?.isOpen === true) return this.stream;
+    this.stream?.dispose();
+    const stream = new PeerCallStream(client, CALL_TIMEOUT_MS, this.clock);
+    // The channel may never recover, so the next call opens a new one.
+    stream.onSilent(() => {
+      if (stream === this.stream) this.close();
+    });
+    this.stream = stream;
+    return stream;
+  }
+
+  private sendAlone(client: Client, call: JobCall): Promise<JobReply> {
     return new Promise((resolve) => {
       client.makeUnaryRequest(
         callMethod.path,
@@ -69,15 +96,21 @@
   }
 
   private onFailure(call: JobCall, error: ServiceError | null): JobReply {
-    // The channel may never recover, so the next call opens a new one.
     if (error?.code === status.DEADLINE_EXCEEDED) this.close();
-    const reason = `coordinator-${error ? status[error.code] : 'silent'}`;
+    return PeerCallClient.failed(call, error ? status[error.code] : 'silent');
+  }
+
+  /** The reply to a call that was sent and got none. */
+  private static failed(call: JobCall, detail: string): JobReply {
+    const reason = `coordinator-${detail}`;
     if (call.kind === 'submit' || call.kind === 'cancel')
       return { kind: 'unknown-outcome', reason };
     return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS };
   }
 
   private close(): void {
+    this.stream?.dispose();
+    this.stream = undefined;
     this.client?.close();
     this.client = undefined;
   }
--- a/packages/jobdesk/src/PeerCallServer.ts
+++ b/packages/jobdesk/src/PeerCallServer.ts
@@ -1,9 +1,15 @@
 /** gRPC server for the other entries: job calls to the local coordinator, and owner queries. */
 import { Disposable } from '@acaciadock/core';
-import { type JobCall, type JobReply, type JobService } from '@acaciadock/coordinator';
+import {
+  type JobCall,
+  jobCallSchema,
+  type JobReply,
+  type JobService,
+} from '@acaciadock/coordinator';
 import { type OwnerNotice, type PeerAnswer } from '@acaciadock/journal';
 import {
   type sendUnaryData,
+  type ServerDuplexStream,
   Server,
   ServerCredentials,
   type ServerUnaryCall,
@@ -11,7 +17,15 @@
   type UntypedHandleCall,
 } from '@grpc/grpc-js';
 import { err, ok, type Result } from 'neverthrow';
-import { callMethod, noticeMethod, type NoticeReply, type NoticeRequest } from './PeerCalls.js';
+import {
+  callMethod,
+  callStreamMethod,
+  noticeMethod,
+  type NoticeReply,
+  type NoticeRequest,
+  type StreamedCall,
+  type StreamedReply,
+} from './PeerCalls.js';
 
 export interface PeerListenFailure {
   readonly kind: 'peer-listen-failed';
@@ -34,6 +48,9 @@
         (cause: unknown) => done({ code: status.INTERNAL, details: String(cause) }),
       );
     };
+    const handleStream: UntypedHandleCall = (
+      stream: ServerDuplexStream<StreamedCall, StreamedReply>,
+    ) => PeerCallServer.serveStream(stream, service);
     const handleNotice: UntypedHandleCall = (
       call: ServerUnaryCall<NoticeRequest, NoticeReply>,
       done: sendUnaryData<NoticeReply>,
@@ -48,12 +65,35 @@
       done(null, { ...answer, notice: answer.notice ?? null });
     };
     this.server.addService(
-      { call: callMethod, notice: noticeMethod },
-      { call: handleCall, notice: handleNotice },
+      { call: callMethod, callStream: callStreamMethod, notice: noticeMethod },
+      { call: handleCall, callStream: handleStream, notice: handleNotice },
     );
     this.register({ dispose: () => this.server.forceShutdown() });
   }
 
+  private static serveStream(
+    stream: ServerDuplexStream<StreamedCall, StreamedReply>,
+    service: JobService,
+  ): void {
+    const answer = (callId: number, reply: JobReply | null): void => {
+      if (!stream.cancelled && !stream.destroyed) stream.write({ callId, reply });
+    };
+    stream.on('data', ({ callId, call }: StreamedCall) => {
+      const parsed = jobCallSchema.safeParse(call);
+      if (!parsed.success) {
+        answer(callId, null);
+        return;
+      }
+      service.call(parsed.data).then(
+        (reply) => answer(callId, reply),
+        () => answer(callId, null),
+      );
+    });
+    stream.on('end', () => stream.end());
+    // The client sees the end of the stream and resolves its calls.
+    stream.on('error', () => stream.end());
+  }
+
   /** Listens at `host:port` and returns the address with the actual port. */
   listen(address: string): Promise<Result<string, PeerListenFailure>> {
     return new Promise((resolve) => {
--- a/packages/jobdesk/src/PeerCalls.ts
+++ b/packages/jobdesk/src/PeerCalls.ts
@@ -1,6 +1,6 @@
 /**
- * The gRPC methods between entries: forwarding job calls to the coordinator, and exchanging owner
- * announcements.
+ * The gRPC methods between entries: forwarding job calls to the coordinator, one by one or on a stream, and
+ * exchanging owner announcements.
  */
 import {
   type JobCall,
@@ -23,6 +23,33 @@
   responseDeserialize: (bytes) => jobReplySchema.parse(JSON.parse(bytes.toString('utf8'))),
 };
 
+const streamedCallSchema = z.object({
+  /** Number of the call on its stream. */
+  callId: z.number(),
+  /** Checked apart from its number, so that a malformed call fails alone. */
+  call: z.unknown(),
+});
+
+const streamedReplySchema = z.object({
+  callId: z.number(),
+  /** Null if the call failed without a reply, so that its outcome is unknown. */
+  reply: jobReplySchema.nullable(),
+});
+
+export type StreamedCall = z.infer<typeof streamedCallSchema>;
+export type StreamedReply = z.infer<typeof streamedReplySchema>;
+
+/** Carries the calls of one entry. A message costs the owner a fraction of a call of its own. */
+export const callStreamMethod: MethodDefinition<StreamedCall, StreamedReply> = {
+  path: '/acaciadock.jobs.Coordinator/CallStream',
+  requestStream: true,
+  responseStream: true,
+  requestSerialize: serialize,
+  requestDeserialize: (bytes) => streamedCallSchema.parse(JSON.parse(bytes.toString('utf8'))),
+  responseSerialize: serialize,
+  responseDeserialize: (bytes) => streamedReplySchema.parse(JSON.parse(bytes.toString('utf8'))),
+};
+
 const noticeSchema = z.object({
   owner: z.object({
     entryId: z.string(),
