--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,4 +1,5 @@
 /** Public interface: loggers, metrics and the error-budget burn report. */
+export * from './BatchedOutput.js';
 export * from './BoundedLogger.js';
 export * from './BunyanLogger.js';
 export * from './EventMetrics.js';
