Events are counted without a lookup of labels, calls are settled without an exception

Change: numbers of events are kept by name and outcome and passed to the counter when metrics are read; the reason is a text.

--- a/packages/journal/src/RepeatedCall.ts
+++ b/packages/journal/src/RepeatedCall.ts
@@ -66,7 +66,8 @@
   private finish(result: Result<T, LogFailure>): void {
     this.isSettled = true;
     this.repeatTimer?.dispose();
-    this.abortController.abort();
+    // Without a reason of its own, each call would create an exception with a stack trace.
+    this.abortController.abort('settled');
     this.settle(result);
   }
 
--- a/packages/telemetry/src/EventMetrics.ts
+++ b/packages/telemetry/src/EventMetrics.ts
@@ -18,11 +18,15 @@
 export class EventMetrics implements EventSink {
   private readonly registry = new Registry();
 
-  private readonly events = new Counter({
+  /** Numbers of events by name, then by outcome: a busy entry counts thousands in a second. */
+  private readonly counts = new Map<string, Map<string, number>>();
+
+  private readonly events: Counter = new Counter({
     name: 'acaciadock_events_total',
     help: 'Events by name and outcome.',
     labelNames: ['event', 'outcome'],
     registers: [this.registry],
+    collect: () => this.collectEvents(),
   });
 
   private readonly latencies = new LatencyQuantiles({
@@ -58,12 +62,25 @@
 
   note(event: string, fields: LogFields): void {
     const field = OUTCOME_FIELDS.find((name) => fields[name] !== undefined);
-    this.events.inc({ event, outcome: field === undefined ? '' : String(fields[field]) });
+    this.count(event, field === undefined ? '' : String(fields[field]));
     const latency = LATENCY_FIELDS.find((name) => typeof fields[name] === 'number');
     if (latency !== undefined) this.latencies.record({ event }, fields[latency] as number);
     if (event === 'zone-evacuation-progress') this.recordEvacuations(fields);
   }
 
+  private count(event: string, outcome: string): void {
+    const outcomes = this.counts.get(event) ?? new Map<string, number>();
+    this.counts.set(event, outcomes);
+    outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
+  }
+
+  private collectEvents(): void {
+    this.events.reset();
+    this.counts.forEach((outcomes, event) =>
+      outcomes.forEach((count, outcome) => this.events.inc({ event, outcome }, count)),
+    );
+  }
+
   private recordEvacuations({ zones, runs }: LogFields): void {
     this.evacuatedZones.set(Number(zones));
     this.evacuationRunsLeft.set(Number(runs));
