While passes are long, they are further apart

Cause: a pass over the pools starts 2 ms after each change. Change: the next pass comes no earlier than eight times the last one's duration after it, at most 25 ms.

--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -39,6 +39,15 @@
 /** Delay that batches several changes into one pass, in milliseconds. */
 const PASS_DELAY_MS = 2;
 
+/**
+ * The pause between two passes, as a multiple of the time of the last one: while passes are long, more
+ * changes share one, and they take at most a part of the processor time that the rest of the work needs.
+ */
+const PAUSE_FACTOR = 8;
+
+/** Longest pause between two passes, in milliseconds. */
+const MAX_PAUSE_MS = 25;
+
 /** Interval of passes without a change, in milliseconds: backoffs and tickets expire meanwhile. */
 const REGULAR_PASS_MS = 100;
 
@@ -65,6 +74,9 @@
 
   private passTimer: IDisposable | undefined;
 
+  /** No pass is due before this monotonic time. */
+  private earliestPassMs = 0;
+
   private readonly stepCollector: QueuedStepCollector;
 
   private readonly isolation: SuspectIsolation;
@@ -94,7 +106,11 @@
   /** Requests a pass over the pool. */
   requestPass(poolId: string): void {
     this.dirtyPools.add(poolId);
-    this.passTimer ??= this.deps.clock.after(PASS_DELAY_MS, () => this.runPass());
+    this.passTimer ??= this.deps.clock.after(this.delayMs, () => this.runPass());
+  }
+
+  private get delayMs(): number {
+    return Math.max(PASS_DELAY_MS, this.earliestPassMs - this.deps.clock.monotonicMs());
   }
 
   /** Requests a pass over the job's pool. */
@@ -175,13 +191,16 @@
     this.passTimer = undefined;
     const { ownership } = this.deps;
     if (this.isDisposed || !ownership.isActive || !ownership.mayAcceptWork) return;
+    const { meter, clock } = this.deps;
     const pools = new Set(this.dirtyPools);
     this.dirtyPools.clear();
-    const { meter } = this.deps;
+    const startedMs = clock.monotonicMs();
     const stepsByPool = meter.measure('queue', () => this.stepCollector.collect(pools));
     pools.forEach((poolId) =>
       meter.measure('placement', () => this.placePool(poolId, stepsByPool.get(poolId) ?? [])),
     );
+    const endedMs = clock.monotonicMs();
+    this.earliestPassMs = endedMs + Math.min(MAX_PAUSE_MS, (endedMs - startedMs) * PAUSE_FACTOR);
   }
 
   private placePool(poolId: string, steps: readonly QueuedStep[]): void {
