--- a/packages/coordinator/src/ReportProcessor.ts
+++ b/packages/coordinator/src/ReportProcessor.ts
@@ -46,7 +46,7 @@
       .map((ended) => this.applyEnd(target, ended));
     const unknownRuns = report.running.filter((running) => !this.updateRunning(target, running));
     const isComplete = report.ended.length < MAX_ENDS_PER_REPORT;
-    if (isComplete) commits.push(...this.finishAbsent(target, report, sentAtMs));
+    if (isComplete) commits.push(...this.finishAbsent(target, report, unknownRuns, sentAtMs));
     // An acknowledgement covers all ends up to a number, so all earlier ones must be durable too.
     const endsCommit = ReportProcessor.join([target.endsCommit, ...commits]);
     Object.assign(target, { endsCommit });
@@ -121,8 +121,11 @@
   private finishAbsent(
     target: FleetTarget,
     report: HoldReport,
+    unknownRuns: readonly RunningTask[],
     sentAtMs: number,
   ): Promise<CommitOutcome>[] {
+    // Every run on the target is listed, as in most reports.
+    if (report.running.length - unknownRuns.length === target.runs.size) return [];
     const listed = new Map(report.running.map(({ taskId, run }) => [taskId, run]));
     const absent = [...target.runs.values()]
       .filter((live) => listed.get(live.taskId) !== live.run)
--- a/packages/coordinator/src/SpeedTracker.ts
+++ b/packages/coordinator/src/SpeedTracker.ts
@@ -26,6 +26,11 @@
   readonly clock: Clock;
 }
 
+interface EndedRun {
+  readonly live: LiveRun;
+  readonly slowdown: number | undefined;
+}
+
 interface ShortRun {
   readonly queueId: string;
   readonly dueMs: number;
@@ -40,6 +45,9 @@
    */
   private readonly shortRuns: ShortRun[] = [];
 
+  /** The slowdown around the run that ended last, which several observers ask for. */
+  private lastEnded: EndedRun | undefined;
+
   constructor(private readonly deps: SpeedTrackerDeps) {
     super();
     this.register(deps.runTracker.onEnded((ended) => this.onEnded(ended)));
@@ -73,6 +81,7 @@
    * overlaps with first of all; undefined if there is too little evidence.
    */
   slowdownAround(live: LiveRun): number | undefined {
+    if (this.lastEnded?.live === live) return this.lastEnded.slowdown;
     const target = this.deps.targets.get(live.targetId);
     return target && this.slowdown(target, live.startedMs, live);
   }
@@ -98,6 +107,7 @@
   }
 
   private onEnded({ run, end, runtimeMs }: RunEnded): void {
+    this.lastEnded = { live: run, slowdown: this.slowdownAround(run) };
     if (runtimeMs === 0 || !this.isComparable(run)) return;
     // A run that did not end well counts only if its pace has shown that it was long.
     if (end !== 'done' && !run.isProjected) return;
--- a/packages/placement/src/TargetSpeed.ts
+++ b/packages/placement/src/TargetSpeed.ts
@@ -82,7 +82,7 @@
 
   /** The lower of two neighbours, so that a draw counts in favour of the target. */
   private static quantile(ratios: readonly number[], share: number): number {
-    const sorted = [...ratios].sort((a, b) => a - b);
+    const sorted = Float64Array.from(ratios).sort();
     return sorted[Math.floor((sorted.length - 1) * share)] ?? 0;
   }
 
