A busy owner asks its targets for fewer reports

Cause: a report returns with the first end, so at 12 ends a second on each of 120 targets the owner asks for over a thousand reports a second, most with one end; each costs about as much as a start. The busier it is, the more of its time they take: 130 of 1,000 ms for processing alone, beside sockets and HTTP.

Change: LoadMeter follows the busy share of the event loop. From a share of 0.6 on, the next report of a target is requested later after the last one, by 60 ms at 0.9; further ends share it. Targets that are kept for suspects are left out. These are asked when their early runs can have settled, in place of every 50 ms. The ends of one report are compared once with the runs beside them.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -28,6 +28,7 @@
 import { JobScheduler } from './JobScheduler.js';
 import { JobTable } from './JobTable.js';
 import { type LiveRun } from './LiveRun.js';
+import { LoadMeter } from './LoadMeter.js';
 import { OwnerLoadLog } from './OwnerLoadLog.js';
 import { EXTENSION_BOUND_MS, type Ownership } from './Ownership.js';
 import { ReportProcessor } from './ReportProcessor.js';
@@ -125,6 +126,8 @@
 
   private readonly loadLog: OwnerLoadLog;
 
+  private readonly load: LoadMeter;
+
   constructor(
     owned: OwnedJournal,
     private readonly options: CoordinatorOptions,
@@ -134,6 +137,7 @@
     const { ownership, clock, logger, advice } = deps;
     const meter = new WorkMeter(clock);
     this.meter = meter;
+    this.load = new LoadMeter(clock, deps.busyMs);
     const extensionMs = options.hasPreviousOwnerStopped ? 0 : EXTENSION_BOUND_MS;
     const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
@@ -215,6 +219,7 @@
       new TargetDrivers({
         ...deps,
         meter,
+        load: this.load,
         targets: this.targets,
         runTracker: this.runTracker,
         reportProcessor: new ReportProcessor(this.runTracker, crashes, clock, logger),
@@ -330,6 +335,7 @@
     }
     this.copies.check();
     for (const entry of this.jobs.activeJobs) this.scheduler.openDue(entry);
+    this.load.update();
     this.loadLog.tick();
   }
 
--- a/packages/coordinator/src/JobScheduler.test.ts
+++ b/packages/coordinator/src/JobScheduler.test.ts
@@ -21,10 +21,10 @@
 );
 
 function createScheduler(fixture: RunFixture): JobScheduler {
-  const { clock, jobs, targets, runTracker, logger } = fixture;
+  const { clock, jobs, targets, runTracker, logger, meter } = fixture;
   const estimates = new RuntimeEstimates();
   const deps = {
-    ...{ clock, jobs, targets, runTracker, logger, estimates },
+    ...{ clock, jobs, targets, runTracker, logger, estimates, meter },
     usage: new TeamUsage(),
     demand: new DemandMeter(estimates, clock),
     tickets: { ticketFor: () => '' },
--- a/packages/coordinator/src/LiveRun.ts
+++ b/packages/coordinator/src/LiveRun.ts
@@ -1,6 +1,6 @@
 /** A run that may be alive on a target, with its last reported state. */
 import { type TaskPlace } from '@acaciadock/jobs';
-import { CrashPolicy } from '@acaciadock/placement';
+import { CrashPolicy, SETTLED_AFTER_MS } from '@acaciadock/placement';
 
 /**
  * `planned`: the run is being journaled, no order has been sent. `ordered`: the start order is in
@@ -129,6 +129,11 @@
     return CrashPolicy.isEarly(this.isConfirmed, this.reportedWorkMs);
   }
 
+  /** Monotonic time from which a report may show that the run has settled; 0 if it has not started. */
+  get settledAfterMs(): number {
+    return this.startedMs === 0 ? 0 : this.startedMs + SETTLED_AFTER_MS;
+  }
+
   /** Total runtime at the pace since the start, in milliseconds; 0 if unknown. */
   get projectedTotalMs(): number {
     if (this.isContinued) return this.recentTotalMs;
--- a/packages/coordinator/src/OwnerLoadLog.test.ts
+++ b/packages/coordinator/src/OwnerLoadLog.test.ts
@@ -1,5 +1,4 @@
 /** Guards against an overloaded owner whose log does not show what it spends its time on. */
-import { WorkMeter } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { OwnerLoadLog } from './OwnerLoadLog.js';
 import { RunFixture } from './testing/RunFixture.js';
@@ -7,8 +6,6 @@
 const TICK_MS = 50;
 
 class LoadFixture extends RunFixture {
-  readonly meter = new WorkMeter(this.clock);
-
   busyMs = 400;
 
   readonly log = new OwnerLoadLog(TICK_MS, {
--- a/packages/coordinator/src/SpeedTracker.ts
+++ b/packages/coordinator/src/SpeedTracker.ts
@@ -26,8 +26,11 @@
   readonly clock: Clock;
 }
 
-interface EndedRun {
-  readonly live: LiveRun;
+/** The runs whose ends were in one report of a target. */
+interface EndedRuns {
+  readonly targetId: string;
+  readonly reportedMs: number;
+  readonly runs: Set<LiveRun>;
   readonly slowdown: number | undefined;
 }
 
@@ -45,8 +48,8 @@
    */
   private readonly shortRuns: ShortRun[] = [];
 
-  /** The slowdown around the run that ended last, which several observers ask for. */
-  private lastEnded: EndedRun | undefined;
+  /** The slowdown around the runs that ended last, which several observers ask for at each end. */
+  private lastEnded: EndedRuns | undefined;
 
   constructor(private readonly deps: SpeedTrackerDeps) {
     super();
@@ -81,7 +84,7 @@
    * overlaps with first of all; undefined if there is too little evidence.
    */
   slowdownAround(live: LiveRun): number | undefined {
-    if (this.lastEnded?.live === live) return this.lastEnded.slowdown;
+    if (this.lastEnded?.runs.has(live) === true) return this.lastEnded.slowdown;
     const target = this.deps.targets.get(live.targetId);
     return target && this.slowdown(target, live.startedMs, live);
   }
@@ -107,7 +110,7 @@
   }
 
   private onEnded({ run, end, runtimeMs }: RunEnded): void {
-    this.lastEnded = { live: run, slowdown: this.slowdownAround(run) };
+    this.recordAround(run);
     if (runtimeMs === 0 || !this.isComparable(run)) return;
     // A run that did not end well counts only if its pace has shown that it was long.
     if (end !== 'done' && !run.isProjected) return;
@@ -122,6 +125,19 @@
     this.speed.recordEnded(run.targetId, this.ratioOf(run, totalMs), nowMs);
   }
 
+  /** The ends of one report have the same other runs beside them. */
+  private recordAround(ended: LiveRun): void {
+    const { targetId } = ended;
+    const reportedMs = this.deps.targets.get(targetId)?.reportedMs ?? 0;
+    const { lastEnded } = this;
+    if (lastEnded?.targetId === targetId && lastEnded.reportedMs === reportedMs) {
+      lastEnded.runs.add(ended);
+      return;
+    }
+    const slowdown = this.slowdownAround(ended);
+    this.lastEnded = { targetId, reportedMs, runs: new Set([ended]), slowdown };
+  }
+
   /**
    * Attributes a run to its queue if the other runs of the target are not long too. If all are, the
    * target is the cause; with too little evidence, the cause is unknown.
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -15,6 +15,7 @@
 import { FillerPacer, PACE_PERIOD_MS } from './FillerPacer.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
+import { type LoadMeter } from './LoadMeter.js';
 import { type Ownership } from './Ownership.js';
 import { ReportProcessor, type ReportResult } from './ReportProcessor.js';
 import { type RunTracker } from './RunTracker.js';
@@ -36,10 +37,10 @@
 const SHORT_REPORT_WAIT_MS = 250;
 
 /**
- * Long-poll time of a target that is kept for suspects of a crash, in milliseconds: it stays closed to
- * other tasks until a report shows them at work.
+ * Shortest long-poll time of a target that is kept for suspects of a crash, in milliseconds: it stays closed
+ * to other tasks until a report shows its suspects at work for long enough.
  */
-const SUSPECT_REPORT_WAIT_MS = 50;
+const MIN_SUSPECT_REPORT_WAIT_MS = 50;
 
 /**
  * Ends are acknowledged only within this time after a report, in milliseconds. A target that has
@@ -58,6 +59,17 @@
 /** Maximum wait for a report's ends to become durable before the next request, in milliseconds. */
 const COMMIT_WAIT_MS = 150;
 
+/**
+ * Longest time from a report to the next request, in milliseconds, while the owner is busy. Ends that come
+ * meanwhile share a report; each report costs the owner about as much as a start. It is well below
+ * `MAX_REPORT_GAP_MS`, as an end that isn't acknowledged is reported again at once.
+ */
+const MAX_GATHER_MS = 60;
+
+/** Busy share of the event loop from which reports are put off, and from which by the longest time. */
+const GATHER_FROM_SHARE = 0.6;
+const GATHER_MOST_SHARE = 0.9;
+
 /** Retry delay for a target that does not answer, in milliseconds. */
 const SILENT_RETRY_MS = 250;
 
@@ -82,6 +94,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly meter: WorkMeter;
+  readonly load: LoadMeter;
   /** Called when the target has answered and accepts new tasks from now on. */
   readonly onConfirmed: () => void;
 }
@@ -215,11 +228,21 @@
     const isSettled = target.durableEnd === target.processedEnd;
     const mayWait = target.isConfirmed && isSettled && target.consecutiveFailures === 0;
     if (!mayWait || target.runs.size === 0) return 0;
-    if (target.isIsolated) return SUSPECT_REPORT_WAIT_MS;
+    if (target.isIsolated) return this.suspectReportWaitMs;
     if (target.runs.size > target.longRunningCount) return SHORT_REPORT_WAIT_MS;
     return this.needsPacing ? PACE_PERIOD_MS : REPORT_WAIT_MS;
   }
 
+  /** Time until the early runs of the target may count as settled. */
+  private get suspectReportWaitMs(): number {
+    const nowMs = this.deps.clock.monotonicMs();
+    const early = [...this.target.runs.values()].filter(({ isEarly }) => isEarly);
+    if (early.length === 0) return SHORT_REPORT_WAIT_MS;
+    const settledMs = Math.max(...early.map(({ settledAfterMs }) => settledAfterMs));
+    const waitMs = Math.max(MIN_SUSPECT_REPORT_WAIT_MS, Math.ceil(settledMs - nowMs));
+    return Math.min(SHORT_REPORT_WAIT_MS, waitMs);
+  }
+
   private isCurrent(live: LiveRun): boolean {
     return this.target.runs.get(live.taskId) === live;
   }
@@ -238,8 +261,23 @@
     const lastSeenEnd = this.endToAcknowledge(this.deps.clock.monotonicMs());
     const done = await this.requestReport(this.reportWaitMs, lastSeenEnd);
     if (!this.isActive) return;
-    if (done.isErr()) await this.onReportFailed(done.error);
-    else await this.awaitDurableEnds(done.value);
+    if (done.isErr()) {
+      await this.onReportFailed(done.error);
+      return;
+    }
+    await this.awaitDurableEnds(done.value);
+    await this.gatherEnds();
+  }
+
+  /** While the owner is busy, lets further ends share the next report, unless suspects wait for it. */
+  private async gatherEnds(): Promise<void> {
+    const { target } = this;
+    const { clock, load } = this.deps;
+    if (target.runs.size === target.longRunningCount || target.isIsolated) return;
+    const excess = (load.busyShare - GATHER_FROM_SHARE) / (GATHER_MOST_SHARE - GATHER_FROM_SHARE);
+    const intervalMs = Math.min(1, excess) * MAX_GATHER_MS;
+    const waitMs = target.reportedMs + intervalMs - clock.monotonicMs();
+    if (waitMs > 0) await clock.sleep(waitMs);
   }
 
   /**
--- a/packages/coordinator/src/TargetDrivers.ts
+++ b/packages/coordinator/src/TargetDrivers.ts
@@ -5,6 +5,7 @@
 import { type CrashHandler } from './CrashHandler.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
+import { type LoadMeter } from './LoadMeter.js';
 import { type Ownership } from './Ownership.js';
 import { type ReportProcessor } from './ReportProcessor.js';
 import { type RunTracker } from './RunTracker.js';
@@ -32,6 +33,7 @@
   readonly onConfirmed: (target: FleetTarget) => void;
   readonly areInstancesMoving: () => boolean;
   readonly meter: WorkMeter;
+  readonly load: LoadMeter;
 }
 
 export class TargetDrivers extends Disposable {
@@ -74,6 +76,7 @@
       clock: this.deps.clock,
       logger: this.deps.logger,
       meter: this.deps.meter,
+      load: this.deps.load,
       onConfirmed: () => this.deps.onConfirmed(target),
     });
     this.drivers.set(target.targetId, this.register(driver));
--- a/packages/coordinator/src/testing/RunFixture.ts
+++ b/packages/coordinator/src/testing/RunFixture.ts
@@ -22,6 +22,8 @@
 
   readonly logger = new RecordingLogger();
 
+  readonly meter = new WorkMeter(this.clock);
+
   readonly targets = new TargetTable({
     maxLeaseMs: 6_000,
     inheritedUntilMs: 0,
@@ -32,7 +34,7 @@
   readonly jobs = new JobTable(
     { writer: { write: () => Promise.resolve('durable') } } as unknown as Ownership,
     this.clock,
-    new WorkMeter(this.clock),
+    this.meter,
   );
 
   readonly runTracker = new RunTracker(
--- a/packages/coordinator/src/testing/SimulatedPort.ts
+++ b/packages/coordinator/src/testing/SimulatedPort.ts
@@ -33,6 +33,9 @@
 type Action<T> = (target: SimulatedTarget) => Result<T, OrderFailure>;
 
 export class SimulatedPort extends TargetPort {
+  /** Number of reports that were requested. */
+  holdCount = 0;
+
   constructor(
     private readonly targets: ReadonlyMap<string, SimulatedTarget>,
     private readonly faults: PortFaults,
@@ -47,6 +50,7 @@
     target: TargetAddress,
     request: HoldRequest,
   ): Promise<Result<HoldReport, OrderFailure>> {
+    this.holdCount += 1;
     return new Promise((resolve) => {
       const untilMs = this.base.monotonicMs() + request.waitMs;
       const answer = (result: Result<HoldReport, OrderFailure>): void =>
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -55,6 +55,8 @@
   readonly evacuateMs: number | undefined;
   /** CPU of every task, if the targets are to record starts beyond their capacity. */
   readonly taskCpuMilli?: number;
+  /** Share of the time in which the event loop of each entry counts as busy. */
+  readonly ownerBusyShare: number;
   readonly logger: Logger;
 }
 
@@ -75,6 +77,7 @@
   refusesOverload: true,
   zoneCount: 1,
   evacuateMs: undefined,
+  ownerBusyShare: 0,
   logger: new SilentLogger(),
 };
 
@@ -125,6 +128,8 @@
 
   readonly refusesOverload: boolean;
 
+  readonly ownerBusyShare: number;
+
   /** Upkeep waves that the operator has published. */
   readonly waves: UpkeepWave[] = [];
 
@@ -139,6 +144,7 @@
     this.ordersPerS = options.ordersPerS;
     this.evacuateMs = options.evacuateMs;
     this.refusesOverload = options.refusesOverload;
+    this.ownerBusyShare = options.ownerBusyShare;
     this.store = new SimulatedStore(this.clock, this.random);
     this.observer = new RunObserver(options.maxAttempts);
     this.config = new JobsConfigView(
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -53,6 +53,8 @@
   readonly evacuatedZones: ReadonlyMap<string, number>;
   /** Bound on starts in an evacuated zone, in milliseconds; undefined if there is none. */
   readonly evacuateMs: number | undefined;
+  /** Share of the time in which the event loop of an entry counts as busy. */
+  readonly ownerBusyShare: number;
   readonly logger: Logger;
 }
 
@@ -135,6 +137,7 @@
           clock,
           logger,
           config: () => config,
+          busyMs: () => clock.monotonicMs() * environment.ownerBusyShare,
         },
       );
       this.coordinator.start();
--- a/packages/placement/src/CrashPolicy.ts
+++ b/packages/placement/src/CrashPolicy.ts
@@ -19,7 +19,7 @@
  * A run that its target has reported at work for this long did not crash it by starting, in
  * milliseconds. Every suspect keeps new tasks off a target for about this long.
  */
-const SETTLED_AFTER_MS = 200;
+export const SETTLED_AFTER_MS = 200;
 
 /** Early crashes after which a task is given up if it was the only suspect in the last one. */
 const MAX_EARLY_CRASHES = 2;
