--- a/packages/telemetry/src/EventMetrics.ts
+++ b/packages/telemetry/src/EventMetrics.ts
@@ -2,7 +2,7 @@
  * Metrics derived from logged events: the number of events by name and outcome, and quantiles of
  * the durations that they carry. Exposed in the Prometheus text format.
  */
-import { type LogFields } from '@acaciadock/core';
+import { type LogFields, type WorkTotal } from '@acaciadock/core';
 import { Counter, Gauge, Registry } from 'prom-client';
 import { type EventSink } from './BoundedLogger.js';
 import { LatencyQuantiles } from './LatencyQuantiles.js';
@@ -49,6 +49,25 @@
     registers: [this.registry],
   });
 
+  private readonly ownerBusyShare = new Gauge({
+    name: 'acaciadock_owner_busy_share',
+    help: 'Share of the last second in which the event loop of the owner was busy.',
+    registers: [this.registry],
+  });
+
+  private readonly ownerTimerDelay = new Gauge({
+    name: 'acaciadock_owner_timer_delay_ms',
+    help: 'Longest delay of a timer of the owner in the last second.',
+    registers: [this.registry],
+  });
+
+  private readonly ownerWork = new Counter({
+    name: 'acaciadock_owner_work_ms_total',
+    help: 'Time that each part of the work of the owner has taken, in milliseconds.',
+    labelNames: ['part'],
+    registers: [this.registry],
+  });
+
   private readonly memory: Gauge = new Gauge({
     name: 'acaciadock_entry_resident_bytes',
     help: 'Resident memory of the process.',
@@ -66,6 +85,7 @@
     const latency = LATENCY_FIELDS.find((name) => typeof fields[name] === 'number');
     if (latency !== undefined) this.latencies.record({ event }, fields[latency] as number);
     if (event === 'zone-evacuation-progress') this.recordEvacuations(fields);
+    if (event === 'owner-load') this.recordOwnerLoad(fields);
   }
 
   private count(event: string, outcome: string): void {
@@ -81,6 +101,14 @@
     );
   }
 
+  private recordOwnerLoad({ busyShare, timerDelayMs, parts }: LogFields): void {
+    this.ownerBusyShare.set(Number(busyShare ?? 0));
+    this.ownerTimerDelay.set(Number(timerDelayMs));
+    (parts as readonly WorkTotal[]).forEach(({ part, totalMs }) =>
+      this.ownerWork.inc({ part }, totalMs),
+    );
+  }
+
   private recordEvacuations({ zones, runs }: LogFields): void {
     this.evacuatedZones.set(Number(zones));
     this.evacuationRunsLeft.set(Number(runs));
