--- a/packages/jobdesk/src/PeerCallClient.test.ts
+++ b/packages/jobdesk/src/PeerCallClient.test.ts
@@ -10,6 +10,7 @@
   type ServerUnaryCall,
   type UntypedHandleCall,
 } from '@grpc/grpc-js';
+import { type AddressInfo, connect, createServer, type Server as NetServer } from 'node:net';
 import { PeerCallClient, UNREACHABLE } from './PeerCallClient.js';
 import { callMethod } from './PeerCalls.js';
 import { PeerCallServer } from './PeerCallServer.js';
@@ -17,7 +18,7 @@
 
 const CANCEL: JobCall = { kind: 'cancel', context: JobWorld.context(), jobId: 'j' };
 
-function createServer(answer: () => Promise<JobReply>): PeerCallServer {
+function createServerOf(answer: () => Promise<JobReply>): PeerCallServer {
   const notice = {
     notice: undefined,
     isHealthyOwner: false,
@@ -49,7 +50,7 @@
       received = resolve;
     });
     const unanswered: ((reply: JobReply) => void)[] = [];
-    const server = createServer(() => {
+    const server = createServerOf(() => {
       received();
       return new Promise((resolve) => {
         unanswered.push(resolve);
@@ -65,7 +66,7 @@
   });
 
   it('passes on the reply of the owner', async (t) => {
-    const server = createServer(() => Promise.resolve({ kind: 'cancelled' }));
+    const server = createServerOf(() => Promise.resolve({ kind: 'cancelled' }));
     const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
     const client = new PeerCallClient(address, new SystemClock());
     t.same(await client.call(CANCEL), { kind: 'cancelled' });
@@ -96,12 +97,50 @@
   return [server, `127.0.0.1:${port}`];
 }
 
+/** Forwards the first connection to the server; further ones are accepted and get no answer. */
+async function startProxy(address: string): Promise<[NetServer, string]> {
+  const port = Number(address.split(':')[1]);
+  let count = 0;
+  const proxy = createServer((socket) => {
+    count += 1;
+    socket.unref();
+    if (count > 1) return;
+    const upstream = connect(port, '127.0.0.1');
+    socket.pipe(upstream).pipe(socket);
+    [socket, upstream].forEach((one) => one.on('error', () => one.destroy()));
+  });
+  await new Promise<void>((resolve) => {
+    proxy.listen(0, '127.0.0.1', resolve);
+  });
+  return [proxy, `127.0.0.1:${(proxy.address() as AddressInfo).port}`];
+}
+
 describe('PeerCallClient at a busy owner', () => {
+  it('needs no new connection after a call without a reply while it answers others', async (t) => {
+    // Fails if a timeout closes the connection: a busy owner does not accept another one in time.
+    let count = 0;
+    const server = createServerOf(() => {
+      count += 1;
+      return count === 1 ? NO_REPLY : Promise.resolve({ kind: 'cancelled' });
+    });
+    const clock = new SystemClock();
+    const [proxy, address] = await startProxy((await server.listen('127.0.0.1:0'))._unsafeUnwrap());
+    const client = new PeerCallClient(address, clock);
+    const slow = client.call(CANCEL);
+    await clock.sleep(600);
+    t.match(await client.call(CANCEL), { kind: 'cancelled' });
+    t.match(await slow, { kind: 'unknown-outcome' });
+    t.match(await client.call(CANCEL), { kind: 'cancelled' });
+    client.dispose();
+    server.dispose();
+    proxy.close();
+  });
+
   it('keeps the other calls when one gets no reply in time', async (t) => {
     // Fails if the channel that all calls share is closed although the owner answers.
     const held: ((reply: JobReply) => void)[] = [];
     let count = 0;
-    const server = createServer(() => {
+    const server = createServerOf(() => {
       count += 1;
       if (count === 1) return NO_REPLY;
       if (count < 4) return Promise.resolve({ kind: 'cancelled' });
@@ -126,7 +165,7 @@
 
   it('opens a new channel when nothing has arrived since the call was sent', async (t) => {
     const answers = [NO_REPLY];
-    const server = createServer(() => answers.pop() ?? Promise.resolve({ kind: 'cancelled' }));
+    const server = createServerOf(() => answers.pop() ?? Promise.resolve({ kind: 'cancelled' }));
     const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
     const client = new PeerCallClient(address, new SystemClock());
     t.match(await client.call(CANCEL), { kind: 'unknown-outcome' });
@@ -137,7 +176,7 @@
 
   it('passes on each reply to its own call, whatever their order', async (t) => {
     const waiting: ((reply: JobReply) => void)[] = [];
-    const server = createServer(
+    const server = createServerOf(
       () =>
         new Promise((resolve) => {
           waiting.push(resolve);
@@ -157,7 +196,7 @@
   });
 
   it('leaves the other calls alone when one is malformed', async (t) => {
-    const server = createServer(() => Promise.resolve({ kind: 'cancelled' }));
+    const server = createServerOf(() => Promise.resolve({ kind: 'cancelled' }));
     const address = (await server.listen('127.0.0.1:0'))._unsafeUnwrap();
     const client = new PeerCallClient(address, new SystemClock());
     const malformed = { ...CANCEL, jobId: 7 } as unknown as JobCall;
