A target that crashes again in a later process counts again for its queue

Cause: the sign of a target that came back as another process was kept as long as it ran anything, and a target with a sign gets no new one, so its later crashes did not count. Change: after five seconds a sign is forgotten unless its target is still silent with runs.

--- a/packages/coordinator/src/QueueCaution.test.ts
+++ b/packages/coordinator/src/QueueCaution.test.ts
@@ -109,6 +109,19 @@
     t.ok(fixture.isCautious());
   });
 
+  it('counts a target again that crashes in a later process with other runs', (t) => {
+    const fixture = new CautionFixture(2);
+    fixture.silenceAfterStart('t0');
+    Object.assign(fixture.target('t0'), { consecutiveFailures: 0, bornMs: 99 });
+    fixture.clock.advance(5_000);
+    fixture.caution.observe(fixture.all);
+    fixture.start(fixture.accept('later'), 't0');
+    fixture.silence('t0');
+    fixture.clock.advance(600);
+    fixture.silenceAfterStart('t1');
+    t.ok(fixture.isCautious());
+  });
+
   it('ends some seconds after the last sign', (t) => {
     const fixture = new CautionFixture(2);
     fixture.silenceAfterStart('t0');
--- a/packages/coordinator/src/QueueCaution.ts
+++ b/packages/coordinator/src/QueueCaution.ts
@@ -54,8 +54,11 @@
   observe(targets: readonly FleetTarget[]): void {
     const nowMs = this.clock.monotonicMs();
     this.signs.forEach((sign, target) => {
-      const hasAnswered = target.consecutiveFailures === 0 && target.bornMs === sign.bornMs;
-      const isOver = nowMs - sign.atMs >= SIGN_KEPT_MS && target.runs.size === 0;
+      const { consecutiveFailures, runs, bornMs } = target;
+      const hasAnswered = consecutiveFailures === 0 && bornMs === sign.bornMs;
+      // A target that stays silent with the same early runs is no further sign.
+      const isStillSilent = consecutiveFailures > 0 && runs.size > 0;
+      const isOver = nowMs - sign.atMs >= SIGN_KEPT_MS && !isStillSilent;
       if (hasAnswered) this.answerLostMs = nowMs;
       if (hasAnswered || isOver) this.signs.delete(target);
     });
