Log lines are passed on whole, at most 4,096 bytes at once

Callers of the log saw lines of a busy entry cut in the middle. The batch also counted characters instead of bytes.

A batch now holds whole lines of at most 4,096 bytes, what POSIX writes to a pipe as one; the line that no longer fits starts the next batch, and a longer line goes out by itself. Lines still wait up to 20 ms for others.

--- a/packages/telemetry/src/BatchedOutput.ts
+++ b/packages/telemetry/src/BatchedOutput.ts
@@ -1,6 +1,7 @@
 /**
  * A stream that passes lines on in batches. A write to a pipe is a system call, and a busy entry logs
- * hundreds of lines a second.
+ * hundreds of lines a second. Each write to the stream is one line; a batch holds whole lines, no
+ * more than POSIX writes to a pipe atomically.
  */
 import { type Clock, Disposable, type IDisposable } from '@acaciadock/core';
 import { Writable } from 'node:stream';
@@ -8,8 +9,8 @@
 /** Longest time that a line waits for others, in milliseconds. */
 const FLUSH_AFTER_MS = 20;
 
-/** A batch of this many characters is passed on at once. */
-const MAX_BATCH_CHARACTERS = 65_536;
+/** Most bytes in a batch, PIPE_BUF on Linux. A single line may be longer and is then written by itself. */
+const MAX_BATCH_BYTES = 4_096;
 
 export class BatchedOutput extends Disposable {
   /** The stream to write lines to. */
@@ -17,7 +18,7 @@
 
   private batch: string[] = [];
 
-  private batchCharacters = 0;
+  private batchBytes = 0;
 
   private timer: IDisposable | undefined;
 
@@ -43,14 +44,16 @@
     if (this.batch.length === 0) return;
     const text = this.batch.join('');
     this.batch = [];
-    this.batchCharacters = 0;
+    this.batchBytes = 0;
     this.inner.write(text);
   }
 
-  private add(text: string): void {
-    this.batch.push(text);
-    this.batchCharacters += text.length;
-    if (this.batchCharacters >= MAX_BATCH_CHARACTERS || this.isDisposed) this.flush();
+  private add(line: string): void {
+    const lineBytes = Buffer.byteLength(line);
+    if (this.batchBytes + lineBytes > MAX_BATCH_BYTES) this.flush();
+    this.batch.push(line);
+    this.batchBytes += lineBytes;
+    if (this.batchBytes >= MAX_BATCH_BYTES || this.isDisposed) this.flush();
     else this.timer ??= this.clock.after(FLUSH_AFTER_MS, () => this.flush());
   }
 }
