A start that was planned before its target drains is not sent

Cause: placement leaves draining targets out, but the check before the order is sent did not ask for it, and recording the plan may take seconds.

Ruled out with a reason: a target that is only reserved for a move or upkeep waits for all its runs, and no bound counts from the reservation, so a run planned before it is the same as one started just before it; evacuated zones are checked already (mayStartInZone); a target that is no longer listed is asked for reports while a run is planned on it, so one that is gone counts as silent, and after an outage of the store one that is alive may be unlisted for two seconds.

--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -83,7 +83,12 @@
 const UNHEALTHY_PAUSE_MS = 1_500;
 
 type StartObstacle =
-  'ownership-unproven' | 'target-silent' | 'zone-evacuated' | 'target-reborn' | 'capacity-shrunk';
+  | 'ownership-unproven'
+  | 'target-silent'
+  | 'target-draining'
+  | 'zone-evacuated'
+  | 'target-reborn'
+  | 'capacity-shrunk';
 
 export interface TargetDriverDeps {
   readonly port: TargetPort;
@@ -159,6 +164,7 @@
     const { target } = this;
     if (!this.deps.ownership.mayExtendLeases) return 'ownership-unproven';
     if (target.consecutiveFailures > 0) return 'target-silent';
+    if (target.isDraining) return 'target-draining';
     if (!target.mayStartInZone) return 'zone-evacuated';
     if (target.isListingOutdated) return 'target-reborn';
     return target.isOverfilledFor(place.step.spec) ? 'capacity-shrunk' : undefined;
