A start that was planned for a former lifetime of its target is not sent

Callers: a task may start on a target that lacks the label it requires, or runs on one of another pool.

Cause: a target that restarts under its id may be of another kind. A run that was planned before, and whose plan became durable after the new process had reported, was sent to it: the check before the order knew only the lifetimes that the registry lists too late, and the capacity. It now compares the lifetime for which the run was planned with the one that last reported and the one that is listed.

The new test failed before (4 starts on the later lifetime) and passes now.

--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -160,13 +160,15 @@
    * Why a planned run must not be ordered any more: it may have taken seconds to record it, and what
    * its placement rests on may have changed meanwhile. Undefined if nothing speaks against it.
    */
-  private obstacleTo({ place }: LiveRun): StartObstacle | undefined {
+  private obstacleTo({ place, bornMs }: LiveRun): StartObstacle | undefined {
     const { target } = this;
     if (!this.deps.ownership.mayExtendLeases) return 'ownership-unproven';
     if (target.consecutiveFailures > 0) return 'target-silent';
     if (target.isDraining) return 'target-draining';
     if (!target.mayStartInZone) return 'zone-evacuated';
-    if (target.isListingOutdated) return 'target-reborn';
+    // Another lifetime may be of another kind than the one for which the run was planned.
+    const isReborn = target.bornMs !== bornMs || target.hasUnknownLifetime;
+    if (isReborn || target.isListingOutdated) return 'target-reborn';
     return target.isOverfilledFor(place.step.spec) ? 'capacity-shrunk' : undefined;
   }
 
--- a/packages/jobdesk/src/plannedStarts.test.ts
+++ b/packages/jobdesk/src/plannedStarts.test.ts
@@ -47,4 +47,15 @@
     await assertCompletes(t, planned.world, ['a']);
     t.equal(planned.world.observer.startsOn('t0'), 0);
   });
+
+  it('is not sent to a later lifetime, which may be of another kind', async (t) => {
+    const planned = await planStep(t, { ...SIX_TASKS, requiredLabel: 'a' });
+    const { target } = planned;
+    target.restart();
+    const entry = { ...target.entry, labels: ['b', 'r'] };
+    Object.defineProperty(target, 'entry', { value: entry, configurable: true });
+    await awaitStarts(t, planned);
+    await assertCompletes(t, planned.world, ['a']);
+    t.equal(planned.world.observer.startsOn('t0'), 0);
+  });
 });
