The line of waiting suspects says how far back its owner can look

Cause: the owner counts from the first pass that sees the task wait.

The line now also has sinceClaimMs, the time since the claim: where oldestMs is nearly as long, it is a lower bound.

The new test and the changed one, which names the field too, failed before (2 of 6 assertions) and pass now; with the tests of JobScheduler, SuspectDemand and jobdesk's suspectBacklog 52 passed.

--- a/packages/coordinator/src/SuspectBacklog.test.ts
+++ b/packages/coordinator/src/SuspectBacklog.test.ts
@@ -26,8 +26,8 @@
     }
     const common = { poolId: 'pool', jobs: 1, tasks: 1, openTargets: 3, isolatedTargets: 1 };
     t.same(fixture.logger.of(SUSPECTS_WAITING), [
-      { ...common, oldestMs: 0 },
-      { ...common, oldestMs: 1_000 },
+      { ...common, oldestMs: 0, sinceClaimMs: 0 },
+      { ...common, oldestMs: 1_000, sinceClaimMs: 1_000 },
     ]);
     t.equal(backlog.jobCount('pool'), 1);
   });
@@ -46,6 +46,18 @@
     );
   });
 
+  it('logs how long the owner has seen waits, as those from before its claim start anew', (t) => {
+    // Fails if the line of a new owner reads as though nothing had waited for longer.
+    const fixture = new RunFixture(1);
+    const steps = [queuedStep(fixture, 'a', true)];
+    new SuspectBacklog(fixture.clock, fixture.logger).record('pool', steps, fixture.all);
+    fixture.clock.advance(5_000);
+    const successor = new SuspectBacklog(fixture.clock, fixture.logger);
+    fixture.clock.advance(1_000);
+    successor.record('pool', steps, fixture.all);
+    t.match(fixture.logger.of(SUSPECTS_WAITING).at(-1), { oldestMs: 0, sinceClaimMs: 1_000 });
+  });
+
   it('is empty once no suspect waits', (t) => {
     const fixture = new RunFixture(1);
     const backlog = new SuspectBacklog(fixture.clock, fixture.logger);
--- a/packages/coordinator/src/SuspectBacklog.ts
+++ b/packages/coordinator/src/SuspectBacklog.ts
@@ -23,10 +23,15 @@
 
   private readonly loggedMs = new Map<string, number>();
 
+  /** Monotonic time of the owner's claim; the journal has no time from which a wait before it counts. */
+  private readonly claimedMs: number;
+
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.claimedMs = clock.monotonicMs();
+  }
 
   /** The waiting suspects of a step. Members of a gang can't be kept apart, so they don't count. */
   static suspectsOf({ step }: QueuedStep): readonly TaskState[] {
@@ -77,6 +82,7 @@
     this.logger.info('suspects-waiting', {
       poolId,
       ...backlog,
+      sinceClaimMs: Math.round(nowMs - this.claimedMs),
       openTargets: openTargets.length,
       isolatedTargets: openTargets.filter(({ isIsolated }) => isIsolated).length,
     });
