Other entries relay a busy owner's calls to targets

An owner that is busy for 0.6 of the time now passes its calls to targets, in batches over one stream each, to the four strongest other entries, which are found by rendezvous hashing. A relay decides nothing. It passes no batch on whose echo of its own clocks is older than 200 ms or shows that it was suspended, and says so; the fence number travels with each order; a relay that is silent for 300 ms is replaced by direct calls. An owner at ease calls targets itself, as before; so do owners without peers of 0.4 of their processor, and entries of earlier builds are not used.

--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -346,15 +346,19 @@
    * Waits up to `COMMIT_WAIT_MS` for the ends of a report to become durable. The next request then
    * acknowledges them.
    */
-  private async awaitDurableEnds({ commit, lastEnd }: ReportResult): Promise<void> {
-    const { bornMs } = this.target;
-    const settled = commit.then((outcome) => {
-      if (this.target.bornMs !== bornMs) return;
-      if (outcome === 'durable' && lastEnd > this.target.durableEnd) {
-        this.target.durableEnd = lastEnd;
-      }
+  private awaitDurableEnds({ commit, lastEnd }: ReportResult): Promise<void> {
+    const { target } = this;
+    const { bornMs } = target;
+    if (lastEnd <= target.durableEnd) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = this.deps.clock.after(COMMIT_WAIT_MS, resolve);
+      void commit.then((outcome) => {
+        timer.dispose();
+        const isNewer = target.bornMs === bornMs && lastEnd > target.durableEnd;
+        if (outcome === 'durable' && isNewer) target.durableEnd = lastEnd;
+        resolve();
+      });
     });
-    await Promise.race([settled, this.deps.clock.sleep(COMMIT_WAIT_MS)]);
   }
 
   private leaseUntilMs(nowMs: number): number | undefined {
@@ -402,6 +406,7 @@
   private async onReportFailed(failure: OrderFailure): Promise<void> {
     const { target } = this;
     const { clock } = this.deps;
+    if (failure.isRelayLost === true) return;
     target.consecutiveFailures += 1;
     if (target.consecutiveFailures === 1) {
       this.deps.logger.warn('target-silent', {
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -2,5 +2,6 @@
 export * from './contracts/index.js';
 export * from './Coordinator.js';
 export * from './JobService.js';
+export * from './LoadMeter.js';
 export * from './Ownership.js';
 export * from './ZoneEvacuation.js';
--- a/packages/execution/src/TargetPort.ts
+++ b/packages/execution/src/TargetPort.ts
@@ -108,6 +108,8 @@
 export interface OrderFailure {
   readonly kind: OrderFailureKind;
   readonly detail: string;
+  /** The entry that relayed the call has not answered, which says nothing of the target. */
+  readonly isRelayLost?: boolean;
 }
 
 /** Sends orders to targets and reads their reports. */
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -131,6 +131,11 @@
     return this.ownership?.isActive ?? false;
   }
 
+  /** All members of the group as of their last listing. */
+  get members(): readonly GroupMember[] {
+    return this.directory.listedMembers;
+  }
+
   /** Whether the entry's process that started at `bootMs` has ended: a later one is a member. */
   hasProcessExited(entryId: string, bootMs: number): boolean {
     return this.directory.hasProcessExited(entryId, bootMs);
--- a/packages/jobdesk/src/OwnerDirectory.ts
+++ b/packages/jobdesk/src/OwnerDirectory.ts
@@ -69,6 +69,11 @@
     return (this.newestBootMs.get(entryId) ?? 0) > bootMs;
   }
 
+  /** All members as of the last listing, possibly this entry among them. */
+  get listedMembers(): readonly GroupMember[] {
+    return this.members;
+  }
+
   isMember(member: GroupMember): boolean {
     return this.members.some((other) => isSameMember(other, member));
   }
--- a/packages/jobdesk/src/PeerCallServer.ts
+++ b/packages/jobdesk/src/PeerCallServer.ts
@@ -23,9 +23,12 @@
   noticeMethod,
   type NoticeReply,
   type NoticeRequest,
+  relayMethod,
   type StreamedCall,
   type StreamedReply,
 } from './PeerCalls.js';
+import { type CallBatch, type ReplyBatch } from './relay/RelayMessages.js';
+import { type RelaySession } from './relay/RelaySession.js';
 
 export interface PeerListenFailure {
   readonly kind: 'peer-listen-failed';
@@ -36,8 +39,15 @@
 export class PeerCallServer extends Disposable {
   private readonly server = new Server();
 
-  /** `exchange` accepts a peer's owner announcement and returns what this entry knows. */
-  constructor(service: JobService, exchange: (received: OwnerNotice | undefined) => PeerAnswer) {
+  /**
+   * `exchange` accepts a peer's owner announcement and returns what this entry knows; `openRelay` starts a
+   * session that relays the calls of a peer to targets.
+   */
+  constructor(
+    service: JobService,
+    exchange: (received: OwnerNotice | undefined) => PeerAnswer,
+    openRelay?: (transmit: (batch: ReplyBatch) => void) => RelaySession,
+  ) {
     super();
     const handleCall: UntypedHandleCall = (
       call: ServerUnaryCall<JobCall, JobReply>,
@@ -64,9 +74,11 @@
       }
       done(null, { ...answer, notice: answer.notice ?? null });
     };
+    const handleRelay: UntypedHandleCall = (stream: ServerDuplexStream<CallBatch, ReplyBatch>) =>
+      PeerCallServer.serveRelay(stream, openRelay);
     this.server.addService(
-      { call: callMethod, callStream: callStreamMethod, notice: noticeMethod },
-      { call: handleCall, callStream: handleStream, notice: handleNotice },
+      { call: callMethod, callStream: callStreamMethod, notice: noticeMethod, relay: relayMethod },
+      { call: handleCall, callStream: handleStream, notice: handleNotice, relay: handleRelay },
     );
     this.register({ dispose: () => this.server.forceShutdown() });
   }
@@ -94,6 +106,30 @@
     stream.on('error', () => stream.end());
   }
 
+  private static serveRelay(
+    stream: ServerDuplexStream<CallBatch, ReplyBatch>,
+    openRelay: ((transmit: (batch: ReplyBatch) => void) => RelaySession) | undefined,
+  ): void {
+    if (!openRelay) {
+      stream.end();
+      return;
+    }
+    const session = openRelay((batch) => {
+      if (!stream.cancelled && !stream.destroyed) stream.write(batch);
+    });
+    stream.on('data', (batch: CallBatch) => session.handle(batch));
+    stream.on('cancelled', () => session.dispose());
+    stream.on('close', () => session.dispose());
+    stream.on('end', () => {
+      session.dispose();
+      stream.end();
+    });
+    stream.on('error', () => {
+      session.dispose();
+      stream.end();
+    });
+  }
+
   /** Listens at `host:port` and returns the address with the actual port. */
   listen(address: string): Promise<Result<string, PeerListenFailure>> {
     return new Promise((resolve) => {
--- a/packages/jobdesk/src/PeerCalls.ts
+++ b/packages/jobdesk/src/PeerCalls.ts
@@ -10,6 +10,12 @@
 } from '@acaciadock/coordinator';
 import { type MethodDefinition } from '@grpc/grpc-js';
 import * as z from 'zod';
+import {
+  type CallBatch,
+  parseCallBatch,
+  parseReplyBatch,
+  type ReplyBatch,
+} from './relay/RelayMessages.js';
 
 const serialize = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
 
@@ -50,6 +56,17 @@
   responseDeserialize: (bytes) => streamedReplySchema.parse(JSON.parse(bytes.toString('utf8'))),
 };
 
+/** Carries the owner's calls to targets to an entry that relays them. */
+export const relayMethod: MethodDefinition<CallBatch, ReplyBatch> = {
+  path: '/acaciadock.jobs.Coordinator/Relay',
+  requestStream: true,
+  responseStream: true,
+  requestSerialize: serialize,
+  requestDeserialize: (bytes) => parseCallBatch(JSON.parse(bytes.toString('utf8'))),
+  responseSerialize: serialize,
+  responseDeserialize: (bytes) => parseReplyBatch(JSON.parse(bytes.toString('utf8'))),
+};
+
 const noticeSchema = z.object({
   owner: z.object({
     entryId: z.string(),
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -57,6 +57,8 @@
   readonly taskCpuMilli?: number;
   /** Share of the time in which the event loop of each entry counts as busy. */
   readonly ownerBusyShare: number;
+  /** Whether other entries relay the calls of a busy owner to targets. */
+  readonly hasRelays: boolean;
   readonly logger: Logger;
 }
 
@@ -78,6 +80,7 @@
   zoneCount: 1,
   evacuateMs: undefined,
   ownerBusyShare: 0,
+  hasRelays: false,
   logger: new SilentLogger(),
 };
 
@@ -130,6 +133,8 @@
 
   readonly ownerBusyShare: number;
 
+  readonly hasRelays: boolean;
+
   /** Upkeep waves that the operator has published. */
   readonly waves: UpkeepWave[] = [];
 
@@ -145,6 +150,7 @@
     this.evacuateMs = options.evacuateMs;
     this.refusesOverload = options.refusesOverload;
     this.ownerBusyShare = options.ownerBusyShare;
+    this.hasRelays = options.hasRelays;
     this.store = new SimulatedStore(this.clock, this.random);
     this.observer = new RunObserver(options.maxAttempts);
     this.config = new JobsConfigView(
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -8,6 +8,7 @@
   type InstanceFleet,
   type JobCall,
   type JobReply,
+  type Ownership,
   type TargetRegistry,
   type UpkeepWave,
 } from '@acaciadock/coordinator';
@@ -23,9 +24,12 @@
 } from '@acaciadock/coordinator/testing';
 import { type IDisposable, type Logger, type ManualClock, type Random } from '@acaciadock/core';
 import { type JobsConfigView } from '@acaciadock/jobs';
-import { type OwnerNotice, type PeerAnswer } from '@acaciadock/journal';
+import { type GroupMember, type OwnerNotice, type PeerAnswer } from '@acaciadock/journal';
 import { err, ok } from 'neverthrow';
 import { Election } from '../Election.js';
+import { RelayedTargetPort } from '../relay/RelayedTargetPort.js';
+import { RelaySelection } from '../relay/RelaySelection.js';
+import { SimulatedRelayLink } from './SimulatedRelayLink.js';
 
 export const MAX_LEASE_MS = 6_000;
 const PEER_LATENCY_MS = 2;
@@ -55,6 +59,8 @@
   readonly evacuateMs: number | undefined;
   /** Share of the time in which the event loop of an entry counts as busy. */
   readonly ownerBusyShare: number;
+  /** Whether other entries relay the calls of a busy owner to targets. */
+  readonly hasRelays: boolean;
   readonly logger: Logger;
 }
 
@@ -72,7 +78,7 @@
 
   private coordinator: Coordinator | undefined;
 
-  private isIsolated = false;
+  isIsolated = false;
 
   /** While true, the entry can't read the operator's records. */
   isFeedCut = false;
@@ -126,7 +132,7 @@
         {
           ownership,
           registry: { list: () => this.listTargets() },
-          port: this.port,
+          port: environment.hasRelays ? this.createRelayedPort(self, ownership) : this.port,
           advice: {
             advise: () => Promise.resolve(err({ kind: 'advice-unavailable', detail: 'none' })),
           },
@@ -145,6 +151,24 @@
     void this.election.run();
   }
 
+  private createRelayedPort(self: GroupMember, ownership: Ownership): RelayedTargetPort {
+    const { clock, environment } = this;
+    const relays = new RelaySelection({
+      self,
+      members: () => this.election.members,
+      busyMs: () => clock.monotonicMs() * environment.ownerBusyShare,
+      createLink: (member) => {
+        const peer = environment.entries.get(member.entryId) ?? this;
+        return new SimulatedRelayLink(this, peer, environment.clock, PEER_LATENCY_MS);
+      },
+      wasPreviousBusy: false,
+      clock,
+      logger: environment.logger,
+    });
+    ownership.onEnd(() => relays.dispose());
+    return new RelayedTargetPort(this.port, relays);
+  }
+
   /** The ID of the entry that this one considers the owner. */
   get knownOwnerId(): string | undefined {
     return this.election.owner?.entryId;
--- a/packages/jobdesk/src/testing/runSchedule.ts
+++ b/packages/jobdesk/src/testing/runSchedule.ts
@@ -1,7 +1,7 @@
 /** Runs one random schedule of jobs and faults and returns the guarantees it violated. */
 import { type Random } from '@acaciadock/core';
 import { DEADLY_PREFIX } from '@acaciadock/coordinator/testing';
-import { DEFAULT_WORLD, JobWorld } from './JobWorld.js';
+import { DEFAULT_WORLD, JobWorld, type JobWorldOptions } from './JobWorld.js';
 
 const FAULTY_MS = 12_000;
 const PERIOD_MS = 400;
@@ -159,6 +159,7 @@
  * Runs the schedule of this seed, with jobs of several times the size if `load` is above 1; returns a
  * description of each violated guarantee. With copies, every second job permits several concurrent
  * runs of its tasks. `disturbances` draws tasks that crash their targets, and capacities that change.
+ * `options` change the simulated world.
  */
 export async function runSchedule(
   random: Random,
@@ -166,6 +167,7 @@
   hasCopies: boolean,
   load = 1,
   disturbances?: Random,
+  options: Partial<JobWorldOptions> = {},
 ): Promise<string[]> {
   const world = new JobWorld({
     ...DEFAULT_WORLD,
@@ -174,6 +176,7 @@
     maxAttempts: MAX_ATTEMPTS,
     runtimeMs: 300 + random.next() * 1_500,
     ...(disturbances ? { taskCpuMilli: TASK_CPU_MILLI } : {}),
+    ...options,
   });
   await world.run(1_500);
   const firstCpuMilli = disturbances ? TASK_CPU_MILLI : 700;
