A target that its relay does not reach is called directly

Without it a relay that is cut off from targets, or slow, would let them count as silent to the owner, which closes them and takes the silence for a sign of a crash. A target that gave its relay no answer is called directly for 3 s; a relay that leaves three calls without a reply is not used for as long.

--- a/packages/jobdesk/src/relay/RelayLink.ts
+++ b/packages/jobdesk/src/relay/RelayLink.ts
@@ -28,6 +28,9 @@
 
 const CHECK_MS = 50;
 
+/** Calls without a reply at one check from which the relay counts as too slow. */
+const MIN_OVERDUE_OF_SLOW = 3;
+
 export interface RelayFailure {
   /** `not-sent`: the call has not left this process. `lost`: it may have been passed on. */
   readonly kind: 'not-sent' | 'lost';
@@ -137,9 +140,9 @@
       this.fail('silent');
       return;
     }
-    [...this.pending]
-      .filter(([, { dueMs }]) => nowMs >= dueMs)
-      .forEach(([callId]) => this.settle(callId, err({ kind: 'lost', reason: 'timeout' })));
+    const overdue = [...this.pending].filter(([, { dueMs }]) => nowMs >= dueMs);
+    overdue.forEach(([callId]) => this.settle(callId, err({ kind: 'lost', reason: 'timeout' })));
+    if (overdue.length >= MIN_OVERDUE_OF_SLOW) this.fail('slow');
   }
 
   private settle(callId: number, result: Result<TargetReply, RelayFailure>): void {
--- a/packages/jobdesk/src/relay/RelaySelection.ts
+++ b/packages/jobdesk/src/relay/RelaySelection.ts
@@ -27,6 +27,12 @@
 /** How long an entry whose link has failed is not used, in milliseconds. */
 const FAILED_PAUSE_MS = 3_000;
 
+/**
+ * How long a target is called directly after it didn't answer a relay, in milliseconds: the relay may be
+ * cut off from it.
+ */
+const AVOID_MS = 3_000;
+
 /** How long the link to an entry that has left the group is kept for its calls, in milliseconds. */
 const CLOSE_DELAY_MS = 2_000;
 
@@ -62,6 +68,9 @@
   /** Choice for each target; valid while the open links stay the same. */
   private readonly chosen = new Map<string, RelayLink>();
 
+  /** Monotonic time until which a target is called directly. */
+  private readonly avoidedUntilMs = new Map<string, number>();
+
   private openKeys = '';
 
   private isRelaying: boolean;
@@ -80,7 +89,7 @@
 
   /** The link to send calls to this target over; undefined if they are to be sent directly. */
   linkFor(targetId: string): RelayLink | undefined {
-    if (!this.isRelaying) return undefined;
+    if (!this.isRelaying || this.isAvoided(targetId)) return undefined;
     const known = this.chosen.get(targetId);
     if (known?.isOpen === true) return known;
     const link = this.choose(targetId);
@@ -88,10 +97,24 @@
     return link;
   }
 
+  /** Calls a target directly for a while, as it didn't answer its relay. */
+  avoid(targetId: string): void {
+    this.avoidedUntilMs.set(targetId, this.deps.clock.monotonicMs() + AVOID_MS);
+  }
+
   /** Lets the relay of a target close its connections to it. */
   forget(targetId: string, address: string): void {
     this.chosen.get(targetId)?.forget({ targetId, address });
     this.chosen.delete(targetId);
+    this.avoidedUntilMs.delete(targetId);
+  }
+
+  private isAvoided(targetId: string): boolean {
+    const untilMs = this.avoidedUntilMs.get(targetId);
+    if (untilMs === undefined) return false;
+    if (this.deps.clock.monotonicMs() < untilMs) return true;
+    this.avoidedUntilMs.delete(targetId);
+    return false;
   }
 
   private choose(targetId: string): RelayLink | undefined {
--- a/packages/jobdesk/src/relay/RelayedTargetPort.ts
+++ b/packages/jobdesk/src/relay/RelayedTargetPort.ts
@@ -7,6 +7,7 @@
   type HoldRequest,
   ORDER_TIMEOUT_MS,
   type OrderFailure,
+  type OrderFailureKind,
   type OrderReceipt,
   type PaceOrder,
   type StartOrder,
@@ -18,6 +19,9 @@
 import { type TargetCall, type TargetReply } from './RelayMessages.js';
 import { type RelaySelection } from './RelaySelection.js';
 
+/** Failures that may be those of the way from the relay to the target. */
+const UNANSWERED_KINDS: ReadonlySet<OrderFailureKind> = new Set(['unknown-outcome', 'unreachable']);
+
 function lost(detail: string): Result<never, OrderFailure> {
   return err({ kind: 'unknown-outcome', detail, isRelayLost: true });
 }
@@ -43,7 +47,7 @@
     // The request may acknowledge ends, which has to be decided anew after this time.
     if (done.isErr()) return lost(done.error.reason);
     const reply = done.value;
-    if (reply.kind === 'failed') return err(reply.failure);
+    if (reply.kind === 'failed') return this.failed(target, reply.failure);
     return reply.kind === 'report' ? ok(reply.report) : lost(reply.kind);
   }
 
@@ -84,7 +88,12 @@
       return done.error.kind === 'not-sent' ? sendDirectly() : lost(done.error.reason);
     const reply: TargetReply = done.value;
     if (reply.kind === 'expired') return sendDirectly();
-    if (reply.kind === 'failed') return err(reply.failure);
+    if (reply.kind === 'failed') return this.failed(call.target, reply.failure);
     return reply.kind === 'receipt' ? ok(reply.receipt) : lost(reply.kind);
   }
+
+  private failed({ targetId }: TargetAddress, failure: OrderFailure): Result<never, OrderFailure> {
+    if (UNANSWERED_KINDS.has(failure.kind)) this.relays.avoid(targetId);
+    return err(failure);
+  }
 }
--- a/packages/jobdesk/src/relayedCalls.test.ts
+++ b/packages/jobdesk/src/relayedCalls.test.ts
@@ -66,6 +66,21 @@
     t.equal(world.observer.startsOf('a.0.0.0'), 1, 'run once');
   });
 
+  it('are made directly to a target that its relay does not reach', async (t) => {
+    // Fails if the targets of a relay that is cut off from them count as lost.
+    const world = await createBusyWorld({ runtimeMs: 2_000 });
+    await submit(world, 'a', TWO_STEPS);
+    relaysOf(world).forEach(([, { portFaults }]) =>
+      world.targets.forEach((_, targetId) => portFaults.cutTargets.add(targetId)),
+    );
+    await world.run(SILENCE_MS);
+    await submit(world, 'b', TWO_STEPS);
+    const hasStarted = () => world.observer.startsOf('b.0.0.0') > 0;
+    t.ok(await world.runUntil(hasStarted, SILENCE_MS), 'new work starts');
+    await assertCompletes(t, world, ['a', 'b']);
+    t.equal(world.observer.startsOf('a.0.0.0'), 1, 'run once');
+  });
+
   it('do not end runs or restart them when all relays are killed', async (t) => {
     const world = await createBusyWorld({ runtimeMs: 2_000 });
     await submit(world, 'a', TWO_STEPS);
