The release of an owner isn't forgotten over the claim that follows it

Cause: PreviousOwner compared the epoch with the latest announcement alone.

Change: OwnerDirectory keeps the epochs whose release was announced. The new test fails on the earlier comparison.

--- a/packages/jobdesk/src/OwnerDirectory.ts
+++ b/packages/jobdesk/src/OwnerDirectory.ts
@@ -42,6 +42,9 @@
   /** All members as of the last listing. */
   private members: readonly GroupMember[] = [];
 
+  /** Epochs whose owner has announced its release. */
+  private readonly releasedEpochs = new Set<number>();
+
   private lastListedMs = -Infinity;
 
   private lastRefreshMs = -Infinity;
@@ -69,6 +72,11 @@
     return (this.newestBootMs.get(entryId) ?? 0) > bootMs;
   }
 
+  /** Whether the owner of this epoch has announced its release, also if there is a later owner. */
+  hasReleased(epoch: number): boolean {
+    return this.releasedEpochs.has(epoch);
+  }
+
   isMember(member: GroupMember): boolean {
     return this.members.some((other) => isSameMember(other, member));
   }
@@ -130,6 +138,7 @@
   /** Accepts an announcement if it is newer than the latest one known, also while the entry stops. */
   accept(notice: OwnerNotice | undefined, source: 'store' | 'peer' | 'self'): void {
     if (!notice) return;
+    if (notice.isReleased) this.releasedEpochs.add(notice.epoch);
     const knownEpoch = this.newest?.epoch ?? -1;
     const isRelease = notice.isReleased && this.newest?.isReleased !== true;
     const isNewer = notice.epoch > knownEpoch || (isRelease && notice.epoch === knownEpoch);
--- a/packages/jobdesk/src/PreviousOwner.test.ts
+++ b/packages/jobdesk/src/PreviousOwner.test.ts
@@ -3,7 +3,12 @@
 import { PausableClock, SimulatedGroup, SimulatedStore } from '@acaciadock/coordinator/testing';
 import { ManualClock, Random, SilentLogger, toDisposable } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
-import { type GroupMember, type PeerAnswer, PeerNotices } from '@acaciadock/journal';
+import {
+  type GroupMember,
+  type OwnerNotice,
+  type PeerAnswer,
+  PeerNotices,
+} from '@acaciadock/journal';
 import { OwnerAnnouncer } from './OwnerAnnouncer.js';
 import { OwnerDirectory } from './OwnerDirectory.js';
 import { PreviousOwner } from './PreviousOwner.js';
@@ -40,6 +45,7 @@
 async function createPreviousOwner(
   value: string | undefined,
   endedIds: readonly string[] = [],
+  notices: readonly OwnerNotice[] = [],
 ): Promise<PreviousOwner> {
   const base = new ManualClock();
   const clock = new PausableClock(base);
@@ -51,6 +57,7 @@
   const self = memberAt('self');
   const directory = new OwnerDirectory(self, deps);
   await Promise.all(endedIds.map((entryId) => directory.queryPeer(memberAt(entryId))));
+  notices.forEach((notice) => directory.accept(notice, 'store'));
   const records =
     value === undefined ? [] : [{ key: INCUMBENT_KEY, value: Buffer.from(value), offset: 0 }];
   const owned = { epoch: EPOCH, nextOffset: EPOCH + 1, records };
@@ -73,6 +80,16 @@
     t.ok((await createPreviousOwner(record, ['e0'])).hasStoppedExtending);
   });
 
+  it('has stopped if it announced its release before the claim was announced', async (t) => {
+    // Fails if the announcement of the claim, read back during the load, makes the release forgotten.
+    const record = JSON.stringify({ ...ownerAt('e0', 3), formerMayExtend: false });
+    const release = { owner: memberAt('e0'), epoch: 3, isReleased: true };
+    const claim = { owner: memberAt('self'), epoch: EPOCH, isReleased: false };
+    t.ok((await createPreviousOwner(record, [], [release, claim])).hasStoppedExtending);
+    const otherRelease = { ...release, epoch: 2 };
+    t.notOk((await createPreviousOwner(record, [], [otherRelease, claim])).hasStoppedExtending);
+  });
+
   it('includes the owners before that one that may still extend leases', async (t) => {
     // Fails if the end of the last owner alone counts: a task then runs twice.
     const formers = [ownerAt('e1', 1), ownerAt('e2', 2)];
--- a/packages/jobdesk/src/PreviousOwner.ts
+++ b/packages/jobdesk/src/PreviousOwner.ts
@@ -87,7 +87,6 @@
     const { self, directory } = this;
     if (directory.hasProcessExited(entryId, bootMs)) return true;
     const isOwn = entryId === self.entryId && bootMs === self.bootMs;
-    const { notice } = directory;
-    return isOwn || (notice?.isReleased === true && notice.epoch === epoch);
+    return isOwn || directory.hasReleased(epoch);
   }
 }
