A pool grows for a task that fits beside no long-running ones

What callers see: a job waits for good, over any number of owners, although spare instances are there, while its pool looks mostly free by processor.

Cause: the size of a pool follows from sums of amounts and from how many tasks of a size one empty instance takes. Neither sees what long-running tasks leave free on each instance: with 40 GB of 64 GB kept on every instance, a task of 30 GB fits nowhere, but four instances are "enough" for 190 GB, and once the job is late only a part of its task counts. Only long-running tasks that found no room asked for one more instance.

Change: a waiting task that no open target could take, even if all tasks there that end had ended, and that an empty instance could take, asks for one more instance, too. Tasks that need a label and gangs are left out, as it is unknown whether another instance would help them. The view of a target without the tasks that end is shared with SuspectIsolation, which had it.

Result: in virtual time, four instances and four spare ones, the task never started (10 s); now it starts after one move, with one instance more. A task that is larger than any instance adds none. The test fails without the change.

--- a/packages/coordinator/src/DemandMeter.ts
+++ b/packages/coordinator/src/DemandMeter.ts
@@ -13,6 +13,7 @@
 import { type FleetTarget } from './FleetTarget.js';
 import { type JobEntry } from './JobEntry.js';
 import { type QueuedStep } from './QueuedStep.js';
+import { RoomBesideLongRunning } from './RoomBesideLongRunning.js';
 
 /**
  * Time over which waiting work of each urgency may be spread, in milliseconds. The less its result
@@ -150,6 +151,19 @@
     return (this.waitingByPool.get(poolId) ?? []).some((open) => open.isLongRunning);
   }
 
+  /**
+   * Whether a task waits that none of these open targets of the pool could take beside its long-running
+   * tasks, so that it would wait until those end. An instance of the given capacity could take it.
+   */
+  hasTaskWithoutPlace(poolId: string, open: readonly FleetTarget[], capacity: Resources): boolean {
+    const waiting = this.waitingByPool.get(poolId) ?? [];
+    if (waiting.length === 0) return false;
+    const room = new RoomBesideLongRunning(open);
+    return waiting.some(
+      ({ step }) => step.waitingTasks.length > 0 && room.needsAnother(step.spec, capacity),
+    );
+  }
+
   /** The part of a waiting step's resources that the pool needs for it now. */
   private shareOf(open: QueuedStep, nowUnixMs: number): number {
     const spreadMs = SPREAD_MS[QueueOrder.urgencyOf(open, nowUnixMs)];
--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -327,6 +327,7 @@
     const capacity =
       present[0]?.capacity ?? orders.instances[0]?.capacity ?? new ResourceVector(1, 0, 0);
     const poolTargets = targets.ofPool(poolId);
+    const open = poolTargets.filter((target) => target.isOpen(clock.monotonicMs()));
     return {
       poolId,
       ...demand.needed(poolId, poolTargets, capacity),
@@ -334,9 +335,12 @@
       targetsForSuspects: demand.targetsForSuspects(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
       isRising: this.rising.isRising(poolId, clock.monotonicMs()),
-      hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || relocationLacksRoom(poolId),
+      lacksPlace:
+        demand.hasLongRunningWaiting(poolId) ||
+        demand.hasTaskWithoutPlace(poolId, open, capacity) ||
+        relocationLacksRoom(poolId),
       instanceCount: present.length,
-      openCount: poolTargets.filter((target) => target.isOpen(clock.monotonicMs())).length,
+      openCount: open.length,
       capacity,
     };
   }
--- a/packages/coordinator/src/SuspectIsolation.ts
+++ b/packages/coordinator/src/SuspectIsolation.ts
@@ -4,7 +4,7 @@
  * been at work for a while, so that a crash has one possible cause and new tasks are not lost with it.
  */
 import { type Clock } from '@acaciadock/core';
-import { type Job, type StepSpec } from '@acaciadock/jobs';
+import { type Job } from '@acaciadock/jobs';
 import {
   type IsolationDemand,
   IsolationPolicy,
@@ -12,6 +12,7 @@
   TargetChooser,
 } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
+import { RoomBesideLongRunning } from './RoomBesideLongRunning.js';
 
 /**
  * A target for which no suspect has asked for this long, nor in the last pass, is opened to other tasks,
@@ -191,31 +192,7 @@
 
   /** Whether the task would fit if the tasks that do not run for good had ended. */
   private static couldFit(target: FleetTarget, request: PlacementRequest): boolean {
-    const kept = SuspectIsolation.longRunningOn(target);
-    const sum = (of: (spec: StepSpec) => number): number =>
-      kept.reduce((total, spec) => total + of(spec), 0);
-    return TargetChooser.fits(
-      {
-        targetId: target.targetId,
-        rackId: target.rackId,
-        labels: target.labels,
-        freeCpuMilli: target.capacity.cpuMilli - sum((spec) => (spec.filler ? 0 : spec.cpuMilli)),
-        freeMemoryMb: target.capacity.memoryMb - sum((spec) => spec.memoryMb),
-        freeGpuCount: target.capacity.gpuCount - sum((spec) => spec.gpuCount),
-        longRunningCount: target.longRunningCount,
-        servingCount: target.servingCount,
-        fillerCount: target.fillerCount,
-        countOfStep: (stepId) => target.countOfStep(stepId),
-      },
-      request,
-    );
-  }
-
-  private static longRunningOn({ runs, longRunningCount }: FleetTarget): readonly StepSpec[] {
-    if (longRunningCount === 0) return [];
-    return [...runs.values()]
-      .map(({ place }) => place.step.spec)
-      .filter((spec) => spec.longRunning);
+    return TargetChooser.fits(RoomBesideLongRunning.of(target), request);
   }
 
   private static hasEarlySuspect({ runs }: FleetTarget): boolean {
--- a/packages/coordinator/src/TurnRecord.test.ts
+++ b/packages/coordinator/src/TurnRecord.test.ts
@@ -32,7 +32,7 @@
     capacity: CAPACITY,
     hasHadTurn,
     isRising: false,
-    hasLongRunningWaiting: false,
+    lacksPlace: false,
   };
 }
 
--- a/packages/jobdesk/src/poolSizes.test.ts
+++ b/packages/jobdesk/src/poolSizes.test.ts
@@ -1,5 +1,7 @@
 /** Plays pools whose work is limited by other resources than CPU, and checks their sizes. */
+import { LONG_RUNNING_PREFIX } from '@acaciadock/coordinator/testing';
 import { describe, it } from '@acaciadock/core/testing';
+import { type JobWorld } from './testing/JobWorld.js';
 import { createWorld } from './testing/takeoverHelpers.js';
 
 /** One move, in milliseconds. */
@@ -42,4 +44,42 @@
     await world.run(MOVE_MS + SLACK_MS);
     t.equal(world.runningCount, taskCount);
   });
+
+  describe('with long-running tasks on every instance', () => {
+    const instanceCount = 4;
+
+    async function createOccupiedWorld(): Promise<JobWorld> {
+      const world = await createWorld({
+        targetCount: 0,
+        instanceCount,
+        spareCount: 4,
+        runtimeMs: 60_000,
+      });
+      const longRunning = { cpuMilli: 500, memoryMb: 40_000, longRunning: true };
+      void world.submit('l', {
+        spec: LONG_RUNNING_PREFIX,
+        steps: [{ taskCount: instanceCount, ...longRunning }],
+      });
+      await world.run(3_000);
+      return world;
+    }
+
+    it('gives a task room that none of them has left', async (t) => {
+      // Fails if the sum of all free memory counts as room: the task then waits for good.
+      const world = await createOccupiedWorld();
+      t.equal(world.runningCount, instanceCount);
+      void world.submit('j', { steps: [{ taskCount: 1, cpuMilli: 500, memoryMb: 30_000 }] });
+      await world.run(MOVE_MS + SLACK_MS);
+      t.equal(world.observer.startsOf('j.0.0.0'), 1);
+      await world.run(5_000);
+      t.equal(world.fleet?.countIn('pool'), instanceCount + 1, 'one instance is enough');
+    });
+
+    it('adds none for a task that fits on no instance', async (t) => {
+      const world = await createOccupiedWorld();
+      void world.submit('j', { steps: [{ taskCount: 1, cpuMilli: 500, memoryMb: 70_000 }] });
+      await world.run(5_000);
+      t.equal(world.fleet?.countIn('pool'), instanceCount);
+    });
+  });
 });
--- a/packages/placement/src/PoolSizer.test.ts
+++ b/packages/placement/src/PoolSizer.test.ts
@@ -34,7 +34,7 @@
     capacity: CAPACITY,
     hasHadTurn: true,
     isRising: false,
-    hasLongRunningWaiting: false,
+    lacksPlace: false,
     ...change,
   };
 }
@@ -76,7 +76,7 @@
     // Fails if the need of one more than the open instances enters the peak: a task that no added
     // instance helps then makes every later turn ask for as many instances as were ever added.
     const sizer = new PoolSizer();
-    const waiting = { demand: cpu(INSTANCE_MILLI), hasLongRunningWaiting: true };
+    const waiting = { demand: cpu(INSTANCE_MILLI), lacksPlace: true };
     [8, 9, 10, 11].forEach((openCount, round) => {
       const { needed } = sizeAfter(sizer, demand({ ...waiting, openCount }), round * 5_000);
       t.ok(needed > openCount, 'one more is still needed now');
@@ -92,7 +92,7 @@
       instanceCount: 1,
       openCount: 1,
       demand: cpu(6_000),
-      hasLongRunningWaiting: true,
+      lacksPlace: true,
     });
     t.equal(sizeAfter(new PoolSizer(), pool, 0).needed, 2);
     const withMovingInstance = { ...pool, instanceCount: 2 };
--- a/packages/placement/src/PoolSizer.ts
+++ b/packages/placement/src/PoolSizer.ts
@@ -42,10 +42,10 @@
   /** Whether its first turn seems to begin, as defined by `RisingPools`. */
   readonly isRising: boolean;
   /**
-   * Long-running tasks found no room. The pool then needs another instance, even if its total
-   * demand fits the instances that it has.
+   * A long-running task found no room, or another task has none beside the long-running ones. The pool
+   * then needs another instance, even if its total demand fits the instances that it has.
    */
-  readonly hasLongRunningWaiting: boolean;
+  readonly lacksPlace: boolean;
 }
 
 /** Usable fraction of the CPU of an instance: tasks never fill it to the last core. */
@@ -121,7 +121,7 @@
   readonly count: number;
   /**
    * The part of `count` that the next turn is expected to need again. One more than the open
-   * instances, for a waiting long-running task, would raise it with every instance that is added
+   * instances, for a task that lacks a place, would raise it with every instance that is added
    * and with every idle one that the pool still has, so it counts as one more than the work needs.
    */
   readonly turnNeed: number;
@@ -279,7 +279,7 @@
     ];
     const largest = needs.reduce((most, need) => (need[1] > most[1] ? need : most));
     const [, byWork] = largest;
-    const byLongRunning = pool.hasLongRunningWaiting ? pool.openCount + 1 : 0;
+    const byLongRunning = pool.lacksPlace ? pool.openCount + 1 : 0;
     if (byLongRunning <= byWork) return { count: byWork, turnNeed: byWork, limitedBy: largest[0] };
     return { count: byLongRunning, turnNeed: byWork + 1, limitedBy: 'long-running' };
   }
