Draining instances do not count towards the size of their pool

What callers see: long-running tasks of a draining target stay away until the drain has ended, although spare instances are there.

A pool whose long-running tasks need one target each lacked nothing while some of its instances took no task, and the flag of waiting long-running tasks asks for only one more than the open ones.

The test fails without the change.

--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -353,14 +353,15 @@
 
   /**
    * Whether the instance takes tasks or soon will. False while it is down, while it is emptied for
-   * upkeep, while its zone is evacuated or while its target does not answer.
+   * upkeep, while its zone is evacuated or while its target drains or does not answer.
    */
   private countsTowardsSize(instance: FleetInstance): boolean {
     const { instanceId, targetId, state } = instance;
     if (state === 'down' || this.isExcluded(instance)) return false;
     if (this.deps.orders.hasOrder(instanceId) || this.pendingMoves.has(instanceId)) return true;
     const target = this.deps.targets.get(targetId);
-    return target === undefined || (!target.isReserved && target.consecutiveFailures === 0);
+    if (!target) return true;
+    return !target.isReserved && !target.isDraining && target.consecutiveFailures === 0;
   }
 
   private isAvailable(instance: FleetInstance): boolean {
--- a/packages/jobdesk/src/poolSizes.test.ts
+++ b/packages/jobdesk/src/poolSizes.test.ts
@@ -45,6 +45,28 @@
     t.equal(world.runningCount, taskCount);
   });
 
+  it('replaces instances that drain', async (t) => {
+    // Fails if an instance that takes no more tasks counts until it is gone.
+    const taskCount = 4;
+    const world = await createWorld({
+      targetCount: 0,
+      instanceCount: taskCount,
+      spareCount: taskCount,
+      runtimeMs: 60_000,
+    });
+    void world.submit('l', {
+      spec: LONG_RUNNING_PREFIX,
+      steps: [{ taskCount, cpuMilli: 500, longRunning: true, mostPerTarget: 1 }],
+    });
+    await world.run(3_000);
+    t.equal(world.runningCount, taskCount);
+    [...world.targets.values()].slice(1).forEach((target) => {
+      Object.assign(target, { isDraining: true });
+    });
+    await world.run(MOVE_MS + SLACK_MS);
+    t.equal(world.runningCount, taskCount);
+  });
+
   describe('with long-running tasks on every instance', () => {
     const instanceCount = 4;
 
