A line for jobs that wait beside room

Cause: a job that has nothing running although targets have room is not seen in the logs, as nothing is decided about it.

Change: once a second the owner looks for jobs that have had nothing running for 3 s, and for tasks that should last, and logs up to three of them (`job-waits`) if an open target has room and the team may start one.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -41,6 +41,7 @@
 import { TaskRelocator } from './TaskRelocator.js';
 import { TeamUsage } from './TeamUsage.js';
 import { TicketCache } from './TicketCache.js';
+import { WaitLog } from './WaitLog.js';
 import { type EvacuationRequests, ZoneEvacuation } from './ZoneEvacuation.js';
 
 /** Interval of the checks for expired leases and due occurrences, in milliseconds. */
@@ -128,6 +129,8 @@
 
   private readonly load: LoadMeter;
 
+  private readonly waitLog: WaitLog;
+
   constructor(
     owned: OwnedJournal,
     private readonly options: CoordinatorOptions,
@@ -229,6 +232,7 @@
       }),
     );
     const { jobs, runTracker, demand, scheduler } = this;
+    this.waitLog = new WaitLog({ jobs, runTracker, scheduler, clock, logger });
     this.callHandler = new JobCallHandler({
       ...deps,
       jobs,
@@ -341,6 +345,7 @@
 
   private checkRuns(): void {
     this.health.check();
+    this.waitLog.check();
     this.runtimeRecord.update();
     this.jobs.dropFinished(this.options.keepFinishedMs);
   }
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -9,12 +9,18 @@
   type Logger,
   type WorkMeter,
 } from '@acaciadock/core';
-import { type JobsConfigView, type TaskPlace, type TaskState } from '@acaciadock/jobs';
+import {
+  type JobsConfigView,
+  type StepState,
+  type TaskPlace,
+  type TaskState,
+} from '@acaciadock/jobs';
 import {
   type IsolationDemand,
   QueueOrder,
   RejectedSizes,
   type RuntimeEstimates,
+  TargetChooser,
 } from '@acaciadock/placement';
 import { type AdmissionController } from './AdmissionController.js';
 import { type DemandMeter } from './DemandMeter.js';
@@ -152,6 +158,17 @@
     );
   }
 
+  /** Whether an open target has room for a task of the step, and its team may start one. */
+  hasRoomFor(entry: JobEntry, { spec, stepId }: StepState): boolean {
+    const { teamId } = entry.job.definition;
+    const limit = this.deps.config().team(teamId)?.limit;
+    if (!this.deps.usage.allows(teamId, spec, limit)) return false;
+    const request = { step: spec, stepId, avoidTargetId: '', onlyRackId: '' };
+    return this.openTargets(this.poolOf(entry)).some((target) =>
+      TargetChooser.fits(target, request),
+    );
+  }
+
   placeCopy(
     open: QueuedStep,
     task: TaskState,
