An idle target that is listed as down gets no task

Cause: nothing is asked of a target on which nothing runs, so it stays open while it is down, until a start gets no answer. That run may then be at work for all the owner knows, and waits for the proof of the crash or its lease. The list of instances that proved the first crash shows the second instance down, too.

Change: a target without runs whose instance is listed as down, by a list requested after its last report, has to answer a report before it takes tasks. One that is up answers within a round of the registry and is open again.

Result: the new test fails without the change.

--- a/packages/coordinator/src/ReplacementMonitor.test.ts
+++ b/packages/coordinator/src/ReplacementMonitor.test.ts
@@ -98,6 +98,19 @@
       }
     }
 
+    it('closes an idle target until it has answered', (t) => {
+      // Fails if only the missing answer to a start closes it: that task waits until its lease has expired.
+      const fixture = new RunFixture(2);
+      const monitor = new ReplacementMonitor(fixture.targets, fixture.crashes);
+      const target = fixture.target('t0');
+      monitor.compare([instance('m0', 't0')], LISTED_MS);
+      Object.assign(target, { isConfirmed: true, reportedMs: DOWN_MS + 10 });
+      monitor.compare([instance('m0', '')], DOWN_MS);
+      t.ok(target.isConfirmed, 'it has answered since the list was requested');
+      monitor.compare([instance('m0', '')], NEXT_MS);
+      t.notOk(target.isConfirmed);
+    });
+
     it('ends the runs of its silent target at the second list, as crashed', (t) => {
       const play = new Play();
       play.down(DOWN_MS);
--- a/packages/coordinator/src/ReplacementMonitor.ts
+++ b/packages/coordinator/src/ReplacementMonitor.ts
@@ -52,6 +52,7 @@
   ): void {
     const target = this.lastTargetOn(instanceId);
     if (state !== 'down' || !target) return;
+    ReplacementMonitor.closeIdle(target, requestedMs);
     const formerMs = formerDownSinceMs.get(instanceId) ?? requestedMs;
     const sinceMs = target.reportedMs < formerMs ? formerMs : requestedMs;
     this.downSinceMs.set(instanceId, sinceMs);
@@ -59,6 +60,12 @@
     if (ReplacementMonitor.mayEndUnreplaced(target)) this.endRuns(target, 'listed-down');
   }
 
+  /** Closes a target that no report is asked of, until it has answered one. */
+  private static closeIdle(target: FleetTarget, requestedMs: number): void {
+    if (target.runs.size > 0 || target.reportedMs >= requestedMs) return;
+    Object.assign(target, { isConfirmed: false });
+  }
+
   /**
    * Whether no start order may still be executed. The next process may have the same id, and would
    * accept an order that was meant for this one. All runs end together, as the cause of the crash is
