--- a/packages/coordinator/src/PoolController.ts
+++ b/packages/coordinator/src/PoolController.ts
@@ -327,6 +327,7 @@
     const capacity =
       present[0]?.capacity ?? orders.instances[0]?.capacity ?? new ResourceVector(1, 0, 0);
     const poolTargets = targets.ofPool(poolId);
+    const open = poolTargets.filter((target) => target.isOpen(clock.monotonicMs()));
     return {
       poolId,
       ...demand.needed(poolId, poolTargets, capacity),
@@ -334,9 +335,12 @@
       targetsForSuspects: demand.targetsForSuspects(poolId),
       hasHadTurn: this.forecast.hasHadTurn(poolId),
       isRising: this.rising.isRising(poolId, clock.monotonicMs()),
-      hasLongRunningWaiting: demand.hasLongRunningWaiting(poolId) || relocationLacksRoom(poolId),
+      lacksPlace:
+        demand.hasLongRunningWaiting(poolId) ||
+        demand.hasTaskWithoutPlace(poolId, open, capacity) ||
+        relocationLacksRoom(poolId),
       instanceCount: present.length,
-      openCount: poolTargets.filter((target) => target.isOpen(clock.monotonicMs())).length,
+      openCount: open.length,
       capacity,
     };
   }
@@ -349,14 +353,15 @@
 
   /**
    * Whether the instance takes tasks or soon will. False while it is down, while it is emptied for
-   * upkeep, while its zone is evacuated or while its target does not answer.
+   * upkeep, while its zone is evacuated or while its target drains or does not answer.
    */
   private countsTowardsSize(instance: FleetInstance): boolean {
     const { instanceId, targetId, state } = instance;
     if (state === 'down' || this.isExcluded(instance)) return false;
     if (this.deps.orders.hasOrder(instanceId) || this.pendingMoves.has(instanceId)) return true;
     const target = this.deps.targets.get(targetId);
-    return target === undefined || (!target.isReserved && target.consecutiveFailures === 0);
+    if (!target) return true;
+    return !target.isReserved && !target.isDraining && target.consecutiveFailures === 0;
   }
 
   private isAvailable(instance: FleetInstance): boolean {
