Tasks that have settled don't join the suspects of their queue again

Callers saw accepted jobs with nothing running for many seconds while instances had room. Cause: while a queue is suspected, all its waiting tasks start as suspects, also those that had settled and were lost when a later suspect took their target down.

A task remembers that it has settled, until a target crashes right after it has started the task, and then starts beside the pool's other work.

The test of QueueCaution fails without the condition.

--- a/packages/coordinator/src/QueueCaution.test.ts
+++ b/packages/coordinator/src/QueueCaution.test.ts
@@ -59,6 +59,25 @@
     t.notOk(fixture.isCautious());
   });
 
+  it('leaves out tasks that have settled and were lost with their target later', (t) => {
+    // Fails if the tasks that each crash sets back join those that wait for an isolated target.
+    const fixture = new CautionFixture(3);
+    const step = fixture.accept('lost').occurrences.get(0)!.steps[0]!;
+    const settled = fixture.start(fixture.jobs.get('lost')!.job, 't2');
+    settled.place.task.clearSuspicion(false);
+    fixture.work(1_000);
+    fixture.crash('t2');
+    fixture.silenceAfterStart('t0');
+    fixture.clock.advance(600);
+    fixture.silenceAfterStart('t1');
+    t.ok(fixture.isCautious());
+    fixture.caution.apply({ entry: fixture.jobs.get('lost')!, step } as unknown as QueuedStep);
+    t.same(
+      step.waitingTasks.map(({ isSuspect }) => isSuspect),
+      [false],
+    );
+  });
+
   it('leaves out targets whose runs had been at work for a while', (t) => {
     const fixture = new CautionFixture(2);
     ['t0', 't1'].forEach((targetId) => fixture.start(fixture.accept(targetId), targetId));
--- a/packages/coordinator/src/QueueCaution.ts
+++ b/packages/coordinator/src/QueueCaution.ts
@@ -68,12 +68,13 @@
     this.updateQueues(nowMs);
   }
 
-  /** Makes suspects of the waiting tasks of the step while its queue is suspected. */
+  /** Makes suspects of the waiting tasks of the step that have not settled, while its queue is suspected. */
   apply({ entry, step }: QueuedStep): void {
-    const isCautious = this.suspectedQueues.has(entry.job.definition.queueId);
-    step.waitingTasks
-      .filter((task) => task.isCautious !== isCautious)
-      .forEach((task) => Object.assign(task, { isCautious }));
+    const isSuspected = this.suspectedQueues.has(entry.job.definition.queueId);
+    step.waitingTasks.forEach((task) => {
+      const isCautious = isSuspected && !task.hasSettled;
+      if (task.isCautious !== isCautious) Object.assign(task, { isCautious });
+    });
   }
 
   private recordSign(target: FleetTarget, atMs: number): void {
--- a/packages/jobdesk/src/suspectBacklog.test.ts
+++ b/packages/jobdesk/src/suspectBacklog.test.ts
@@ -22,6 +22,10 @@
 /** Jobs that are submitted together with each one that crashes targets. */
 const NEIGHBOURS = 6;
 
+/** Jobs that crash targets and others, of each ten that are submitted together. */
+const DEADLY_OF_TEN = 3;
+const OTHERS_OF_TEN = 7;
+
 const TASK_INDEXES = [0, 1, 2];
 
 /** Several targets have crashed by then, in milliseconds. */
@@ -88,12 +92,30 @@
     void world.submit(`n${round}-${index}`, { steps });
 }
 
-async function assertNoneWaits(t: Test, seed: number, periodMs: number): Promise<void> {
+/** Submits ten jobs, three of which crash targets. */
+function submitTen(world: JobWorld, round: number): void {
+  const steps = [{ taskCount: TASK_INDEXES.length, cpuMilli: 150 }];
+  for (let index = 0; index < DEADLY_OF_TEN; index += 1)
+    void world.submit(`deadly${round}-${index}`, { spec: `${DEADLY_PREFIX}0`, steps });
+  for (let index = 0; index < OTHERS_OF_TEN; index += 1)
+    void world.submit(`n${round}-${index}`, { steps });
+}
+
+interface Play {
+  readonly seed: number;
+  readonly periodMs: number;
+  readonly submitJobs?: (world: JobWorld, round: number) => void;
+}
+
+async function assertNoneWaits(
+  t: Test,
+  { seed, periodMs, submitJobs = submitRound }: Play,
+): Promise<void> {
   const world = await createWorld({ seed, targetCount: 0, instanceCount: 6, spareCount: 30 });
   const meter = new WaitMeter(world);
   let open: string[] = [];
   for (let elapsedMs = 0; elapsedMs < PLAY_MS + FINISH_MS; elapsedMs += POLL_MS) {
-    if (elapsedMs < PLAY_MS && elapsedMs % periodMs === 0) submitRound(world, elapsedMs);
+    if (elapsedMs < PLAY_MS && elapsedMs % periodMs === 0) submitJobs(world, elapsedMs);
     await world.run(POLL_MS - ANSWER_MS);
     open = await openJobs(world);
     meter.record(open);
@@ -148,7 +170,17 @@
 describe('jobs that are caught in the crashes of targets', () => {
   [1_000, 500, 250].forEach((periodMs) => {
     it(`do not wait for each other at a crash each ${periodMs} ms`, async (t) => {
-      for (let seed = 1; seed <= 4; seed += 1) await assertNoneWaits(t, seed, periodMs);
+      for (let seed = 1; seed <= 4; seed += 1) await assertNoneWaits(t, { seed, periodMs });
+    });
+  });
+});
+
+describe('jobs of a queue in which three of ten crash their targets', () => {
+  [1_000, 500].forEach((periodMs) => {
+    it(`do not wait for each other with ten jobs each ${periodMs} ms`, async (t) => {
+      // Fails if cleared tasks that a later suspect takes down start as suspects again.
+      const play = { periodMs, submitJobs: submitTen };
+      for (let seed = 1; seed <= 3; seed += 1) await assertNoneWaits(t, { seed, ...play });
     });
   });
 });
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -76,6 +76,12 @@
   /** A target may have crashed because it started the task. Not kept by a new owner. */
   private isSuspected = false;
 
+  /**
+   * A target has run the task for a while without a crash, and none has crashed since right after it
+   * started the task. Not kept by a new owner.
+   */
+  hasSettled = false;
+
   /** Whether the task starts as a suspect because of what other tasks of its queue seem to do. */
   isCautious = false;
 
@@ -148,7 +154,9 @@
   recordCrash({ isEarly, isCounted }: RunCrash): void {
     if (isCounted) this.crashes += 1;
     if (isEarly && isCounted) this.earlyCrashes += 1;
-    if (isEarly) this.isSuspected = true;
+    if (!isEarly) return;
+    this.isSuspected = true;
+    this.hasSettled = false;
   }
 
   /**
@@ -159,6 +167,7 @@
   clearSuspicion(isLongRunning: boolean): boolean {
     this.isSuspected = false;
     this.isCautious = false;
+    this.hasSettled = true;
     if (isLongRunning) this.crashes = 0;
     const isStored = this.earlyCrashes > 0 || this.runs.some(({ isAlone }) => isAlone === true);
     if (!isStored) return false;
