A crash with a likely cause doesn't count against tasks that had settled

Callers saw jobs shown as failed that crash nothing. Cause: the fifth crash of its targets gives a task up whatever the cause, and a task that has settled on an isolated target is under the crash of each suspect that starts there next.

If the suspects of exactly one job had started alone on the target, they are the likely cause, and the crash isn't counted for runs that had settled. Crashes without such a suspect count as before.

--- a/packages/coordinator/src/CrashHandler.test.ts
+++ b/packages/coordinator/src/CrashHandler.test.ts
@@ -141,6 +141,20 @@
     t.equal(job.status, 'failed');
   });
 
+  it('counts no crash against a settled task beside a suspect that had just started alone', (t) => {
+    // Fails if a task is given up at its fifth crash although another one is the likely cause of each.
+    const fixture = new RunFixture(5);
+    const job = fixture.accept('a');
+    for (let index = 0; index < 5; index += 1) {
+      fixture.start(job, `t${index}`);
+      fixture.work(5_000);
+      Object.assign(fixture.start(fixture.accept(`b${index}`), `t${index}`), { isAlone: true });
+      fixture.crash(`t${index}`);
+    }
+    t.equal(job.status, 'running');
+    t.equal(job.find(0, 0, 0)?.task.crashes, 0);
+  });
+
   it('does not count targets that drained or were emptied, as they end as planned', (t) => {
     const fixture = new RunFixture(2);
     const job = fixture.accept('a');
--- a/packages/coordinator/src/CrashHandler.ts
+++ b/packages/coordinator/src/CrashHandler.ts
@@ -59,7 +59,9 @@
       const { isAlone, isConfirmed } = live;
       const isEarly = suspects.includes(live);
       const { task } = live.place;
-      const isCounted = isConfirmed || isAlone;
+      // A suspect that had only just started alone is the likely cause, not what had settled before it.
+      const isExcused = aloneJobs.size === 1 && !isEarly;
+      const isCounted = (isConfirmed || isAlone) && !isExcused;
       task.recordCrash({ isEarly, isCounted });
       task.recordAvoidedTarget(live.targetId);
       const isOnlyAlone = isAlone && aloneJobs.size === 1;
--- a/packages/jobdesk/src/suspectBacklog.test.ts
+++ b/packages/jobdesk/src/suspectBacklog.test.ts
@@ -85,6 +85,18 @@
   });
 }
 
+/** Jobs shown as failed that crash no target. */
+async function givenUpOthers(world: JobWorld): Promise<string[]> {
+  const jobIds = [...world.accepted].filter((jobId) => !jobId.startsWith('deadly'));
+  const asked = jobIds.map((jobId) => world.stateOf(jobId));
+  await world.run(ANSWER_MS);
+  const replies = await Promise.all(asked);
+  return jobIds.filter((_, index) => {
+    const reply = replies[index];
+    return reply?.kind === 'state' && reply.status === 'failed';
+  });
+}
+
 function submitRound(world: JobWorld, round: number): void {
   const steps = [{ taskCount: TASK_INDEXES.length, cpuMilli: 150 }];
   void world.submit(`deadly${round}`, { spec: `${DEADLY_PREFIX}0`, steps });
@@ -104,14 +116,16 @@
 interface Play {
   readonly seed: number;
   readonly periodMs: number;
+  readonly runtimeMs?: number;
   readonly submitJobs?: (world: JobWorld, round: number) => void;
 }
 
 async function assertNoneWaits(
   t: Test,
-  { seed, periodMs, submitJobs = submitRound }: Play,
+  { seed, periodMs, runtimeMs = 600, submitJobs = submitRound }: Play,
 ): Promise<void> {
-  const world = await createWorld({ seed, targetCount: 0, instanceCount: 6, spareCount: 30 });
+  const fleet = { targetCount: 0, instanceCount: 6, spareCount: 30 };
+  const world = await createWorld({ seed, runtimeMs, ...fleet });
   const meter = new WaitMeter(world);
   let open: string[] = [];
   for (let elapsedMs = 0; elapsedMs < PLAY_MS + FINISH_MS; elapsedMs += POLL_MS) {
@@ -123,6 +137,7 @@
   const { longestMs } = meter;
   t.ok(longestMs <= CRASH_PROVEN_MS + MAX_WAIT_MS, `seed ${seed}: waits ${longestMs} ms`);
   t.same(open, [], `seed ${seed}: every job ends in time`);
+  t.same(await givenUpOthers(world), [], `seed ${seed}: no job is given up that crashes none`);
   t.same(world.observer.broken, [], `seed ${seed}: no guarantee violated`);
 }
 
@@ -183,4 +198,10 @@
       for (let seed = 1; seed <= 3; seed += 1) await assertNoneWaits(t, { seed, ...play });
     });
   });
+
+  it('are not given up for the crashes of others', async (t) => {
+    // Fails if a cleared task is blamed for each suspect that crashes its target later.
+    const play = { periodMs: 500, runtimeMs: 1_200, submitJobs: submitTen };
+    for (let seed = 1; seed <= 3; seed += 1) await assertNoneWaits(t, { seed, ...play });
+  });
 });
