The successor of an owner that stops decodes, connects and warms up beforehand

Cause: after its claim the successor decodes and adopts for 0.19 s, opens up to four connections to each of 250 targets, and runs code that is not compiled yet: a collect of the queue takes 4.8 ms (0.5 ms on the former owner), a hold 0.2 ms (0.02). Turns of its event loop take 0.1 to 0.5 s, and each append several.

Change: while the owner still serves, the successor decodes the jobs (JobDecoder keeps what it has decoded by the buffer of the record), asks each target for its report in the owner's name over two connections, which extends no lease and acknowledges nothing (TargetConnector), and runs a coordinator on its copy for a second, whose records and orders go nowhere (WarmUp, LoopbackPort). The owner waits 2 s for all that at most, and a third of its grace.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -24,6 +24,7 @@
 import { EvacuationController } from './EvacuationController.js';
 import { HealthMonitor } from './HealthMonitor.js';
 import { JobCallHandler } from './JobCallHandler.js';
+import { type JobDecoder } from './JobDecoder.js';
 import { type JobCall, type JobReply, type JobService } from './JobService.js';
 import { JobScheduler } from './JobScheduler.js';
 import { JobTable } from './JobTable.js';
@@ -83,6 +84,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
+  /** Has decoded records of the journal ahead. */
+  readonly decoder?: JobDecoder;
   /** Total time that the event loop of the process was busy, in milliseconds. */
   readonly busyMs?: () => number;
 }
@@ -142,7 +145,7 @@
     const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
     this.runtimeRecord = new RuntimeRecord(estimates, deps);
-    this.jobs = new JobTable(ownership, clock, meter);
+    this.jobs = new JobTable(ownership, clock, meter, deps.decoder);
     const { maxLeaseMs, evacuateMs } = options;
     const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock, evacuateMs);
     this.zoneEvacuation = evacuation;
@@ -269,11 +272,14 @@
   }
 
   private restore(owned: OwnedJournal): void {
+    const { clock, logger } = this.deps;
+    const startedMs = clock.monotonicMs();
     const unreadable = this.jobs.restore(owned.records);
     const adopted = this.runTracker.adoptJournaled();
     this.restoreDecisions(owned);
-    this.deps.logger.info('coordinator-started', {
+    logger.info('coordinator-started', {
       epoch: owned.epoch,
+      tookMs: Math.round(clock.monotonicMs() - startedMs),
       jobs: this.jobs.activeCount,
       adoptedRuns: adopted,
       unreadable,
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -2,12 +2,10 @@
 import { type Clock, type WorkMeter } from '@acaciadock/core';
 import { Job, JobCodec, type JobDefinition, type JobStatus } from '@acaciadock/jobs';
 import { type CommitOutcome, type StoredRecord } from '@acaciadock/journal';
+import { DEFINITION_PREFIX, JobDecoder, PROGRESS_PREFIX } from './JobDecoder.js';
 import { JobEntry } from './JobEntry.js';
 import { type Ownership } from './Ownership.js';
 
-const DEFINITION_PREFIX = 'definition/';
-const PROGRESS_PREFIX = 'progress/';
-
 export class JobTable {
   private readonly entries = new Map<string, JobEntry>();
 
@@ -18,6 +16,7 @@
     private readonly ownership: Ownership,
     private readonly clock: Clock,
     private readonly meter: WorkMeter,
+    private readonly decoder = new JobDecoder(),
   ) {}
 
   /** All jobs, including finished ones that are retained. */
@@ -130,10 +129,12 @@
   }
 
   private restoreOne(jobId: string, definition: Buffer, progress: Buffer | undefined): boolean {
-    const decoded = JobCodec.decodeDefinition(definition);
+    const decoded = this.decoder.definitionOf(definition);
     if (decoded.isErr() || decoded.value.jobId !== jobId) return false;
     const job = new Job(decoded.value);
-    if (progress && JobCodec.restoreProgress(job, progress).isErr()) return false;
+    const recorded = progress && this.decoder.progressOf(progress);
+    if (recorded?.isErr()) return false;
+    if (recorded?.isOk()) JobCodec.applyProgress(job, recorded.value);
     const entry = new JobEntry(job);
     entry.durableStatus = job.status;
     this.entries.set(job.jobId, entry);
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -46,6 +46,9 @@
 /** Minimum time from the last claim to a handover to a much stronger member, in milliseconds. */
 const HANDOVER_DELAY_MS = 1_500;
 
+/** Share of the time until a process that stops ends in which the successor may prepare. */
+const PREPARATION_GRACE_SHARE = 1 / 3;
+
 /** Minimum uptime before an entry claims if there was never an owner, in milliseconds. */
 const FIRST_CLAIM_DELAY_MS = 900;
 
@@ -151,10 +154,15 @@
     }
   }
 
-  /** Releases the journal and leaves the group, so that the successor can claim at once. */
-  async leave(): Promise<void> {
+  /**
+   * Releases the journal and leaves the group, so that the successor can claim at once. It may prepare
+   * for that during a part of `graceMs`, after which this process ends.
+   */
+  async leave(graceMs = Infinity): Promise<void> {
     this.isLeaving = true;
-    if (this.ownership?.isActive) await this.ownershipRelease.prepareSuccessor(this.ownership);
+    const maxMs = graceMs * PREPARATION_GRACE_SHARE;
+    if (this.ownership?.isActive)
+      await this.ownershipRelease.prepareSuccessor(this.ownership, maxMs);
     this.dispose();
     await this.release('shutdown');
     await this.deps.group.leave(this.self);
--- a/packages/jobdesk/src/OwnershipRelease.ts
+++ b/packages/jobdesk/src/OwnershipRelease.ts
@@ -10,7 +10,7 @@
 import { type OwnerDirectory, type OwnerDirectoryDeps } from './OwnerDirectory.js';
 
 /** Maximum time for which an owner that is to stop waits for its successor, in milliseconds. */
-const MAX_PREPARATION_MS = 1_500;
+const MAX_PREPARATION_MS = 2_000;
 
 /** Interval at which the successor is asked how far it has come, in milliseconds. */
 const PREPARATION_POLL_MS = 50;
@@ -58,11 +58,11 @@
    * Lets the successor read the journal while this owner still serves. Returns once it has done so or
    * has failed to, or if it doesn't answer for too long.
    */
-  async prepareSuccessor(ownership: Ownership): Promise<void> {
+  async prepareSuccessor(ownership: Ownership, maxMs = MAX_PREPARATION_MS): Promise<void> {
     const { directory, deps, announcer, self } = this;
     const known = { ...announcer.noticeOf(ownership.epoch, false), isEnding: true };
     const startedMs = deps.clock.monotonicMs();
-    const untilMs = startedMs + MAX_PREPARATION_MS;
+    const untilMs = startedMs + Math.min(maxMs, MAX_PREPARATION_MS);
     let preparation: Preparation | undefined = 'pending';
     while (ownership.isActive && preparation === 'pending' && deps.clock.monotonicMs() < untilMs) {
       // Another member may have become the successor meanwhile.
--- a/packages/jobdesk/src/SuccessionPreparation.ts
+++ b/packages/jobdesk/src/SuccessionPreparation.ts
@@ -21,7 +21,11 @@
   readonly clock: Clock;
   readonly logger: Logger;
   /** Prepares what else can be done before the claim, until the signal is aborted. */
-  readonly prepare?: (records: readonly StoredRecord[], signal: AbortSignal) => Promise<void>;
+  readonly prepare?: (
+    records: readonly StoredRecord[],
+    ownerEpoch: number,
+    signal: AbortSignal,
+  ) => Promise<void>;
 }
 
 export class SuccessionPreparation extends Disposable {
@@ -50,7 +54,7 @@
     if (epoch !== this.epoch) {
       this.drop();
       this.epoch = epoch;
-      void this.prepare(this.abort.signal);
+      void this.prepare(epoch, this.abort.signal);
     }
     return this.state;
   }
@@ -70,9 +74,8 @@
     this.state = 'pending';
   }
 
-  private async prepare(signal: AbortSignal): Promise<void> {
+  private async prepare(epoch: number, signal: AbortSignal): Promise<void> {
     const { log, clock, logger } = this.deps;
-    const { epoch } = this;
     const startedMs = clock.monotonicMs();
     const loaded = await JournalCopy.load(log, clock, signal);
     if (signal.aborted) return;
@@ -83,7 +86,7 @@
     const copy = loaded.value;
     this.copy = copy;
     const following = this.follow(copy, signal);
-    await this.deps.prepare?.(copy.records, signal);
+    await this.deps.prepare?.(copy.records, epoch, signal);
     if (signal.aborted || this.copy !== copy) return;
     this.state = 'ready';
     const tookMs = Math.round(clock.monotonicMs() - startedMs);
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -8,8 +8,10 @@
   type InstanceFleet,
   type JobCall,
   type JobReply,
+  TargetConnector,
   type TargetRegistry,
   type UpkeepWave,
+  WarmUp,
 } from '@acaciadock/coordinator';
 import {
   PausableClock,
@@ -70,6 +72,10 @@
 
   private readonly election: Election;
 
+  private readonly warmUp: WarmUp;
+
+  private readonly connector: TargetConnector;
+
   private coordinator: Coordinator | undefined;
 
   private isIsolated = false;
@@ -105,38 +111,49 @@
       log: new SimulatedLog(store, clock, this.storeFaults),
       clock,
       logger,
+      prepare: async (records, ownerEpoch, signal) => {
+        await Promise.all([
+          this.connector.connect(ownerEpoch, signal),
+          this.warmUp.run(records, signal),
+        ]);
+      },
     });
+    const options = {
+      maxLeaseMs: MAX_LEASE_MS,
+      keepFinishedMs: KEEP_FINISHED_MS,
+      holderId: entryId,
+      bootMs: self.bootMs,
+      hasProcessExited: () => false,
+      orderSeparationMs: 3_000,
+      upkeepMs: 2_000,
+      ordersPerS: environment.ordersPerS,
+      evacuateMs: environment.evacuateMs,
+      moveMs: 1_500,
+      refusesOverload: environment.refusesOverload,
+    };
+    const context = {
+      registry: { list: () => this.listTargets() },
+      waves: () => environment.waves,
+      evacuationRequests: () => this.evacuationRequests,
+      clock,
+      config: () => config,
+    };
+    this.warmUp = new WarmUp(options, context);
+    this.connector = new TargetConnector(context.registry, this.port);
     this.election.onOwned(({ ownership, owned, hasPreviousOwnerStopped }) => {
       this.coordinator = new Coordinator(
         owned,
+        { ...options, hasPreviousOwnerStopped },
         {
-          hasPreviousOwnerStopped,
-          maxLeaseMs: MAX_LEASE_MS,
-          keepFinishedMs: KEEP_FINISHED_MS,
-          holderId: entryId,
-          bootMs: self.bootMs,
-          hasProcessExited: () => false,
-          orderSeparationMs: 3_000,
-          upkeepMs: 2_000,
-          ordersPerS: environment.ordersPerS,
-          evacuateMs: environment.evacuateMs,
-          moveMs: 1_500,
-          refusesOverload: environment.refusesOverload,
-        },
-        {
+          ...context,
           ownership,
-          registry: { list: () => this.listTargets() },
           port: this.port,
           advice: {
             advise: () => Promise.resolve(err({ kind: 'advice-unavailable', detail: 'none' })),
           },
           fleet: environment.fleet,
           reports: { publish: () => Promise.resolve(ok(undefined)) },
-          waves: () => environment.waves,
-          evacuationRequests: () => this.evacuationRequests,
-          clock,
           logger,
-          config: () => config,
           busyMs: () => clock.monotonicMs() * environment.ownerBusyShare,
         },
       );
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -51,7 +51,7 @@
 
 type TaskEntry = z.infer<typeof taskEntrySchema>;
 type OccurrenceEntry = z.infer<typeof occurrenceEntrySchema>;
-type ProgressRecord = z.infer<typeof progressSchema>;
+export type ProgressRecord = z.infer<typeof progressSchema>;
 
 function parse<T>(bytes: Buffer, schema: z.ZodType<T>): Result<T, RecordUnreadable> {
   try {
@@ -102,19 +102,27 @@
     return Buffer.from(JSON.stringify(record));
   },
 
-  /** Applies recorded progress to a job that was created from its definition. */
+  decodeProgress(bytes: Buffer): Result<ProgressRecord, RecordUnreadable> {
+    return parse(bytes, progressSchema);
+  },
+
   restoreProgress(job: Job, bytes: Buffer): Result<Job, RecordUnreadable> {
     return parse(bytes, progressSchema).map((record) => {
-      Object.assign(job, { status: record.status, finishedUnixMs: record.finishedUnixMs });
-      record.ended.forEach((index) => job.endedOccurrences.add(index));
-      record.occurrences.forEach((entry) => {
-        // Opens this occurrence and all earlier ones that have not ended.
-        if (!job.occurrences.has(entry.index)) job.openDue(entry.dueUnixMs);
-        entry.tasks.forEach((task) => {
-          job.find(entry.index, task.step, task.index)?.task.restore(task);
-        });
-      });
+      JobCodec.applyProgress(job, record);
       return job;
     });
   },
+
+  /** Applies recorded progress to a job that was created from its definition. */
+  applyProgress(job: Job, record: ProgressRecord): void {
+    Object.assign(job, { status: record.status, finishedUnixMs: record.finishedUnixMs });
+    record.ended.forEach((index) => job.endedOccurrences.add(index));
+    record.occurrences.forEach((entry) => {
+      // Opens this occurrence and all earlier ones that have not ended.
+      if (!job.occurrences.has(entry.index)) job.openDue(entry.dueUnixMs);
+      entry.tasks.forEach((task) => {
+        job.find(entry.index, task.step, task.index)?.task.restore(task);
+      });
+    });
+  },
 } as const;
