Admission counts the suspects that a new job would wait for

Callers handed in jobs that were accepted and waited up to 22 s after a crash with nothing running, long after their results had lost all value. Cause: admission predicts the wait from the work that a pass left without room.

A pass reports the time that the waiting suspects need at best, and a new job of a suspected queue is refused at once, with Retry-After, if it would be worthless by then. Jobs of other queues are admitted as before, and all are while a spare instance could be moved.

--- a/packages/coordinator/src/AdmissionController.test.ts
+++ b/packages/coordinator/src/AdmissionController.test.ts
@@ -62,8 +62,9 @@
     remainingMs: RUNTIME_MS,
     isBeyondShare: false,
   } as unknown as QueuedStep;
-  controller.refresh(POOL_ID, [waiting], new RejectedSizes());
-  controller.refusalFor(DEFINITION);
+  const rejectedSizes = new RejectedSizes();
+  controller.refresh(POOL_ID, { blocked: [waiting], rejectedSizes, suspectWaitMs: 0 });
+  controller.refusalFor(DEFINITION, false);
   return logged[0]?.roomCpuMilli;
 }
 
--- a/packages/coordinator/src/AdmissionController.ts
+++ b/packages/coordinator/src/AdmissionController.ts
@@ -39,6 +39,16 @@
   readonly refusesOverload: boolean;
 }
 
+/** What a pass over a pool has left waiting. */
+export interface PassOutcome {
+  /** Steps without room. */
+  readonly blocked: readonly QueuedStep[];
+  /** Task sizes that found no room. */
+  readonly rejectedSizes: RejectedSizes;
+  /** Time until the waiting suspects have started, at best, in milliseconds. */
+  readonly suspectWaitMs: number;
+}
+
 export interface AdmissionControllerDeps {
   readonly estimates: RuntimeEstimates;
   readonly targets: TargetTable;
@@ -61,17 +71,18 @@
     this.policy = new AdmissionPolicy(options.moveMs);
   }
 
-  /** Records what a pass over the pool left without room. */
-  refresh(poolId: string, blocked: readonly QueuedStep[], rejectedSizes: RejectedSizes): void {
+  /** Records what a pass over the pool left waiting. */
+  refresh(poolId: string, { blocked, rejectedSizes, suspectWaitMs }: PassOutcome): void {
     const atMs = this.deps.clock.monotonicMs();
-    if (blocked.length === 0) {
+    if (blocked.length === 0 && suspectWaitMs === 0) {
       this.loads.delete(poolId);
       return;
     }
     if (atMs - (this.loads.get(poolId)?.atMs ?? -Infinity) < REFRESH_MS) return;
     const backlog = new PoolBacklog();
     blocked.forEach((queued) => this.addTo(backlog, queued));
-    this.loads.set(poolId, { atMs, room: this.roomOf(poolId), backlog, rejectedSizes });
+    const room = this.roomOf(poolId);
+    this.loads.set(poolId, { atMs, room, backlog, rejectedSizes, suspectWaitMs });
   }
 
   hasReturned(jobId: string): boolean {
@@ -79,13 +90,13 @@
   }
 
   /** Milliseconds after which the caller may return, if the job is refused because of load. */
-  refusalFor(definition: JobDefinition): number | undefined {
+  refusalFor(definition: JobDefinition, startsAsSuspect: boolean): number | undefined {
     const { clock, config } = this.deps;
     const poolId = config().queue(definition.queueId)?.poolId ?? definition.poolId;
     const load = this.loads.get(poolId);
     if (!load || !this.options.refusesOverload || !this.isPredictable(definition)) return undefined;
     const nowMs = clock.monotonicMs();
-    const job = this.candidateOf(definition);
+    const job = { ...this.candidateOf(definition), startsAsSuspect };
     const admission = this.policy.decide(job, load, nowMs, clock.unixMs());
     this.log(definition, poolId, job, load, admission);
     if (admission.decision.kind === 'admitted') return undefined;
@@ -127,7 +138,7 @@
     return !step.filler && !step.gang && step.requiredLabel === '' && step.mostPerTarget === 0;
   }
 
-  private candidateOf(definition: JobDefinition): JobCandidate {
+  private candidateOf(definition: JobDefinition): Omit<JobCandidate, 'startsAsSuspect'> {
     const { queueId, teamId, spec, acceptedUnixMs, isBeyondShare } = definition;
     const { chainMs, objectiveMs } = plannedTimesOf(definition, (step) =>
       this.deps.estimates.meanMs(queueId, step.estimatedRuntimeMs),
--- a/packages/coordinator/src/JobCallHandler.test.ts
+++ b/packages/coordinator/src/JobCallHandler.test.ts
@@ -41,7 +41,12 @@
       onEnd: () => ({ dispose: () => {} }),
     },
     admission: { refusalFor: () => 2_000, hasReturned: () => false },
-    scheduler: { openDue: () => {}, poolOf: () => 'p', requestPassFor: () => {} },
+    scheduler: {
+      isSuspected: () => false,
+      openDue: () => {},
+      poolOf: () => 'p',
+      requestPassFor: () => {},
+    },
     demand: { recordArrival: () => {} },
     clock: new ManualClock(),
     logger: new SilentLogger(),
--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -128,7 +128,8 @@
    */
   private refusalFor(definition: JobDefinition): number | undefined {
     if (!this.deps.ownership.isProven) return undefined;
-    return this.deps.admission.refusalFor(definition);
+    const startsAsSuspect = this.deps.scheduler.isSuspected(definition.queueId);
+    return this.deps.admission.refusalFor(definition, startsAsSuspect);
   }
 
   private accept(definition: JobDefinition): JobEntry {
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -12,6 +12,7 @@
 import { type JobsConfigView, type TaskPlace, type TaskState } from '@acaciadock/jobs';
 import {
   type IsolationDemand,
+  IsolationPolicy,
   QueueOrder,
   RejectedSizes,
   type RuntimeEstimates,
@@ -128,6 +129,11 @@
     this.deps.config().config.pools.forEach((pool) => this.requestPass(pool.poolId));
   }
 
+  /** Whether the tasks of new jobs of the queue start as suspects of crashing targets. */
+  isSuspected(queueId: string): boolean {
+    return this.caution.isSuspected(queueId);
+  }
+
   /** The pool that runs the job: that of its queue, else the one it was accepted for. */
   poolOf(entry: JobEntry): string {
     return this.stepCollector.poolOf(entry);
@@ -222,7 +228,8 @@
     );
     this.suspects.record(poolId, this.startable(steps), open);
     demand.recordWaiting(poolId, blocked, this.suspects.jobCount(poolId));
-    admission.refresh(poolId, blocked, rejectedSizes);
+    const suspectWaitMs = IsolationPolicy.waitMs(this.suspects.jobCount(poolId), open.length);
+    admission.refresh(poolId, { blocked, rejectedSizes, suspectWaitMs });
     if (sharePass) shares.recordDenied(sharePass, blocked);
   }
 }
--- a/packages/coordinator/src/QueueCaution.ts
+++ b/packages/coordinator/src/QueueCaution.ts
@@ -70,13 +70,18 @@
 
   /** Makes suspects of the waiting tasks of the step that have not settled, while its queue is suspected. */
   apply({ entry, step }: QueuedStep): void {
-    const isSuspected = this.suspectedQueues.has(entry.job.definition.queueId);
+    const isSuspected = this.isSuspected(entry.job.definition.queueId);
     step.waitingTasks.forEach((task) => {
       const isCautious = isSuspected && !task.hasSettled;
       if (task.isCautious !== isCautious) Object.assign(task, { isCautious });
     });
   }
 
+  /** Whether new tasks of the queue start as suspects. */
+  isSuspected(queueId: string): boolean {
+    return this.suspectedQueues.has(queueId);
+  }
+
   private recordSign(target: FleetTarget, atMs: number): void {
     const early = [...target.runs.values()].filter(
       (live) => live.isEarly && live.phase !== 'planned',
--- a/packages/jobdesk/src/suspectBacklog.test.ts
+++ b/packages/jobdesk/src/suspectBacklog.test.ts
@@ -205,3 +205,20 @@
     for (let seed = 1; seed <= 3; seed += 1) await assertNoneWaits(t, { seed, ...play });
   });
 });
+
+describe('jobs of such a queue in a fleet without spare instances', () => {
+  it('are accepted only as far as they can start, and end in time', async (t) => {
+    // Fails if admission sees no work that waits, as suspects wait for isolated targets and not for room.
+    for (let seed = 1; seed <= 2; seed += 1) {
+      const world = await createWorld({ seed, targetCount: 0, instanceCount: 16 });
+      for (let elapsedMs = 0; elapsedMs < PLAY_MS; elapsedMs += 500) {
+        submitTen(world, elapsedMs);
+        await world.run(500);
+      }
+      await world.run(FINISH_MS);
+      t.same(await openJobs(world), [], `seed ${seed}: every accepted job ends in time`);
+      t.same(await givenUpOthers(world), [], `seed ${seed}: no job is given up that crashes none`);
+      t.same(world.observer.broken, [], `seed ${seed}: no guarantee violated`);
+    }
+  });
+});
--- a/packages/placement/src/AdmissionPolicy.test.ts
+++ b/packages/placement/src/AdmissionPolicy.test.ts
@@ -30,6 +30,7 @@
   remainingMs: 1_000,
   isBeyondShare: false,
   hasReturned: false,
+  startsAsSuspect: false,
   teamId: 'own',
   firstSteps: [STEP as StepSpec],
   weightOf: () => 1,
@@ -49,9 +50,16 @@
   readonly job?: Partial<JobCandidate>;
   readonly room?: Partial<PoolRoom> | 'unknown';
   readonly ageMs?: number;
+  readonly suspectWaitMs?: number;
 }
 
-function decide({ waiting, job = {}, room = {}, ageMs = 0 }: Case): JobAdmission {
+function decide({
+  waiting,
+  job = {},
+  room = {},
+  ageMs = 0,
+  suspectWaitMs = 0,
+}: Case): JobAdmission {
   const backlog = new PoolBacklog();
   waiting.forEach(([seconds, change]) =>
     backlog.add({ ...OWN_IN_TIME, ...change }, cores(10_000), seconds * 1_000),
@@ -64,6 +72,7 @@
     room: room === 'unknown' ? undefined : { ...known, ...room },
     backlog,
     rejectedSizes,
+    suspectWaitMs,
   };
   return new AdmissionPolicy(MOVE_MS).decide({ ...JOB, ...job }, load, NOW_MS, NOW_UNIX_MS);
 }
@@ -95,6 +104,21 @@
     'that has returned, before new jobs': { waiting: [[90, {}]], job: { hasReturned: true } },
     'before work of lower priority': { waiting: [[90, { priority: 2 }]] },
     'while a spare instance could be moved': { waiting: [[90, {}]], room: { spareCount: 1 } },
+    'that starts as a suspect within its value': {
+      waiting: [],
+      job: { startsAsSuspect: true },
+      suspectWaitMs: 4_900,
+    },
+    'that starts as a suspect, while a spare instance could be moved': {
+      waiting: [],
+      job: { startsAsSuspect: true },
+      suspectWaitMs: 5_100,
+      room: { spareCount: 1 },
+    },
+    'that starts as no suspect, however many suspects wait': {
+      waiting: [],
+      suspectWaitMs: 90_000,
+    },
     'while the instances are unknown': { waiting: [[90, {}]], room: 'unknown' },
     'when the last pass is too long ago': { waiting: [[90, {}]], ageMs: 301 },
     'smaller than what found no room': {
@@ -136,6 +160,11 @@
         [9, other],
       ],
     },
+    'that starts as a suspect behind too many others': {
+      waiting: [],
+      job: { startsAsSuspect: true },
+      suspectWaitMs: 5_100,
+    },
     'if even the instances that move are too few': {
       waiting: [[30, {}]],
       room: { movable: cores(60_000) },
@@ -155,7 +184,7 @@
     const rejectedSizes = new RejectedSizes();
     rejectedSizes.note(STEP as StepSpec);
     const room = { present: cores(10_000), movable: cores(0), spareCount: 0 };
-    const load = { atMs: NOW_MS, room, backlog, rejectedSizes };
+    const load = { atMs: NOW_MS, room, backlog, rejectedSizes, suspectWaitMs: 0 };
     const delays = [1, 2].map(() => policy.decide(JOB, load, NOW_MS, NOW_UNIX_MS).decision);
     t.same(delays, [
       { kind: 'late', retryAfterMs: 2_000 },
--- a/packages/placement/src/AdmissionPolicy.ts
+++ b/packages/placement/src/AdmissionPolicy.ts
@@ -4,7 +4,8 @@
  * ahead of the job in the order of `QueueOrder` and `FairShares` is served by all the room that the
  * pool has and can get. Later arrivals, restarts and fragments of instances are left out, all of
  * which would make the wait longer. Work in flight is left out as well, as about as much is in flight
- * when the job starts; only room held by long-running tasks isn't expected to become free.
+ * when the job starts; only room held by long-running tasks isn't expected to become free. A job whose
+ * tasks start as suspects of crashing targets also waits for those before it, whatever room there is.
  */
 import { type AdmissionDecision, admitWithin, fluidWaitMs } from '@acaciadock/core';
 import { type StepSpec } from '@acaciadock/jobs';
@@ -44,11 +45,15 @@
   readonly backlog: PoolBacklog;
   /** Task sizes that found no room. */
   readonly rejectedSizes: RejectedSizes;
+  /** Time until the suspects that wait for isolated targets have started, at best, in milliseconds. */
+  readonly suspectWaitMs: number;
 }
 
 /** A new job, in the terms of its first steps. */
 export interface JobCandidate extends WaitingStep {
   readonly hasReturned: boolean;
+  /** Its tasks start as suspects of crashing targets, after those that wait, whatever room there is. */
+  readonly startsAsSuspect: boolean;
   readonly teamId: string;
   readonly firstSteps: readonly StepSpec[];
   readonly weightOf: (teamId: string) => number;
@@ -105,12 +110,17 @@
   ): JobAdmission {
     const room = load?.room;
     if (!load || !room || nowMs - load.atMs > MAX_AGE_MS) return NOT_PREDICTED;
-    // A size that was not rejected may fit now.
-    if (!job.firstSteps.every((step) => load.rejectedSizes.excludes(step))) return NOT_PREDICTED;
     const budgetMs =
       job.objectiveUnixMs + job.objectiveMs * (WORTHLESS_FACTOR - 1) - job.remainingMs - nowUnixMs;
     const couldMoveSpare = room.spareCount > 0 && this.moveMs <= budgetMs;
     if (couldMoveSpare || budgetMs <= 0) return NOT_PREDICTED;
+    const { suspectWaitMs } = load;
+    if (job.startsAsSuspect && suspectWaitMs > budgetMs) {
+      const decision = admitWithin(suspectWaitMs, budgetMs, RETRY_AFTER);
+      return this.spread({ ...NOT_PREDICTED, decision, predictedWaitMs: suspectWaitMs, budgetMs });
+    }
+    // A size that was not rejected may fit now.
+    if (!job.firstSteps.every((step) => load.rejectedSizes.excludes(step))) return NOT_PREDICTED;
     const portion = AdmissionPolicy.portionOf(job, load.backlog);
     const urgency = job.isBeyondShare ? 'beyond-share' : 'in-time';
     const predict = (ofClass: 'in-time' | 'late' | 'beyond-share'): JobAdmission => {
--- a/packages/placement/src/IsolationPolicy.ts
+++ b/packages/placement/src/IsolationPolicy.ts
@@ -13,6 +13,8 @@
 /** Suspects may take at least this part of a pool's open targets, however much other work waits. */
 const MIN_SHARE = 0.34;
 
+const MS_PER_S = 1_000;
+
 /** What waits in a pool. */
 export interface IsolationDemand {
   /** Jobs with suspects that wait for a target. */
@@ -29,6 +31,11 @@
     return Math.ceil(suspectJobs / JOBS_PER_TARGET);
   }
 
+  /** Time until the suspects of all the jobs have started if no target crashes, in milliseconds. */
+  static waitMs(suspectJobs: number, openTargets: number): number {
+    return (suspectJobs * MS_PER_S) / (JOBS_PER_TARGET * Math.max(1, openTargets));
+  }
+
   /** Number of targets that may be kept for suspects; at least one while suspects wait. */
   static maxTargets({ suspectJobs, otherSteps, openTargets }: IsolationDemand): number {
     if (suspectJobs === 0) return 0;
