--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -154,6 +154,11 @@
     return this.election.isOwner;
   }
 
+  /** The coordinator while this entry owns the journal. */
+  get ownedCoordinator(): Coordinator | undefined {
+    return this.isOwner ? this.coordinator : undefined;
+  }
+
   /** Calls this entry's coordinator; undefined if it has none or is paused. */
   call(call: JobCall): Promise<JobReply> | undefined {
     if (!this.isOwner || this.clock.isPaused) return undefined;
