The time for a preparation depends on when the stopping entry refuses calls

Cause: an entry that stops refuses calls 2 s before its end. With a grace of 3 s, as in the soak, a preparation of a third of it ends only then, so the callers that wait for the new owner at this entry are refused.

That this was the cause is suspected, not shown.

Change: half of the time until calls are refused: 2 s of a grace of 6 s as before, 0.5 s of one of 3 s.

--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -46,8 +46,8 @@
 /** Minimum time from the last claim to a handover to a much stronger member, in milliseconds. */
 const HANDOVER_DELAY_MS = 1_500;
 
-/** Share of the time until a process that stops ends in which the successor may prepare. */
-const PREPARATION_GRACE_SHARE = 1 / 3;
+/** Share of the time until a process that stops refuses calls in which the successor may prepare. */
+const PREPARATION_SHARE = 1 / 2;
 
 /** Minimum uptime before an entry claims if there was never an owner, in milliseconds. */
 const FIRST_CLAIM_DELAY_MS = 900;
@@ -156,11 +156,11 @@
 
   /**
    * Releases the journal and leaves the group, so that the successor can claim at once. It may prepare
-   * for that during a part of `graceMs`, after which this process ends.
+   * for that during a part of `servingMs`, after which this process takes no more calls.
    */
-  async leave(graceMs = Infinity): Promise<void> {
+  async leave(servingMs = Infinity): Promise<void> {
     this.isLeaving = true;
-    const maxMs = graceMs * PREPARATION_GRACE_SHARE;
+    const maxMs = servingMs * PREPARATION_SHARE;
     if (this.ownership?.isActive)
       await this.ownershipRelease.prepareSuccessor(this.ownership, maxMs);
     this.dispose();
