A call that a relay can't send doesn't end its process

A call with an address from which no URL can be made makes the port reject, and nothing handled that: an unhandled rejection ends the process, on every relay of such a target. The relay now answers that the outcome is unknown. The test failed before with 'Invalid URL'.

--- a/packages/jobdesk/src/relay/RelaySession.test.ts
+++ b/packages/jobdesk/src/relay/RelaySession.test.ts
@@ -81,6 +81,14 @@
     t.same(port.starts, []);
   });
 
+  it('answers a call that can not be sent at all', async (t) => {
+    // Fails if a malformed address ends the process of the relay.
+    const { port, session, timeOf, repliesAfter } = createSession();
+    port.start = () => Promise.reject(new Error('Invalid URL'));
+    session.handle({ echo: timeOf(), calls: [{ callId: 1, call: START }], forgotten: [] });
+    t.match(await repliesAfter(10), [{ reply: { failure: { kind: 'unknown-outcome' } } }]);
+  });
+
   it('answers a malformed call without harm to the others', async (t) => {
     const { port, session, timeOf, repliesAfter } = createSession();
     const calls = [
--- a/packages/jobdesk/src/relay/RelaySession.ts
+++ b/packages/jobdesk/src/relay/RelaySession.ts
@@ -80,7 +80,13 @@
       this.reply(callId, { kind: 'failed', failure });
       return;
     }
-    void this.execute(parsed).then((reply) => this.reply(callId, reply));
+    void this.execute(parsed).then(
+      (reply) => this.reply(callId, reply),
+      (cause: unknown) => {
+        const failure: OrderFailure = { kind: 'unknown-outcome', detail: String(cause) };
+        this.reply(callId, { kind: 'failed', failure });
+      },
+    );
   }
 
   private async execute({ kind, target, request }: TargetCall): Promise<TargetReply> {
