A relay's failure of an unknown kind says nothing of the start

The owner took any failure kind but the known ambiguous ones for proof that a start was not carried out, and would start the task again. A kind that only another version knows is now left out like other malformed replies, so that its call ends as one without a reply. The test failed before.

--- a/packages/jobdesk/src/relay/RelayMessages.ts
+++ b/packages/jobdesk/src/relay/RelayMessages.ts
@@ -6,6 +6,7 @@
   type HoldReport,
   type HoldRequest,
   type OrderFailure,
+  type OrderFailureKind,
   type OrderReceipt,
   type PaceOrder,
   type RunningTask,
@@ -128,6 +129,24 @@
   'alone',
 ]);
 
+const FAILURE_KINDS: Record<OrderFailureKind, true> = {
+  fenced: true,
+  'stale-run': true,
+  late: true,
+  'no-room': true,
+  'ticket-refused': true,
+  'other-lifetime': true,
+  unhealthy: true,
+  unreachable: true,
+  invalid: true,
+  'unknown-outcome': true,
+};
+
+/** A kind that only another version knows doesn't say whether the call was carried out. */
+function isFailure(failure: Partial<OrderFailure> | undefined): boolean {
+  return typeof failure?.kind === 'string' && Object.hasOwn(FAILURE_KINDS, failure.kind);
+}
+
 function isEnded(row: Partial<HoldReport['ended'][number]> | null): boolean {
   if (!isNumber(row?.sequence) || typeof row.taskId !== 'string') return false;
   return isNumber(row.run) && LISTED_ENDS.has(row.end) && typeof row.checkpoint === 'string';
@@ -146,10 +165,7 @@
   if (reply?.kind === 'report') return isReport(reply.report as HoldReport | undefined);
   if (reply?.kind === 'receipt')
     return isNumber((reply.receipt as OrderReceipt | undefined)?.clockMs);
-  return (
-    reply?.kind === 'failed' &&
-    typeof (reply.failure as OrderFailure | undefined)?.kind === 'string'
-  );
+  return reply?.kind === 'failed' && isFailure(reply.failure as OrderFailure | undefined);
 }
 
 function isNumberedReply(row: unknown): row is NumberedReply {
