Targets whose reports come too late through their relay are called directly

A relay passes no batch on that is over 200 ms old. If messages between owner and relay take about 80 ms each way, or one side is that late, each request for a report expired and was repeated through the same relay at once: its link stays open and the target doesn't count as silent, so no report came, no lease was extended and no job completed. The same held for a target whose replies the owner can't read, which time out one by one. After two expired requests in a row, or one without a reply over an open link, the target is now called directly for a while. The test (messages of 110 ms) failed before: the job had not completed after 4 s.

--- a/packages/jobdesk/src/relay/RelayedTargetPort.ts
+++ b/packages/jobdesk/src/relay/RelayedTargetPort.ts
@@ -27,6 +27,9 @@
 }
 
 export class RelayedTargetPort extends TargetPort {
+  /** Targets whose last request for a report came too late at its relay. */
+  private readonly expiredTargets = new Set<string>();
+
   constructor(
     private readonly direct: TargetPort,
     private readonly relays: RelaySelection,
@@ -45,8 +48,13 @@
       request.waitMs + ORDER_TIMEOUT_MS,
     );
     // The request may acknowledge ends, which has to be decided anew after this time.
-    if (done.isErr()) return lost(done.error.reason);
+    if (done.isErr()) {
+      if (link.isOpen) this.relays.avoid(target.targetId);
+      return lost(done.error.reason);
+    }
     const reply = done.value;
+    if (reply.kind === 'expired') return this.expired(target);
+    this.expiredTargets.delete(target.targetId);
     if (reply.kind === 'failed') return this.failed(target, reply.failure);
     return reply.kind === 'report' ? ok(reply.report) : lost(reply.kind);
   }
@@ -73,6 +81,7 @@
   }
 
   override forget(target: TargetAddress): void {
+    this.expiredTargets.delete(target.targetId);
     this.relays.forget(target.targetId, target.address);
     this.direct.forget(target);
   }
@@ -92,6 +101,13 @@
     return reply.kind === 'receipt' ? ok(reply.receipt) : lost(reply.kind);
   }
 
+  /** One request may come late by chance; after two, the target could stay without a report. */
+  private expired({ targetId }: TargetAddress): Result<never, OrderFailure> {
+    if (this.expiredTargets.delete(targetId)) this.relays.avoid(targetId);
+    else this.expiredTargets.add(targetId);
+    return lost('expired');
+  }
+
   private failed({ targetId }: TargetAddress, failure: OrderFailure): Result<never, OrderFailure> {
     if (UNANSWERED_KINDS.has(failure.kind)) this.relays.avoid(targetId);
     return err(failure);
--- a/packages/jobdesk/src/relayedCalls.test.ts
+++ b/packages/jobdesk/src/relayedCalls.test.ts
@@ -3,7 +3,13 @@
 import { describe, it } from '@acaciadock/core/testing';
 import { type JobWorld, type JobWorldOptions } from './testing/JobWorld.js';
 import { runSchedule } from './testing/runSchedule.js';
-import { assertCompletes, createWorld, submit, TWO_STEPS } from './testing/takeoverHelpers.js';
+import {
+  assertCompletes,
+  createWorld,
+  statusOf,
+  submit,
+  TWO_STEPS,
+} from './testing/takeoverHelpers.js';
 
 const BUSY: Partial<JobWorldOptions> = { ownerBusyShare: 0.9, hasRelays: true };
 
@@ -81,6 +87,15 @@
     t.equal(world.observer.startsOf('a.0.0.0'), 1, 'run once');
   });
 
+  it('are made directly if messages to the relays take too long', async (t) => {
+    // Fails if no report arrives while each batch has expired on its arrival at an open relay.
+    const world = await createBusyWorld({ relayLatencyMs: 110 });
+    await submit(world, 'a', TWO_STEPS);
+    await world.run(4_000);
+    t.equal(await statusOf(world, 'a'), 'completed');
+    t.equal(world.observer.startsOf('a.0.0.0'), 1, 'run once');
+  });
+
   it('do not end runs or restart them when all relays are killed', async (t) => {
     const world = await createBusyWorld({ runtimeMs: 2_000 });
     await submit(world, 'a', TWO_STEPS);
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -59,6 +59,8 @@
   readonly ownerBusyShare: number;
   /** Whether other entries relay the calls of a busy owner to targets. */
   readonly hasRelays: boolean;
+  /** Time that a message between the owner and a relay takes. */
+  readonly relayLatencyMs: number;
   readonly logger: Logger;
 }
 
@@ -81,6 +83,7 @@
   evacuateMs: undefined,
   ownerBusyShare: 0,
   hasRelays: false,
+  relayLatencyMs: 2,
   logger: new SilentLogger(),
 };
 
@@ -135,6 +138,8 @@
 
   readonly hasRelays: boolean;
 
+  readonly relayLatencyMs: number;
+
   /** Upkeep waves that the operator has published. */
   readonly waves: UpkeepWave[] = [];
 
@@ -151,6 +156,7 @@
     this.refusesOverload = options.refusesOverload;
     this.ownerBusyShare = options.ownerBusyShare;
     this.hasRelays = options.hasRelays;
+    this.relayLatencyMs = options.relayLatencyMs;
     this.store = new SimulatedStore(this.clock, this.random);
     this.observer = new RunObserver(options.maxAttempts);
     this.config = new JobsConfigView(
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -61,6 +61,8 @@
   readonly ownerBusyShare: number;
   /** Whether other entries relay the calls of a busy owner to targets. */
   readonly hasRelays: boolean;
+  /** Time that a message between the owner and a relay takes. */
+  readonly relayLatencyMs: number;
   readonly logger: Logger;
 }
 
@@ -159,7 +161,7 @@
       busyMs: () => clock.monotonicMs() * environment.ownerBusyShare,
       createLink: (member) => {
         const peer = environment.entries.get(member.entryId) ?? this;
-        return new SimulatedRelayLink(this, peer, environment.clock, PEER_LATENCY_MS);
+        return new SimulatedRelayLink(this, peer, environment.clock, environment.relayLatencyMs);
       },
       wasPreviousBusy: false,
       clock,
