A pool does not grow for a task that its targets offer too little for

lacksPlace, meant for tasks that fit beside no long-running ones, was also set where no long-running task is the cause: a waiting task that fits an instance by its listed capacity but none of the targets, as they offer less at the time, asked for one instance more than are open, each time anew. The pool took one instance after the other and placed nothing: in virtual time 2 instances became 10 of 12 within 16 s. Now a target with long-running tasks must be large enough for the task. This also spares the comparison of each waiting step with each target in pools without long-running tasks. The test failed before.

--- a/packages/coordinator/src/RoomBesideLongRunning.ts
+++ b/packages/coordinator/src/RoomBesideLongRunning.ts
@@ -9,7 +9,13 @@
 export class RoomBesideLongRunning {
   private readonly emptied: readonly PlacementTarget[];
 
+  /** Capacities of the targets with long-running tasks; instances may have more than targets offer. */
+  private readonly occupied: readonly Resources[];
+
   constructor(targets: readonly FleetTarget[]) {
+    this.occupied = targets
+      .filter(({ longRunningCount }) => longRunningCount > 0)
+      .map(({ capacity }) => capacity);
     this.emptied = targets.map((target) => RoomBesideLongRunning.of(target));
   }
 
@@ -33,11 +39,15 @@
     };
   }
 
-  /** Whether a task that will end finds no place on the targets, but would on an empty instance. */
+  /**
+   * Whether a task that will end finds no place on the targets, but would on one of them without its
+   * long-running tasks, and on an empty instance.
+   */
   needsAnother(step: StepSpec, capacity: Resources): boolean {
     // Whether another instance would have the label, or the room for the whole gang, is unknown.
     if (step.longRunning || step.filler || step.gang || step.requiredLabel !== '') return false;
     if (!RoomBesideLongRunning.fitsInto(capacity, step)) return false;
+    if (!this.occupied.some((one) => RoomBesideLongRunning.fitsInto(one, step))) return false;
     // The other tasks of the step will end, too.
     const alone = { ...step, mostPerTarget: 0 };
     const request = { step: alone, stepId: '', avoidTargetId: '', onlyRackId: '' };
--- a/packages/jobdesk/src/poolSizes.test.ts
+++ b/packages/jobdesk/src/poolSizes.test.ts
@@ -67,6 +67,18 @@
     t.equal(world.runningCount, taskCount);
   });
 
+  it('does not grow for a task that instances offer too little capacity for', async (t) => {
+    // Fails if the pool takes one instance after the other, as each could hold the task by its listing.
+    const instanceCount = 2;
+    const world = await createWorld({ targetCount: 0, instanceCount, spareCount: 8 });
+    for (let round = 0; round < 1_000; round += 1) {
+      if (round === 200) void world.submit('j', { steps: [{ taskCount: 1, cpuMilli: 2_000 }] });
+      world.targets.forEach((target) => target.setCapacity(1_000));
+      await world.run(10);
+    }
+    t.ok((world.fleet?.countIn('pool') ?? 0) <= instanceCount);
+  });
+
   describe('with long-running tasks on every instance', () => {
     const instanceCount = 4;
 
