--- a/packages/jobdesk/src/relay/RelayedTargetPort.ts
+++ b/packages/jobdesk/src/relay/RelayedTargetPort.ts
@@ -93,10 +93,11 @@
     const link = this.relays.linkFor(call.target.targetId);
     if (!link) return sendDirectly();
     const done = await link.call(call, ORDER_TIMEOUT_MS);
-    if (done.isErr())
-      return done.error.kind === 'not-sent' ? sendDirectly() : lost(done.error.reason);
+    const isUnsent = done.isErr() ? done.error.kind === 'not-sent' : done.value.kind === 'expired';
+    // The ownership may have ended since the order was decided.
+    if (isUnsent && !this.relays.isDisposed) return sendDirectly();
+    if (done.isErr()) return lost(done.error.reason);
     const reply: TargetReply = done.value;
-    if (reply.kind === 'expired') return sendDirectly();
     if (reply.kind === 'failed') return this.failed(call.target, reply.failure);
     return reply.kind === 'receipt' ? ok(reply.receipt) : lost(reply.kind);
   }
