Suspects' predicted wait counts the instances that come; report timing and start checks in files of their own

A job whose tasks start as suspects was refused by the targets that are open at the moment, which are few at the start of a turn while instances move to the pool. The wait is now spread over what comes, as the room is.

--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -12,13 +12,15 @@
 } from '@acaciadock/execution';
 import { ok, type Result } from 'neverthrow';
 import { type CrashHandler } from './CrashHandler.js';
-import { FillerPacer, PACE_PERIOD_MS } from './FillerPacer.js';
+import { FillerPacer } from './FillerPacer.js';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
 import { type LoadMeter } from './LoadMeter.js';
 import { type Ownership } from './Ownership.js';
 import { ReportProcessor, type ReportResult } from './ReportProcessor.js';
+import { ReportTiming } from './ReportTiming.js';
 import { type RunTracker } from './RunTracker.js';
+import { startObstacleOf } from './startObstacleOf.js';
 
 /**
  * Length of a lease, in milliseconds, below the platform's maximum. It is long enough for runs to
@@ -26,22 +28,6 @@
  */
 export const LEASE_MS = 5_000;
 
-/** Long-poll time of a report, in milliseconds: the target may wait this long for a run to end. */
-const REPORT_WAIT_MS = 1_000;
-
-/**
- * Long-poll time while runs that are not long-running are on the target, in milliseconds. If a
- * report gets lost, no end is received until the loss is noticed. A shorter wait would send more
- * requests for little gain.
- */
-const SHORT_REPORT_WAIT_MS = 250;
-
-/**
- * Shortest long-poll time of a target that is kept for suspects of a crash, in milliseconds: it stays closed
- * to other tasks until a report shows its suspects at work for long enough.
- */
-const MIN_SUSPECT_REPORT_WAIT_MS = 50;
-
 /**
  * Ends are acknowledged only within this time after a report, in milliseconds. A target that has
  * not reported for longer may have restarted under the same id. The numbering of its ends has then
@@ -59,17 +45,6 @@
 /** Maximum wait for a report's ends to become durable before the next request, in milliseconds. */
 const COMMIT_WAIT_MS = 150;
 
-/**
- * Longest time from a report to the next request, in milliseconds, while the owner is busy. Ends that come
- * meanwhile share a report; each report costs the owner about as much as a start. It is well below
- * `MAX_REPORT_GAP_MS`, as an end that isn't acknowledged is reported again at once.
- */
-const MAX_GATHER_MS = 60;
-
-/** Busy share of the event loop from which reports are put off, and from which by the longest time. */
-const GATHER_FROM_SHARE = 0.6;
-const GATHER_MOST_SHARE = 0.9;
-
 /** Retry delay for a target that does not answer, in milliseconds. */
 const SILENT_RETRY_MS = 250;
 
@@ -82,14 +57,6 @@
 /** No tasks are placed this long after an `unhealthy` answer, in milliseconds. */
 const UNHEALTHY_PAUSE_MS = 1_500;
 
-type StartObstacle =
-  | 'ownership-unproven'
-  | 'target-silent'
-  | 'target-draining'
-  | 'zone-evacuated'
-  | 'target-reborn'
-  | 'capacity-shrunk';
-
 export interface TargetDriverDeps {
   readonly port: TargetPort;
   readonly runTracker: RunTracker;
@@ -109,11 +76,14 @@
 
   private readonly pacer: FillerPacer;
 
+  private readonly timing: ReportTiming;
+
   constructor(
     private readonly target: FleetTarget,
     private readonly deps: TargetDriverDeps,
   ) {
     super();
+    this.timing = new ReportTiming(target, deps.clock);
     this.pacer = new FillerPacer(target, {
       ...deps,
       log: (live, outcome) => this.log('pace', live, outcome),
@@ -138,7 +108,7 @@
     const { target } = this;
     const { port, clock, meter } = this.deps;
     if (!this.isCurrent(live) || live.phase !== 'planned') return;
-    const obstacle = this.obstacleTo(live);
+    const obstacle = startObstacleOf(live, target, this.deps.ownership);
     if (obstacle) {
       this.log('start', live, obstacle);
       this.deps.runTracker.stop(live);
@@ -156,22 +126,6 @@
     this.wake();
   }
 
-  /**
-   * Why a planned run must not be ordered any more: it may have taken seconds to record it, and what
-   * its placement rests on may have changed meanwhile. Undefined if nothing speaks against it.
-   */
-  private obstacleTo({ place, bornMs }: LiveRun): StartObstacle | undefined {
-    const { target } = this;
-    if (!this.deps.ownership.mayExtendLeases) return 'ownership-unproven';
-    if (target.consecutiveFailures > 0) return 'target-silent';
-    if (target.isDraining) return 'target-draining';
-    if (!target.mayStartInZone) return 'zone-evacuated';
-    // Another lifetime may be of another kind than the one for which the run was planned.
-    const isReborn = target.bornMs !== bornMs || target.hasUnknownLifetime;
-    if (isReborn || target.isListingOutdated) return 'target-reborn';
-    return target.isOverfilledFor(place.step.spec) ? 'capacity-shrunk' : undefined;
-  }
-
   /** Handles a start that may have reached a lifetime of the target that has not reported yet. */
   private checkLifetime(done: Result<OrderReceipt, OrderFailure>, sentAtMs: number): void {
     const { lease } = this.target;
@@ -227,30 +181,6 @@
     return isContinuous ? target.durableEnd : 0;
   }
 
-  private get needsPacing(): boolean {
-    return this.target.fillerCount > 0 && this.target.servingCount > 0;
-  }
-
-  private get reportWaitMs(): number {
-    const { target } = this;
-    const isSettled = target.durableEnd === target.processedEnd;
-    const mayWait = target.isConfirmed && isSettled && target.consecutiveFailures === 0;
-    if (!mayWait || target.runs.size === 0) return 0;
-    if (target.isIsolated) return this.suspectReportWaitMs;
-    if (target.runs.size > target.longRunningCount) return SHORT_REPORT_WAIT_MS;
-    return this.needsPacing ? PACE_PERIOD_MS : REPORT_WAIT_MS;
-  }
-
-  /** Time until the early runs of the target may count as settled. */
-  private get suspectReportWaitMs(): number {
-    const nowMs = this.deps.clock.monotonicMs();
-    const early = [...this.target.runs.values()].filter(({ isEarly }) => isEarly);
-    if (early.length === 0) return SHORT_REPORT_WAIT_MS;
-    const settledMs = Math.max(...early.map(({ settledAfterMs }) => settledAfterMs));
-    const waitMs = Math.max(MIN_SUSPECT_REPORT_WAIT_MS, Math.ceil(settledMs - nowMs));
-    return Math.min(SHORT_REPORT_WAIT_MS, waitMs);
-  }
-
   private isCurrent(live: LiveRun): boolean {
     return this.target.runs.get(live.taskId) === live;
   }
@@ -267,25 +197,15 @@
 
   private async report(): Promise<void> {
     const lastSeenEnd = this.endToAcknowledge(this.deps.clock.monotonicMs());
-    const done = await this.requestReport(this.reportWaitMs, lastSeenEnd);
+    const done = await this.requestReport(this.timing.waitMs, lastSeenEnd);
     if (!this.isActive) return;
     if (done.isErr()) {
       await this.onReportFailed(done.error);
       return;
     }
     await this.awaitDurableEnds(done.value);
-    await this.gatherEnds();
-  }
-
-  /** While the owner is busy, lets further ends share the next report, unless suspects wait for it. */
-  private async gatherEnds(): Promise<void> {
-    const { target } = this;
-    const { clock, load } = this.deps;
-    if (target.runs.size === target.longRunningCount || target.isIsolated) return;
-    const excess = (load.busyShare - GATHER_FROM_SHARE) / (GATHER_MOST_SHARE - GATHER_FROM_SHARE);
-    const intervalMs = Math.min(1, excess) * MAX_GATHER_MS;
-    const waitMs = target.reportedMs + intervalMs - clock.monotonicMs();
-    if (waitMs > 0) await clock.sleep(waitMs);
+    const pauseMs = this.timing.pauseMs(this.deps.load.busyShare);
+    if (pauseMs > 0) await this.deps.clock.sleep(pauseMs);
   }
 
   /**
--- a/packages/placement/src/AdmissionPolicy.test.ts
+++ b/packages/placement/src/AdmissionPolicy.test.ts
@@ -115,6 +115,12 @@
       suspectWaitMs: 5_100,
       room: { spareCount: 1 },
     },
+    'that starts as a suspect, while as many instances move to the pool': {
+      waiting: [],
+      job: { startsAsSuspect: true },
+      suspectWaitMs: 5_100,
+      room: { movable: cores(10_000) },
+    },
     'that starts as no suspect, however many suspects wait': {
       waiting: [],
       suspectWaitMs: 90_000,
--- a/packages/placement/src/AdmissionPolicy.ts
+++ b/packages/placement/src/AdmissionPolicy.ts
@@ -114,7 +114,7 @@
       job.objectiveUnixMs + job.objectiveMs * (WORTHLESS_FACTOR - 1) - job.remainingMs - nowUnixMs;
     const couldMoveSpare = room.spareCount > 0 && this.moveMs <= budgetMs;
     if (couldMoveSpare || budgetMs <= 0) return NOT_PREDICTED;
-    const { suspectWaitMs } = load;
+    const suspectWaitMs = AdmissionPolicy.suspectWaitMs(load, room);
     if (job.startsAsSuspect && suspectWaitMs > budgetMs) {
       const decision = admitWithin(suspectWaitMs, budgetMs, RETRY_AFTER);
       return this.spread({ ...NOT_PREDICTED, decision, predictedWaitMs: suspectWaitMs, budgetMs });
@@ -136,6 +136,15 @@
     return this.spread(isLate ? predict('late') : first);
   }
 
+  /** Instances that move to the pool or could be moved there will take their part of the suspects. */
+  private static suspectWaitMs(
+    { suspectWaitMs }: PoolLoad,
+    { present, movable }: PoolRoom,
+  ): number {
+    const cpuMilli = present.cpuMilli + movable.cpuMilli;
+    return cpuMilli === 0 ? 0 : (suspectWaitMs * present.cpuMilli) / cpuMilli;
+  }
+
   /** Part of the pool that the team gets if all teams with waiting work want their part. */
   private static portionOf({ teamId, weightOf }: JobCandidate, backlog: PoolBacklog): number {
     const teamIds = backlog.teamIds.add(teamId);
