--- a/review/5/play.js
+++ b/review/5/play.js
@@ -1,44 +1,72 @@
 /**
- * An entry stands still while it has an unread submission. The client gives up and cancels through another
- * entry, which answers that there is no such submission. Then the first entry goes on.
+ * A submission is cancelled before the store has answered its append. The entry that owns the journal tells the
+ * client that it was not accepted, and that there is no such submission; the next owner runs it.
  */
 import { runCase, sleep } from '../harness/Deployment.js';
+import { SILENT } from '../harness/HttpStandIn.js';
 
-const FREEZE_MS = 3_500;
-const CLIENT_LIMIT_MS = 3_000;
-const CANCEL_MS = 3_000;
-const STOP_MS = 200;
+const OUTAGE_MS = 4_200;
+const CANCEL_AFTER_MS = 500;
 const CONTACT_MS = 3_000;
+const CANCEL_MS = 3_000;
 
-/** Calm time after the freeze in which the task has to be gone. */
-const CALM_MS = CONTACT_MS + CANCEL_MS + STOP_MS;
+/** Calm time after the outage, so that all machines are in touch again. */
+const CALM_MS = CONTACT_MS + 5_000;
+const WATCH_MS = 10_000;
+const RETRY_MS = 300;
+const ID = '00000000000000c1';
+const STEPS = [{ count: 2, cpu: 500, workMs: 1_500 }];
 
-const ID = '00000000000000e1';
-const STEPS = [{ count: 2, cpu: 1_000, workMs: 500, longRunning: true, mayMiss: 1 }];
+/** Fills all workers for a while, as each queue does in its turn of high demand. */
+const BUSY_ID = '00000000000000b1';
+const BUSY_STEPS = [{ count: 4, cpu: 16_000, workMs: 12_000 }];
+
+/** Sends the DELETE until it is confirmed; returns the time of the confirmation. */
+async function cancel(deployment, entry) {
+  for (;;) {
+    const { status } = await deployment.call(entry, 'DELETE', ID);
+    if (status === 200 || status === 410) return performance.now();
+    await sleep(RETRY_MS);
+  }
+}
 
 await runCase(import.meta.url, async (deployment, hasTrouble) => {
   await deployment.start();
+  const { store, record } = deployment;
   const owner = deployment.owner();
-  const [frozen, other] = deployment.entries.filter((entry) => entry !== owner);
-  await sleep(4_000);
+  const other = deployment.entries.find((entry) => entry !== owner);
+  const starts = [];
+  deployment.workers.forEach((worker) => {
+    Object.assign(worker, {
+      onStarted: ({ task, run }) =>
+        task.startsWith(ID) && starts.push({ name: `${task} run ${run}`, atMs: performance.now() }),
+    });
+  });
+  await deployment.submit(other, BUSY_ID, BUSY_STEPS);
+  await sleep(2_000);
   if (hasTrouble) {
-    frozen.signal('SIGSTOP');
-    setTimeout(() => frozen.signal('SIGCONT'), FREEZE_MS);
-  }
-  await deployment.submit(frozen, ID, STEPS, { timeoutMs: CLIENT_LIMIT_MS });
-  let confirmedMs = 0;
-  while (confirmedMs === 0) {
-    const { status } = await deployment.call(other, 'DELETE', ID);
-    if (status === 200 || status === 410) confirmedMs = performance.now();
-    else await sleep(300);
+    const backMs = performance.now() + OUTAGE_MS;
+    record('store-silent', { forMs: OUTAGE_MS });
+    store.intercept = () => (performance.now() < backMs ? SILENT : undefined);
+    setTimeout(() => record('store-back', {}), OUTAGE_MS);
+    await sleep(50);
   }
-  await sleep(FREEZE_MS + CALM_MS + 5_000);
-  const state = await deployment.stateOf(other, ID);
-  const running = deployment.runningOf(ID).map(({ task, run }) => `${task} run ${run}`);
-  const sinceMs = Math.round(performance.now() - confirmedMs);
-  deployment.record('end', { state, running, sinceMs });
-  return running.map(
-    (run) =>
-      `UNASKED: ${run} is still running ${sinceMs} ms after the cancelling was confirmed (state ${state})`,
-  );
+  const submitted = deployment.submit(other, ID, STEPS);
+  await sleep(CANCEL_AFTER_MS);
+  const [{ status }, cancelledMs] = await Promise.all([submitted, cancel(deployment, other)]);
+  record('cancelling-confirmed', { submitStatus: status });
+  await sleep(OUTAGE_MS + CALM_MS);
+  owner.signal('SIGTERM');
+  await sleep(WATCH_MS);
+  await deployment.stateOf(other, ID);
+  const isRefused = status === 429 || status === 503;
+  return starts
+    .filter(({ atMs }) => atMs - cancelledMs > CANCEL_MS)
+    .flatMap(({ name, atMs }) => {
+      const sinceMs = Math.round(atMs - cancelledMs);
+      const unasked = `UNASKED: ${name} started ${sinceMs} ms after the cancelling was confirmed`;
+      return isRefused
+        ? [unasked, `REFUSED: ${name} started; the only attempt to submit was answered ${status}`]
+        : [unasked];
+    });
 });
