--- a/review/5/play.js
+++ b/review/5/play.js
@@ -49,7 +49,6 @@
     record('store-silent', { forMs: OUTAGE_MS });
     store.intercept = () => (performance.now() < backMs ? SILENT : undefined);
     setTimeout(() => record('store-back', {}), OUTAGE_MS);
-    await sleep(50);
   }
   const submitted = deployment.submit(other, ID, STEPS);
   await sleep(CANCEL_AFTER_MS);
