--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -226,6 +226,23 @@
     return successor !== undefined && isSameMember(successor, this.self);
   }
 
+  /**
+   * Whether this process follows one that owned the journal, and leaves the claim to an entry that has
+   * been up for longer and is there. A much weaker entry would hand the journal over to this one anyway.
+   */
+  private async yieldsAfterRestart(): Promise<boolean> {
+    const { directory, self } = this;
+    const owner = directory.notice?.owner;
+    if (!Succession.isRestart(self, owner)) return false;
+    const successor = directory.successorOf(owner);
+    if (!successor || isSameMember(successor, self)) return false;
+    if (Succession.isMuchStronger(self, successor)) return false;
+    // A member that has ended is listed for a while, and its entry may have started again.
+    const answer = await directory.queryPeer(successor);
+    if (!answer?.isServedByStore) return false;
+    return Succession.wasUpBefore(answer.process ?? successor, self);
+  }
+
   private async renew(): Promise<void> {
     this.pendingRenewals += 1;
     const view = await this.deps.group.join(this.self);
@@ -325,7 +342,8 @@
     if (!isDue && !isOwnNotice) return;
     if (nowMs - this.storeBackMs < REJOIN_GRACE_MS) return;
     this.lastOwnerCheckMs = nowMs;
-    if (await this.isOwnerGone()) void this.claim();
+    if (!(await this.isOwnerGone())) return;
+    if (!(await this.yieldsAfterRestart())) void this.claim();
   }
 
   private async isOwnerGone(): Promise<boolean> {
--- a/packages/jobdesk/src/OwnerDirectory.ts
+++ b/packages/jobdesk/src/OwnerDirectory.ts
@@ -45,7 +45,11 @@
   /** Epochs whose owner has announced its release. */
   private readonly releasedEpochs = new Set<number>();
 
-  private lastListedMs = -Infinity;
+  /** Monotonic time of the last listing; undefined before the first one. */
+  private lastListedMs: number | undefined;
+
+  /** Whether the membership has changed since the last listing. */
+  private isListOutdated = true;
 
   private lastRefreshMs = -Infinity;
 
@@ -86,9 +90,15 @@
     return this.members.some((other) => isSameMember(other, member));
   }
 
-  /** Returns the member to claim after the previous owner, or undefined if there is none. */
+  /**
+   * Returns the member to claim after the previous owner, or undefined if there is none. Before the first
+   * listing nobody knows whether a restarted owner is alone.
+   */
   successorOf(previousOwner: GroupMember | undefined): GroupMember | undefined {
-    return Succession.successor(this.candidates, previousOwner);
+    const successor = Succession.successor(this.candidates, previousOwner);
+    const isUnlisted = this.lastListedMs === undefined;
+    if (isUnlisted && successor && Succession.isRestart(successor, previousOwner)) return undefined;
+    return successor;
   }
 
   /**
@@ -163,10 +173,9 @@
    * repeated at the next call, because the list determines the successor.
    */
   async refreshMembers(hasChanged: boolean): Promise<void> {
-    if (hasChanged) this.lastListedMs = -Infinity;
-    if (this.deps.clock.monotonicMs() - this.lastListedMs > MEMBERS_PERIOD_MS) {
-      await this.listMembers();
-    }
+    if (hasChanged) this.isListOutdated = true;
+    const ageMs = this.deps.clock.monotonicMs() - (this.lastListedMs ?? -Infinity);
+    if (this.isListOutdated || ageMs > MEMBERS_PERIOD_MS) await this.listMembers();
   }
 
   /** Reads the list of live members; returns false if the store does not answer. */
@@ -175,6 +184,7 @@
     if (members.isErr()) return false;
     this.members = members.value;
     this.lastListedMs = this.deps.clock.monotonicMs();
+    this.isListOutdated = false;
     members.value.forEach((member) => this.recordProcess(member));
     return true;
   }
--- a/packages/jobdesk/src/Succession.test.ts
+++ b/packages/jobdesk/src/Succession.test.ts
@@ -17,6 +17,13 @@
     t.equal(Succession.successor(members, { ...member('b', 1_350), bootMs: 0 })?.entryId, 'a');
   });
 
+  it('falls back to a later process of the previous owner if nobody else is there', (t) => {
+    // Fails if the choice leaves out the entry in place of its process: nobody may claim then.
+    const previous = { ...member('b', 1_350), bootMs: 0 };
+    t.equal(Succession.successor([member('b', 1_350)], previous)?.bootMs, 1);
+    t.equal(Succession.successor([previous], previous), undefined, 'not the process itself');
+  });
+
   it('does not depend on the order of the list', (t) => {
     const members = [member('c', 675), member('a', 675), member('b', 675)];
     t.equal(Succession.successor(members, undefined)?.entryId, 'a');
--- a/packages/jobdesk/src/Succession.ts
+++ b/packages/jobdesk/src/Succession.ts
@@ -3,7 +3,7 @@
  * pools, so the member with the most CPU capacity is preferred. The choice is deterministic: every
  * member makes the same one from the same list.
  */
-import { type GroupMember } from '@acaciadock/journal';
+import { type EntryProcess, type GroupMember, isSameMember } from '@acaciadock/journal';
 
 /** A member counts as much stronger from this many times the CPU capacity of the other on. */
 const MUCH_STRONGER_RATIO = 1.5;
@@ -14,18 +14,43 @@
  */
 const STRONGER_START_WAIT_MS = 1_000;
 
+/** After a loss of all power the processes start within this time of each other, in milliseconds. */
+const START_SPREAD_MS = 1_000;
+
 export class Succession {
-  /** Returns the member to claim after the previous owner, or undefined if there is none. */
+  /**
+   * Returns the member to claim after the previous owner, or undefined if there is none. Only the process
+   * that owned the journal is left out: a later process of its entry comes last, so that an entry whose
+   * process crashes again and again gets the journal back only if nobody else is there.
+   */
   static successor(
     members: readonly GroupMember[],
     previousOwner: GroupMember | undefined,
   ): GroupMember | undefined {
-    return members
-      .filter((member) => member.entryId !== previousOwner?.entryId)
+    const isOfOtherEntry = ({ entryId }: GroupMember): boolean =>
+      entryId !== previousOwner?.entryId;
+    const others = members.filter(isOfOtherEntry);
+    const laterProcesses = members.filter((member) => Succession.isRestart(member, previousOwner));
+    return Succession.strongest(others) ?? Succession.strongest(laterProcesses);
+  }
+
+  /** Whether the member is another process of the previous owner's entry. */
+  static isRestart(member: GroupMember, previousOwner: GroupMember | undefined): boolean {
+    if (member.entryId !== previousOwner?.entryId) return false;
+    return !isSameMember(member, previousOwner);
+  }
+
+  private static strongest(members: readonly GroupMember[]): GroupMember | undefined {
+    return [...members]
       .sort((a, b) => b.cpuMilli - a.cpuMilli || a.entryId.localeCompare(b.entryId))
       .at(0);
   }
 
+  /** Whether the process was up before the other started, and not only a part of the same restart. */
+  static wasUpBefore(process: EntryProcess, other: EntryProcess): boolean {
+    return other.bootMs - process.bootMs > START_SPREAD_MS;
+  }
+
   /** Whether a change of owner from the other to this member is worthwhile. */
   static isMuchStronger(member: GroupMember, other: GroupMember): boolean {
     return member.cpuMilli >= other.cpuMilli * MUCH_STRONGER_RATIO;
