The progress of jobs with many tasks is journaled in parts

Cause: the progress of all tasks of a job is one record. The store refuses one of more than 262,144 bytes, and the writer repeats that append without end. Change: a job that may have more than 800 open tasks has them in records of 256 tasks, of which only the changed ones are written. They are deleted after the record that makes them obsolete is durable. Ended occurrences of such a job are ranges, 2,000 are open at most, and a specification that would not fit into a record is refused with 400. The simulated store refuses records that are too large. The test of 100,000 occurrences now restores all records of the job, as one no longer has them all.

--- a/packages/coordinator/src/JobDecoder.ts
+++ b/packages/coordinator/src/JobDecoder.ts
@@ -5,11 +5,13 @@
 import {
   JobCodec,
   type JobDefinition,
+  type PartRecord,
   type ProgressRecord,
   type RecordUnreadable,
 } from '@acaciadock/jobs';
 import { type StoredRecord } from '@acaciadock/journal';
 import { type Result } from 'neverthrow';
+import { PART_PREFIX } from './PartRecords.js';
 
 export const DEFINITION_PREFIX = 'definition/';
 export const PROGRESS_PREFIX = 'progress/';
@@ -22,6 +24,8 @@
 
   private readonly progress = new WeakMap<Buffer, Result<ProgressRecord, RecordUnreadable>>();
 
+  private readonly parts = new WeakMap<Buffer, Result<PartRecord, RecordUnreadable>>();
+
   /** Decodes the records that are kept by whoever passes them. */
   async decodeAhead(records: readonly StoredRecord[]): Promise<void> {
     for (let start = 0; start < records.length; start += RECORDS_PER_TURN) {
@@ -44,9 +48,16 @@
     return decoded;
   }
 
+  partOf(value: Buffer): Result<PartRecord, RecordUnreadable> {
+    const decoded = this.parts.get(value) ?? JobCodec.decodePart(value);
+    this.parts.set(value, decoded);
+    return decoded;
+  }
+
   private decode({ key, value }: StoredRecord): void {
     if (!value) return;
     if (key.startsWith(DEFINITION_PREFIX)) this.definitionOf(value);
     if (key.startsWith(PROGRESS_PREFIX)) this.progressOf(value);
+    if (key.startsWith(PART_PREFIX)) this.partOf(value);
   }
 }
--- a/packages/coordinator/src/JobEntry.ts
+++ b/packages/coordinator/src/JobEntry.ts
@@ -1,5 +1,5 @@
 /** A job in the job table (not an entry process), with the state of its commits to the journal. */
-import { type Job, type JobStatus } from '@acaciadock/jobs';
+import { type Job, type JobStatus, type ProgressPart } from '@acaciadock/jobs';
 import { type CommitOutcome } from '@acaciadock/journal';
 
 export class JobEntry {
@@ -18,5 +18,8 @@
   /** The job was refused because of load before it was accepted. */
   hasReturned = false;
 
+  /** The parts of its progress that are journaled, by key. */
+  readonly storedParts = new Map<string, ProgressPart>();
+
   constructor(readonly job: Job) {}
 }
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -1,10 +1,30 @@
 /** All known jobs by id, and their records in the journal. */
 import { type Clock, type WorkMeter } from '@acaciadock/core';
-import { Job, JobCodec, type JobDefinition, type JobStatus } from '@acaciadock/jobs';
+import {
+  Job,
+  JobCodec,
+  type JobDefinition,
+  type JobStatus,
+  type ProgressPart,
+} from '@acaciadock/jobs';
 import { type CommitOutcome, type StoredRecord } from '@acaciadock/journal';
 import { DEFINITION_PREFIX, JobDecoder, PROGRESS_PREFIX } from './JobDecoder.js';
 import { JobEntry } from './JobEntry.js';
 import { type Ownership } from './Ownership.js';
+import { PartRecords } from './PartRecords.js';
+
+/** The records of one job in the journal. */
+interface JobRecords {
+  readonly definition: Buffer;
+  readonly progress: Buffer | undefined;
+  readonly parts: readonly StoredPart[];
+}
+
+interface StoredPart {
+  readonly key: string;
+  readonly part: ProgressPart;
+  readonly value: Buffer;
+}
 
 export class JobTable {
   private readonly entries = new Map<string, JobEntry>();
@@ -12,12 +32,16 @@
   /** Jobs that have not finished. */
   private readonly active = new Map<string, JobEntry>();
 
+  private readonly partRecords: PartRecords;
+
   constructor(
     private readonly ownership: Ownership,
     private readonly clock: Clock,
     private readonly meter: WorkMeter,
     private readonly decoder = new JobDecoder(),
-  ) {}
+  ) {
+    this.partRecords = new PartRecords(ownership, meter);
+  }
 
   /** All jobs, including finished ones that are retained. */
   get allJobs(): IterableIterator<JobEntry> {
@@ -40,15 +64,20 @@
   restore(records: readonly StoredRecord[]): string[] {
     const unreadable: string[] = [];
     const progress = new Map<string, Buffer>();
+    const parts = new Map<string, StoredPart[]>();
     records.forEach(({ key, value }) => {
-      if (value && key.startsWith(PROGRESS_PREFIX)) {
-        progress.set(key.slice(PROGRESS_PREFIX.length), value);
-      }
+      if (!value) return;
+      if (key.startsWith(PROGRESS_PREFIX)) progress.set(key.slice(PROGRESS_PREFIX.length), value);
+      const named = PartRecords.parseKey(key);
+      if (!named) return;
+      const { jobId, part } = named;
+      parts.set(jobId, [...(parts.get(jobId) ?? []), { key, part, value }]);
     });
     records.forEach(({ key, value }) => {
       if (!value || !key.startsWith(DEFINITION_PREFIX)) return;
       const jobId = key.slice(DEFINITION_PREFIX.length);
-      if (!this.restoreOne(jobId, value, progress.get(jobId))) unreadable.push(jobId);
+      const stored = { definition: value, progress: progress.get(jobId), parts: parts.get(jobId) };
+      if (!this.restoreOne(jobId, { ...stored, parts: stored.parts ?? [] })) unreadable.push(jobId);
     });
     return unreadable;
   }
@@ -76,6 +105,7 @@
     if (!writer.withdraw(`${DEFINITION_PREFIX}${jobId}`)) return false;
     const progressKey = `${PROGRESS_PREFIX}${jobId}`;
     if (!writer.withdraw(progressKey)) void writer.write(progressKey, () => undefined);
+    this.partRecords.withdraw(entry);
     this.entries.delete(jobId);
     this.active.delete(jobId);
     Object.assign(entry, { isWithdrawn: true });
@@ -95,7 +125,9 @@
       writtenStatus = job.status;
       return this.meter.measure('encoding', () => JobCodec.encodeProgress(job));
     };
+    if (job.hasParts) this.partRecords.writeChanged(entry);
     const commit = isNew ? writer.create(key, encode) : writer.write(key, encode);
+    this.removeObsoleteParts(entry, commit);
     if (job.isFinished) {
       this.active.delete(job.jobId);
       this.trimDefinition(entry);
@@ -107,13 +139,22 @@
     });
   }
 
+  private removeObsoleteParts(entry: JobEntry, commit: Promise<CommitOutcome>): void {
+    const obsolete = PartRecords.obsoleteOf(entry);
+    if (obsolete.length === 0) return;
+    void commit.then((outcome) => {
+      if (outcome === 'durable') this.partRecords.remove(entry, obsolete);
+    });
+  }
+
   /** Drops finished jobs whose retention has passed. */
   dropFinished(keepMs: number): void {
     const nowMs = this.clock.unixMs();
     for (const [jobId, entry] of this.entries) {
-      const { job } = entry;
+      const { job, storedParts } = entry;
       if (!job.isFinished || nowMs - job.finishedUnixMs < keepMs) continue;
       this.entries.delete(jobId);
+      this.partRecords.remove(entry, [...storedParts.keys()]);
       void this.ownership.writer.write(`${DEFINITION_PREFIX}${jobId}`, () => undefined);
       void this.ownership.writer.write(`${PROGRESS_PREFIX}${jobId}`, () => undefined);
     }
@@ -132,7 +173,7 @@
     );
   }
 
-  private restoreOne(jobId: string, definition: Buffer, progress: Buffer | undefined): boolean {
+  private restoreOne(jobId: string, { definition, progress, parts }: JobRecords): boolean {
     const decoded = this.decoder.definitionOf(definition);
     if (decoded.isErr() || decoded.value.jobId !== jobId) return false;
     const job = new Job(decoded.value);
@@ -140,9 +181,22 @@
     if (recorded?.isErr()) return false;
     if (recorded?.isOk()) JobCodec.applyProgress(job, recorded.value);
     const entry = new JobEntry(job);
+    if (!this.restoreParts(entry, parts)) return false;
     entry.durableStatus = job.status;
     this.entries.set(job.jobId, entry);
     if (!job.isFinished) this.active.set(job.jobId, entry);
     return true;
   }
+
+  private restoreParts({ job, storedParts }: JobEntry, parts: readonly StoredPart[]): boolean {
+    for (const { key, part, value } of parts) {
+      const decoded = this.decoder.partOf(value);
+      if (decoded.isErr()) return false;
+      JobCodec.applyPart(job, part, decoded.value);
+      storedParts.set(key, part);
+    }
+    // What an earlier version stored as one record is journaled in parts at the next change.
+    if (parts.length > 0) job.takeChangedParts();
+    return true;
+  }
 }
--- a/packages/coordinator/src/testing/SimulatedStore.ts
+++ b/packages/coordinator/src/testing/SimulatedStore.ts
@@ -21,6 +21,9 @@
 /** Partitions of the group, which are distributed evenly over its members. */
 const PARTITION_COUNT = 64;
 
+/** The store refuses a record whose key and value exceed this, in bytes. */
+export const MAX_RECORD_BYTES = 262_144;
+
 /** Time limit of a call without an answer, in milliseconds. */
 export const CALL_TIMEOUT_MS = 2_000;
 
@@ -65,6 +68,10 @@
     if (at !== this.records.length) {
       return err({ kind: 'offset-mismatch', endOffset: this.records.length });
     }
+    const isTooLarge = records.some(
+      ({ key, value }) => key.length + (value?.length ?? 0) > MAX_RECORD_BYTES,
+    );
+    if (isTooLarge) return err({ kind: 'rejected', detail: 'record too large' });
     records.forEach((record) => this.records.push({ ...record, offset: this.records.length }));
     return ok(undefined);
   }
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -17,6 +17,7 @@
 } from '@acaciadock/coordinator';
 import { type Logger, ManualClock, Random, SilentLogger } from '@acaciadock/core';
 import {
+  type JobSchedule,
   jobsConfigSchema,
   JobsConfigView,
   jobSpecSchema,
@@ -97,6 +98,7 @@
 export interface JobInput {
   readonly spec?: string;
   readonly steps: readonly z.input<typeof stepSpecSchema>[];
+  readonly schedule?: JobSchedule;
 }
 
 const ENTRY_CPU_MILLI = 675;
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -4,6 +4,7 @@
  */
 import { type JobDefinition } from './JobSpec.js';
 import { Occurrence } from './Occurrence.js';
+import { MAX_TASKS_IN_RECORD, type ProgressPart } from './ProgressPart.js';
 import { type StepState } from './StepState.js';
 import { type TaskState } from './TaskState.js';
 
@@ -14,6 +15,9 @@
  */
 const MAX_OPEN_TASKS = 20_000;
 
+/** Maximum number of open occurrences of a scheduled job, which are listed in one record of the journal. */
+const MAX_OPEN_OCCURRENCES = 2_000;
+
 export type JobStatus = 'pending' | 'running' | 'completed' | 'failed' | 'cancelled';
 
 /**
@@ -53,7 +57,13 @@
   /** Caches `waitingSteps`; undefined after a change. */
   private knownWaitingSteps: readonly WaitingStepPlace[] | undefined;
 
+  /** Whether the progress of the tasks is stored in parts. */
+  readonly hasParts: boolean;
+
   constructor(public definition: JobDefinition) {
+    const repeatCount = definition.spec.schedule?.repeatCount ?? 1;
+    const openOccurrences = Math.min(repeatCount, this.maxOpenOccurrences);
+    this.hasParts = this.tasksPerOccurrence * openOccurrences > MAX_TASKS_IN_RECORD;
     if (!definition.spec.schedule) this.openOccurrence(0, definition.acceptedUnixMs);
   }
 
@@ -93,10 +103,25 @@
     return opened;
   }
 
+  private get tasksPerOccurrence(): number {
+    return this.definition.spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+  }
+
   private get maxOpenOccurrences(): number {
-    const { steps } = this.definition.spec;
-    const taskCount = steps.reduce((sum, step) => sum + step.taskCount, 0);
-    return Math.max(1, Math.floor(MAX_OPEN_TASKS / Math.max(1, taskCount)));
+    const byTasks = Math.floor(MAX_OPEN_TASKS / Math.max(1, this.tasksPerOccurrence));
+    return Math.max(1, Math.min(byTasks, MAX_OPEN_OCCURRENCES));
+  }
+
+  /** Returns the parts of open occurrences that have changed since the last call. */
+  takeChangedParts(): ProgressPart[] {
+    const changed: ProgressPart[] = [];
+    for (const { index: occurrence, steps } of this.occurrences.values()) {
+      for (const { index: step, changedParts } of steps) {
+        changedParts.forEach((part) => changed.push({ occurrence, step, part }));
+        changedParts.clear();
+      }
+    }
+    return changed;
   }
 
   find(occurrenceIndex: number, stepIndex: number, taskIndex: number): TaskPlace | undefined {
--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -42,6 +42,85 @@
   return job;
 }
 
+/** Restores a job from all its records. */
+function restoreAll(job: Job): Job {
+  const restored = new Job(job.definition);
+  JobCodec.restoreProgress(restored, JobCodec.encodeProgress(job));
+  job.takeChangedParts().forEach((part) => {
+    const record = JobCodec.decodePart(JobCodec.encodePart(job, part));
+    JobCodec.applyPart(restored, part, record._unsafeUnwrap());
+  });
+  return restored;
+}
+
+const MAX_RECORD_BYTES = 262_144;
+
+describe('the definition of a job', () => {
+  it('is refused if it would not fit into a record of the store', (t) => {
+    // Fails if short steps in a body of permitted size become a definition that the store always refuses.
+    const step = { taskCount: 1, image: 'i'.repeat(700) };
+    const steps = Array.from({ length: 256 }, () => step);
+    t.notOk(jobSpecSchema.safeParse({ spec: '', steps }).success);
+    const fitting = jobSpecSchema.parse({ spec: '', steps: steps.slice(0, 200) });
+    t.ok(JobCodec.encodeDefinition(definition({ spec: fitting })).length < MAX_RECORD_BYTES);
+  });
+});
+
+describe('the records of a job with many tasks', () => {
+  const steps = [{ taskCount: 10_000 }, { taskCount: 300, afterSteps: [0] }];
+  const large = definition({ spec: jobSpecSchema.parse({ spec: '', steps }) });
+
+  it('each stay below the limit of the store, whatever has run', (t) => {
+    // Fails if one record has the progress of all tasks: the store refuses it for good.
+    const job = new Job(large);
+    const checkpoint = 'c'.repeat(64);
+    job.occurrences.get(0)?.steps[0]?.tasks.forEach((task) => {
+      task.addRun('t'.repeat(40), 1_796_493_741_181);
+      task.addRun('u'.repeat(40), 1_796_493_741_181);
+      task.recordCheckpoint(checkpoint);
+    });
+    const sizes = job.takeChangedParts().map((part) => JobCodec.encodePart(job, part).length);
+    t.ok(Math.max(...sizes, JobCodec.encodeProgress(job).length) < MAX_RECORD_BYTES);
+  });
+
+  it('restore every task', (t) => {
+    const job = new Job(large);
+    [0, 255, 256, 9_999].forEach((task) => finishTask(job, 0, 0, task));
+    job.find(0, 1, 299)!.task.addRun('b', 6);
+    const restored = restoreAll(job);
+    t.ok([0, 255, 256, 9_999].every((task) => restored.find(0, 0, task)?.task.done));
+    t.equal(restored.find(0, 1, 299)?.task.runs.length, 1);
+    t.equal(restored.liveTasks().length, 1);
+  });
+
+  it('name only the parts that have changed', (t) => {
+    const job = new Job(large);
+    finishTask(job, 0, 0, 300);
+    t.same(job.takeChangedParts(), [{ occurrence: 0, step: 0, part: 1 }]);
+    t.same(job.takeChangedParts(), []);
+  });
+
+  it('are not read as the progress of a job without started tasks by an earlier version', (t) => {
+    // Fails if an earlier version takes the tasks for tasks that were never started, and runs them again.
+    const record = JSON.parse(JobCodec.encodeProgress(new Job(large)).toString()) as object;
+    t.notOk('occurrences' in record || 'ended' in record);
+  });
+
+  it('stay small after very many occurrences, with as many open as may be', (t) => {
+    const job = new Job(definition({}, 1_000_000));
+    for (let index = 0; index < 400_000; index += 2) {
+      job.endedOccurrences.add(index);
+      if (index > 5_000) job.endedOccurrences.add(index + 1);
+    }
+    job.openDue(Infinity);
+    t.ok(job.hasParts);
+    t.ok(JobCodec.encodeProgress(job).length < MAX_RECORD_BYTES);
+    const restored = restoreAll(job);
+    t.equal(restored.endedOccurrences.size, job.endedOccurrences.size);
+    t.same([...restored.occurrences.keys()], [...job.occurrences.keys()]);
+  });
+});
+
 describe('the crashes of targets that ran a task', () => {
   it('survive a change of owner, so that they are not counted anew', (t) => {
     const job = startedJob();
@@ -181,8 +260,7 @@
     [...job.occurrences.values()].forEach(({ index }) => {
       job.find(index, 0, 0)!.task.addRun('a', 1);
     });
-    const restored = new Job(definition({}, 100_000));
-    JobCodec.restoreProgress(restored, JobCodec.encodeProgress(job));
+    const restored = restoreAll(job);
     t.same([...restored.occurrences.keys()], [...job.occurrences.keys()]);
     t.ok([...restored.occurrences.values()].every(({ steps }) => steps.some((s) => s.hasStarted)));
   });
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -1,12 +1,14 @@
 /**
  * Encodes jobs for the journal. The definition is written once. Every progress record contains the
- * complete progress, so a new owner needs only the newest record of each key.
+ * complete progress, so a new owner needs only the newest record of each key. A job with many tasks has
+ * them in records of their own, a part each.
  */
 import { err, ok, type Result } from 'neverthrow';
 import * as z from 'zod';
 import { type Job } from './Job.js';
 import { type JobDefinition, jobDefinitionSchema } from './JobSpec.js';
 import { type Occurrence } from './Occurrence.js';
+import { type ProgressPart, taskRangeOf } from './ProgressPart.js';
 
 export interface RecordUnreadable {
   readonly kind: 'record-unreadable';
@@ -42,16 +44,36 @@
   tasks: z.array(taskEntrySchema),
 });
 
-const progressSchema = z.object({
+const progressHeadSchema = z.object({
   status: z.enum(['pending', 'running', 'completed', 'failed', 'cancelled']),
   finishedUnixMs: z.number(),
+  /** The indexes of the ended occurrences. */
   ended: z.array(indexSchema),
+});
+
+const progressSchema = progressHeadSchema.extend({
   occurrences: z.array(occurrenceEntrySchema),
 });
 
+/**
+ * The progress of a job whose tasks are stored in parts. An earlier version can't read it: it would take the
+ * tasks for tasks that were never started.
+ */
+const dividedProgressSchema = progressHeadSchema.omit({ ended: true }).extend({
+  /** The first and the last index of each range of ended occurrences. */
+  endedRanges: z.array(z.tuple([indexSchema, indexSchema])),
+  openOccurrences: z.array(occurrenceEntrySchema.omit({ tasks: true })),
+});
+
+const anyProgressSchema = z.union([progressSchema, dividedProgressSchema]);
+
+const partSchema = z.object({ tasks: z.array(taskEntrySchema) });
+
 type TaskEntry = z.infer<typeof taskEntrySchema>;
 type OccurrenceEntry = z.infer<typeof occurrenceEntrySchema>;
-export type ProgressRecord = z.infer<typeof progressSchema>;
+type DividedProgress = z.infer<typeof dividedProgressSchema>;
+export type ProgressRecord = z.infer<typeof progressSchema> | DividedProgress;
+export type PartRecord = z.infer<typeof partSchema>;
 
 function parse<T>(bytes: Buffer, schema: z.ZodType<T>): Result<T, RecordUnreadable> {
   try {
@@ -81,6 +103,30 @@
   }));
 }
 
+/** The first and the last number of each range of consecutive numbers. */
+function rangesOf(numbers: Iterable<number>): [number, number][] {
+  const ranges: [number, number][] = [];
+  [...numbers]
+    .sort((a, b) => a - b)
+    .forEach((number) => {
+      const range = ranges.at(-1);
+      if (range && number === range[1] + 1) range[1] = number;
+      else ranges.push([number, number]);
+    });
+  return ranges;
+}
+
+function endedOf(record: ProgressRecord): readonly number[] {
+  if ('ended' in record) return record.ended;
+  return record.endedRanges.flatMap(([first, last]) =>
+    Array.from({ length: last - first + 1 }, (_, offset) => first + offset),
+  );
+}
+
+function restoreTasks(job: Job, occurrence: number, tasks: readonly TaskEntry[]): void {
+  tasks.forEach((task) => job.find(occurrence, task.step, task.index)?.task.restore(task));
+}
+
 export const JobCodec = {
   encodeDefinition(definition: JobDefinition): Buffer {
     return Buffer.from(JSON.stringify(definition));
@@ -90,24 +136,50 @@
     return parse(bytes, jobDefinitionSchema);
   },
 
-  /** A finished job without live runs keeps only its status and its finish time. */
+  /** Whether a finished job has no live runs, so that it keeps only its status and its finish time. */
+  keepsOnlyStatus(job: Job): boolean {
+    return job.isFinished && job.liveTasks().length === 0;
+  },
+
   encodeProgress(job: Job): Buffer {
-    const keepsOnlyStatus = job.isFinished && job.liveTasks().length === 0;
-    const record: ProgressRecord = {
-      status: job.status,
-      finishedUnixMs: job.finishedUnixMs,
-      ended: keepsOnlyStatus ? [] : [...job.endedOccurrences],
-      occurrences: keepsOnlyStatus ? [] : occurrenceEntries(job),
-    };
+    const { status, finishedUnixMs } = job;
+    const encode = (record: ProgressRecord): Buffer => Buffer.from(JSON.stringify(record));
+    if (JobCodec.keepsOnlyStatus(job))
+      return encode({ status, finishedUnixMs, ended: [], occurrences: [] });
+    if (!job.hasParts) {
+      const ended = [...job.endedOccurrences];
+      return encode({ status, finishedUnixMs, ended, occurrences: occurrenceEntries(job) });
+    }
+    const endedRanges = rangesOf(job.endedOccurrences);
+    const openOccurrences = [...job.occurrences.values()].map(({ index, dueUnixMs }) => ({
+      index,
+      dueUnixMs,
+    }));
+    return encode({ status, finishedUnixMs, endedRanges, openOccurrences });
+  },
+
+  /** Encodes the tasks of one part; without effect on a new owner if its occurrence has ended. */
+  encodePart(job: Job, { occurrence, step, part }: ProgressPart): Buffer {
+    const tasks: TaskEntry[] = [];
+    const all = job.occurrences.get(occurrence)?.steps[step]?.tasks ?? [];
+    for (const task of all.slice(...taskRangeOf(part))) {
+      const record = task.toRecord();
+      if (record) tasks.push({ step, index: task.index, ...record });
+    }
+    const record: PartRecord = { tasks };
     return Buffer.from(JSON.stringify(record));
   },
 
+  decodePart(bytes: Buffer): Result<PartRecord, RecordUnreadable> {
+    return parse(bytes, partSchema);
+  },
+
   decodeProgress(bytes: Buffer): Result<ProgressRecord, RecordUnreadable> {
-    return parse(bytes, progressSchema);
+    return parse<ProgressRecord>(bytes, anyProgressSchema);
   },
 
   restoreProgress(job: Job, bytes: Buffer): Result<Job, RecordUnreadable> {
-    return parse(bytes, progressSchema).map((record) => {
+    return JobCodec.decodeProgress(bytes).map((record) => {
       JobCodec.applyProgress(job, record);
       return job;
     });
@@ -116,13 +188,18 @@
   /** Applies recorded progress to a job that was created from its definition. */
   applyProgress(job: Job, record: ProgressRecord): void {
     Object.assign(job, { status: record.status, finishedUnixMs: record.finishedUnixMs });
-    record.ended.forEach((index) => job.endedOccurrences.add(index));
-    record.occurrences.forEach((entry) => {
+    const isDivided = 'openOccurrences' in record;
+    endedOf(record).forEach((index) => job.endedOccurrences.add(index));
+    (isDivided ? record.openOccurrences : record.occurrences).forEach((entry) => {
       // Opens this occurrence and all earlier ones that have not ended.
       if (!job.occurrences.has(entry.index)) job.openDue(entry.dueUnixMs);
-      entry.tasks.forEach((task) => {
-        job.find(entry.index, task.step, task.index)?.task.restore(task);
-      });
     });
+    if (isDivided) return;
+    record.occurrences.forEach(({ index, tasks }) => restoreTasks(job, index, tasks));
+  },
+
+  /** Applies a recorded part to a job whose progress was applied before. */
+  applyPart(job: Job, { occurrence }: ProgressPart, { tasks }: PartRecord): void {
+    restoreTasks(job, occurrence, tasks);
   },
 } as const;
--- a/packages/jobs/src/JobSpec.ts
+++ b/packages/jobs/src/JobSpec.ts
@@ -9,6 +9,9 @@
 const MAX_STEPS = 256;
 const MAX_TASKS_PER_STEP = 10_000;
 
+/** A definition is one record of the journal; the rest of the record has the settings of the queue. */
+const MAX_SPECIFICATION_BYTES = 250_000;
+
 const count = z.number().int().min(0);
 
 export const stepSpecSchema = z.object({
@@ -64,6 +67,10 @@
   return steps.every((step, index) => step.afterSteps.every((after) => after < index));
 }
 
+function fitsRecord(specification: unknown): boolean {
+  return Buffer.byteLength(JSON.stringify(specification)) <= MAX_SPECIFICATION_BYTES;
+}
+
 export const jobSpecSchema = z
   .object({
     spec: z.string().max(MAX_SPEC_CHARACTERS),
@@ -73,7 +80,8 @@
   .refine(hasOrderedSteps, {
     message: 'a step may come only after earlier steps',
     path: ['steps'],
-  });
+  })
+  .refine(fitsRecord, { message: 'the specification is too large' });
 
 export type JobSchedule = z.infer<typeof scheduleSchema>;
 export type JobSpec = z.infer<typeof jobSpecSchema>;
--- a/packages/jobs/src/StepState.ts
+++ b/packages/jobs/src/StepState.ts
@@ -1,10 +1,14 @@
 /** One step of one occurrence, with the state of its tasks. */
 import { type StepSpec } from './JobSpec.js';
+import { partOf } from './ProgressPart.js';
 import { TaskState } from './TaskState.js';
 
 export class StepState {
   readonly tasks: TaskState[];
 
+  /** Parts of the tasks that have changed since they were last taken for the journal. */
+  readonly changedParts = new Set<number>();
+
   /** Caches `isDone`; undefined after a change of a task. */
   private knownDone: boolean | undefined;
 
@@ -20,7 +24,7 @@
   ) {
     this.tasks = Array.from(
       { length: spec.taskCount },
-      (_, task) => new TaskState(`${stepId}.${task}`, task, () => this.recordChange()),
+      (_, task) => new TaskState(`${stepId}.${task}`, task, () => this.recordChange(task)),
     );
   }
 
@@ -38,7 +42,8 @@
     return this.tasks.some((task) => task.lastRun > 0);
   }
 
-  private recordChange(): void {
+  private recordChange(task: number): void {
+    this.changedParts.add(partOf(task));
     this.knownDone = undefined;
     this.knownWaiting = undefined;
     this.onChanged();
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -88,7 +88,7 @@
   constructor(
     readonly taskId: string,
     readonly index: number,
-    /** Called after each change of `done` or `runs`. */
+    /** Called after each change of `done` or `runs`, which come with every change of the stored form. */
     private readonly onChanged: () => void = () => undefined,
   ) {}
 
@@ -173,6 +173,7 @@
     if (!isStored) return false;
     this.earlyCrashes = 0;
     this.runs = this.runs.map(({ run, targetId, bornMs }) => ({ run, targetId, bornMs }));
+    this.onChanged();
     return true;
   }
 
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -5,6 +5,7 @@
 export * from './Occurrence.js';
 export * from './Job.js';
 export * from './JobCodec.js';
+export * from './ProgressPart.js';
 export * from './criticalPath.js';
 export * from './JobsConfig.js';
 export * from './JobsConfigView.js';
