An order to an instance needs a proof of ownership of a moment ago

Cause: an order was sent as soon as its record was durable. An acknowledgement proves the ownership as of when the append was sent, and a process that stood still processes it much later. Change: an order is sent only within 0.7 s of sending the last acknowledged append; else its record is written again, up to three times, and then the order is dropped and its instance reopened.

--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -28,6 +28,9 @@
 /** Interval at which the ages of recent orders are journaled again, in milliseconds. */
 const DUTY_REFRESH_MS = 500;
 
+/** An order is not sent if so many records of it in a row became durable too late. */
+const MAX_DUTY_WRITES = 3;
+
 /** A pending order that the list has not confirmed after this time is dropped, in milliseconds. */
 const PENDING_ORDER_TTL_MS = 10_000;
 
@@ -227,7 +230,11 @@
     const target = this.deps.targets.get(targetId);
     if (target) target.isReserved = true;
     this.note(instanceId, poolId, false);
-    if (!(await this.journalDuty())) return 'not-sent';
+    if (!(await this.proveDuty())) {
+      this.pending.delete(instanceId);
+      if (target) target.isReserved = false;
+      return 'not-sent';
+    }
     const done = await this.deps.fleet.move(instanceId, poolId, this.duty);
     const outcome = this.recordOutcome(
       'move',
@@ -245,7 +252,10 @@
     const { instanceId, poolId } = instance;
     if (this.isBlocked(instanceId)) return 'busy';
     this.note(instanceId, poolId, true);
-    if (!(await this.journalDuty())) return 'not-sent';
+    if (!(await this.proveDuty())) {
+      this.pending.delete(instanceId);
+      return 'not-sent';
+    }
     const done = await this.deps.fleet.upkeep(instanceId, waveId, this.duty);
     return this.recordOutcome('upkeep', instance, poolId, done.isErr() ? done.error : undefined);
   }
@@ -285,9 +295,18 @@
   }
 
   /**
-   * Journals the recent orders. Returns false if no order may be sent, as the ownership has ended:
-   * this object then sends no more orders, so the unsent order is left pending.
+   * Journals the recent orders until that proves the ownership as of a moment ago; a process that stood
+   * still gets the answer to its append much later. Returns false if no order may be sent.
    */
+  private async proveDuty(): Promise<boolean> {
+    for (let write = 0; write < MAX_DUTY_WRITES; write += 1) {
+      if (!(await this.journalDuty())) return false;
+      if (this.deps.ownership.mayOrderInstances) return true;
+    }
+    return false;
+  }
+
+  /** Journals the recent orders. Returns false if the ownership has ended. */
   private async journalDuty(): Promise<boolean> {
     this.dutyWrittenMs = this.deps.clock.monotonicMs();
     const outcome = await this.deps.ownership.writer.write(DUTY_KEY, () =>
--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -46,6 +46,13 @@
  */
 const PROMPT_PROOF_MS = 1_700;
 
+/**
+ * An order to an instance is sent only this long after the last acknowledged append was sent, in milliseconds.
+ * The membership of an owner that stands still lasts a second from its last renewal, which is 0.3 s old at
+ * most, so no other entry owns the journal by then.
+ */
+const ORDER_PROOF_MS = 700;
+
 /** Key of the owner record; it is the first record that an owner writes in each period. */
 export const INCUMBENT_KEY = 'incumbent';
 
@@ -203,6 +210,14 @@
     return this.isOwnerRecordDurable && this.isProvenWithin(EXTENSION_BOUND_MS);
   }
 
+  /**
+   * Whether the last acknowledged append was sent so recently that no other entry owns the journal yet, however
+   * late its answer was processed. Instances don't know of a new owner that has sent them no order.
+   */
+  get mayOrderInstances(): boolean {
+    return this.isProvenWithin(ORDER_PROOF_MS);
+  }
+
   private isProvenWithin(boundMs: number): boolean {
     if (this.ended) return false;
     const monotonicElapsedMs = this.clock.monotonicMs() - this.writer.lastDurableMs;
--- a/packages/coordinator/src/testing/SimulatedFleet.ts
+++ b/packages/coordinator/src/testing/SimulatedFleet.ts
@@ -42,6 +42,9 @@
   /** Instances that received an upkeep order, in order. */
   readonly upkeeps: string[] = [];
 
+  /** Fencing tokens of all orders that have arrived, in order. */
+  readonly tokens: number[] = [];
+
   moves = 0;
 
   /** Maximum number of instances that were down for upkeep at the same time. */
@@ -113,9 +116,10 @@
     instanceId: string,
     state: InstanceState,
     durationMs: number,
-    _duty: Duty,
+    { fencingToken }: Duty,
     poolId?: string,
   ): Promise<Result<void, FleetFailure>> {
+    this.tokens.push(fencingToken);
     const instance = this.instances.get(instanceId);
     if (instance?.state !== 'up') return Promise.resolve(err({ kind: 'busy', detail: instanceId }));
     instance.state = state;
--- a/packages/jobdesk/src/upkeep.test.ts
+++ b/packages/jobdesk/src/upkeep.test.ts
@@ -1,5 +1,6 @@
 /** Upkeep of instances that run long-running tasks, with a real controller in virtual time. */
-import { LONG_RUNNING_PREFIX } from '@acaciadock/coordinator/testing';
+import { LONG_RUNNING_PREFIX, RecordingLogger } from '@acaciadock/coordinator/testing';
+import { type Logger, SilentLogger } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { DEFAULT_WORLD, type JobInput, JobWorld } from './testing/JobWorld.js';
 
@@ -16,8 +17,10 @@
   instanceCount: number,
   spareCount: number,
   step: JobInput['steps'][number] = LONG_RUNNING_STEP,
+  logger: Logger = new SilentLogger(),
 ): Promise<JobWorld> {
-  const world = new JobWorld({ ...DEFAULT_WORLD, targetCount: 0, instanceCount, spareCount });
+  const fleet = { targetCount: 0, instanceCount, spareCount };
+  const world = new JobWorld({ ...DEFAULT_WORLD, ...fleet, logger });
   await world.runUntil(() => world.owner !== undefined, 5_000);
   await world.run(1_000);
   void world.submit('serving', { spec: LONG_RUNNING_PREFIX, steps: [step] });
@@ -66,6 +69,37 @@
     });
   });
 
+  describe('by an owner that stands still once its order is journaled', () => {
+    [true, false].forEach((keepsTime) => {
+      const time = keepsTime ? 'goes on' : 'stands still';
+      it(`is not ordered after another entry owns the journal, if monotonic time ${time}`, async (t) => {
+        // Fails if an order is sent as soon as its record is durable, however long ago that was.
+        for (const pauseMs of [2_000, 3_500, 6_000]) {
+          const logger = new RecordingLogger();
+          const world = await createWorld(4, 0, LONG_RUNNING_STEP, logger);
+          // Time for the pause between the append and its answer.
+          Object.assign(world.store.faults, { latencyMs: 60 });
+          const instanceIds = ['m0', 'm1', 'm2', 'm3'];
+          world.waves.push({ waveId: 1, instanceIds, dueMs: 60_000, mostAtOnce: 1 });
+          await world.runUntil(() => logger.of('upkeep-chosen').length > 0, 20_000);
+          const formerToken = world.store.announced?.epoch;
+          const owner = world.owner!;
+          const ownerId = world.ownerId();
+          owner.clock.pause(keepsTime);
+          await world.runUntil(() => (world.ownerId() ?? ownerId) !== ownerId, pauseMs);
+          t.not(world.ownerId() ?? ownerId, ownerId, 'another entry owns the journal');
+          await world.run(pauseMs);
+          const sentBefore = world.fleet?.tokens.length ?? 0;
+          owner.clock.resume();
+          await world.run(1_000);
+          const late = world.fleet?.tokens.slice(sentBefore).filter((one) => one === formerToken);
+          t.same(late, [], `no order of the former owner after ${pauseMs} ms`);
+          t.notOk(owner.isOwner);
+        }
+      });
+    });
+  });
+
   describe('while a target of the step does not respond', () => {
     it('stops no other task of the step', async (t) => {
       const world = await createWorld(3, 0, { ...LONG_RUNNING_STEP, mostPerTarget: 2 });
