A cancel of an unknown job is journaled before it is confirmed

Cause: the owner confirmed a cancel of a job that it didn't know and kept nothing of it. The same held for a cancel of an acceptance that was taken back afterwards. Change: CancelRecords journals such a cancel for its team and keeps it as long as finished jobs. A submission of that id is accepted and shown as cancelled. Until one comes, the job stays unknown.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -17,6 +17,7 @@
 } from './contracts/index.js';
 import { AdmissionController, type AdmissionOptions } from './AdmissionController.js';
 import { CrashHandler } from './CrashHandler.js';
+import { CancelRecords } from './CancelRecords.js';
 import { CopyController } from './CopyController.js';
 import { FleetController, type FleetControllerOptions } from './FleetController.js';
 import { type FleetTarget } from './FleetTarget.js';
@@ -122,6 +123,8 @@
 
   private readonly runtimeRecord: RuntimeRecord;
 
+  private readonly cancels: CancelRecords;
+
   private readonly drivers: TargetDrivers;
 
   private readonly callHandler: JobCallHandler;
@@ -149,6 +152,7 @@
     const estimates = new RuntimeEstimates();
     this.runtimeRecord = new RuntimeRecord(estimates, deps);
     this.jobs = new JobTable(ownership, clock, meter, deps.decoder);
+    this.cancels = new CancelRecords(ownership, clock);
     const { maxLeaseMs, evacuateMs } = options;
     const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock, evacuateMs);
     this.zoneEvacuation = evacuation;
@@ -239,6 +243,7 @@
     this.callHandler = new JobCallHandler({
       ...deps,
       jobs,
+      cancels: this.cancels,
       runTracker,
       demand,
       scheduler,
@@ -317,7 +322,7 @@
   private restoreDecisions(owned: OwnedJournal): void {
     owned.records.forEach(({ key, value }) => {
       if (!value || this.shares.restore(key, value)) return;
-      if (this.runtimeRecord.restore(key, value)) return;
+      if (this.runtimeRecord.restore(key, value) || this.cancels.restore(key, value)) return;
       this.fleetController?.restore(key, value);
     });
   }
@@ -354,6 +359,7 @@
     this.waitLog.check();
     this.runtimeRecord.update();
     this.jobs.dropFinished(this.options.keepFinishedMs);
+    this.cancels.dropOld(this.options.keepFinishedMs);
   }
 
   /**
--- a/packages/coordinator/src/JobCallHandler.test.ts
+++ b/packages/coordinator/src/JobCallHandler.test.ts
@@ -35,6 +35,7 @@
   );
   const handler = new JobCallHandler({
     jobs: { get: () => (owner.knows ? known : undefined), accept: createEntry },
+    cancels: { has: () => false },
     ownership: {
       mayAcceptWork: true,
       isProven: owner.isProven,
--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -7,6 +7,7 @@
 import { type CommitOutcome } from '@acaciadock/journal';
 import { RetryAfter, ShareMeter } from '@acaciadock/placement';
 import { type AdmissionController } from './AdmissionController.js';
+import { type CancelRecords } from './CancelRecords.js';
 import { type DemandMeter } from './DemandMeter.js';
 import { type JobEntry } from './JobEntry.js';
 import { type JobScheduler } from './JobScheduler.js';
@@ -31,6 +32,7 @@
 
 export interface JobCallHandlerDeps {
   readonly jobs: JobTable;
+  readonly cancels: CancelRecords;
   readonly runTracker: RunTracker;
   readonly demand: DemandMeter;
   readonly scheduler: JobScheduler;
@@ -110,6 +112,13 @@
     });
   }
 
+  /** Takes the acceptance back if that is still possible. A cancel of the job stays in force. */
+  private withdraw(entry: JobEntry): void {
+    const { runTracker, cancels } = this.deps;
+    if (!runTracker.withdrawJob(entry) || !entry.cancellation) return;
+    void cancels.add(entry.job.jobId, entry.job.definition.teamId);
+  }
+
   /** Waits for the commit with a timeout, so that callers get an answer before they time out. */
   private withTimeout(commit: Promise<CommitOutcome>): Promise<CommitOutcome | 'store-stalled'> {
     const { clock } = this.deps;
@@ -136,6 +145,10 @@
     const { teamId, jobId } = definition;
     this.shares.note(teamId, this.weightOf(teamId), this.deps.clock.monotonicMs());
     const entry = this.deps.jobs.accept(definition);
+    if (this.deps.cancels.has(jobId, teamId)) {
+      entry.cancellation = this.deps.runTracker.finishJob(entry, 'cancelled');
+      return entry;
+    }
     entry.hasReturned = this.deps.admission.hasReturned(jobId);
     this.deps.scheduler.openDue(entry);
     this.deps.demand.recordArrival(this.deps.scheduler.poolOf(entry), entry);
@@ -170,7 +183,7 @@
 
   private async cancel(jobId: string, teamId: string): Promise<JobReply> {
     const entry = this.findVisible(jobId, teamId);
-    if (!entry) return this.unknownJob();
+    if (!entry) return this.cancelUnknown(jobId, teamId);
     if (entry.job.isFinished && !entry.cancellation) return { kind: 'cancelled' };
     if (!entry.cancellation) {
       if (!this.deps.ownership.mayAcceptWork) return this.refuse('store-stalled');
@@ -181,6 +194,14 @@
     return { kind: 'unknown-outcome', reason: outcome };
   }
 
+  /** Confirms the cancel of a job that is not known once a submission that comes later can't run. */
+  private async cancelUnknown(jobId: string, teamId: string): Promise<JobReply> {
+    const { ownership, cancels } = this.deps;
+    if (!ownership.mayAcceptWork) return this.refuse('store-stalled');
+    const outcome = await this.withTimeout(cancels.add(jobId, teamId));
+    return outcome === 'durable' ? this.unknownJob() : { kind: 'unknown-outcome', reason: outcome };
+  }
+
   private state(jobId: string, teamId: string): JobReply {
     const entry = this.findVisible(jobId, teamId);
     if (!entry) return this.unknownJob();
--- a/packages/jobdesk/src/cancelledSubmissions.test.ts
+++ b/packages/jobdesk/src/cancelledSubmissions.test.ts
@@ -4,9 +4,15 @@
  */
 import { type StoreFaults } from '@acaciadock/coordinator/testing';
 import { describe, it } from '@acaciadock/core/testing';
-import { CALM, contradictions, JobAnswers, playAnswerSchedule } from './testing/answerSchedule.js';
+import {
+  CALM,
+  CANCEL_BOUND_MS,
+  contradictions,
+  JobAnswers,
+  playAnswerSchedule,
+} from './testing/answerSchedule.js';
 import { type JobWorld } from './testing/JobWorld.js';
-import { createWorld } from './testing/takeoverHelpers.js';
+import { assertCompletes, createWorld, statusOf, submit } from './testing/takeoverHelpers.js';
 
 const OUTAGE_MS = 4_200;
 const RETRY_MS = 300;
@@ -52,7 +58,7 @@
   Object.assign(world.store.faults, faults);
   world.clock.after(OUTAGE_MS, () => Object.assign(world.store.faults, CALM));
   for (const job of jobs) {
-    void job.submit().then(() => Object.assign(job, { isSettled: true }));
+    void job.submit();
     // Each job is in an append of its own, or waits for the append of the one before.
     await world.run(10);
   }
@@ -86,6 +92,50 @@
   });
 });
 
+describe('a submission that arrives after its cancel was confirmed', () => {
+  async function cancelFirst(): Promise<{ world: JobWorld; job: JobAnswers }> {
+    const world = await createWorld();
+    const job = new JobAnswers('a', world);
+    const confirmed = job.cancel();
+    await world.run(100);
+    if (!(await confirmed)) throw new Error('the cancel was not confirmed');
+    return { world, job };
+  }
+
+  it('does not run, and is shown as cancelled', async (t) => {
+    // Fails if an entry that stood still hands in a submission whose client has cancelled it elsewhere.
+    const { world, job } = await cancelFirst();
+    t.equal(await statusOf(world, 'a'), 'unknown-job', 'nobody has submitted it yet');
+    void job.submit();
+    await world.run(CANCEL_BOUND_MS + SETTLE_MS);
+    t.equal(job.starts, 0);
+    t.equal(await statusOf(world, 'a'), 'cancelled');
+  });
+
+  Object.entries(CHANGES).forEach(([change, changeOwner]) => {
+    it(`does not run after ${change} in between`, async (t) => {
+      const { world, job } = await cancelFirst();
+      changeOwner(world);
+      await world.run(SETTLE_MS / 2);
+      void job.submit();
+      await world.run(SETTLE_MS / 2);
+      changeOwner(world);
+      await world.run(SETTLE_MS);
+      t.equal(job.starts, 0);
+      t.same(await contradictions(world, [job]), []);
+    });
+  });
+
+  it('runs if another team has cancelled the id', async (t) => {
+    const world = await createWorld({ weights: { team: 1, other: 1 } });
+    const cancelled = world.cancel('a', 'other');
+    await world.run(100);
+    t.same(await cancelled, { kind: 'unknown-job' });
+    await submit(world, 'a');
+    await assertCompletes(t, world, ['a']);
+  });
+});
+
 describe('random submissions, cancels, outages and changes of owner', () => {
   it('agree with every answer on seeds that failed before', async (t) => {
     for (const seed of REGRESSION_SEEDS) {
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -270,8 +270,8 @@
     return this.owner?.call({ kind: 'state', context: JobWorld.context(), jobId });
   }
 
-  cancel(jobId: string): Promise<JobReply> | undefined {
-    return this.owner?.call({ kind: 'cancel', context: JobWorld.context(), jobId });
+  cancel(jobId: string, teamId?: string): Promise<JobReply> | undefined {
+    return this.owner?.call({ kind: 'cancel', context: JobWorld.context(teamId), jobId });
   }
 
   ownerId(): string | undefined {
--- a/packages/jobdesk/src/testing/answerSchedule.ts
+++ b/packages/jobdesk/src/testing/answerSchedule.ts
@@ -56,9 +56,6 @@
 
   isAccepted = false;
 
-  /** Whether no submission is unanswered and none is sent any more. */
-  isSettled = false;
-
   /** Number of starts when the bound after the confirmed cancelling had passed. */
   private startsAtBound: number | undefined;
 
@@ -89,11 +86,8 @@
   /** Sends the cancel once; returns whether it was confirmed. */
   async cancel(): Promise<boolean> {
     this.isCancelSent = true;
-    // That the job is unknown confirms nothing about a submission that is still under way.
-    const wasSettled = this.isSettled;
     const reply = await this.withinTimeLimit(this.world.cancel(this.jobId));
-    const isConfirmed =
-      reply?.kind === 'cancelled' || (reply?.kind === 'unknown-job' && wasSettled);
+    const isConfirmed = reply?.kind === 'cancelled' || reply?.kind === 'unknown-job';
     if (isConfirmed && !this.isCancelled) {
       this.isCancelled = true;
       this.world.clock.after(CANCEL_BOUND_MS, () => {
@@ -139,10 +133,8 @@
   const attempts = random.integer(1, 3);
   for (let attempt = 0; attempt < attempts && !answers.isAccepted; attempt += 1) {
     if (attempt > 0) await world.clock.sleep(random.next() * 500);
-    if (answers.isCancelled) break;
     await answers.submit();
   }
-  Object.assign(answers, { isSettled: true });
 }
 
 function disturb(world: JobWorld, random: Random): void {
