A finished job with a schedule is restored with its live runs

Cause: `applyProgress` set the status first, and a finished job opens no occurrences, so its runs were lost to the new owner. Change: the status is set once the occurrences are open.

--- a/packages/jobdesk/src/guarantees.test.ts
+++ b/packages/jobdesk/src/guarantees.test.ts
@@ -63,6 +63,28 @@
     t.ok(maxRuns <= LIMIT_TASKS, `${maxRuns} ran`);
   });
 
+  it('holds after a change of owner while a cancelled scheduled job still runs', async (t) => {
+    // Fails if the new owner doesn't count the live runs of a finished job with a schedule.
+    const world = await createWorld({ ...limited, runtimeMs: 20_000, targetCount: 2 });
+    void world.submit('scheduled', {
+      steps: [{ taskCount: LIMIT_TASKS, cpuMilli: TASK_CPU_MILLI }],
+      schedule: { firstDueUnixMs: 0, periodMs: 0, repeatCount: 1 },
+    });
+    await world.run(500);
+    t.equal(world.runningCount, LIMIT_TASKS);
+    const busy = [...world.targets.values()].filter((target) => target.runningCount > 0);
+    world.entries.forEach((entry) => {
+      busy.forEach(({ targetId }) => entry.portFaults.cutTargets.add(targetId));
+    });
+    void world.cancel('scheduled');
+    await world.run(200);
+    const formerId = world.ownerId();
+    void world.entries.get(formerId ?? '')?.leave();
+    await world.runUntil(() => (world.ownerId() ?? formerId) !== formerId, 3_000);
+    const maxRuns = await maxRunning(world, 3, () => undefined);
+    t.ok(maxRuns <= LIMIT_TASKS, `${maxRuns} ran`);
+  });
+
   it('holds while orders are executed late', async (t) => {
     const world = await createWorld(limited);
     const maxRuns = await maxRunning(world, 14, (second) => {
--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -237,6 +237,19 @@
   });
 });
 
+describe('a scheduled job that was cancelled', () => {
+  it('is restored with its live runs', (t) => {
+    // Fails if a finished job opens no occurrences: its runs then count neither for its team nor on targets.
+    const job = new Job(definition({}, 3));
+    job.openDue(1_600);
+    job.find(1, 0, 1)!.task.addRun('a', 1);
+    job.finish('cancelled', 1_700);
+    const restored = restoreAll(job);
+    t.equal(restored.status, 'cancelled');
+    t.equal(restored.liveTasks().length, 1);
+  });
+});
+
 describe('Job with very many occurrences due at once', () => {
   it('opens a bounded number of them, and the next as earlier ones end', (t) => {
     // Fails if one submission with a short period and no start time exhausts the memory.
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -187,13 +187,14 @@
 
   /** Applies recorded progress to a job that was created from its definition. */
   applyProgress(job: Job, record: ProgressRecord): void {
-    Object.assign(job, { status: record.status, finishedUnixMs: record.finishedUnixMs });
     const isDivided = 'openOccurrences' in record;
     endedOf(record).forEach((index) => job.endedOccurrences.add(index));
     (isDivided ? record.openOccurrences : record.occurrences).forEach((entry) => {
       // Opens this occurrence and all earlier ones that have not ended.
       if (!job.occurrences.has(entry.index)) job.openDue(entry.dueUnixMs);
     });
+    // A finished job opens no occurrences, but its runs may still be alive.
+    Object.assign(job, { status: record.status, finishedUnixMs: record.finishedUnixMs });
     if (isDivided) return;
     record.occurrences.forEach(({ index, tasks }) => restoreTasks(job, index, tasks));
   },
