Whether the owner is gone is decided in a class of its own

Change: OwnerCheck has the end of the owner, a claim that is loading, and the precedence of entries that were up.

--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -18,6 +18,7 @@
 } from '@acaciadock/journal';
 import { Claimant, type ClaimantDeps } from './Claimant.js';
 import { OwnerAnnouncer } from './OwnerAnnouncer.js';
+import { OwnerCheck } from './OwnerCheck.js';
 import { OwnerDirectory } from './OwnerDirectory.js';
 import { OwnerWatch } from './OwnerWatch.js';
 import { OwnershipRelease } from './OwnershipRelease.js';
@@ -49,12 +50,6 @@
 /** Share of the time until a process that stops refuses calls in which the successor may prepare. */
 const PREPARATION_SHARE = 1 / 2;
 
-/** Minimum uptime before an entry claims if there was never an owner, in milliseconds. */
-const FIRST_CLAIM_DELAY_MS = 900;
-
-/** The membership of a process that has ended is gone after this time, in milliseconds. */
-const MAX_MEMBERSHIP_MS = 3_000;
-
 /** The store serves an entry if it has answered a renewal within this time, in milliseconds. */
 const MAX_ANSWER_AGE_MS = 2 * RENEW_PERIOD_MS;
 
@@ -90,9 +85,6 @@
 
   private lastRenewedMs = -Infinity;
 
-  /** Epoch of the latest owner that has answered that it is not loading any more. */
-  private loadedEpoch = -1;
-
   private readonly directory: OwnerDirectory;
 
   private readonly announcer: OwnerAnnouncer;
@@ -103,6 +95,8 @@
 
   private readonly ownerWatch: OwnerWatch;
 
+  private readonly ownerCheck: OwnerCheck;
+
   private readonly preparation: SuccessionPreparation;
 
   private isLeaving = false;
@@ -125,6 +119,7 @@
       () => this.storeLost,
     );
     this.ownerWatch = this.register(new OwnerWatch(deps.peers, deps.logger));
+    this.ownerCheck = new OwnerCheck(self, this.directory, this.ownerWatch, deps.clock);
     this.register(
       this.ownerWatch.onGone(() => {
         void this.renew();
@@ -226,23 +221,6 @@
     return successor !== undefined && isSameMember(successor, this.self);
   }
 
-  /**
-   * Whether this process follows one that owned the journal, and leaves the claim to an entry that has
-   * been up for longer and is there. A much weaker entry would hand the journal over to this one anyway.
-   */
-  private async yieldsAfterRestart(): Promise<boolean> {
-    const { directory, self } = this;
-    const owner = directory.notice?.owner;
-    if (!Succession.isRestart(self, owner)) return false;
-    const successor = directory.successorOf(owner);
-    if (!successor || isSameMember(successor, self)) return false;
-    if (Succession.isMuchStronger(self, successor)) return false;
-    // A member that has ended is listed for a while, and its entry may have started again.
-    const answer = await directory.queryPeer(successor);
-    if (!answer?.isServedByStore) return false;
-    return Succession.wasUpBefore(answer.process ?? successor, self);
-  }
-
   private async renew(): Promise<void> {
     this.pendingRenewals += 1;
     const view = await this.deps.group.join(this.self);
@@ -330,7 +308,7 @@
       notice === undefined ||
       notice.isReleased ||
       this.ownerWatch.isGone(notice.owner) ||
-      this.mayBeLoading(notice) ||
+      this.ownerCheck.mayBeLoading(notice) ||
       nowMs - this.lastOwnerCheckMs > OWNER_CHECK_PERIOD_MS;
     // A claim of this entry failed after its announcement, or its ownership ended without a
     // release. The other entries then wait for this one, so it claims again.
@@ -342,62 +320,7 @@
     if (!isDue && !isOwnNotice) return;
     if (nowMs - this.storeBackMs < REJOIN_GRACE_MS) return;
     this.lastOwnerCheckMs = nowMs;
-    if (!(await this.isOwnerGone())) return;
-    if (!(await this.yieldsAfterRestart())) void this.claim();
-  }
-
-  private async isOwnerGone(): Promise<boolean> {
-    const { directory } = this;
-    if (!(await directory.readNotice())) return false;
-    const { notice } = directory;
-    // Before the first claim, the other entries get time to join, so that the strongest one claims.
-    if (!notice) return this.deps.clock.unixMs() - this.self.bootMs > FIRST_CLAIM_DELAY_MS;
-    if (notice.isReleased || isSameMember(notice.owner, this.self)) return true;
-    if (this.awaitsStronger(notice.owner)) return false;
-    if (this.ownerWatch.isGone(notice.owner)) return true;
-    if (!(await directory.listMembers())) return false;
-    // A later process of the owner's entry proves the owner's end before its membership expires.
-    if (directory.hasProcessExited(notice.owner.entryId, notice.owner.bootMs)) return true;
-    if (directory.isMember(notice.owner)) return this.isReplaceable(notice);
-    // A membership may also expire by mistake, or not be listed yet. A healthy owner, or one that is
-    // still loading, is not replaced because of that.
-    const answer = await directory.queryPeer(notice.owner);
-    if (Election.isLoading(answer, notice)) return this.mayBeLoading(notice);
-    return answer?.isHealthyOwner !== true;
-  }
-
-  /** Whether the announced owner answers that it is still loading the journal for that claim. */
-  private static isLoading(answer: PeerAnswer | undefined, { epoch }: OwnerNotice): boolean {
-    return answer?.isLoading === true && answer.notice?.epoch === epoch;
-  }
-
-  private awaitsStronger(previousOwner: GroupMember): boolean {
-    return Succession.awaitsStronger(this.self, previousOwner, this.uptimeMs);
-  }
-
-  private get uptimeMs(): number {
-    return this.deps.clock.unixMs() - this.self.bootMs;
-  }
-
-  /** Whether a much weaker entry has announced its claim and may not have loaded the journal yet. */
-  private mayBeLoading({ owner, epoch }: OwnerNotice): boolean {
-    return epoch > this.loadedEpoch && Succession.isMuchStronger(this.self, owner);
-  }
-
-  /**
-   * Whether an announced owner whose membership lives is to be replaced. A membership outlives its
-   * process for a while, which matters when all entries restart at once: a later process answers then.
-   * A much weaker entry that is still loading the journal is superseded, as this entry loads it in a
-   * fraction of the time and would get it by a handover anyway.
-   */
-  private async isReplaceable(notice: OwnerNotice): Promise<boolean> {
-    const { owner, epoch } = notice;
-    const mayBeLoading = this.mayBeLoading(notice);
-    if (this.uptimeMs > MAX_MEMBERSHIP_MS && !mayBeLoading) return false;
-    const answer = await this.directory.queryPeer(owner);
-    if (this.directory.hasProcessExited(owner.entryId, owner.bootMs)) return true;
-    if (answer?.isLoading === false) this.loadedEpoch = epoch;
-    return mayBeLoading && Election.isLoading(answer, notice);
+    if (await this.ownerCheck.mayClaim()) void this.claim();
   }
 
   private async claim(): Promise<void> {
