Keys of cancels have a bounded length; the faults of a calm store stand once

Cause: the store's records name the length of a key in one byte, and a team's id may be long; three test files had the same list of faults. Change: the key of a cancel has a digest of the team.

--- a/packages/coordinator/src/CancelRecords.ts
+++ b/packages/coordinator/src/CancelRecords.ts
@@ -5,12 +5,15 @@
  */
 import { type Clock } from '@acaciadock/core';
 import { type CommitOutcome } from '@acaciadock/journal';
+import { createHash } from 'node:crypto';
 import * as z from 'zod';
 import { type Ownership } from './Ownership.js';
 
-/** Keys have the form `cancelled/job/team`. */
+/** Keys have the form `cancelled/job/team`, with a digest of the team, as the length of a key is limited. */
 const CANCEL_PREFIX = 'cancelled/';
 
+const DIGEST_CHARACTERS = 16;
+
 const cancelSchema = z.object({
   jobId: z.string(),
   teamId: z.string(),
@@ -34,6 +37,7 @@
   ) {}
 
   has(jobId: string, teamId: string): boolean {
+    if (this.cancels.size === 0) return false;
     return this.cancels.has(CancelRecords.keyOf(jobId, teamId));
   }
 
@@ -69,7 +73,8 @@
   }
 
   private static keyOf(jobId: string, teamId: string): string {
-    return `${CANCEL_PREFIX}${jobId}/${teamId}`;
+    const digest = createHash('sha256').update(teamId).digest('hex');
+    return `${CANCEL_PREFIX}${jobId}/${digest.slice(0, DIGEST_CHARACTERS)}`;
   }
 
   /** Undefined if the record is malformed; a later build may be able to read it. */
--- a/packages/jobdesk/src/cancelledSubmissions.test.ts
+++ b/packages/jobdesk/src/cancelledSubmissions.test.ts
@@ -4,8 +4,8 @@
  */
 import { type StoreFaults } from '@acaciadock/coordinator/testing';
 import { describe, it } from '@acaciadock/core/testing';
+import { CALM_STORE } from './testing/calmStore.js';
 import {
-  CALM,
   CANCEL_BOUND_MS,
   contradictions,
   JobAnswers,
@@ -56,7 +56,7 @@
 ): Promise<readonly JobAnswers[]> {
   const jobs = ['a', 'b', 'c'].map((jobId) => new JobAnswers(jobId, world));
   Object.assign(world.store.faults, faults);
-  world.clock.after(OUTAGE_MS, () => Object.assign(world.store.faults, CALM));
+  world.clock.after(OUTAGE_MS, () => Object.assign(world.store.faults, CALM_STORE));
   for (const job of jobs) {
     void job.submit();
     // Each job is in an append of its own, or waits for the append of the one before.
--- a/packages/jobdesk/src/loneEntry.test.ts
+++ b/packages/jobdesk/src/loneEntry.test.ts
@@ -5,6 +5,7 @@
 import { type StoreFaults } from '@acaciadock/coordinator/testing';
 import { describe, it } from '@acaciadock/core/testing';
 import { type Test } from 'tap';
+import { CALM_STORE } from './testing/calmStore.js';
 import { type JobWorld } from './testing/JobWorld.js';
 import { createWorld, ONE_STEP, assertCompletes, submit } from './testing/takeoverHelpers.js';
 
@@ -23,14 +24,6 @@
  */
 const OWNER_BOUND_MS = 6_000;
 
-const CALM: StoreFaults = {
-  isDown: false,
-  isSilent: false,
-  isResetting: false,
-  lostAnswerShare: 0,
-  latencyMs: 4,
-};
-
 interface Outage {
   readonly name: string;
   readonly faults: Partial<StoreFaults>;
@@ -83,9 +76,9 @@
           callPeriodically(world, callsFromMs);
           await losePower(world);
           await world.run(OUTAGE_MS - RESTART_MS);
-          if (hasEnd) Object.assign(world.store.faults, CALM);
+          if (hasEnd) Object.assign(world.store.faults, CALM_STORE);
           await assertOwned(t, world, 'there is an owner');
-          Object.assign(world.store.faults, CALM);
+          Object.assign(world.store.faults, CALM_STORE);
           await assertCompletes(t, world, ['a']);
         });
       });
@@ -99,7 +92,7 @@
       world.store.faults.isDown = true;
       await losePower(world);
       await world.run(OUTAGE_MS);
-      Object.assign(world.store.faults, CALM);
+      Object.assign(world.store.faults, CALM_STORE);
       await assertOwned(t, world, `after loss ${loss}`);
       await world.run(500);
     }
@@ -115,7 +108,7 @@
       await world.run(RESTART_MS);
       world.startEntry(ownerId, cpuMilli);
       await world.run(OUTAGE_MS);
-      Object.assign(world.store.faults, CALM);
+      Object.assign(world.store.faults, CALM_STORE);
       await assertOwned(t, world, 'there is an owner');
     });
   });
@@ -128,7 +121,7 @@
     world.store.faults.isDown = true;
     const ownerId = await losePower(world);
     await world.run(OUTAGE_MS);
-    Object.assign(world.store.faults, CALM);
+    Object.assign(world.store.faults, CALM_STORE);
     await assertOwned(t, world, 'there is an owner');
     others.forEach((entryId) => world.startEntry(entryId));
     const hasChanged = await world.runUntil(() => world.ownerId() !== ownerId, 5_000);
--- a/packages/jobdesk/src/testing/answerSchedule.ts
+++ b/packages/jobdesk/src/testing/answerSchedule.ts
@@ -5,6 +5,7 @@
 import { type JobReply } from '@acaciadock/coordinator';
 import { type StoreFaults } from '@acaciadock/coordinator/testing';
 import { Random } from '@acaciadock/core';
+import { CALM_STORE } from './calmStore.js';
 import { type JobWorld } from './JobWorld.js';
 import { createWorld, statusOf } from './takeoverHelpers.js';
 
@@ -32,14 +33,6 @@
 const WORLD = { runtimeMs: RUNTIME_MS, targetCount: 1, refusesOverload: false };
 const STEPS = [{ taskCount: 1, cpuMilli: 1_000 }];
 
-export const CALM: StoreFaults = {
-  isDown: false,
-  isSilent: false,
-  isResetting: false,
-  lostAnswerShare: 0,
-  latencyMs: 4,
-};
-
 const OUTAGES: readonly Partial<StoreFaults>[] = [
   { isDown: true },
   { isSilent: true },
@@ -140,7 +133,9 @@
 function disturb(world: JobWorld, random: Random): void {
   if (random.chance(0.5)) {
     Object.assign(world.store.faults, random.pick(OUTAGES));
-    world.clock.after(random.next() * MAX_OUTAGE_MS, () => Object.assign(world.store.faults, CALM));
+    world.clock.after(random.next() * MAX_OUTAGE_MS, () =>
+      Object.assign(world.store.faults, CALM_STORE),
+    );
     return;
   }
   const ownerId = world.ownerId();
--- a/packages/jobdesk/src/testing/entrySchedule.ts
+++ b/packages/jobdesk/src/testing/entrySchedule.ts
@@ -5,6 +5,7 @@
  */
 import { Random } from '@acaciadock/core';
 import { type StoreFaults } from '@acaciadock/coordinator/testing';
+import { CALM_STORE } from './calmStore.js';
 import { DEFAULT_WORLD, JobWorld } from './JobWorld.js';
 
 const DISTURBED_MS = 15_000;
@@ -32,14 +33,6 @@
 /** CPU capacities of the entries, in thousandths of a core. */
 const CPU_MILLI = [324, 675, 675, 1_350];
 
-const CALM: StoreFaults = {
-  isDown: false,
-  isSilent: false,
-  isResetting: false,
-  lostAnswerShare: 0,
-  latencyMs: 4,
-};
-
 const OUTAGES: readonly Partial<StoreFaults>[] = [
   { isDown: true },
   { isSilent: true },
@@ -115,7 +108,7 @@
     this.note(`${JSON.stringify(outage)} for ${entryId ?? 'all'}`);
     Object.assign(found ?? {}, outage);
     this.world.clock.after(this.random.next() * MAX_OUTAGE_MS, () => {
-      Object.assign(found ?? {}, CALM);
+      Object.assign(found ?? {}, CALM_STORE);
     });
   }
 
@@ -184,9 +177,9 @@
   await world.run(1_500);
   await disturb(schedule);
   if (schedule.isDark) schedule.start('late');
-  Object.assign(world.store.faults, CALM);
+  Object.assign(world.store.faults, CALM_STORE);
   world.entries.forEach(({ storeFaults, clock }) => {
-    Object.assign(storeFaults, { ...CALM, latencyMs: 0 });
+    Object.assign(storeFaults, { ...CALM_STORE, latencyMs: 0 });
     clock.resume();
   });
   const history = (): string => schedule.steps.join('; ');
