--- a/review/harness-2/Worker.js
+++ b/review/harness-2/Worker.js
@@ -1,7 +1,7 @@
 /**
  * Stand-in for a worker, as PROTOCOL.md describes it: runs with leases, fence numbers and ends. What a
- * task needs and how long it takes stands in its `spec`, a JSON text with `ms`, `cpu` and `lasts`. A mode
- * is `pass`, `silent` (calls are neither carried out nor answered) or `down` (the process has ended).
+ * task needs and how long it takes stands in its `spec`, a JSON text with `ms`, `cpu`, `lasts` and `gang`
+ * (the number of members). A mode is `pass`, `silent` (calls are neither carried out nor answered) or `down` (the process has ended).
  */
 import { sleep, startHttpServer } from './HttpServer.js';
 
@@ -12,6 +12,10 @@
 const TICK_MS = 10;
 const MAX_ENDS = 500;
 const FOREVER_MS = 1e12;
+const GANG_TIMEOUT_MS = 3_000;
+
+/** The members of each gang that are present, by step and run. */
+const gangs = new Map();
 
 export class Worker {
   mode = 'pass';
@@ -30,6 +34,7 @@
     this.highest = new Map();
     this.fence = 0;
     this.untilMs = 0;
+    this.lapsedEnd = 0;
   }
 
   get clockMs() {
@@ -74,9 +79,11 @@
 
   /** The process ends: what runs is gone. */
   crash() {
-    this.log('worker-crash', { worker: this.id, runs: [...this.running.keys()] });
+    const runs = [...this.running.values()];
+    this.log('worker-crash', { worker: this.id, runs: runs.map(({ task, run }) => [task, run]) });
     this.mode = 'down';
     this.running.clear();
+    runs.forEach((one) => Worker.leaveGang(one, 'broken'));
   }
 
   /** A new process starts under the same id. */
@@ -90,8 +97,12 @@
   tick() {
     const nowMs = performance.now();
     const lapsed = this.clockMs > this.untilMs;
+    // An end that is listed while the lease lapses may be run again.
+    if (lapsed) this.lapsedEnd = this.lastEnd;
     [...this.running.values()].forEach((one) => {
       if (lapsed) this.end(one, 'lapsed');
+      else if (one.gang && !one.isWhole && nowMs - one.startMs > GANG_TIMEOUT_MS)
+        this.end(one, 'alone');
       else if (nowMs >= one.endsMs) this.end(one, one.outcome);
     });
   }
@@ -102,9 +113,28 @@
     this.lastEnd += 1;
     this.ends.push([this.lastEnd, one.task, one.run, how, '']);
     this.note(one.task, one.run);
+    Worker.leaveGang(one, how === 'done' ? 'done' : 'broken');
     this.log('end', { worker: this.id, task: one.task, run: one.run, how });
   }
 
+  /** When one member of a gang ends, the others end, too: done with it, or broken. */
+  static leaveGang(one, howOthers) {
+    if (!one.gang) return;
+    const members = gangs.get(one.gang) ?? [];
+    gangs.delete(one.gang);
+    members.filter((other) => other !== one).forEach((other) => other.worker.end(other, howOthers));
+  }
+
+  static joinGang(one, size, ms) {
+    const members = [...(gangs.get(one.gang) ?? []), one];
+    gangs.set(one.gang, members);
+    if (members.length < size) return;
+    const nowMs = performance.now();
+    members.forEach((member) =>
+      Object.assign(member, { isWhole: true, workMs: nowMs, endsMs: nowMs + ms }),
+    );
+  }
+
   note(task, run) {
     this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0));
   }
@@ -148,15 +178,30 @@
       this.extend(untilMs);
       return this.refuse('old');
     }
-    const { ms = 1_000, cpu = 1_000, lasts = false, outcome = 'done' } = JSON.parse(spec);
+    const { ms = 1_000, cpu = 1_000, lasts = false, outcome = 'done', gang = 0 } = JSON.parse(spec);
     if (this.usedCpu + cpu > this.cpu) {
       this.extend(untilMs);
       return this.refuse('room');
     }
     this.extend(untilMs);
     const nowMs = performance.now();
-    const endsMs = lasts ? FOREVER_MS : nowMs + ms;
-    this.running.set(task, { task, run, cpu, startMs: nowMs, endsMs, outcome, lasts });
+    const endsMs = lasts || gang > 0 ? FOREVER_MS : nowMs + ms;
+    const one = {
+      worker: this,
+      task,
+      run,
+      cpu,
+      startMs: nowMs,
+      workMs: nowMs,
+      endsMs,
+      outcome,
+      lasts,
+    };
+    this.running.set(task, one);
+    if (gang > 0) {
+      one.gang = `${task.slice(0, task.lastIndexOf('.'))}#${run}`;
+      Worker.joinGang(one, gang, ms);
+    }
     this.log('start', { worker: this.id, task, run, fencingToken });
     return this.receipt();
   }
@@ -171,6 +216,9 @@
 
   async hold({ untilMs, lastSeen, waitMs = 0 }) {
     this.extend(untilMs);
+    this.ends
+      .filter(([number]) => number <= lastSeen && number > this.lapsedEnd)
+      .forEach(([, task, run, how]) => this.log('noted', { worker: this.id, task, run, how }));
     this.ends = this.ends.filter(([number]) => number > lastSeen);
     const deadlineMs = performance.now() + waitMs;
     while (this.ends.length === 0 && performance.now() < deadlineMs) await sleep(TICK_MS);
@@ -185,9 +233,9 @@
     return { status: 200, body };
   }
 
-  static rowOf({ task, run, startMs, endsMs, cpu, lasts }) {
+  static rowOf({ task, run, workMs, endsMs, cpu, lasts }) {
     const nowMs = performance.now();
-    const percent = lasts ? 100 : Math.floor((100 * (nowMs - startMs)) / (endsMs - startMs));
+    const percent = lasts ? 100 : Math.floor((100 * (nowMs - workMs)) / (endsMs - workMs));
     return [task, run, '', Math.min(99, percent) + (lasts ? 1 : 0), cpu];
   }
 }
