--- a/review/harness-2/Store.js
+++ b/review/harness-2/Store.js
@@ -1,7 +1,8 @@
 /**
  * Stand-in for the platform's store, as PROTOCOL.md describes it: a log with conditional appends,
  * keyed topics and groups. Each entry has an address of its own, so that the store may turn single
- * entries away. A mode is `pass`, `busy` (503, nothing is done), `silent` or `reset`.
+ * entries away. A mode is `pass`, `busy` (503, nothing is done), `silent`, `reset` (both do nothing), `lost`
+ * (done and not answered) or `late` (done up to 3 s later and not answered).
  */
 import { sleep, startHttpServer } from './HttpServer.js';
 import { Partition } from './Partition.js';
@@ -9,6 +10,7 @@
 const APPEND_MS = 3;
 const ANSWER_MS = 1;
 const PAGE_ITEMS = 500;
+const MAX_LATE_MS = 3_000;
 const MAX_READ_BYTES = 1_048_576;
 const MAX_RECORD_BYTES = 262_144;
 
@@ -96,7 +98,10 @@
     await sleep(ANSWER_MS);
     const refusal = this.refusalFor(index, response);
     if (refusal) return refusal.answer;
+    const isWrite = url.pathname === '/v1/log-append';
+    if (isWrite && this.modes.get(index) === 'late') await sleep(Math.random() * MAX_LATE_MS);
     const answer = await this.answer(url, body);
+    if (isWrite && ['lost', 'late'].includes(this.modes.get(index))) return undefined;
     // The mode may have changed while the call waited.
     if (this.modes.get(index) === 'silent') return undefined;
     if (this.modes.get(index) === 'reset') response.destroy();
@@ -105,7 +110,7 @@
 
   refusalFor(index, response) {
     const mode = this.modes.get(index);
-    if (mode === 'pass') return undefined;
+    if (['pass', 'lost', 'late'].includes(mode)) return undefined;
     if (mode === 'busy') return { answer: { status: 503, body: {} } };
     if (mode === 'reset') response.destroy();
     return { answer: undefined };
--- a/review/harness-2/Worker.js
+++ b/review/harness-2/Worker.js
@@ -202,7 +202,7 @@
       one.gang = `${task.slice(0, task.lastIndexOf('.'))}#${run}`;
       Worker.joinGang(one, gang, ms);
     }
-    this.log('start', { worker: this.id, task, run, fencingToken });
+    this.log('start', { worker: this.id, task, run, fencingToken, spec });
     return this.receipt();
   }
 
--- a/review/harness-2/World.js
+++ b/review/harness-2/World.js
@@ -102,7 +102,7 @@
   }
 
   /** One call of a client, with its answer in the record. */
-  async call(entry, method, jobId, { body, limitMs = 3_000, note = '' } = {}) {
+  async call(entry, method, jobId, { body, limitMs = 3_000, note = '', key = KEY } = {}) {
     const text = body === undefined ? undefined : JSON.stringify(body);
     this.log('send', { entry: entry.name, method, jobId, note });
     const answer = await send({
@@ -111,7 +111,7 @@
       path: `${PREFIX}${jobId}`,
       headers: {
         host: HOST,
-        'x-api-key': KEY,
+        'x-api-key': key,
         'x-deadline-ms': String(limitMs),
         ...(text === undefined
           ? {}
