--- a/review/harness-2/Entry.js
+++ b/review/harness-2/Entry.js
@@ -27,13 +27,20 @@
   });
 }
 
+/** Ports that were handed out before; their processes may not have bound them yet. */
+const usedPorts = new Set();
+
 /** Finds a run of free ports below the range that the system gives to outgoing connections. */
 export async function freePorts(count) {
   for (let attempt = 0; attempt < 200; attempt += 1) {
     const first = 12_000 + Math.floor(Math.random() * 18_000);
     const ports = Array.from({ length: count }, (_, index) => first + index);
-    const free = await Promise.all(ports.map(isFree));
-    if (free.every((one) => one)) return ports;
+    const isUsed = ports.some((port) => usedPorts.has(port));
+    const free = isUsed ? [false] : await Promise.all(ports.map(isFree));
+    if (free.every((one) => one)) {
+      ports.forEach((port) => usedPorts.add(port));
+      return ports;
+    }
   }
   throw new Error('no free ports');
 }
