A cancel outlives the submission that is taken back with it

Taking the acceptance back removed the records of the submission and of its cancel from the append, but the promise that the DELETE waited for settled as durable with the next append. The method that keeps such a cancel by a record of its own was never called; the one in use was a local function.

Change: a write of a created key settles as `withdrawn` once the key is withdrawn or deleted (`CreatedKey`, `Commit`), so `durable` can't be reported for a record that was never written. Whoever waits gets the true outcome: a submission is refused, a cancel waits for its record in `CancelRecords` and is confirmed when that is durable. An end of a run that needs no record any more does not hold up the acknowledgement of later ends.

The new checks of JournalWriter.test.ts could not be written before, as there was no such outcome.

--- a/packages/coordinator/src/CancelRecords.ts
+++ b/packages/coordinator/src/CancelRecords.ts
@@ -68,7 +68,7 @@
     this.cancels.forEach(({ cancelledUnixMs }, key) => {
       if (nowMs - cancelledUnixMs < keepMs) return;
       this.cancels.delete(key);
-      void this.ownership.writer.write(key, () => undefined);
+      void this.ownership.writer.delete(key);
     });
   }
 
--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -28,7 +28,7 @@
 /** How often a waiting submission is checked against the state of the store, in milliseconds. */
 const STALL_CHECK_MS = 50;
 
-type CommitWaitOutcome = CommitOutcome | 'store-stalled' | 'withdrawn';
+type CommitWaitOutcome = CommitOutcome | 'store-stalled';
 
 export interface JobCallHandlerDeps {
   readonly jobs: JobTable;
@@ -91,32 +91,35 @@
    * is still possible: then the job certainly has not run, and the caller may be told so at once.
    */
   private awaitAcceptance(entry: JobEntry): Promise<CommitWaitOutcome> {
-    const { clock, ownership, runTracker } = this.deps;
+    const { clock, ownership } = this.deps;
     return new Promise((resolve) => {
-      const withdraw = (): void => {
-        if (!entry.isWithdrawn) runTracker.withdrawJob(entry);
-        if (entry.isWithdrawn) resolve('withdrawn');
-      };
       const check = clock.every(STALL_CHECK_MS, () => {
-        if (!ownership.mayAcceptWork || entry.isWithdrawn) withdraw();
+        if (!ownership.mayAcceptWork) this.withdraw(entry);
       });
       // After a loss of the journal, its new owner may have accepted a repeat of the call already.
       const release = ownership.onEnd((reason) => {
-        if (reason === 'handover' || reason === 'shutdown') withdraw();
+        if (reason === 'handover' || reason === 'shutdown') this.withdraw(entry);
       });
       void this.withTimeout(entry.acceptance).then((outcome) => {
         check.dispose();
         release.dispose();
-        resolve(entry.isWithdrawn ? 'withdrawn' : outcome);
+        resolve(outcome);
       });
     });
   }
 
-  /** Takes the acceptance back if that is still possible. A cancel of the job stays in force. */
+  /**
+   * Takes the acceptance back if that is still possible. A cancel of the job stays in force, because an
+   * earlier copy of the submission may still arrive.
+   */
   private withdraw(entry: JobEntry): void {
-    const { runTracker, cancels } = this.deps;
-    if (!runTracker.withdrawJob(entry) || !entry.cancellation) return;
-    void cancels.add(entry.job.jobId, entry.job.definition.teamId);
+    if (!this.deps.runTracker.withdrawJob(entry)) return;
+    if (entry.cancellation) void this.recordCancel(entry.job.definition);
+  }
+
+  /** Journals the cancel of a job that has no records, once if it is repeated. */
+  private recordCancel({ jobId, teamId }: JobDefinition): Promise<CommitOutcome> {
+    return this.deps.cancels.add(jobId, teamId);
   }
 
   /** Waits for the commit with a timeout, so that callers get an answer before they time out. */
@@ -189,11 +192,20 @@
       if (!this.deps.ownership.mayAcceptWork) return this.refuse('store-stalled');
       entry.cancellation = this.deps.runTracker.finishJob(entry, 'cancelled');
     }
-    const outcome = await this.withTimeout(entry.cancellation);
+    const outcome = await this.withTimeout(this.keptCancellation(entry, entry.cancellation));
     if (outcome === 'durable') return { kind: 'cancelled' };
     return { kind: 'unknown-outcome', reason: outcome };
   }
 
+  /** The cancellation, or the record that replaces it if the acceptance is taken back. */
+  private async keptCancellation(
+    { job }: JobEntry,
+    cancellation: Promise<CommitOutcome>,
+  ): Promise<CommitOutcome> {
+    const outcome = await cancellation;
+    return outcome === 'withdrawn' ? this.recordCancel(job.definition) : outcome;
+  }
+
   /** Confirms the cancel of a job that is not known once a submission that comes later can't run. */
   private async cancelUnknown(jobId: string, teamId: string): Promise<JobReply> {
     const { ownership, cancels } = this.deps;
--- a/packages/coordinator/src/JobEntry.ts
+++ b/packages/coordinator/src/JobEntry.ts
@@ -6,15 +6,15 @@
   /** Last status that is durable in the journal; `pending` before there is one. */
   durableStatus: JobStatus = 'pending';
 
-  /** Settles once the acceptance is durable. */
+  /** Settles once the acceptance is durable, or was taken back: then the job never runs. */
   acceptance: Promise<CommitOutcome> = Promise.resolve('durable');
 
-  /** Settles once the cancellation is durable; undefined if the job was not cancelled. */
+  /**
+   * Settles once the cancellation is durable, or was taken back with the acceptance; undefined if the job was not
+   * cancelled.
+   */
   cancellation: Promise<CommitOutcome> | undefined;
 
-  /** The acceptance was taken back before it reached the store; the job never runs. */
-  isWithdrawn = false;
-
   /** The job was refused because of load before it was accepted. */
   hasReturned = false;
 
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -97,18 +97,19 @@
 
   /**
    * Takes back the acceptance of a job whose definition certainly is not in the store and will not be.
-   * Returns false if it may be: a job is loaded by its definition, whatever else is written of it.
+   * Returns false if it may be: a job is loaded by its definition, whatever else is written of it. All
+   * waiting commits of the job settle as withdrawn, also one of its cancellation.
    */
   withdraw(entry: JobEntry): boolean {
     const { jobId } = entry.job;
+    if (this.entries.get(jobId) !== entry) return false;
     const { writer } = this.ownership;
     if (!writer.withdraw(`${DEFINITION_PREFIX}${jobId}`)) return false;
     const progressKey = `${PROGRESS_PREFIX}${jobId}`;
-    if (!writer.withdraw(progressKey)) void writer.write(progressKey, () => undefined);
+    if (!writer.withdraw(progressKey)) void writer.delete(progressKey);
     this.partRecords.withdraw(entry);
     this.entries.delete(jobId);
     this.active.delete(jobId);
-    Object.assign(entry, { isWithdrawn: true });
     return true;
   }
 
@@ -155,8 +156,8 @@
       if (!job.isFinished || nowMs - job.finishedUnixMs < keepMs) continue;
       this.entries.delete(jobId);
       this.partRecords.remove(entry, [...storedParts.keys()]);
-      void this.ownership.writer.write(`${DEFINITION_PREFIX}${jobId}`, () => undefined);
-      void this.ownership.writer.write(`${PROGRESS_PREFIX}${jobId}`, () => undefined);
+      void this.ownership.writer.delete(`${DEFINITION_PREFIX}${jobId}`);
+      void this.ownership.writer.delete(`${PROGRESS_PREFIX}${jobId}`);
     }
   }
 
--- a/packages/coordinator/src/PartRecords.ts
+++ b/packages/coordinator/src/PartRecords.ts
@@ -61,7 +61,7 @@
   /** Deletes records of the job. */
   remove({ storedParts }: JobEntry, keys: Iterable<string>): void {
     for (const key of keys) {
-      if (storedParts.delete(key)) void this.ownership.writer.write(key, () => undefined);
+      if (storedParts.delete(key)) void this.ownership.writer.delete(key);
     }
   }
 
@@ -69,7 +69,7 @@
   withdraw({ storedParts }: JobEntry): void {
     const { writer } = this.ownership;
     for (const key of storedParts.keys()) {
-      if (!writer.withdraw(key)) void writer.write(key, () => undefined);
+      if (!writer.withdraw(key)) void writer.delete(key);
     }
     storedParts.clear();
   }
--- a/packages/coordinator/src/ReportProcessor.test.ts
+++ b/packages/coordinator/src/ReportProcessor.test.ts
@@ -39,4 +39,24 @@
       t.equal(fixture.target('t0').runs.size, 0);
     });
   });
+
+  describe('the end of a run of a job that is not known any more', () => {
+    it('is acknowledged, with the ends that follow', async (t) => {
+      // Fails if an end that needs no record holds up the acknowledgement of all later ends of its target.
+      const fixture = new RunFixture(1);
+      const processor = createProcessor(fixture);
+      const job = fixture.accept('a');
+      fixture.start(job, 't0');
+      job.finish('cancelled', 0);
+      fixture.clock.advance(5);
+      fixture.jobs.dropFinished(0);
+      const { commit } = processor.process(fixture.target('t0'), report(1), 0.5);
+      t.equal(await commit, 'durable');
+      fixture.clock.advance(5);
+      const requestedMs = fixture.clock.monotonicMs();
+      const ended = processor.process(fixture.target('t0'), report(1), requestedMs);
+      t.equal(fixture.target('t0').runs.size, 0);
+      t.equal(await ended.commit, 'durable');
+    });
+  });
 });
--- a/packages/coordinator/src/ReportProcessor.ts
+++ b/packages/coordinator/src/ReportProcessor.ts
@@ -15,7 +15,7 @@
 const MAX_ENDS_PER_REPORT = 500;
 
 export interface ReportResult {
-  /** Settles when every end of the report is durable. */
+  /** Settles when every end of the report that needs a record is durable. */
   readonly commit: Promise<CommitOutcome>;
   /** Sequence number of the last end that has been applied. */
   readonly lastEnd: number;
@@ -57,9 +57,10 @@
     };
   }
 
+  /** The end of a run of a job that was withdrawn needs no record before it is acknowledged. */
   private static async join(commits: readonly Promise<CommitOutcome>[]): Promise<CommitOutcome> {
     const outcomes = await Promise.all(commits);
-    return outcomes.every((outcome) => outcome === 'durable') ? 'durable' : 'ownership-lost';
+    return outcomes.includes('ownership-lost') ? 'ownership-lost' : 'durable';
   }
 
   private updateLifetime(target: FleetTarget, report: HoldReport): void {
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -78,7 +78,7 @@
 
   journal(place: TaskPlace): Promise<CommitOutcome> {
     const entry = this.jobs.get(place.job.jobId);
-    if (!entry) return Promise.resolve('ownership-lost');
+    if (!entry) return Promise.resolve('withdrawn');
     return this.jobs.writeProgress(entry);
   }
 
@@ -230,7 +230,8 @@
   private updateJob(place: TaskPlace, wasStepDone: boolean): Promise<CommitOutcome> {
     const { job } = place;
     const entry = this.jobs.get(job.jobId);
-    if (!entry) return Promise.resolve('durable');
+    // Nothing of a job that was taken back, or whose retention has passed, is journaled any more.
+    if (!entry) return Promise.resolve('withdrawn');
     if (place.task.done) this.stopRemainingRuns(place);
     if (job.isFinished) return this.jobs.writeProgress(entry);
     const verdict = RunTracker.finalStatusOf(place);
--- a/packages/coordinator/src/testing/RunFixture.ts
+++ b/packages/coordinator/src/testing/RunFixture.ts
@@ -36,6 +36,7 @@
       writer: {
         write: () => Promise.resolve('durable'),
         create: () => Promise.resolve('durable'),
+        delete: () => Promise.resolve('durable'),
       },
     } as unknown as Ownership,
     this.clock,
--- a/packages/jobdesk/src/cancelledSubmissions.test.ts
+++ b/packages/jobdesk/src/cancelledSubmissions.test.ts
@@ -28,6 +28,9 @@
  */
 const REGRESSION_SEEDS = [6, 7, 11, 16, 18, 1_003, 1_008, 1_011, 1_012, 1_013];
 
+/** The same; here a submission was taken back together with its cancel, which was then confirmed. */
+const WITHDRAWN_CANCEL_SEEDS = [1, 20_261_219];
+
 const OUTAGES: Readonly<Record<string, Partial<StoreFaults>>> = {
   'is silent': { isSilent: true },
   'rejects calls': { isDown: true },
@@ -65,9 +68,7 @@
   await world.run(cancelAfterMs);
   await Promise.all([
     world.run(OUTAGE_MS + SETTLE_MS / 2),
-    ...jobs.map(async (job) => {
-      while (!(await job.cancel())) await world.clock.sleep(RETRY_MS);
-    }),
+    ...jobs.map((job) => job.cancelUntilConfirmed(RETRY_MS)),
   ]);
   return jobs;
 }
@@ -92,6 +93,83 @@
   });
 });
 
+describe('a submission whose cancel was confirmed after an outage', () => {
+  /** Refuses the submission, or leaves it without an answer; the client then cancels and repeats it. */
+  async function playRepeat(
+    faults: Partial<StoreFaults>,
+    outageMs: number,
+    cancelAfterMs: number,
+    changeOwner: (world: JobWorld) => void = () => {},
+  ): Promise<string[]> {
+    const world = await createWorld();
+    const job = new JobAnswers('a', world);
+    Object.assign(world.store.faults, faults);
+    world.clock.after(outageMs, () => Object.assign(world.store.faults, CALM_STORE));
+    void job.submit();
+    await world.run(cancelAfterMs);
+    let isConfirmed = false;
+    void job.cancelUntilConfirmed(RETRY_MS).then(() => {
+      isConfirmed = true;
+    });
+    if (!(await world.runUntil(() => isConfirmed, SETTLE_MS))) return ['cancel not confirmed'];
+    changeOwner(world);
+    await world.run(CANCEL_BOUND_MS + RETRY_MS);
+    void job.submit();
+    await world.run(SETTLE_MS);
+    return contradictions(world, [job]);
+  }
+
+  Object.entries(OUTAGES).forEach(([outage, faults]) => {
+    it(`does not run when it is repeated (the store ${outage})`, async (t) => {
+      // Fails if a cancel is confirmed that was taken back together with the submission it belongs to.
+      for (const outageMs of [300, 900, 1_500, 4_000]) {
+        for (const cancelAfterMs of [0, 100, 250]) {
+          const found = await playRepeat(faults, outageMs, cancelAfterMs);
+          t.same(found, [], `outage of ${outageMs} ms, cancelled after ${cancelAfterMs} ms`);
+        }
+      }
+    });
+  });
+
+  Object.entries(CHANGES).forEach(([change, changeOwner]) => {
+    it(`does not run when it is repeated after ${change}`, async (t) => {
+      for (const outageMs of [600, 900, 1_300]) {
+        const found = await playRepeat({ isDown: true }, outageMs, 100, changeOwner);
+        t.same(found, [], `outage of ${outageMs} ms`);
+      }
+    });
+  });
+
+  it('confirms several cancels of several attempts', async (t) => {
+    const world = await createWorld();
+    const job = new JobAnswers('a', world);
+    Object.assign(world.store.faults, { isDown: true });
+    world.clock.after(900, () => Object.assign(world.store.faults, CALM_STORE));
+    const answers = [1, 2, 3].map(() => job.submit());
+    await world.run(100);
+    const cancels = [1, 2, 3].map(() => job.cancel());
+    await world.run(SETTLE_MS);
+    await Promise.all(answers);
+    t.same(await Promise.all(cancels), [true, true, true]);
+    t.ok(job.isRefused);
+    void job.submit();
+    await world.run(SETTLE_MS);
+    t.equal(job.starts, 0);
+  });
+
+  it('runs when it was refused and not cancelled', async (t) => {
+    const world = await createWorld();
+    const job = new JobAnswers('a', world);
+    Object.assign(world.store.faults, { isDown: true });
+    world.clock.after(900, () => Object.assign(world.store.faults, CALM_STORE));
+    void job.submit();
+    await world.run(2_000);
+    t.ok(job.isRefused);
+    await submit(world, 'a');
+    await assertCompletes(t, world, ['a']);
+  });
+});
+
 describe('a submission that arrives after its cancel was confirmed', () => {
   async function cancelFirst(): Promise<{ world: JobWorld; job: JobAnswers }> {
     const world = await createWorld();
@@ -138,7 +216,7 @@
 
 describe('random submissions, cancels, outages and changes of owner', () => {
   it('agree with every answer on seeds that failed before', async (t) => {
-    for (const seed of REGRESSION_SEEDS) {
+    for (const seed of [...REGRESSION_SEEDS, ...WITHDRAWN_CANCEL_SEEDS]) {
       t.same(await playAnswerSchedule(seed), [], `seed ${seed}`);
     }
   });
--- a/packages/jobdesk/src/testing/answerSchedule.ts
+++ b/packages/jobdesk/src/testing/answerSchedule.ts
@@ -26,6 +26,10 @@
 const SENT_AT_ONCE = 4;
 const MAX_OUTAGE_MS = 4_500;
 const MAX_CANCEL_DELAY_MS = 1_500;
+
+/** A copy of a submission that waits in a frozen entry arrives up to this long after the cancel. */
+const MAX_COPY_DELAY_MS = 5_000;
+const LATE_COPY_CHANCE = 0.5;
 const RESTART_MS = 300;
 const RUNTIME_MS = 600;
 
@@ -90,6 +94,10 @@
     return isConfirmed;
   }
 
+  async cancelUntilConfirmed(retryMs: number): Promise<void> {
+    while (!(await this.cancel())) await this.world.clock.sleep(retryMs);
+  }
+
   get starts(): number {
     return this.world.observer.startsOf(`${this.jobId}.0.0.0`);
   }
@@ -108,13 +116,18 @@
   }
 }
 
-async function cancelUntilConfirmed(
+/** Cancels the job after a delay; an earlier copy of the submission may arrive long after that. */
+async function cancelLater(
   world: JobWorld,
   answers: JobAnswers,
   delayMs: number,
+  random: Random,
 ): Promise<void> {
   await world.clock.sleep(delayMs);
-  while (!(await answers.cancel())) await world.clock.sleep(RESTART_MS);
+  await answers.cancelUntilConfirmed(RESTART_MS);
+  if (!random.chance(LATE_COPY_CHANCE)) return;
+  await world.clock.sleep(random.next() * MAX_COPY_DELAY_MS);
+  await answers.submit();
 }
 
 /** Submits a job up to three times under the same id. */
@@ -173,6 +186,8 @@
 /** Returns the contradictions that the schedule of this seed led to. */
 export async function playAnswerSchedule(seed: number): Promise<string[]> {
   const random = new Random(seed);
+  // Of its own, so that the seeds that failed before still lead to the same disturbances.
+  const copyRandom = new Random(seed);
   const world = await createWorld({ seed, ...WORLD });
   const jobs: JobAnswers[] = [];
   const untilMs = world.clock.monotonicMs() + DISTURBED_MS;
@@ -181,7 +196,7 @@
     jobs.push(answers);
     void submitRepeatedly(world, answers, random);
     if (random.chance(0.5)) {
-      void cancelUntilConfirmed(world, answers, random.next() * MAX_CANCEL_DELAY_MS);
+      void cancelLater(world, answers, random.next() * MAX_CANCEL_DELAY_MS, copyRandom);
     }
   };
   while (world.clock.monotonicMs() < untilMs) {
--- a/packages/journal/src/JournalWriter.test.ts
+++ b/packages/journal/src/JournalWriter.test.ts
@@ -2,7 +2,8 @@
 import { ManualClock } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
 import { err, ok, type Result } from 'neverthrow';
-import { type CommitOutcome, JournalWriter } from './JournalWriter.js';
+import { type CommitOutcome } from './Commit.js';
+import { JournalWriter } from './JournalWriter.js';
 import { type KeyedRecord, type LogFailure, type LogSlice, RecordLog } from './RecordLog.js';
 
 const STEP_MS = 10;
@@ -223,6 +224,57 @@
     });
   });
 
+  describe('when a key is withdrawn whose writes are waited for', () => {
+    it('settles them as withdrawn, and the others as durable', async (t) => {
+      // Fails if a promise for a record that was never written settles with the next append.
+      const fixture = new Fixture();
+      fixture.log.mode = 'rejects';
+      fixture.create('a', 'first');
+      fixture.write('a', 'second');
+      fixture.write('b');
+      await fixture.run();
+      fixture.writer.withdraw('a');
+      await fixture.run();
+      t.same(fixture.outcomes, [
+        ['a', 'withdrawn'],
+        ['a', 'withdrawn'],
+      ]);
+      fixture.log.mode = 'answers';
+      await fixture.run();
+      t.same(fixture.outcomes.slice(2), [['b', 'durable']]);
+    });
+
+    it('settles the writes of the key that follow as durable', async (t) => {
+      const fixture = new Fixture();
+      fixture.log.mode = 'rejects';
+      fixture.create('a', 'first');
+      await fixture.run();
+      fixture.writer.withdraw('a');
+      fixture.create('a', 'second');
+      fixture.log.mode = 'answers';
+      await fixture.run();
+      t.same(fixture.outcomes, [
+        ['a', 'withdrawn'],
+        ['a', 'durable'],
+      ]);
+    });
+
+    it('settles them as withdrawn if the key is deleted instead', async (t) => {
+      const fixture = new Fixture();
+      fixture.log.mode = 'never-answers';
+      fixture.create('a', 'first');
+      await nextTurn();
+      fixture.write('a', 'second');
+      t.notOk(fixture.writer.withdraw('a'));
+      void fixture.writer.delete('a');
+      await nextTurn();
+      t.same(fixture.outcomes, [
+        ['a', 'withdrawn'],
+        ['a', 'withdrawn'],
+      ]);
+    });
+  });
+
   it('gives up the journal if a record cannot be encoded', async (t) => {
     // Fails if the exception stops the writer but not the ownership: the owner would accept jobs
     // that never become durable, and no other entry would take over.
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -8,7 +8,14 @@
 import { type Clock, Disposable, EventEmitter } from '@acaciadock/core';
 import { type Result } from 'neverthrow';
 import { CallRepeater } from './CallRepeater.js';
-import { type KeyedRecord, type LogFailure, type RecordLog } from './RecordLog.js';
+import { type Commit, type CommitOutcome, createCommit } from './Commit.js';
+import { CreatedKey } from './CreatedKey.js';
+import {
+  type KeyedRecord,
+  type LogFailure,
+  type RecordEncoder,
+  type RecordLog,
+} from './RecordLog.js';
 import { type OwnedJournal } from './JournalClaim.js';
 
 /** Delay before an append is retried, in milliseconds. */
@@ -20,16 +27,6 @@
  */
 const MAX_BATCH_BYTES = 1_000_000;
 
-export type CommitOutcome = 'durable' | 'ownership-lost';
-
-/** Encodes the value when its batch is formed, so that the newest state is written. */
-export type RecordEncoder = () => Buffer | undefined;
-
-interface Commit {
-  readonly promise: Promise<CommitOutcome>;
-  readonly settle: (outcome: CommitOutcome) => void;
-}
-
 /** The records of one append, and what is needed to dissolve it. */
 interface Batch {
   readonly records: readonly KeyedRecord[];
@@ -54,16 +51,10 @@
   readonly unixMs: number;
 }
 
+type SettledAppend = Exclude<CommitOutcome, 'withdrawn'>;
+
 /** `rejected`: no attempt had an effect. */
-type AppendOutcome = CommitOutcome | 'rejected';
-
-function createCommit(): Commit {
-  let settle: (outcome: CommitOutcome) => void = () => undefined;
-  const promise = new Promise<CommitOutcome>((resolve) => {
-    settle = resolve;
-  });
-  return { promise, settle };
-}
+type AppendOutcome = SettledAppend | 'rejected';
 
 export class JournalWriter extends Disposable {
   private dirty = new Map<string, RecordEncoder>();
@@ -83,11 +74,8 @@
   /** The batch whose append is under way. */
   private inFlight: Batch | undefined;
 
-  /**
-   * Keys that were created and of which no write can be in the store yet, with the waiting write that each
-   * replaced.
-   */
-  private readonly created = new Map<string, RecordEncoder | undefined>();
+  /** Keys that were created and of which no write can be in the store yet. */
+  private readonly created = new Map<string, CreatedKey>();
 
   private lost = false;
 
@@ -170,14 +158,14 @@
 
   /**
    * Adds the key to the next batch, and replaces an earlier write of the key that is not in a batch
-   * yet. The promise resolves once the batch is durable or the ownership is lost.
+   * yet. The promise resolves once the batch is durable, the ownership is lost or the key is withdrawn.
    */
   write(key: string, encode: RecordEncoder): Promise<CommitOutcome> {
     if (this.lost || this.closing || this.isDisposed) return Promise.resolve('ownership-lost');
     this.dirty.set(key, encode);
     const { promise } = this.nextCommit;
     this.scheduleRun();
-    return promise;
+    return this.created.get(key)?.outcomeOf(promise) ?? promise;
   }
 
   /**
@@ -185,10 +173,17 @@
    * until an append with it, or with a later write of it, may have had an effect.
    */
   create(key: string, encode: RecordEncoder): Promise<CommitOutcome> {
-    this.created.set(key, this.dirty.get(key));
+    this.created.set(key, new CreatedKey(this.dirty.get(key)));
     return this.write(key, encode);
   }
 
+  /** Deletes the record of the key. Writes of a created key that are not durable yet settle as withdrawn. */
+  delete(key: string): Promise<CommitOutcome> {
+    this.created.get(key)?.withdraw();
+    this.created.delete(key);
+    return this.write(key, () => undefined);
+  }
+
   /**
    * Writes what waits, with this record as the last one. Nothing is sent after it, so that the next
    * owner's claim finds the log where this writer left it.
@@ -205,15 +200,16 @@
   }
 
   /**
-   * Cancels all writes of a created key, and restores the deletion that they replaced. Returns false,
-   * without effect, if one of them may be in the store.
+   * Cancels all writes of a created key, which settle as withdrawn, and restores the deletion that they
+   * replaced. Returns false, without effect, if one of them may be in the store.
    */
   withdraw(key: string): boolean {
-    if (!this.created.has(key) || this.inFlight?.encoders.has(key)) return false;
-    const replaced = this.created.get(key);
+    const created = this.created.get(key);
+    if (!created || this.inFlight?.encoders.has(key)) return false;
     this.created.delete(key);
-    if (replaced) this.dirty.set(key, replaced);
+    if (created.replaced) this.dirty.set(key, created.replaced);
     else this.dirty.delete(key);
+    created.withdraw();
     return true;
   }
 
@@ -334,7 +330,7 @@
     if (this.failures === 1) this.stalledEmitter.fire(failure);
   }
 
-  private advance(records: number, bytes: number, sent: SendTime): CommitOutcome {
+  private advance(records: number, bytes: number, sent: SendTime): SettledAppend {
     if (this.failures > 0) {
       const { stalledMs, failures } = this;
       this.resumedEmitter.fire({ stalledMs, failures, records, bytes });
@@ -347,7 +343,7 @@
     return 'durable';
   }
 
-  private endOwnership(failure: LogFailure): CommitOutcome {
+  private endOwnership(failure: LogFailure): SettledAppend {
     this.lost = true;
     this.settleUnwritten();
     this.lostEmitter.fire(failure);
--- a/packages/journal/src/RecordLog.ts
+++ b/packages/journal/src/RecordLog.ts
@@ -10,6 +10,9 @@
   readonly value: Buffer | undefined;
 }
 
+/** Encodes the value when its batch is formed, so that the newest state is written. */
+export type RecordEncoder = () => Buffer | undefined;
+
 export interface StoredRecord extends KeyedRecord {
   readonly offset: number;
 }
--- a/packages/journal/src/index.ts
+++ b/packages/journal/src/index.ts
@@ -4,4 +4,5 @@
 export * from './PeerNotices.js';
 export * from './JournalClaim.js';
 export * from './JournalCopy.js';
+export { type CommitOutcome } from './Commit.js';
 export * from './JournalWriter.js';
