--- a/packages/maintenance/src/testing/HarnessEntry.ts
+++ b/packages/maintenance/src/testing/HarnessEntry.ts
@@ -1,5 +1,5 @@
 /** The maintenance components of one entry, connected to the fakes of the harness. */
-import { type Clock, type EntryId, type HomeMap, Random } from '@acaciadock/core';
+import { type Clock, Disposable, type EntryId, type HomeMap, Random } from '@acaciadock/core';
 import { type PeerNetwork } from '@acaciadock/peers';
 import { type InstanceControl, type InstanceDirectory } from '@acaciadock/platform';
 import { CommandSubmitter } from '../CommandSubmitter.js';
@@ -31,7 +31,7 @@
   runsOf(entryId: EntryId): RunCounter;
 }
 
-export class HarnessEntry {
+export class HarnessEntry extends Disposable {
   readonly reader: ControlReader;
 
   readonly role: ControllerRole;
@@ -40,8 +40,6 @@
 
   readonly commands: CommandSubmitter;
 
-  private readonly responder: WorkResponder;
-
   private readonly survey: WorkSurvey;
 
   constructor(
@@ -50,6 +48,7 @@
     network: PeerNetwork,
     seed: number,
   ) {
+    super();
     const { clock, log, config } = harness;
     const random = new Random(seed);
     this.reader = new ControlReader(log, clock, random);
@@ -58,7 +57,7 @@
     this.commands = new CommandSubmitter(log, this.reader, clock);
     const tracker = new DrainTracker(clock);
     const demand = new DemandSmoother(clock);
-    this.responder = new WorkResponder(config, harness.runsOf(entryId), network);
+    this.register(new WorkResponder(config, harness.runsOf(entryId), network));
     this.survey = new WorkSurvey(entryId, harness.homes, network, tracker, demand, clock);
     this.controller = new MaintenanceController(
       {
