A cancel of a job whose end is not durable waits for that end

A cancel of a job that the owner had just finished in memory was confirmed at once.

Cause: `JobCallHandler.cancel` answered by the state in memory and waited for no commit unless the job was cancelled.

Change: the table entry keeps the commit of whatever finished the job (`JobEntry.finish`, which replaces `cancellation`), and a cancel waits for it.

--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -114,7 +114,7 @@
    */
   private withdraw(entry: JobEntry): void {
     if (!this.deps.runTracker.withdrawJob(entry)) return;
-    if (entry.cancellation) void this.recordCancel(entry.job.definition);
+    if (entry.job.status === 'cancelled') void this.recordCancel(entry.job.definition);
   }
 
   /** Journals the cancel of a job that has no records, once if it is repeated. */
@@ -149,7 +149,7 @@
     this.shares.note(teamId, this.weightOf(teamId), this.deps.clock.monotonicMs());
     const entry = this.deps.jobs.accept(definition);
     if (this.deps.cancels.has(jobId, teamId)) {
-      entry.cancellation = this.deps.runTracker.finishJob(entry, 'cancelled');
+      void this.deps.runTracker.finishJob(entry, 'cancelled');
       return entry;
     }
     entry.hasReturned = this.deps.admission.hasReturned(jobId);
@@ -187,22 +187,21 @@
   private async cancel(jobId: string, teamId: string): Promise<JobReply> {
     const entry = this.findVisible(jobId, teamId);
     if (!entry) return this.cancelUnknown(jobId, teamId);
-    if (entry.job.isFinished && !entry.cancellation) return { kind: 'cancelled' };
-    if (!entry.cancellation) {
+    if (!entry.job.isFinished) {
       if (!this.deps.ownership.mayAcceptWork) return this.refuse('store-stalled');
-      entry.cancellation = this.deps.runTracker.finishJob(entry, 'cancelled');
+      void this.deps.runTracker.finishJob(entry, 'cancelled');
     }
-    const outcome = await this.withTimeout(this.keptCancellation(entry, entry.cancellation));
+    const outcome = await this.withTimeout(this.finalStatusCommit(entry));
     if (outcome === 'durable') return { kind: 'cancelled' };
     return { kind: 'unknown-outcome', reason: outcome };
   }
 
-  /** The cancellation, or the record that replaces it if the acceptance is taken back. */
-  private async keptCancellation(
-    { job }: JobEntry,
-    cancellation: Promise<CommitOutcome>,
-  ): Promise<CommitOutcome> {
-    const outcome = await cancellation;
+  /**
+   * Settles once no successor can run the job any more: its final status is durable, or the record of its cancel if
+   * the acceptance was taken back.
+   */
+  private async finalStatusCommit({ job, finish }: JobEntry): Promise<CommitOutcome> {
+    const outcome = (await finish) ?? 'durable';
     return outcome === 'withdrawn' ? this.recordCancel(job.definition) : outcome;
   }
 
--- a/packages/coordinator/src/JobEntry.ts
+++ b/packages/coordinator/src/JobEntry.ts
@@ -10,10 +10,10 @@
   acceptance: Promise<CommitOutcome> = Promise.resolve('durable');
 
   /**
-   * Settles once the cancellation is durable, or was taken back with the acceptance; undefined if the job was not
-   * cancelled.
+   * Settles once the final status of the job is durable, or was taken back with the acceptance; undefined if this
+   * owner has not finished the job.
    */
-  cancellation: Promise<CommitOutcome> | undefined;
+  finish: Promise<CommitOutcome> | undefined;
 
   /** The job was refused because of load before it was accepted. */
   hasReturned = false;
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -161,6 +161,7 @@
     job.finish(status, this.clock.unixMs());
     this.logger.info('job-finished', { jobId: job.jobId, status });
     const commit = this.jobs.writeProgress(entry);
+    Object.assign(entry, { finish: commit });
     void commit.then((outcome) => {
       if (outcome === 'durable') this.stopJobRuns(entry);
     });
--- a/packages/jobdesk/src/cancelledSubmissions.test.ts
+++ b/packages/jobdesk/src/cancelledSubmissions.test.ts
@@ -227,3 +227,28 @@
     }
   });
 });
+
+describe('a cancel of a job whose end is not durable yet', () => {
+  it('is not confirmed before the end is', async (t) => {
+    // Fails if the job runs again after the confirmed cancel: its end was known to a lost owner only.
+    const world = await createWorld({ targetCount: 1 });
+    const job = new JobAnswers('a', world);
+    void job.submit();
+    await world.run(300);
+    t.ok(job.isAccepted && job.starts === 1);
+    Object.assign(world.store.faults, { isDown: true });
+    await world.run(1_000);
+    let isConfirmed = false;
+    void job.cancel().then((done) => {
+      isConfirmed = done;
+    });
+    await world.run(CANCEL_BOUND_MS);
+    const wasConfirmed = isConfirmed;
+    world.killEntry(world.ownerId() ?? '');
+    world.targets.get('t0')?.restart();
+    Object.assign(world.store.faults, CALM_STORE);
+    await world.run(SETTLE_MS);
+    t.notOk(wasConfirmed, 'the store has none of it');
+    t.same(await contradictions(world, [job]), []);
+  });
+});
