A submission is named by its account and queue, not by its id alone

Also, found on related paths: the same on another queue of the same account, whose caller was shown and could cancel the other submission; a submission of a public queue was shown to, and could be cancelled by, every account on every queue; a cancel of an unknown id on one queue cancelled a later submission on another; a cancel without a key on a public queue did not hold for a submission with one; an id that was refused for load had its return remembered for all accounts.

Cause: submit, the memory of returning callers and part of the visibility check looked a submission up by its id. The id is chosen by the client and names a submission only within its account and queue.

Change: `SubmissionScope` decides whose a submission is, for every call. A submission whose id another scope has is refused with 503 and a Retry-After of the time until the retention of that one is over. An owner without a proof of its ownership says that the outcome is unknown instead. Runs and queued steps look their job up by identity, not by an id that another job may have.

--- a/packages/coordinator/src/AdmissionController.ts
+++ b/packages/coordinator/src/AdmissionController.ts
@@ -85,8 +85,10 @@
     this.loads.set(poolId, { atMs, room, backlog, rejectedSizes, suspectWaitMs });
   }
 
-  hasReturned(jobId: string): boolean {
-    return this.policy.hasReturned(jobId, this.deps.clock.monotonicMs());
+  /** Whether this submission, and not only one with its id, was refused because of load a short while ago. */
+  hasReturned(definition: JobDefinition): boolean {
+    const key = AdmissionController.keyOf(definition);
+    return this.policy.hasReturned(key, this.deps.clock.monotonicMs());
   }
 
   /** Milliseconds after which the caller may return, if the job is refused because of load. */
@@ -100,10 +102,14 @@
     const admission = this.policy.decide(job, load, nowMs, clock.unixMs());
     this.log(definition, poolId, job, load, admission);
     if (admission.decision.kind === 'admitted') return undefined;
-    this.policy.recordRefused(definition.jobId, nowMs);
+    this.policy.recordRefused(AdmissionController.keyOf(definition), nowMs);
     return admission.decision.retryAfterMs;
   }
 
+  private static keyOf({ jobId, queueId, teamId }: JobDefinition): string {
+    return `${jobId}/${queueId}/${teamId}`;
+  }
+
   private addTo(backlog: PoolBacklog, queued: QueuedStep): void {
     const { definition } = queued.entry.job;
     const { spec, waitingTasks } = queued.step;
@@ -150,7 +156,7 @@
       objectiveUnixMs: acceptedUnixMs + objectiveMs,
       remainingMs: chainMs,
       isBeyondShare,
-      hasReturned: this.hasReturned(definition.jobId),
+      hasReturned: this.hasReturned(definition),
       teamId,
       firstSteps: spec.steps.filter((step) => step.afterSteps.length === 0),
       weightOf: (id) => this.deps.config().team(id)?.weight ?? DEFAULT_WEIGHT,
--- a/packages/coordinator/src/CancelRecords.ts
+++ b/packages/coordinator/src/CancelRecords.ts
@@ -1,13 +1,15 @@
 /**
  * Cancels of jobs that the journal doesn't have. A submission that was sent before its cancel may arrive after it,
  * from an entry that stood still or a client that repeats it, so each such cancel is journaled before it is
- * confirmed. Kept for each team, because another team's cancel of the same id has no effect.
+ * confirmed. Kept for each scope, because a cancel of the same id by another team or on another queue has no
+ * effect.
  */
 import { type Clock } from '@acaciadock/core';
 import { type CommitOutcome } from '@acaciadock/journal';
 import { createHash } from 'node:crypto';
 import * as z from 'zod';
 import { type Ownership } from './Ownership.js';
+import { type SubmissionScope } from './SubmissionScope.js';
 
 /** Keys have the form `cancelled/job/team`, with a digest of the team, as the length of a key is limited. */
 const CANCEL_PREFIX = 'cancelled/';
@@ -18,13 +20,15 @@
   jobId: z.string(),
   teamId: z.string(),
   cancelledUnixMs: z.number(),
+  /** Queues on which it was sent; a record of an earlier build has none and holds on all queues of the team. */
+  queueIds: z.array(z.string()).readonly().optional(),
 });
 
 type CancelRecord = Readonly<z.infer<typeof cancelSchema>>;
 
 interface StoredCancel {
-  readonly cancelledUnixMs: number;
-  /** Settles once the cancel is durable. */
+  readonly record: CancelRecord;
+  /** Settles once the newest record of the cancel is durable. */
   readonly commit: Promise<CommitOutcome>;
 }
 
@@ -36,19 +40,21 @@
     private readonly clock: Clock,
   ) {}
 
-  has(jobId: string, teamId: string): boolean {
+  has(jobId: string, { queueId, teamId }: SubmissionScope): boolean {
     if (this.cancels.size === 0) return false;
-    return this.cancels.has(CancelRecords.keyOf(jobId, teamId));
+    const known = this.cancels.get(CancelRecords.keyOf(jobId, teamId));
+    return known !== undefined && CancelRecords.holdsOn(queueId, known.record);
   }
 
   /** Journals the cancel, once if it is repeated; settles once it is durable. */
-  add(jobId: string, teamId: string): Promise<CommitOutcome> {
+  add(jobId: string, { queueId, teamId }: SubmissionScope): Promise<CommitOutcome> {
     const key = CancelRecords.keyOf(jobId, teamId);
     const known = this.cancels.get(key);
-    if (known) return known.commit;
-    const record: CancelRecord = { jobId, teamId, cancelledUnixMs: this.clock.unixMs() };
+    if (known && CancelRecords.holdsOn(queueId, known.record)) return known.commit;
+    const queueIds = [...(known?.record.queueIds ?? []), queueId];
+    const record = { jobId, teamId, cancelledUnixMs: this.clock.unixMs(), queueIds };
     const commit = this.ownership.writer.write(key, () => Buffer.from(JSON.stringify(record)));
-    this.cancels.set(key, { cancelledUnixMs: record.cancelledUnixMs, commit });
+    this.cancels.set(key, { record, commit });
     return commit;
   }
 
@@ -57,21 +63,24 @@
     if (!key.startsWith(CANCEL_PREFIX)) return false;
     const record = CancelRecords.parse(value);
     if (!record) return true;
-    const { cancelledUnixMs } = record;
-    this.cancels.set(key, { cancelledUnixMs, commit: Promise.resolve('durable') });
+    this.cancels.set(key, { record, commit: Promise.resolve('durable') });
     return true;
   }
 
   /** Drops cancels that are so old that no submission of theirs is under way any more. */
   dropOld(keepMs: number): void {
     const nowMs = this.clock.unixMs();
-    this.cancels.forEach(({ cancelledUnixMs }, key) => {
-      if (nowMs - cancelledUnixMs < keepMs) return;
+    this.cancels.forEach(({ record }, key) => {
+      if (nowMs - record.cancelledUnixMs < keepMs) return;
       this.cancels.delete(key);
       void this.ownership.writer.delete(key);
     });
   }
 
+  private static holdsOn(queueId: string, { queueIds }: CancelRecord): boolean {
+    return queueIds === undefined || queueIds.includes(queueId);
+  }
+
   private static keyOf(jobId: string, teamId: string): string {
     const digest = createHash('sha256').update(teamId).digest('hex');
     return `${CANCEL_PREFIX}${jobId}/${digest.slice(0, DIGEST_CHARACTERS)}`;
--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -248,6 +248,7 @@
       demand,
       scheduler,
       admission,
+      keepFinishedMs: options.keepFinishedMs,
     });
     this.fleetController = this.createFleetController(crashes);
     this.restore(owned);
--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -3,7 +3,7 @@
  * cancellation or the final status of a job is reported only once it is durable.
  */
 import { type Clock, type Logger } from '@acaciadock/core';
-import { type JobDefinition, type JobsConfigView } from '@acaciadock/jobs';
+import { type Job, type JobDefinition, type JobsConfigView } from '@acaciadock/jobs';
 import { type CommitOutcome } from '@acaciadock/journal';
 import { RetryAfter, ShareMeter } from '@acaciadock/placement';
 import { type AdmissionController } from './AdmissionController.js';
@@ -15,12 +15,14 @@
   type JobCall,
   type JobReply,
   type JobService,
+  ID_IN_USE,
   OVERLOADED,
   type SubmitCall,
 } from './JobService.js';
 import { type JobTable } from './JobTable.js';
 import { type Ownership } from './Ownership.js';
 import { type RunTracker } from './RunTracker.js';
+import { isWithinScope, scopeOf, type SubmissionScope } from './SubmissionScope.js';
 
 /** The outcome is reported as unknown after this wait for the store, in milliseconds. */
 const COMMIT_WAIT_MS = 1_500;
@@ -41,6 +43,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
+  /** Retention of finished jobs, in milliseconds. */
+  readonly keepFinishedMs: number;
 }
 
 export class JobCallHandler implements JobService {
@@ -53,9 +57,9 @@
       case 'submit':
         return this.submit(call);
       case 'cancel':
-        return this.cancel(call.jobId, call.context.teamId);
+        return this.cancel(call.jobId, call.context);
       case 'state':
-        return Promise.resolve(this.state(call.jobId, call.context.teamId));
+        return Promise.resolve(this.state(call.jobId, call.context));
       case 'waiting':
       default:
         return Promise.resolve(this.waiting(call.context.queueId));
@@ -64,7 +68,9 @@
 
   private async submit(call: SubmitCall): Promise<JobReply> {
     const { ownership, clock, logger } = this.deps;
-    const known = this.deps.jobs.get(call.jobId);
+    const holder = this.deps.jobs.get(call.jobId);
+    const known = this.findVisible(call.jobId, call.context);
+    if (holder && !known) return this.refuseUsedId(call, holder.job);
     if (!known && !ownership.mayAcceptWork) return this.refuse('store-stalled');
     const definition = this.definitionOf(call);
     const retryAfterMs = known ? undefined : this.refusalFor(definition);
@@ -114,12 +120,13 @@
    */
   private withdraw(entry: JobEntry): void {
     if (!this.deps.runTracker.withdrawJob(entry)) return;
-    if (entry.job.status === 'cancelled') void this.recordCancel(entry.job.definition);
+    const { jobId, status, definition } = entry.job;
+    if (status === 'cancelled') void this.recordCancel(jobId, definition);
   }
 
   /** Journals the cancel of a job that has no records, once if it is repeated. */
-  private recordCancel({ jobId, teamId }: JobDefinition): Promise<CommitOutcome> {
-    return this.deps.cancels.add(jobId, teamId);
+  private recordCancel(jobId: string, scope: SubmissionScope): Promise<CommitOutcome> {
+    return this.deps.cancels.add(jobId, scopeOf(scope, this.deps.config()));
   }
 
   /** Waits for the commit with a timeout, so that callers get an answer before they time out. */
@@ -148,11 +155,11 @@
     const { teamId, jobId } = definition;
     this.shares.note(teamId, this.weightOf(teamId), this.deps.clock.monotonicMs());
     const entry = this.deps.jobs.accept(definition);
-    if (this.deps.cancels.has(jobId, teamId)) {
+    if (this.deps.cancels.has(jobId, scopeOf(definition, this.deps.config()))) {
       void this.deps.runTracker.finishJob(entry, 'cancelled');
       return entry;
     }
-    entry.hasReturned = this.deps.admission.hasReturned(jobId);
+    entry.hasReturned = this.deps.admission.hasReturned(definition);
     this.deps.scheduler.openDue(entry);
     this.deps.demand.recordArrival(this.deps.scheduler.poolOf(entry), entry);
     this.deps.scheduler.requestPassFor(entry);
@@ -184,9 +191,9 @@
     return this.deps.config().team(teamId)?.weight ?? Infinity;
   }
 
-  private async cancel(jobId: string, teamId: string): Promise<JobReply> {
-    const entry = this.findVisible(jobId, teamId);
-    if (!entry) return this.cancelUnknown(jobId, teamId);
+  private async cancel(jobId: string, caller: SubmissionScope): Promise<JobReply> {
+    const entry = this.findVisible(jobId, caller);
+    if (!entry) return this.cancelUnknown(jobId, caller);
     if (!entry.job.isFinished) {
       if (!this.deps.ownership.mayAcceptWork) return this.refuse('store-stalled');
       void this.deps.runTracker.finishJob(entry, 'cancelled');
@@ -202,19 +209,18 @@
    */
   private async finalStatusCommit({ job, finish }: JobEntry): Promise<CommitOutcome> {
     const outcome = (await finish) ?? 'durable';
-    return outcome === 'withdrawn' ? this.recordCancel(job.definition) : outcome;
+    return outcome === 'withdrawn' ? this.recordCancel(job.jobId, job.definition) : outcome;
   }
 
   /** Confirms the cancel of a job that is not known once a submission that comes later can't run. */
-  private async cancelUnknown(jobId: string, teamId: string): Promise<JobReply> {
-    const { ownership, cancels } = this.deps;
-    if (!ownership.mayAcceptWork) return this.refuse('store-stalled');
-    const outcome = await this.withTimeout(cancels.add(jobId, teamId));
+  private async cancelUnknown(jobId: string, caller: SubmissionScope): Promise<JobReply> {
+    if (!this.deps.ownership.mayAcceptWork) return this.refuse('store-stalled');
+    const outcome = await this.withTimeout(this.recordCancel(jobId, caller));
     return outcome === 'durable' ? this.unknownJob() : { kind: 'unknown-outcome', reason: outcome };
   }
 
-  private state(jobId: string, teamId: string): JobReply {
-    const entry = this.findVisible(jobId, teamId);
+  private state(jobId: string, caller: SubmissionScope): JobReply {
+    const entry = this.findVisible(jobId, caller);
     if (!entry) return this.unknownJob();
     const { job, durableStatus } = entry;
     const reportsDurableStatus = durableStatus === job.status || job.isFinished;
@@ -238,13 +244,25 @@
     return { kind: 'waiting', count };
   }
 
-  /** The job, if the team may see it. Jobs of public queues are visible to every team. */
-  private findVisible(jobId: string, teamId: string): JobEntry | undefined {
+  /** The job, if it is a submission of the caller. */
+  private findVisible(jobId: string, caller: SubmissionScope): JobEntry | undefined {
     const entry = this.deps.jobs.get(jobId);
     if (!entry) return undefined;
-    const { queueId, teamId: ownerId } = entry.job.definition;
-    if (ownerId === '' || ownerId === teamId) return entry;
-    return this.deps.config().queue(queueId)?.isPublic ? entry : undefined;
+    return isWithinScope(entry.job.definition, caller, this.deps.config()) ? entry : undefined;
+  }
+
+  /**
+   * Refuses a submission whose id another one has until the retention of that one is over. Without a proof of
+   * ownership, a successor may have accepted an earlier attempt, and then it may not be said that it never runs.
+   */
+  private refuseUsedId({ jobId, context }: SubmitCall, holder: Job): JobReply {
+    const { ownership, clock, logger, keepFinishedMs } = this.deps;
+    if (!ownership.isProven) return { kind: 'unknown-outcome', reason: 'ownership-unproven' };
+    const { queueId, teamId } = context;
+    logger.info('job-id-in-use', { jobId, queueId, teamId });
+    const finishedAgoMs = holder.isFinished ? clock.unixMs() - holder.finishedUnixMs : 0;
+    const retryAfterMs = Math.max(keepFinishedMs - finishedAgoMs, 0);
+    return { kind: 'refused', reason: ID_IN_USE, retryAfterMs };
   }
 
   private refuse(reason: string): JobReply {
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -154,7 +154,7 @@
 
   /** The step of the task with its queue order; undefined if the job is no longer known. */
   queuedStepOf({ job, occurrence, step }: TaskPlace): QueuedStep | undefined {
-    const entry = this.deps.jobs.get(job.jobId);
+    const entry = this.deps.jobs.entryOf(job);
     if (!entry) return undefined;
     return this.stepCollector.cachedOrCreate(
       entry,
--- a/packages/coordinator/src/JobService.ts
+++ b/packages/coordinator/src/JobService.ts
@@ -9,6 +9,9 @@
 /** Reason of a refusal because of load: the job would end too late, has not run and never will. */
 export const OVERLOADED = 'overloaded';
 
+/** Reason of a refusal because another submission has the id; this one has not run and never will. */
+export const ID_IN_USE = 'id-in-use';
+
 /** The client's access data, and what the entry resolved it to under its configuration version. */
 export const callContextSchema = z.object({
   access: z.object({ host: z.string(), path: z.string(), key: z.string() }),
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -60,6 +60,12 @@
     return this.entries.get(jobId);
   }
 
+  /** The entry of this very job; another one has its id if the job was taken back or its retention has passed. */
+  entryOf(job: Job): JobEntry | undefined {
+    const entry = this.entries.get(job.jobId);
+    return entry?.job === job ? entry : undefined;
+  }
+
   /** Rebuilds the table from the journal; returns the ids of jobs that could not be decoded. */
   restore(records: readonly StoredRecord[]): string[] {
     const unreadable: string[] = [];
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -77,7 +77,7 @@
   }
 
   journal(place: TaskPlace): Promise<CommitOutcome> {
-    const entry = this.jobs.get(place.job.jobId);
+    const entry = this.jobs.entryOf(place.job);
     if (!entry) return Promise.resolve('withdrawn');
     return this.jobs.writeProgress(entry);
   }
@@ -230,7 +230,7 @@
 
   private updateJob(place: TaskPlace, wasStepDone: boolean): Promise<CommitOutcome> {
     const { job } = place;
-    const entry = this.jobs.get(job.jobId);
+    const entry = this.jobs.entryOf(job);
     // Nothing of a job that was taken back, or whose retention has passed, is journaled any more.
     if (!entry) return Promise.resolve('withdrawn');
     if (place.task.done) this.stopRemainingRuns(place);
--- a/packages/coordinator/src/testing/RunObserver.ts
+++ b/packages/coordinator/src/testing/RunObserver.ts
@@ -34,6 +34,9 @@
 
   private readonly startsByTarget = new Map<string, number>();
 
+  /** The specifications that targets were told to start, by job id. */
+  private readonly specs = new Map<string, Set<string>>();
+
   constructor(private readonly maxAttempts: number) {}
 
   /** Permits two concurrent runs of each task of the step; its id is `job.occurrence.step`. */
@@ -81,8 +84,15 @@
     });
   }
 
-  started(taskId: string, run: number, targetId: string): void {
+  /** The specifications of the job's starts. */
+  specsOf(jobId: string): readonly string[] {
+    return [...(this.specs.get(jobId) ?? [])];
+  }
+
+  started(taskId: string, run: number, targetId: string, spec = ''): void {
     const task = this.ensure(taskId);
+    const [jobId = ''] = taskId.split('.');
+    this.specs.set(jobId, new Set(this.specs.get(jobId)).add(spec));
     task.starts += 1;
     if (task.crashes >= MAX_CRASHES) task.startsAfterCrashes += 1;
     if (task.startsAfterCrashes > MAX_STARTS_AFTER_CRASHES) {
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -207,7 +207,7 @@
     if (present?.run === run) return ok({ clockMs: this.clockMs });
     this.extend(order.leaseUntilMs);
     if (run <= (this.endedRuns.get(taskId) ?? 0) || present) return refusal('stale-run');
-    this.observer.started(taskId, run, this.targetId);
+    this.observer.started(taskId, run, this.targetId, order.spec);
     const spreadMs = this.options.runtimeMs * this.slowdown * (0.5 + this.random.next());
     const isFailing = this.random.chance(this.options.failShare);
     const isEndless = this.isStalling || order.spec.startsWith(LONG_RUNNING_PREFIX);
--- a/packages/jobdesk/src/JobCallRouter.ts
+++ b/packages/jobdesk/src/JobCallRouter.ts
@@ -9,6 +9,7 @@
   type JobCall,
   type JobReply,
   type JobService,
+  ID_IN_USE,
   OVERLOADED,
 } from '@acaciadock/coordinator';
 import { type AllowedCall, type CallAccess, type JobsConfigView } from '@acaciadock/jobs';
@@ -104,8 +105,8 @@
   /** How long after its start a call with this reply is repeated, in milliseconds; 0 for never. */
   private static retryWaitMs(reply: JobReply, unresolved: JobReply | undefined): number {
     if (reply.kind !== 'refused' && reply.kind !== 'unknown-outcome') return 0;
-    // A repeat within the caller's time limit would only add to the load.
-    if (JobCallRouter.isOverloaded(reply)) return 0;
+    // The owner's answer stays the same within the caller's time limit.
+    if (JobCallRouter.isDecided(reply)) return 0;
     if (unresolved) return RESOLVE_WAIT_MS;
     return JobCallRouter.isTransient(reply) ? OWNER_CHANGE_WAIT_MS : 0;
   }
@@ -168,15 +169,17 @@
 
   private refreshOwnerAfterFailure(reply: JobReply): JobReply {
     const hasFailed = reply.kind === 'refused' || reply.kind === 'unknown-outcome';
-    // The reply of an overloaded owner shows that it is the owner.
-    if (hasFailed && !JobCallRouter.isOverloaded(reply)) {
+    // An owner that has decided on the submission is the owner.
+    if (hasFailed && !JobCallRouter.isDecided(reply)) {
       void this.deps.election.refreshOwner();
     }
     return reply;
   }
 
-  private static isOverloaded(reply: JobReply): boolean {
-    return reply.kind === 'refused' && reply.reason === OVERLOADED;
+  /** Whether the owner has refused the submission itself. */
+  private static isDecided(reply: JobReply): boolean {
+    if (reply.kind !== 'refused') return false;
+    return reply.reason === OVERLOADED || reply.reason === ID_IN_USE;
   }
 
   private static isTransient(reply: JobReply): boolean {
--- a/packages/jobdesk/src/cancelledSubmissions.test.ts
+++ b/packages/jobdesk/src/cancelledSubmissions.test.ts
@@ -206,7 +206,7 @@
 
   it('runs if another team has cancelled the id', async (t) => {
     const world = await createWorld({ weights: { team: 1, other: 1 } });
-    const cancelled = world.cancel('a', 'other');
+    const cancelled = world.cancel('a', { teamId: 'other' });
     await world.run(100);
     t.same(await cancelled, { kind: 'unknown-job' });
     await submit(world, 'a');
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -43,6 +43,8 @@
   readonly spareCount: number;
   /** Pools beside the usual one, each with a queue and `instanceCount` instances of its own. */
   readonly otherPoolIds: readonly string[];
+  /** Those of the other pools whose queue accepts calls without a key. */
+  readonly publicPoolIds: readonly string[];
   /** Orders to instances that the platform accepts in a second. */
   readonly ordersPerS: number;
   /** CPU limit of the team over all targets, in thousandths of a core; 0 means no limit. */
@@ -76,6 +78,7 @@
   instanceCount: 0,
   spareCount: 0,
   otherPoolIds: [],
+  publicPoolIds: [],
   ordersPerS: 64,
   teamLimitCpuMilli: 0,
   weights: { team: 1 },
@@ -88,7 +91,7 @@
   logger: new SilentLogger(),
 };
 
-/** The team that submits a job, and its pool if it is not the default one. */
+/** The team that calls, empty without a key, and the pool of the called queue if it is not the default one. */
 export interface JobOrigin {
   readonly teamId?: string | undefined;
   readonly otherPoolId?: string | undefined;
@@ -178,6 +181,7 @@
             host: 'h',
             pathPrefix: `/${poolId}`,
             poolId,
+            isPublic: options.publicPoolIds.includes(poolId),
             maxAttempts: options.maxAttempts,
             stretch: 2,
           })),
@@ -246,32 +250,24 @@
   }
 
   /** Submits a job to the owner; undefined if there is none. */
-  call(
-    jobId: string,
-    spec: JobInput,
-    { teamId, otherPoolId }: JobOrigin = {},
-  ): Promise<JobReply> | undefined {
-    const other = { poolId: otherPoolId, queueId: `${QUEUE_ID}-${otherPoolId}` };
+  call(jobId: string, spec: JobInput, origin: JobOrigin = {}): Promise<JobReply> | undefined {
     spec.steps.forEach(({ speculative }, index) => {
       if (speculative) this.observer.permitCopies(`${jobId}.0.${index}`);
     });
     return this.entries.get(this.ownerId() ?? '')?.call({
       kind: 'submit' as const,
-      context: {
-        ...JobWorld.context(teamId),
-        ...(otherPoolId === undefined ? {} : other),
-      } as CallContext,
+      context: JobWorld.context(origin),
       jobId,
       spec: jobSpecSchema.parse({ spec: '', ...spec }),
     });
   }
 
-  stateOf(jobId: string): Promise<JobReply> | undefined {
-    return this.owner?.call({ kind: 'state', context: JobWorld.context(), jobId });
+  stateOf(jobId: string, origin: JobOrigin = {}): Promise<JobReply> | undefined {
+    return this.owner?.call({ kind: 'state', context: JobWorld.context(origin), jobId });
   }
 
-  cancel(jobId: string, teamId?: string): Promise<JobReply> | undefined {
-    return this.owner?.call({ kind: 'cancel', context: JobWorld.context(teamId), jobId });
+  cancel(jobId: string, origin: JobOrigin = {}): Promise<JobReply> | undefined {
+    return this.owner?.call({ kind: 'cancel', context: JobWorld.context(origin), jobId });
   }
 
   ownerId(): string | undefined {
@@ -332,12 +328,12 @@
     );
   }
 
-  static context(teamId = 'team'): CallContext {
+  static context({ teamId = 'team', otherPoolId }: JobOrigin = {}): CallContext {
     return {
       access: { host: 'h', path: '/', key: `key-${teamId}` },
       configVersion: 1,
-      queueId: QUEUE_ID,
-      poolId: POOL_ID,
+      queueId: otherPoolId === undefined ? QUEUE_ID : `${QUEUE_ID}-${otherPoolId}`,
+      poolId: otherPoolId ?? POOL_ID,
       teamId,
       priority: 0,
       maxAttempts: 3,
--- a/packages/placement/src/AdmissionPolicy.ts
+++ b/packages/placement/src/AdmissionPolicy.ts
@@ -80,7 +80,7 @@
 };
 
 export class AdmissionPolicy {
-  /** End of the memory of each refused job, monotonic milliseconds, oldest first. */
+  /** End of the memory of each refused job by its key, monotonic milliseconds, oldest first. */
   private readonly refused = new Map<string, number>();
 
   private refusals = 0;
@@ -89,13 +89,13 @@
   constructor(private readonly moveMs: number) {}
 
   /** Whether the job was refused because of load a short while ago. */
-  hasReturned(jobId: string, nowMs: number): boolean {
-    return (this.refused.get(jobId) ?? -Infinity) > nowMs;
+  hasReturned(jobKey: string, nowMs: number): boolean {
+    return (this.refused.get(jobKey) ?? -Infinity) > nowMs;
   }
 
-  recordRefused(jobId: string, nowMs: number): void {
-    this.refused.delete(jobId);
-    this.refused.set(jobId, nowMs + REMEMBERED_MS);
+  recordRefused(jobKey: string, nowMs: number): void {
+    this.refused.delete(jobKey);
+    this.refused.set(jobKey, nowMs + REMEMBERED_MS);
     for (const [oldest, untilMs] of this.refused) {
       if (untilMs > nowMs && this.refused.size <= MAX_REMEMBERED) return;
       this.refused.delete(oldest);
