Suspects start where nothing has crashed lately

Cause: a task whose target crashed was started again on the first idle target, also on one that had just crashed without it; the phase of the next crash was the same, and two crashes right after a start count as proof that the task is the cause.

How a crash is judged is unchanged: a task that crashes sound targets is given up as before.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -33,6 +33,7 @@
 import { LoadMeter } from './LoadMeter.js';
 import { OwnerLoadLog } from './OwnerLoadLog.js';
 import { EXTENSION_BOUND_MS, type Ownership } from './Ownership.js';
+import { RecentCrashes } from './RecentCrashes.js';
 import { ReportProcessor } from './ReportProcessor.js';
 import { RuntimeRecord } from './RuntimeRecord.js';
 import { RunTracker } from './RunTracker.js';
@@ -198,6 +199,7 @@
       jobs: this.jobs,
       targets: this.targets,
     });
+    const recentCrashes = new RecentCrashes(clock);
     this.scheduler = this.register(
       new JobScheduler({
         meter,
@@ -215,6 +217,7 @@
         clock,
         logger,
         config: deps.config,
+        recentCrashes,
       }),
     );
     this.copies = new CopyController({
@@ -224,7 +227,7 @@
       scheduler: this.scheduler,
       demand: this.demand,
     });
-    const crashes = new CrashHandler(this.runTracker, clock, logger);
+    const crashes = new CrashHandler(this.runTracker, clock, logger, recentCrashes);
     this.drivers = this.register(
       new TargetDrivers({
         ...deps,
--- a/packages/coordinator/src/CrashHandler.ts
+++ b/packages/coordinator/src/CrashHandler.ts
@@ -8,6 +8,7 @@
 import { CrashPolicy } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
 import { type LiveRun } from './LiveRun.js';
+import { RecentCrashes } from './RecentCrashes.js';
 import { type RunTracker } from './RunTracker.js';
 
 /**
@@ -27,6 +28,7 @@
     private readonly runTracker: RunTracker,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly recent = new RecentCrashes(clock),
   ) {}
 
   /** Ends the runs, which were meant for a process of the target that has ended. */
@@ -36,6 +38,7 @@
     evidence: CrashEvidence,
   ): Promise<CommitOutcome>[] {
     const hasLeft = target.isDraining || target.isReserved;
+    if (!hasLeft && runs.length > 0) this.recent.record(target);
     const crashed = hasLeft ? [] : runs.filter(({ phase }) => phase !== 'planned');
     if (crashed.length > 0) {
       this.logCrash(target, crashed, evidence);
--- a/packages/coordinator/src/JobScheduler.ts
+++ b/packages/coordinator/src/JobScheduler.ts
@@ -34,6 +34,7 @@
 import { type QueuedStep } from './QueuedStep.js';
 import { QueuedStepCollector } from './QueuedStepCollector.js';
 import { type Ownership } from './Ownership.js';
+import { type RecentCrashes } from './RecentCrashes.js';
 import { type RunTracker } from './RunTracker.js';
 import { type ShareTracker } from './ShareTracker.js';
 import { SuspectBacklog } from './SuspectBacklog.js';
@@ -74,6 +75,7 @@
   readonly logger: Logger;
   readonly config: () => JobsConfigView;
   readonly meter: WorkMeter;
+  readonly recentCrashes?: RecentCrashes;
 }
 
 export class JobScheduler extends Disposable {
@@ -97,7 +99,7 @@
   constructor(private readonly deps: JobSchedulerDeps) {
     super();
     this.stepCollector = new QueuedStepCollector(deps);
-    this.isolation = new SuspectIsolation(deps.clock);
+    this.isolation = new SuspectIsolation(deps.clock, deps.recentCrashes);
     this.caution = new QueueCaution(deps.clock, deps.logger);
     this.suspects = new SuspectBacklog(deps.clock, deps.logger);
     this.placer = this.register(new TaskPlacer({ ...deps, isolation: this.isolation }));
--- a/packages/coordinator/src/SuspectIsolation.ts
+++ b/packages/coordinator/src/SuspectIsolation.ts
@@ -12,6 +12,7 @@
   TargetChooser,
 } from '@acaciadock/placement';
 import { type FleetTarget } from './FleetTarget.js';
+import { RecentCrashes } from './RecentCrashes.js';
 import { RoomBesideLongRunning } from './RoomBesideLongRunning.js';
 
 /**
@@ -33,7 +34,10 @@
   /** Maximum number of isolated targets by pool, as of its last pass. */
   private readonly maxTargets = new Map<string, number>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly crashes = new RecentCrashes(clock),
+  ) {}
 
   /** Starts a pass over a pool, of which the demand is known. */
   beginPass(poolId: string, demand: IsolationDemand): void {
@@ -60,7 +64,7 @@
   ): FleetTarget | undefined {
     const usable = SuspectIsolation.usableFor(request, openTargets);
     const ready = usable.filter((target) => SuspectIsolation.isReady(target, job, request));
-    const target = SuspectIsolation.bestOf(ready, request);
+    const target = this.bestOf(ready, request);
     if (target) {
       this.recordAsked(target);
       return target;
@@ -69,7 +73,7 @@
     const hasRoom = (one: FleetTarget): boolean => TargetChooser.fits(one, request);
     const added = unasked.some(hasRoom) ? undefined : this.isolate(request, openTargets, usable);
     if (added) return SuspectIsolation.isReady(added, job, request) ? added : undefined;
-    const awaited = SuspectIsolation.bestOf(unasked, request);
+    const awaited = this.bestOf(unasked, request);
     if (awaited) this.recordAsked(awaited);
     return undefined;
   }
@@ -132,7 +136,7 @@
     const isExtra = this.isolatedOf(poolId).length >= (this.maxTargets.get(poolId) ?? 0);
     if (isExtra && usable.some((target) => TargetChooser.fits(target, request))) return undefined;
     const shared = openTargets.filter((target) => !target.isIsolated);
-    const best = SuspectIsolation.bestOf(shared, request);
+    const best = this.bestOf(shared, request);
     if (!best) return undefined;
     if (isExtra && usable.length > 0 && !TargetChooser.fits(best, request)) return undefined;
     if (isExtra) this.extra.add(best);
@@ -155,23 +159,23 @@
     return TargetChooser.fits(target, request);
   }
 
-  private static bestOf(
+  private bestOf(
     targets: readonly FleetTarget[],
     request: PlacementRequest,
   ): FleetTarget | undefined {
     const [best] = targets
-      .map((target) => ({ target, keys: SuspectIsolation.preferenceOf(target, request) }))
+      .map((target) => ({ target, keys: this.preferenceOf(target, request) }))
       .filter(({ keys }) => keys !== undefined)
       .sort((a, b) => SuspectIsolation.compare(a.keys ?? [], b.keys ?? []));
     return best?.target;
   }
 
   /**
-   * Sort keys of a target, lowest first: not the one to avoid, one with room now, with few runs that
-   * have only just started, with little other work. Undefined if the target could not take the task
+   * Sort keys of a target, lowest first: not the one to avoid, one with room now, without a recent crash, with few
+   * runs that have only just started, with little other work. Undefined if the target could not take the task
    * even if all its other work had ended.
    */
-  private static preferenceOf(
+  private preferenceOf(
     target: FleetTarget,
     request: PlacementRequest,
   ): readonly number[] | undefined {
@@ -180,6 +184,7 @@
     return [
       target.targetId === request.avoidTargetId ? 1 : 0,
       fitsNow ? 0 : 1,
+      this.crashes.rankOf(target),
       SuspectIsolation.earlyRunsOfOthers(target, ''),
       target.runs.size,
     ];
--- a/packages/jobdesk/src/deadlyTasks.test.ts
+++ b/packages/jobdesk/src/deadlyTasks.test.ts
@@ -351,4 +351,28 @@
     }
     await assertCompletes(t, world, jobIds);
   });
+
+  it('is not given up if it lasts and two of eight targets go down and up by turns', async (t) => {
+    // Fails if it is started again where a target has just crashed, beside six sound ones (review/3).
+    const world = await createWorld({ targetCount: 8 });
+    const lasting = { taskCount: 2, cpuMilli: 1_000, longRunning: true };
+    void world.submit('a', { spec: LONG_RUNNING_PREFIX, steps: [lasting] });
+    await world.run(5_000);
+    const flapping = new Set<SimulatedTarget>();
+    for (let turn = 0; turn < 8; turn += 1) {
+      const isRunning = await world.runUntil(() => world.runningCount === 2, 10_000);
+      t.ok(isRunning, `turn ${turn}`);
+      await world.run(turn === 0 ? 5_000 : 100);
+      const used = [...world.targets.values()].filter(({ runningCount }) => runningCount > 0);
+      used.filter(() => flapping.size < 2).forEach((target) => flapping.add(target));
+      used
+        .filter((target) => flapping.has(target))
+        .forEach((target) => {
+          target.crash();
+          world.clock.after(1_000, () => target.restart());
+        });
+      await world.run(1_150);
+    }
+    t.equal(await statusOf(world, 'a'), 'running');
+  });
 });
