A suspect starts only on a target that has just answered

Cause: an idle target is not asked for reports, so nobody notices that it is down. An unanswered start of a suspect that is alone on its target counts as a crash that it has caused, because a task that crashes its target at once leaves no answer either. Both looked the same.

Change: when a suspect is planned, its target is asked for a report, beside the journaling of the run; the start is sent if a report is at most 0.1 s old. Otherwise the run ends as lost, which counts for nothing, and the report loop notices the silence. So an unanswered start means a target that was alive just before it.

--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -33,6 +33,11 @@
   /** Fires when a stop order is to be sent to a run's target. */
   readonly onStopWanted = this.stopEmitter.event;
 
+  private readonly plannedAloneEmitter = this.register(new EventEmitter<LiveRun>());
+
+  /** Fires when a suspect has been planned on a target that is kept for suspects. */
+  readonly onPlannedAlone = this.plannedAloneEmitter.event;
+
   private readonly changeEmitter = this.register(new EventEmitter<JobEntry>());
 
   /** Fires when a run of an unfinished job has ended, as there may be tasks to place again. */
@@ -73,6 +78,7 @@
     live.isAlone = isAlone;
     live.isContinued = place.task.checkpoint !== '';
     this.track(live, target);
+    if (isAlone) this.plannedAloneEmitter.fire(live);
     return live;
   }
 
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -48,6 +48,12 @@
 /** Retry delay for a target that does not answer, in milliseconds. */
 const SILENT_RETRY_MS = 250;
 
+/**
+ * A suspect starts only on a target that has reported within this time, in milliseconds. An unanswered start of a
+ * suspect counts as a crash that it has caused, so the target must not have been down before.
+ */
+const SUSPECT_REPORT_AGE_MS = 100;
+
 /** Retry delay of a stop order, in milliseconds. */
 const STOP_RETRY_MS = 100;
 
@@ -74,6 +80,9 @@
 export class TargetDriver extends Disposable {
   private wakeUp: (() => void) | undefined;
 
+  /** The check under way of whether the target is alive. */
+  private livenessCheck: Promise<boolean> | undefined;
+
   private readonly pacer: FillerPacer;
 
   private readonly timing: ReportTiming;
@@ -107,8 +116,12 @@
   async start(live: LiveRun): Promise<void> {
     const { target } = this;
     const { port, clock, meter } = this.deps;
-    if (!this.isCurrent(live) || live.phase !== 'planned') return;
-    const obstacle = startObstacleOf(live, target, this.deps.ownership);
+    if (!this.isPlanned(live)) return;
+    const isSilent = live.isAlone && !(await this.hasJustReported());
+    if (!this.isPlanned(live)) return;
+    const obstacle = isSilent
+      ? 'target-silent'
+      : startObstacleOf(live, target, this.deps.ownership);
     if (obstacle) {
       this.log('start', live, obstacle);
       this.deps.runTracker.stop(live);
@@ -126,6 +139,31 @@
     this.wake();
   }
 
+  private isPlanned(live: LiveRun): boolean {
+    return this.isCurrent(live) && live.phase === 'planned';
+  }
+
+  /** Checks that the target is alive while the run of a suspect is being journaled. */
+  prepareStart(): void {
+    void this.hasJustReported();
+  }
+
+  private async checkLiveness(): Promise<boolean> {
+    // The report loop of an idle target stands still; it has to notice a silence, too.
+    this.wake();
+    const done = await this.requestReport(0, NO_END_SEEN);
+    this.livenessCheck = undefined;
+    return done.isOk();
+  }
+
+  /** Whether the last report is new, or the target answers a request for one. */
+  private async hasJustReported(): Promise<boolean> {
+    const ageMs = this.deps.clock.monotonicMs() - this.target.reportedMs;
+    if (ageMs <= SUSPECT_REPORT_AGE_MS) return true;
+    this.livenessCheck ??= this.checkLiveness();
+    return this.livenessCheck;
+  }
+
   /** Handles a start that may have reached a lifetime of the target that has not reported yet. */
   private checkLifetime(done: Result<OrderReceipt, OrderFailure>, sentAtMs: number): void {
     const { lease } = this.target;
--- a/packages/coordinator/src/TargetDrivers.ts
+++ b/packages/coordinator/src/TargetDrivers.ts
@@ -47,6 +47,9 @@
     this.register(targets.onListed((target) => this.onListed(target)));
     this.register(targets.onDraining((target) => this.onDraining(target)));
     this.register(targets.onRemoved((target) => this.onRemoved(target)));
+    this.register(
+      runTracker.onPlannedAlone(({ targetId }) => this.drivers.get(targetId)?.prepareStart()),
+    );
     this.register(
       runTracker.onStopWanted((live) => {
         void this.drivers.get(live.targetId)?.stop(live);
--- a/packages/jobdesk/src/deadlyTasks.test.ts
+++ b/packages/jobdesk/src/deadlyTasks.test.ts
@@ -352,6 +352,26 @@
     await assertCompletes(t, world, jobIds);
   });
 
+  it('is not given up by its start on a target that is down already', async (t) => {
+    // Fails if a start that no target got counts as a crash that the task has caused (review/7).
+    for (const atWorkMs of [20, 80, 150]) {
+      const world = await createWorld({ targetCount: 2, runtimeMs: 1_500 });
+      void world.submit('a', { steps: [{ taskCount: 1, cpuMilli: 500 }] });
+      await world.runUntil(() => world.runningCount > 0, 1_000);
+      await world.run(atWorkMs);
+      const [first, second] = [...world.targets.values()].sort(
+        (one, other) => other.runningCount - one.runningCount,
+      );
+      first?.crash();
+      second?.crash();
+      await world.run(600);
+      first?.restart();
+      await world.run(1_800);
+      second?.restart();
+      await assertCompletes(t, world, ['a']);
+    }
+  });
+
   it('is not given up if it lasts and two of eight targets go down and up by turns', async (t) => {
     // Fails if it is started again where a target has just crashed, beside six sound ones (review/3).
     const world = await createWorld({ targetCount: 8 });
