A team's records of cancels of unknown ids are limited

Cause: each cancel of an unknown id is journaled and kept for the retention, and nothing bounded their number for one account: 100,000 of them take 62 MB of the owner's heap of 200 MB, and the next owner loads them again.

Change: 20,000 for each team, then such a cancel is refused, which confirms nothing. Cancels of known jobs, and those of submissions that are taken back, are not limited.

--- a/packages/coordinator/src/CancelRecords.test.ts
+++ b/packages/coordinator/src/CancelRecords.test.ts
@@ -1,7 +1,7 @@
 /** Tests the records of cancels of unknown jobs, also those of earlier builds. */
 import { ManualClock } from '@acaciadock/core';
 import { describe, it } from '@acaciadock/core/testing';
-import { CancelRecords } from './CancelRecords.js';
+import { CancelRecords, MAX_CANCELS_PER_TEAM } from './CancelRecords.js';
 import { type Ownership } from './Ownership.js';
 
 const RETENTION_MS = 1_000;
@@ -69,4 +69,19 @@
     t.notOk(fixture.cancels.has('a', SCOPE));
     t.equal(fixture.stored.size, 0);
   });
+
+  it('limits the records of each team, also of those that a successor has restored', (t) => {
+    // Fails if one team can fill the memory of one owner after the other with cancels of ids that nobody has.
+    const fixture = new Fixture();
+    for (let index = 0; index < MAX_CANCELS_PER_TEAM; index += 1)
+      void fixture.cancels.add(`j${index}`, SCOPE);
+    const restored = fixture.restored();
+    for (const cancels of [fixture.cancels, restored]) {
+      t.ok(cancels.isFull(SCOPE));
+      t.notOk(cancels.isFull({ ...SCOPE, teamId: 'other' }));
+      fixture.clock.advance(RETENTION_MS + 1);
+      cancels.dropOld(RETENTION_MS);
+      t.notOk(cancels.isFull(SCOPE));
+    }
+  });
 });
--- a/packages/coordinator/src/CancelRecords.ts
+++ b/packages/coordinator/src/CancelRecords.ts
@@ -16,6 +16,12 @@
 
 const DIGEST_CHARACTERS = 16;
 
+/**
+ * Records of one team. At 0.6 kB of memory each, no team takes more than 12 MB of the owner, nor makes its successor
+ * load more.
+ */
+export const MAX_CANCELS_PER_TEAM = 20_000;
+
 const cancelSchema = z.object({
   jobId: z.string(),
   teamId: z.string(),
@@ -35,6 +41,9 @@
 export class CancelRecords {
   private readonly cancels = new Map<string, StoredCancel>();
 
+  /** Number of records by team. */
+  private readonly counts = new Map<string, number>();
+
   constructor(
     private readonly ownership: Ownership,
     private readonly clock: Clock,
@@ -46,6 +55,11 @@
     return known !== undefined && CancelRecords.holdsOn(queueId, known.record);
   }
 
+  /** Whether no further cancel of the scope's team is to be recorded for now. */
+  isFull({ teamId }: SubmissionScope): boolean {
+    return (this.counts.get(teamId) ?? 0) >= MAX_CANCELS_PER_TEAM;
+  }
+
   /** Journals the cancel, once if it is repeated; settles once it is durable. */
   add(jobId: string, { queueId, teamId }: SubmissionScope): Promise<CommitOutcome> {
     const key = CancelRecords.keyOf(jobId, teamId);
@@ -54,7 +68,7 @@
     const queueIds = [...(known?.record.queueIds ?? []), queueId];
     const record = { jobId, teamId, cancelledUnixMs: this.clock.unixMs(), queueIds };
     const commit = this.ownership.writer.write(key, () => Buffer.from(JSON.stringify(record)));
-    this.cancels.set(key, { record, commit });
+    this.keep(key, { record, commit });
     return commit;
   }
 
@@ -63,7 +77,7 @@
     if (!key.startsWith(CANCEL_PREFIX)) return false;
     const record = CancelRecords.parse(value);
     if (!record) return true;
-    this.cancels.set(key, { record, commit: Promise.resolve('durable') });
+    this.keep(key, { record, commit: Promise.resolve('durable') });
     return true;
   }
 
@@ -73,10 +87,22 @@
     this.cancels.forEach(({ record }, key) => {
       if (nowMs - record.cancelledUnixMs < keepMs) return;
       this.cancels.delete(key);
+      this.addToCount(record.teamId, -1);
       void this.ownership.writer.delete(key);
     });
   }
 
+  private keep(key: string, cancel: StoredCancel): void {
+    if (!this.cancels.has(key)) this.addToCount(cancel.record.teamId, 1);
+    this.cancels.set(key, cancel);
+  }
+
+  private addToCount(teamId: string, change: number): void {
+    const count = (this.counts.get(teamId) ?? 0) + change;
+    if (count > 0) this.counts.set(teamId, count);
+    else this.counts.delete(teamId);
+  }
+
   private static holdsOn(queueId: string, { queueIds }: CancelRecord): boolean {
     return queueIds === undefined || queueIds.includes(queueId);
   }
--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -214,8 +214,11 @@
 
   /** Confirms the cancel of a job that is not known once a submission that comes later can't run. */
   private async cancelUnknown(jobId: string, caller: SubmissionScope): Promise<JobReply> {
-    if (!this.deps.ownership.mayAcceptWork) return this.refuse('store-stalled');
-    const outcome = await this.withTimeout(this.recordCancel(jobId, caller));
+    const { ownership, cancels, config } = this.deps;
+    if (!ownership.mayAcceptWork) return this.refuse('store-stalled');
+    const scope = scopeOf(caller, config());
+    if (cancels.isFull(scope) && !cancels.has(jobId, scope)) return this.refuse('too-many-cancels');
+    const outcome = await this.withTimeout(cancels.add(jobId, scope));
     return outcome === 'durable' ? this.unknownJob() : { kind: 'unknown-outcome', reason: outcome };
   }
 
