The tasks of all open jobs are limited

Cause: every task of a job is kept in memory from its acceptance, or from its loading by a successor, and nothing limited their number. The tasks of finished jobs were kept for the whole retention.

The tasks of a finished job are dropped once its final status is durable; before, a waiting record of them may still be encoded.

Not covered: a scheduled job is counted with the occurrences that may be open at once.

--- a/packages/coordinator/src/JobCallHandler.test.ts
+++ b/packages/coordinator/src/JobCallHandler.test.ts
@@ -34,7 +34,11 @@
     new Job({ ...CONTEXT, jobId: 'j', acceptedUnixMs: 0, isBeyondShare: false, spec }),
   );
   const handler = new JobCallHandler({
-    jobs: { get: () => (owner.knows ? known : undefined), accept: createEntry },
+    jobs: {
+      get: () => (owner.knows ? known : undefined),
+      accept: createEntry,
+      hasRoomFor: () => true,
+    },
     cancels: { has: () => false },
     ownership: {
       mayAcceptWork: true,
--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -30,6 +30,9 @@
 /** How often a waiting submission is checked against the state of the store, in milliseconds. */
 const STALL_CHECK_MS = 50;
 
+/** When a caller may return whose job has too many tasks beside those that are open, in milliseconds. */
+const TOO_MANY_TASKS_RETRY_MS = 3_000;
+
 type CommitWaitOutcome = CommitOutcome | 'store-stalled';
 
 export interface JobCallHandlerDeps {
@@ -147,6 +150,7 @@
    */
   private refusalFor(definition: JobDefinition): number | undefined {
     if (!this.deps.ownership.isProven) return undefined;
+    if (!this.deps.jobs.hasRoomFor(definition)) return TOO_MANY_TASKS_RETRY_MS;
     const startsAsSuspect = this.deps.scheduler.isSuspected(definition.queueId);
     return this.deps.admission.refusalFor(definition, startsAsSuspect);
   }
--- a/packages/coordinator/src/JobEntry.ts
+++ b/packages/coordinator/src/JobEntry.ts
@@ -1,5 +1,5 @@
 /** A job in the job table (not an entry process), with the state of its commits to the journal. */
-import { type Job, type JobStatus, type ProgressPart } from '@acaciadock/jobs';
+import { Job, type JobStatus, type ProgressPart } from '@acaciadock/jobs';
 import { type CommitOutcome } from '@acaciadock/journal';
 
 export class JobEntry {
@@ -21,5 +21,10 @@
   /** The parts of its progress that are journaled, by key. */
   readonly storedParts = new Map<string, ProgressPart>();
 
-  constructor(readonly job: Job) {}
+  /** The most tasks of the job that are in memory at a time, until it has finished. */
+  readonly openTaskCount: number;
+
+  constructor(readonly job: Job) {
+    this.openTaskCount = Job.maxOpenTasksOf(job.definition.spec);
+  }
 }
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -10,6 +10,7 @@
 import { type CommitOutcome, type StoredRecord } from '@acaciadock/journal';
 import { DEFINITION_PREFIX, JobDecoder, PROGRESS_PREFIX } from './JobDecoder.js';
 import { JobEntry } from './JobEntry.js';
+import { OpenTaskLimit } from './OpenTaskLimit.js';
 import { type Ownership } from './Ownership.js';
 import { PartRecords } from './PartRecords.js';
 
@@ -32,6 +33,8 @@
   /** Jobs that have not finished. */
   private readonly active = new Map<string, JobEntry>();
 
+  private readonly openTasks = new OpenTaskLimit();
+
   private readonly partRecords: PartRecords;
 
   constructor(
@@ -88,11 +91,16 @@
     return unreadable;
   }
 
+  /** Whether this owner, and each successor, can keep the tasks of one more such job in memory. */
+  hasRoomFor({ spec }: JobDefinition): boolean {
+    return this.openTasks.allows(Job.maxOpenTasksOf(spec));
+  }
+
   /** Adds a job and journals it. */
   accept(definition: JobDefinition): JobEntry {
     const entry = new JobEntry(new Job(definition));
     this.entries.set(definition.jobId, entry);
-    this.active.set(definition.jobId, entry);
+    this.addActive(entry);
     const key = `${DEFINITION_PREFIX}${definition.jobId}`;
     void this.ownership.writer.create(key, () =>
       this.meter.measure('encoding', () => JobCodec.encodeDefinition(definition)),
@@ -115,7 +123,7 @@
     if (!writer.withdraw(progressKey)) void writer.delete(progressKey);
     this.partRecords.withdraw(entry);
     this.entries.delete(jobId);
-    this.active.delete(jobId);
+    this.removeActive(entry);
     return true;
   }
 
@@ -136,7 +144,11 @@
     const commit = isNew ? writer.create(key, encode) : writer.write(key, encode);
     this.removeObsoleteParts(entry, commit);
     if (job.isFinished) {
-      this.active.delete(job.jobId);
+      // Until then a waiting record of its tasks may still be encoded.
+      void commit.then((outcome) => {
+        if (outcome === 'durable' && JobCodec.keepsOnlyStatus(job)) job.dropTasks();
+      });
+      this.removeActive(entry);
       this.trimDefinition(entry);
     }
     if (job.status === entry.durableStatus) return commit;
@@ -146,6 +158,17 @@
     });
   }
 
+  private addActive(entry: JobEntry): void {
+    this.active.set(entry.job.jobId, entry);
+    this.openTasks.add(entry.openTaskCount);
+  }
+
+  private removeActive(entry: JobEntry): void {
+    if (this.active.get(entry.job.jobId) !== entry) return;
+    this.active.delete(entry.job.jobId);
+    this.openTasks.remove(entry.openTaskCount);
+  }
+
   private removeObsoleteParts(entry: JobEntry, commit: Promise<CommitOutcome>): void {
     const obsolete = PartRecords.obsoleteOf(entry);
     if (obsolete.length === 0) return;
@@ -191,7 +214,7 @@
     if (!this.restoreParts(entry, parts)) return false;
     entry.durableStatus = job.status;
     this.entries.set(job.jobId, entry);
-    if (!job.isFinished) this.active.set(job.jobId, entry);
+    if (!job.isFinished) this.addActive(entry);
     return true;
   }
 
--- a/packages/jobdesk/src/largeJobs.test.ts
+++ b/packages/jobdesk/src/largeJobs.test.ts
@@ -91,3 +91,53 @@
     t.same(world.observer.broken, []);
   });
 });
+
+describe('jobs with more tasks than an owner can keep in memory', () => {
+  /** 40,000 tasks that no target can run. */
+  const HUGE = Array.from({ length: 4 }, () => ({
+    taskCount: 10_000,
+    requiredLabel: 'no-target-has-it',
+  }));
+  const HUGE_TASKS = 40_000;
+
+  /** The heap of an owner was full at about 470,000 tasks; its successor needs as much. */
+  const MAX_TASKS = 235_000;
+
+  /** Submits such jobs until one is refused; returns the number of those accepted. */
+  async function fill(world: JobWorld): Promise<number> {
+    for (let count = 0; count < 20; count += 1) {
+      await submit(world, `huge${count}`, HUGE);
+      await world.run(200);
+      if (!world.accepted.has(`huge${count}`)) return count;
+    }
+    return 20;
+  }
+
+  it('are refused, and jobs of ordinary size are not', async (t) => {
+    // Fails if everything is accepted until the owner, and each successor that loads it, is out of memory (review/8).
+    const world = await createWorld({ refusesOverload: false });
+    const accepted = await fill(world);
+    t.ok(accepted > 0 && accepted * HUGE_TASKS <= MAX_TASKS, `${accepted} accepted`);
+    t.ok(world.refused.has(`huge${accepted}`));
+    await submit(world, 'small', SMALL);
+    t.ok(world.accepted.has('small'));
+    await assertCompletes(t, world, ['small']);
+  });
+
+  it('are refused by a successor, too, and accepted once others are cancelled', async (t) => {
+    const world = await createWorld({ refusesOverload: false });
+    const accepted = await fill(world);
+    world.killEntry(world.ownerId() ?? '');
+    await world.runUntil(() => world.owner !== undefined, TIMEOUT_MS);
+    await world.run(1_000);
+    await submit(world, 'later', HUGE);
+    t.ok(world.refused.has('later'));
+    for (let index = 0; index < accepted; index += 1) {
+      const cancelled = world.cancel(`huge${index}`);
+      await world.run(200);
+      t.same(await cancelled, { kind: 'cancelled' });
+    }
+    await submit(world, 'later', HUGE);
+    t.ok(world.accepted.has('later'));
+  });
+});
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -2,7 +2,7 @@
  * A job and the state machine of its tasks. Every transition is a method that either applies or is
  * refused. The state machine does not depend on clocks, targets or the journal.
  */
-import { type JobDefinition } from './JobSpec.js';
+import { type JobDefinition, type JobSpec } from './JobSpec.js';
 import { Occurrence } from './Occurrence.js';
 import { MAX_TASKS_IN_RECORD, type ProgressPart } from './ProgressPart.js';
 import { type StepState } from './StepState.js';
@@ -61,9 +61,7 @@
   readonly hasParts: boolean;
 
   constructor(public definition: JobDefinition) {
-    const repeatCount = definition.spec.schedule?.repeatCount ?? 1;
-    const openOccurrences = Math.min(repeatCount, this.maxOpenOccurrences);
-    this.hasParts = this.tasksPerOccurrence * openOccurrences > MAX_TASKS_IN_RECORD;
+    this.hasParts = Job.maxOpenTasksOf(definition.spec) > MAX_TASKS_IN_RECORD;
     if (!definition.spec.schedule) this.openOccurrence(0, definition.acceptedUnixMs);
   }
 
@@ -93,9 +91,11 @@
     const { schedule } = this.definition.spec;
     if (!schedule || this.isFinished) return [];
     const opened: Occurrence[] = [];
+    const perOccurrence = Job.tasksPerOccurrence(this.definition.spec.steps);
+    const maxOccurrences = Job.maxOpenOccurrences(perOccurrence);
     for (let index = 0; index < schedule.repeatCount; index += 1) {
       const dueUnixMs = schedule.firstDueUnixMs + index * schedule.periodMs;
-      if (dueUnixMs > nowUnixMs || this.occurrences.size >= this.maxOpenOccurrences) break;
+      if (dueUnixMs > nowUnixMs || this.occurrences.size >= maxOccurrences) break;
       if (!this.occurrences.has(index) && !this.endedOccurrences.has(index)) {
         opened.push(this.openOccurrence(index, dueUnixMs));
       }
@@ -103,12 +103,25 @@
     return opened;
   }
 
-  private get tasksPerOccurrence(): number {
-    return this.definition.spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+  /** The most tasks of the specification that are kept in memory at a time. */
+  static maxOpenTasksOf({ steps, schedule }: JobSpec): number {
+    const perOccurrence = Job.tasksPerOccurrence(steps);
+    const repeatCount = schedule?.repeatCount ?? 1;
+    return perOccurrence * Math.min(repeatCount, Job.maxOpenOccurrences(perOccurrence));
   }
 
-  private get maxOpenOccurrences(): number {
-    const byTasks = Math.floor(MAX_OPEN_TASKS / Math.max(1, this.tasksPerOccurrence));
+  /** Releases the tasks of a finished job without live runs; only its status is kept. */
+  dropTasks(): void {
+    this.occurrences.clear();
+    this.knownWaitingSteps = undefined;
+  }
+
+  private static tasksPerOccurrence(steps: JobSpec['steps']): number {
+    return steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+  }
+
+  private static maxOpenOccurrences(tasksPerOccurrence: number): number {
+    const byTasks = Math.floor(MAX_OPEN_TASKS / Math.max(1, tasksPerOccurrence));
     return Math.max(1, Math.min(byTasks, MAX_OPEN_OCCURRENCES));
   }
 
