--- a/review/stand-ins-3/Worker.mjs
+++ b/review/stand-ins-3/Worker.mjs
@@ -151,7 +151,14 @@
     const savedMs = checkpoint === '' ? 0 : parseInt(checkpoint, 10);
     const runtimeMs = this.runtimeMsOf(task);
     const startedMs = performance.now() - savedMs + (checkpoint === '' ? 0 : RESTORE_MS);
-    const one = { task, run, startedMs, runtimeMs, saved: checkpoint };
+    const one = {
+      task,
+      run,
+      startedMs,
+      runtimeMs,
+      saved: checkpoint,
+      atWorkMs: performance.now(),
+    };
     this.running.set(task, one);
     this.record({
       event: 'task-started',
