--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -152,7 +152,7 @@
     const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
     const estimates = new RuntimeEstimates();
     this.runtimeRecord = new RuntimeRecord(estimates, deps);
-    this.jobs = new JobTable(ownership, clock, meter, deps.decoder);
+    this.jobs = new JobTable(ownership, clock, meter, logger, deps.decoder);
     this.cancels = new CancelRecords(ownership, clock);
     const { maxLeaseMs, evacuateMs } = options;
     const evacuation = new ZoneEvacuation(deps.evacuationRequests, clock, evacuateMs);
--- a/packages/coordinator/src/FleetOrders.ts
+++ b/packages/coordinator/src/FleetOrders.ts
@@ -6,6 +6,7 @@
  * order to recently gets none until that time has passed; all others can be ordered at once.
  */
 import { type Clock, Disposable, EventEmitter, type Logger } from '@acaciadock/core';
+import { MAX_VALUE_BYTES } from '@acaciadock/journal';
 import { OrderBudget } from '@acaciadock/placement';
 import * as z from 'zod';
 import { type FleetFailure, type FleetInstance, type InstanceFleet } from './contracts/index.js';
@@ -310,7 +311,7 @@
   private async journalDuty(): Promise<boolean> {
     this.dutyWrittenMs = this.deps.clock.monotonicMs();
     const outcome = await this.deps.ownership.writer.write(DUTY_KEY, () =>
-      Buffer.from(JSON.stringify(this.dutyRecord())),
+      FleetOrders.encodeDuty(this.dutyRecord()),
     );
     return outcome === 'durable' && this.isActive;
   }
@@ -342,6 +343,13 @@
     return agoMs < this.options.orderSeparationMs + ORDER_SEPARATION_MARGIN_MS;
   }
 
+  /** More orders than fit are left out whole: a successor then takes any instance for ordered recently. */
+  private static encodeDuty(duty: DutyRecord): Buffer {
+    const encoded = Buffer.from(JSON.stringify(duty));
+    if (encoded.length <= MAX_VALUE_BYTES) return encoded;
+    return Buffer.from(JSON.stringify({ ...duty, orders: 'too many' }));
+  }
+
   private static parseDuty(value: Buffer): DutyRecord | undefined {
     try {
       return dutyRecordSchema.parse(JSON.parse(value.toString('utf8')));
--- a/packages/coordinator/src/JobCallHandler.test.ts
+++ b/packages/coordinator/src/JobCallHandler.test.ts
@@ -44,6 +44,7 @@
       mayAcceptWork: true,
       isProven: owner.isProven,
       onEnd: () => ({ dispose: () => {} }),
+      writer: { onSetAside: () => ({ dispose: () => {} }) },
     },
     admission: { refusalFor: () => 2_000, hasReturned: () => false },
     scheduler: {
--- a/packages/coordinator/src/JobCallHandler.ts
+++ b/packages/coordinator/src/JobCallHandler.ts
@@ -19,7 +19,7 @@
   OVERLOADED,
   type SubmitCall,
 } from './JobService.js';
-import { type JobTable } from './JobTable.js';
+import { JobTable } from './JobTable.js';
 import { type Ownership } from './Ownership.js';
 import { type RunTracker } from './RunTracker.js';
 import { isWithinScope, scopeOf, type SubmissionScope } from './SubmissionScope.js';
@@ -105,6 +105,10 @@
       const check = clock.every(STALL_CHECK_MS, () => {
         if (!ownership.mayAcceptWork) this.withdraw(entry);
       });
+      // Nothing of a job whose definition the store does not take is in the store.
+      const refusal = ownership.writer.onSetAside(({ key }) => {
+        if (JobTable.isDefinitionKey(key, entry.job.jobId)) this.withdraw(entry);
+      });
       // After a loss of the journal, its new owner may have accepted a repeat of the call already.
       const release = ownership.onEnd((reason) => {
         if (reason === 'handover' || reason === 'shutdown') this.withdraw(entry);
@@ -112,6 +116,7 @@
       void this.withTimeout(entry.acceptance).then((outcome) => {
         check.dispose();
         release.dispose();
+        refusal.dispose();
         resolve(outcome);
       });
     });
--- a/packages/coordinator/src/JobEntry.ts
+++ b/packages/coordinator/src/JobEntry.ts
@@ -2,6 +2,12 @@
 import { Job, type JobStatus, type ProgressPart } from '@acaciadock/jobs';
 import { type CommitOutcome } from '@acaciadock/journal';
 
+/** Number and bytes of the records of one checkpoint. */
+export interface StoredCheckpointSize {
+  readonly parts: number;
+  readonly bytes: number;
+}
+
 export class JobEntry {
   /** Last status that is durable in the journal; `pending` before there is one. */
   durableStatus: JobStatus = 'pending';
@@ -21,6 +27,12 @@
   /** The parts of its progress that are journaled, by key. */
   readonly storedParts = new Map<string, ProgressPart>();
 
+  /** The checkpoints of its tasks that have records of their own, by digest. */
+  readonly storedCheckpoints = new Map<string, StoredCheckpointSize>();
+
+  /** Monotonic time at which checkpoints without a reference were last looked for. */
+  sweptMs = -Infinity;
+
   /** The most tasks of the job that are in memory at a time, until it has finished. */
   readonly openTaskCount: number;
 
--- a/packages/coordinator/src/JobTable.ts
+++ b/packages/coordinator/src/JobTable.ts
@@ -1,13 +1,22 @@
 /** All known jobs by id, and their records in the journal. */
-import { type Clock, type WorkMeter } from '@acaciadock/core';
+import { type Clock, type Logger, type WorkMeter } from '@acaciadock/core';
 import {
+  type CheckpointLookup,
   Job,
   JobCodec,
   type JobDefinition,
   type JobStatus,
   type ProgressPart,
 } from '@acaciadock/jobs';
-import { type CommitOutcome, type StoredRecord } from '@acaciadock/journal';
+import {
+  type CommitOutcome,
+  ENCODE_LATER,
+  joinOutcomes,
+  MAX_VALUE_BYTES,
+  type RecordEncoder,
+  type StoredRecord,
+} from '@acaciadock/journal';
+import { type CheckpointParts, CheckpointRecords } from './CheckpointRecords.js';
 import { DEFINITION_PREFIX, JobDecoder, PROGRESS_PREFIX } from './JobDecoder.js';
 import { JobEntry } from './JobEntry.js';
 import { OpenTaskLimit } from './OpenTaskLimit.js';
@@ -19,6 +28,7 @@
   readonly definition: Buffer;
   readonly progress: Buffer | undefined;
   readonly parts: readonly StoredPart[];
+  readonly checkpoints: CheckpointParts | undefined;
 }
 
 interface StoredPart {
@@ -35,15 +45,19 @@
 
   private readonly openTasks = new OpenTaskLimit();
 
+  private readonly checkpoints: CheckpointRecords;
+
   private readonly partRecords: PartRecords;
 
   constructor(
     private readonly ownership: Ownership,
     private readonly clock: Clock,
     private readonly meter: WorkMeter,
+    logger: Logger,
     private readonly decoder = new JobDecoder(),
   ) {
-    this.partRecords = new PartRecords(ownership, meter);
+    this.checkpoints = new CheckpointRecords(ownership, clock, logger);
+    this.partRecords = new PartRecords(ownership, meter, this.checkpoints);
   }
 
   /** All jobs, including finished ones that are retained. */
@@ -74,6 +88,7 @@
     const unreadable: string[] = [];
     const progress = new Map<string, Buffer>();
     const parts = new Map<string, StoredPart[]>();
+    const checkpoints = CheckpointRecords.collect(records);
     records.forEach(({ key, value }) => {
       if (!value) return;
       if (key.startsWith(PROGRESS_PREFIX)) progress.set(key.slice(PROGRESS_PREFIX.length), value);
@@ -85,12 +100,26 @@
     records.forEach(({ key, value }) => {
       if (!value || !key.startsWith(DEFINITION_PREFIX)) return;
       const jobId = key.slice(DEFINITION_PREFIX.length);
-      const stored = { definition: value, progress: progress.get(jobId), parts: parts.get(jobId) };
-      if (!this.restoreOne(jobId, { ...stored, parts: stored.parts ?? [] })) unreadable.push(jobId);
+      const stored = {
+        definition: value,
+        progress: progress.get(jobId),
+        parts: parts.get(jobId) ?? [],
+        checkpoints: checkpoints.get(jobId),
+      };
+      if (!this.restoreOne(jobId, stored)) unreadable.push(jobId);
+    });
+    checkpoints.forEach((found, jobId) => {
+      const isKnown = this.entries.has(jobId) || unreadable.includes(jobId);
+      if (!isKnown) this.checkpoints.removeOrphans(jobId, found);
     });
     return unreadable;
   }
 
+  /** Whether the journal's record of this key is the definition of the job. */
+  static isDefinitionKey(key: string, jobId: string): boolean {
+    return key === `${DEFINITION_PREFIX}${jobId}`;
+  }
+
   /** Whether this owner, and each successor, can keep the tasks of one more such job in memory. */
   hasRoomFor({ spec }: JobDefinition): boolean {
     return this.openTasks.allows(Job.maxOpenTasksOf(spec));
@@ -102,10 +131,10 @@
     this.entries.set(definition.jobId, entry);
     this.addActive(entry);
     const key = `${DEFINITION_PREFIX}${definition.jobId}`;
-    void this.ownership.writer.create(key, () =>
+    const defined = this.ownership.writer.create(key, () =>
       this.meter.measure('encoding', () => JobCodec.encodeDefinition(definition)),
     );
-    entry.acceptance = this.writeProgress(entry, true);
+    entry.acceptance = joinOutcomes([defined, this.writeProgress(entry, true)]);
     return entry;
   }
 
@@ -136,13 +165,15 @@
     const { writer } = this.ownership;
     const key = `${PROGRESS_PREFIX}${job.jobId}`;
     let writtenStatus: JobStatus = job.status;
-    const encode = (): Buffer => {
+    const encode: RecordEncoder = () => {
       writtenStatus = job.status;
-      return this.meter.measure('encoding', () => JobCodec.encodeProgress(job));
+      return this.encodeProgress(entry);
     };
-    if (job.hasParts) this.partRecords.writeChanged(entry);
-    const commit = isNew ? writer.create(key, encode) : writer.write(key, encode);
-    this.removeObsoleteParts(entry, commit);
+    // A run is durable only with the part that names it.
+    const parts = job.hasParts ? this.partRecords.writeChanged(entry) : [];
+    const head = isNew ? writer.create(key, encode) : writer.write(key, encode);
+    const commit = parts.length > 0 ? joinOutcomes([...parts, head]) : head;
+    this.removeObsolete(entry, commit);
     if (job.isFinished) {
       // Until then a waiting record of its tasks may still be encoded.
       void commit.then((outcome) => {
@@ -169,11 +200,24 @@
     this.openTasks.remove(entry.openTaskCount);
   }
 
-  private removeObsoleteParts(entry: JobEntry, commit: Promise<CommitOutcome>): void {
+  /** Encodes the progress, after the checkpoints that it refers to; a job that does not fit is divided into parts. */
+  private encodeProgress(entry: JobEntry): ReturnType<RecordEncoder> {
+    const { job } = entry;
+    if (!job.hasParts && this.checkpoints.storeChanged(entry)) return ENCODE_LATER;
+    const encoded = this.meter.measure('encoding', () => JobCodec.encodeProgress(job));
+    if (job.hasParts || encoded.length <= MAX_VALUE_BYTES) return encoded;
+    job.divide();
+    void joinOutcomes(this.partRecords.writeChanged(entry));
+    return ENCODE_LATER;
+  }
+
+  private removeObsolete(entry: JobEntry, commit: Promise<CommitOutcome>): void {
     const obsolete = PartRecords.obsoleteOf(entry);
-    if (obsolete.length === 0) return;
+    if (obsolete.length === 0 && entry.storedCheckpoints.size === 0) return;
     void commit.then((outcome) => {
-      if (outcome === 'durable') this.partRecords.remove(entry, obsolete);
+      if (outcome !== 'durable') return;
+      this.partRecords.remove(entry, obsolete);
+      this.checkpoints.sweep(entry);
     });
   }
 
@@ -185,6 +229,7 @@
       if (!job.isFinished || nowMs - job.finishedUnixMs < keepMs) continue;
       this.entries.delete(jobId);
       this.partRecords.remove(entry, [...storedParts.keys()]);
+      this.checkpoints.remove(entry);
       void this.ownership.writer.delete(`${DEFINITION_PREFIX}${jobId}`);
       void this.ownership.writer.delete(`${PROGRESS_PREFIX}${jobId}`);
     }
@@ -196,33 +241,47 @@
    */
   private trimDefinition({ job }: JobEntry): void {
     if (job.definition.spec.steps.length === 0 || job.liveTasks().length > 0) return;
-    const trimmed = { ...job.definition, spec: { spec: '', steps: [] } };
+    const { definition, jobId } = job;
+    const trimmed = { ...definition, spec: { spec: '', steps: [] } };
     Object.assign(job, { definition: trimmed });
-    void this.ownership.writer.write(`${DEFINITION_PREFIX}${job.jobId}`, () =>
-      JobCodec.encodeDefinition(trimmed),
+    const { writer } = this.ownership;
+    // A successor that does not read the final status needs the specification.
+    void writer.write(`${DEFINITION_PREFIX}${jobId}`, () =>
+      JobCodec.encodeDefinition(
+        writer.isSetAside(`${PROGRESS_PREFIX}${jobId}`) ? definition : trimmed,
+      ),
     );
   }
 
-  private restoreOne(jobId: string, { definition, progress, parts }: JobRecords): boolean {
+  private restoreOne(
+    jobId: string,
+    { definition, progress, parts, checkpoints }: JobRecords,
+  ): boolean {
     const decoded = this.decoder.definitionOf(definition);
     if (decoded.isErr() || decoded.value.jobId !== jobId) return false;
     const job = new Job(decoded.value);
     const recorded = progress && this.decoder.progressOf(progress);
     if (recorded?.isErr()) return false;
-    if (recorded?.isOk()) JobCodec.applyProgress(job, recorded.value);
+    const lookUp: CheckpointLookup = (ref) => this.checkpoints.lookUp(checkpoints, ref);
+    if (recorded?.isOk()) JobCodec.applyProgress(job, recorded.value, lookUp);
     const entry = new JobEntry(job);
-    if (!this.restoreParts(entry, parts)) return false;
+    if (!this.restoreParts(entry, parts, lookUp)) return false;
+    this.checkpoints.adopt(entry, checkpoints);
     entry.durableStatus = job.status;
     this.entries.set(job.jobId, entry);
     if (!job.isFinished) this.addActive(entry);
     return true;
   }
 
-  private restoreParts({ job, storedParts }: JobEntry, parts: readonly StoredPart[]): boolean {
+  private restoreParts(
+    { job, storedParts }: JobEntry,
+    parts: readonly StoredPart[],
+    lookUp: CheckpointLookup,
+  ): boolean {
     for (const { key, part, value } of parts) {
       const decoded = this.decoder.partOf(value);
       if (decoded.isErr()) return false;
-      JobCodec.applyPart(job, part, decoded.value);
+      JobCodec.applyPart(job, part, decoded.value, lookUp);
       storedParts.set(key, part);
     }
     // What an earlier version stored as one record is journaled in parts at the next change.
--- a/packages/coordinator/src/PartRecords.ts
+++ b/packages/coordinator/src/PartRecords.ts
@@ -5,6 +5,8 @@
  */
 import { type WorkMeter } from '@acaciadock/core';
 import { JobCodec, type ProgressPart } from '@acaciadock/jobs';
+import { type CommitOutcome, ENCODE_LATER, type RecordEncoder } from '@acaciadock/journal';
+import { type CheckpointRecords } from './CheckpointRecords.js';
 import { type JobEntry } from './JobEntry.js';
 import { type Ownership } from './Ownership.js';
 
@@ -22,6 +24,7 @@
   constructor(
     private readonly ownership: Ownership,
     private readonly meter: WorkMeter,
+    private readonly checkpoints: CheckpointRecords,
   ) {}
 
   /** Returns what a key of a part names; undefined for any other key. */
@@ -37,14 +40,18 @@
   }
 
   /** Journals the parts that have changed. */
-  writeChanged({ job, storedParts }: JobEntry): void {
+  writeChanged(entry: JobEntry): Promise<CommitOutcome>[] {
+    const { job, storedParts } = entry;
     const { writer } = this.ownership;
-    job.takeChangedParts().forEach((part) => {
+    return job.takeChangedParts().map((part) => {
       const key = PartRecords.keyOf(job.jobId, part);
-      const encode = (): Buffer =>
-        this.meter.measure('encoding', () => JobCodec.encodePart(job, part));
-      void (storedParts.has(key) ? writer.write(key, encode) : writer.create(key, encode));
+      const encode: RecordEncoder = () =>
+        this.checkpoints.storeChanged(entry, part)
+          ? ENCODE_LATER
+          : this.meter.measure('encoding', () => JobCodec.encodePart(job, part));
+      const isStored = storedParts.has(key);
       storedParts.set(key, part);
+      return isStored ? writer.write(key, encode) : writer.create(key, encode);
     });
   }
 
--- a/packages/coordinator/src/QueuedStepCollector.test.ts
+++ b/packages/coordinator/src/QueuedStepCollector.test.ts
@@ -37,7 +37,8 @@
     const { clock, targets, estimates } = this;
     const accept = (): Promise<CommitOutcome> => Promise.resolve('durable');
     const writer = { write: accept, create: accept };
-    this.jobs = new JobTable({ writer } as unknown as Ownership, clock, new WorkMeter(clock));
+    const ownership = { writer } as unknown as Ownership;
+    this.jobs = new JobTable(ownership, clock, new WorkMeter(clock), new SilentLogger());
     const view = new JobsConfigView(
       jobsConfigSchema.parse({ version: 1, queues: [], pools: [], teams: [] }),
     );
--- a/packages/coordinator/src/RuntimeRecord.ts
+++ b/packages/coordinator/src/RuntimeRecord.ts
@@ -1,9 +1,11 @@
 /**
  * Journals the runtimes learned for each queue, so that a new owner orders and sizes by them at once.
  * Declared runtimes are far off, and the first runs to end after a change of owner are the short ones.
- * If the record is lost, the runtimes are learned anew.
+ * If the record is lost, the runtimes are learned anew; so are those of the queues with the fewest runs if there
+ * are more queues than fit.
  */
 import { type Clock, type Logger } from '@acaciadock/core';
+import { encodeFitting } from '@acaciadock/journal';
 import { type RuntimeEstimates } from '@acaciadock/placement';
 import * as z from 'zod';
 import { type Ownership } from './Ownership.js';
@@ -74,7 +76,7 @@
       soundRuns: Math.round(memory.soundRuns),
       longRuns: Math.round(memory.longRuns),
     }));
-    return Buffer.from(JSON.stringify(rounded));
+    return encodeFitting(rounded.sort((one, other) => other.count - one.count));
   }
 
   private static parse(value: Buffer): unknown {
--- a/packages/coordinator/src/ShareRecord.ts
+++ b/packages/coordinator/src/ShareRecord.ts
@@ -1,8 +1,9 @@
 /**
  * Journal record of the fairness credits of teams, so that a new owner doesn't deny the same teams
- * again. If it is lost, credits start from zero.
+ * again. If it is lost, credits start from zero, and so do the smallest ones if there are more than fit.
  */
 import { type Clock } from '@acaciadock/core';
+import { encodeFitting } from '@acaciadock/journal';
 import { type FairShares } from '@acaciadock/placement';
 import { err, ok, type Result } from 'neverthrow';
 import * as z from 'zod';
@@ -24,8 +25,11 @@
 
 export class ShareRecord {
   static encode(shares: FairShares, clock: Clock): Buffer {
-    const credits = shares.current(clock.monotonicMs());
-    return Buffer.from(JSON.stringify({ unixMs: Math.round(clock.unixMs()), credits }));
+    const unixMs = Math.round(clock.unixMs());
+    const largestFirst = [...shares.current(clock.monotonicMs())].sort(
+      (one, other) => other.credit - one.credit,
+    );
+    return encodeFitting(largestFirst, (credits) => ({ unixMs, credits }));
   }
 
   /** Restores the credits; they have decayed since the record was written. */
--- a/packages/coordinator/src/TurnRecord.ts
+++ b/packages/coordinator/src/TurnRecord.ts
@@ -2,6 +2,7 @@
  * Journal record of the turns that the pools have taken and of their sizes, so that a new owner
  * forecasts the next turn at once and doesn't have to observe two turns of every pool first.
  */
+import { encodeFitting } from '@acaciadock/journal';
 import { type PoolMemory, type PoolSizer, type TurnForecast } from '@acaciadock/placement';
 import { type Clock } from '@acaciadock/core';
 import { err, ok, type Result } from 'neverthrow';
@@ -37,7 +38,15 @@
       startUnixMs: Math.round(bootUnixMs + startMs),
     }));
     const pools: readonly PoolMemory[] = sizer.memories;
-    return Buffer.from(JSON.stringify({ turns, pools }));
+    // If there are more than fit, the oldest turns are left out first.
+    const entries = [
+      ...pools.map((pool) => ({ pool, turn: undefined })),
+      ...turns.reverse().map((turn) => ({ pool: undefined, turn })),
+    ];
+    return encodeFitting(entries, (kept) => ({
+      turns: kept.flatMap(({ turn }) => turn ?? []).reverse(),
+      pools: kept.flatMap(({ pool }) => pool ?? []),
+    }));
   }
 
   /** Restores both from the record. The wall clocks of two owners differ by little against a turn. */
--- a/packages/coordinator/src/testing/HealthFixture.ts
+++ b/packages/coordinator/src/testing/HealthFixture.ts
@@ -80,7 +80,7 @@
     const { clock, targets, estimates } = this;
     const logger = new SilentLogger();
     // No job is in the table, so nothing is journaled.
-    const jobs = new JobTable({} as Ownership, clock, new WorkMeter(clock));
+    const jobs = new JobTable({} as Ownership, clock, new WorkMeter(clock), logger);
     this.random = new Random(options.seed);
     this.runTracker = new RunTracker(jobs, targets, new TeamUsage(), estimates, clock, logger);
     const crashes = new CrashHandler(this.runTracker, clock, logger);
--- a/packages/coordinator/src/testing/RunFixture.ts
+++ b/packages/coordinator/src/testing/RunFixture.ts
@@ -1,5 +1,5 @@
 /** Sets up targets and runs of one-step jobs without a journal, for tests of single decisions. */
-import { ManualClock, WorkMeter } from '@acaciadock/core';
+import { ManualClock, SilentLogger, WorkMeter } from '@acaciadock/core';
 import { type Job, jobSpecSchema, type stepSpecSchema, type TaskPlace } from '@acaciadock/jobs';
 import { RuntimeEstimates } from '@acaciadock/placement';
 import { type z } from 'zod';
@@ -41,6 +41,7 @@
     } as unknown as Ownership,
     this.clock,
     this.meter,
+    new SilentLogger(),
   );
 
   readonly runTracker = new RunTracker(
--- a/packages/coordinator/src/testing/RunObserver.ts
+++ b/packages/coordinator/src/testing/RunObserver.ts
@@ -37,8 +37,25 @@
   /** The specifications that targets were told to start, by job id. */
   private readonly specs = new Map<string, Set<string>>();
 
+  private readonly gangSteps = new Set<string>();
+
+  /** The checkpoint that each task last resumed from. */
+  readonly resumed = new Map<string, string>();
+
   constructor(private readonly maxAttempts: number) {}
 
+  /** The checkpoint of each member of a gang is valid for all of them; the id of its step is `job.occurrence.step`. */
+  recordGang(stepId: string): void {
+    this.gangSteps.add(stepId);
+  }
+
+  /** Whether a checkpoint of one task is valid for the other. */
+  sharesCheckpoints(producerId: string, taskId: string): boolean {
+    const stepId = taskId.slice(0, taskId.lastIndexOf('.'));
+    if (this.gangSteps.has(stepId)) return producerId.startsWith(`${stepId}.`);
+    return producerId === taskId;
+  }
+
   /** Permits two concurrent runs of each task of the step; its id is `job.occurrence.step`. */
   permitCopies(stepId: string): void {
     this.copiedSteps.add(stepId);
--- a/packages/coordinator/src/testing/SimulatedStore.ts
+++ b/packages/coordinator/src/testing/SimulatedStore.ts
@@ -21,7 +21,7 @@
 /** Partitions of the group, which are distributed evenly over its members. */
 const PARTITION_COUNT = 64;
 
-/** The store refuses a record whose key and value exceed this, in bytes. */
+/** The store refuses a record whose key, with its length in one byte, and value exceed this, in bytes. */
 export const MAX_RECORD_BYTES = 262_144;
 
 /** Time limit of a call without an answer, in milliseconds. */
@@ -50,6 +50,9 @@
 
   readonly faults: StoreFaults = { isDown: false, lostAnswerShare: 0, latencyMs: 4 };
 
+  /** An append with one of these keys is refused as invalid, as a whole. */
+  readonly invalidKeys = new Set<string>();
+
   private notice: OwnerNotice | undefined;
 
   private generation = 0;
@@ -69,9 +72,11 @@
       return err({ kind: 'offset-mismatch', endOffset: this.records.length });
     }
     const isTooLarge = records.some(
-      ({ key, value }) => key.length + (value?.length ?? 0) > MAX_RECORD_BYTES,
+      ({ key, value }) => 1 + Buffer.byteLength(key) + (value?.length ?? 0) > MAX_RECORD_BYTES,
     );
-    if (isTooLarge) return err({ kind: 'rejected', detail: 'record too large' });
+    if (records.some(({ key }) => this.invalidKeys.has(key)))
+      return err({ kind: 'invalid', detail: 'status 400' });
+    if (isTooLarge) return err({ kind: 'invalid', detail: 'record too large' });
     records.forEach((record) => this.records.push({ ...record, offset: this.records.length }));
     return ok(undefined);
   }
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -76,6 +76,15 @@
   /** Checkpoint that the target reports for each run. */
   checkpoint = '';
 
+  /**
+   * Length of the checkpoints that runs produce, in characters; 0 if they produce none. Each names its task, and
+   * a start with one of another task, or with a part of one, is recorded as a violation.
+   */
+  checkpointCharacters = 0;
+
+  /** Character that fills the checkpoints up to their length. */
+  checkpointFiller = '.';
+
   /** Factor on the runtimes of runs that start from now on. */
   slowdown = 1;
 
@@ -190,7 +199,7 @@
       running: [...this.running.values()].map(({ taskId, run, percent }) => ({
         taskId,
         run,
-        checkpoint: this.checkpoint,
+        checkpoint: this.checkpointOf(taskId, run),
         percent,
         loadFigure: 0,
       })),
@@ -208,6 +217,7 @@
     this.extend(order.leaseUntilMs);
     if (run <= (this.endedRuns.get(taskId) ?? 0) || present) return refusal('stale-run');
     this.observer.started(taskId, run, this.targetId, order.spec);
+    this.checkResumed(order);
     const spreadMs = this.options.runtimeMs * this.slowdown * (0.5 + this.random.next());
     const isFailing = this.random.chance(this.options.failShare);
     const isEndless = this.isStalling || order.spec.startsWith(LONG_RUNNING_PREFIX);
@@ -242,6 +252,20 @@
     this.observer.broken.push(`${taskId} brings ${this.targetId} over ${limitCpuMilli}`);
   }
 
+  private checkpointOf(taskId: string, run: number): string {
+    if (this.checkpointCharacters === 0) return this.checkpoint;
+    return `${taskId}#${run}:`.padEnd(this.checkpointCharacters, this.checkpointFiller);
+  }
+
+  private checkResumed({ taskId, run, checkpoint }: StartOrder): void {
+    if (this.checkpointCharacters === 0) return;
+    if (checkpoint !== '') this.observer.resumed.set(taskId, checkpoint);
+    const [producer = '', producedRun] = checkpoint.split(/[#:]/);
+    const isWhole = checkpoint === this.checkpointOf(producer, Number(producedRun));
+    if (checkpoint === '' || (isWhole && this.observer.sharesCheckpoints(producer, taskId))) return;
+    this.observer.broken.push(`${taskId}#${run} starts with a checkpoint that isn't its own`);
+  }
+
   private static isDeadly({ taskId, spec }: StartOrder): boolean {
     const [, index] = spec.split(DEADLY_PREFIX);
     return index !== undefined && taskId.endsWith(`.${index}`);
@@ -297,7 +321,8 @@
     this.running.delete(taskId);
     this.recordEndedRun(taskId, run.run);
     this.sequence += 1;
-    this.ends.push({ sequence: this.sequence, taskId, run: run.run, end, checkpoint: '' });
+    const checkpoint = this.checkpointCharacters > 0 ? this.checkpointOf(taskId, run.run) : '';
+    this.ends.push({ sequence: this.sequence, taskId, run: run.run, end, checkpoint });
     this.observer.ended(taskId, this.targetId, end === 'done');
   }
 }
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -345,6 +345,7 @@
     directory.accept(announcer.noticeOf(ownership.epoch, false), 'self');
     ownership.writer.onStalled((failure) => logger.warn('append-stalled', { ...failure }));
     ownership.writer.onResumed((stall) => logger.info('append-resumed', { ...stall }));
+    ownership.writer.onSetAside((notice) => logger.error('record-set-aside', { ...notice }));
     ownership.onEnd((reason) => {
       logger.info('ownership-ended', { epoch: owned.epoch, reason });
     });
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -251,8 +251,9 @@
 
   /** Submits a job to the owner; undefined if there is none. */
   call(jobId: string, spec: JobInput, origin: JobOrigin = {}): Promise<JobReply> | undefined {
-    spec.steps.forEach(({ speculative }, index) => {
+    spec.steps.forEach(({ speculative, gang }, index) => {
       if (speculative) this.observer.permitCopies(`${jobId}.0.${index}`);
+      if (gang) this.observer.recordGang(`${jobId}.0.${index}`);
     });
     return this.entries.get(this.ownerId() ?? '')?.call({
       kind: 'submit' as const,
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -57,14 +57,19 @@
   /** Caches `waitingSteps`; undefined after a change. */
   private knownWaitingSteps: readonly WaitingStepPlace[] | undefined;
 
-  /** Whether the progress of the tasks is stored in parts. */
-  readonly hasParts: boolean;
+  /** Whether the progress of the tasks is stored in parts; it stays so. */
+  hasParts: boolean;
 
   constructor(public definition: JobDefinition) {
     this.hasParts = Job.maxOpenTasksOf(definition.spec) > MAX_TASKS_IN_RECORD;
     if (!definition.spec.schedule) this.openOccurrence(0, definition.acceptedUnixMs);
   }
 
+  /** Stores the progress of the tasks in parts from now on, all of which count as changed. */
+  divide(): void {
+    this.hasParts = true;
+  }
+
   get jobId(): string {
     return this.definition.jobId;
   }
--- a/packages/jobs/src/JobCodec.test.ts
+++ b/packages/jobs/src/JobCodec.test.ts
@@ -83,6 +83,22 @@
     t.ok(Math.max(...sizes, JobCodec.encodeProgress(job).length) < MAX_RECORD_BYTES);
   });
 
+  it('each stay below the limit with the longest ids of targets and checkpoints that the store permits', (t) => {
+    // Fails if the length of something that others choose is not bounded.
+    const job = new Job(large);
+    const targetId = 'é'.repeat(127);
+    job.occurrences.get(0)?.steps[0]?.tasks.forEach((task) => {
+      task.addRun(targetId, Date.now() + 0.123, true);
+      task.addRun(targetId, Date.now() + 0.123, true);
+      Object.assign(task, { lastRun: 1e15, crashes: 9, earlyCrashes: 9, failures: 99 });
+      task.recordCheckpoint('€'.repeat(400));
+      const ref = { digest: 'd'.repeat(32), parts: 5 };
+      Object.assign(task, { storedCheckpoint: { ref, text: task.checkpoint } });
+    });
+    const sizes = job.takeChangedParts().map((part) => JobCodec.encodePart(job, part).length);
+    t.ok(Math.max(...sizes, JobCodec.encodeProgress(job).length) < MAX_RECORD_BYTES);
+  });
+
   it('restore every task', (t) => {
     const job = new Job(large);
     [0, 255, 256, 9_999].forEach((task) => finishTask(job, 0, 0, task));
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -1,7 +1,7 @@
 /**
  * Encodes jobs for the journal. The definition is written once. Every progress record contains the
  * complete progress, so a new owner needs only the newest record of each key. A job with many tasks has
- * them in records of their own, a part each.
+ * them in records of their own, a part each, and so have long checkpoints.
  */
 import { err, ok, type Result } from 'neverthrow';
 import * as z from 'zod';
@@ -9,6 +9,7 @@
 import { type JobDefinition, jobDefinitionSchema } from './JobSpec.js';
 import { type Occurrence } from './Occurrence.js';
 import { type ProgressPart, taskRangeOf } from './ProgressPart.js';
+import { type CheckpointRef, type TaskState } from './TaskState.js';
 
 export interface RecordUnreadable {
   readonly kind: 'record-unreadable';
@@ -24,6 +25,7 @@
   failures: z.number(),
   lastRun: z.number(),
   checkpoint: z.string(),
+  checkpointRef: z.object({ digest: z.string(), parts: z.number().int().min(1) }).optional(),
   runs: z
     .array(
       z.object({
@@ -123,8 +125,27 @@
   );
 }
 
-function restoreTasks(job: Job, occurrence: number, tasks: readonly TaskEntry[]): void {
-  tasks.forEach((task) => job.find(occurrence, task.step, task.index)?.task.restore(task));
+/** The checkpoints that records refer to, by digest. */
+export type CheckpointLookup = (ref: CheckpointRef) => string | undefined;
+
+function restoreTask(task: TaskState, entry: TaskEntry, lookUp: CheckpointLookup): void {
+  task.restore(entry);
+  const { checkpointRef: ref } = entry;
+  const text = ref && lookUp(ref);
+  if (ref && text !== undefined)
+    Object.assign(task, { checkpoint: text, storedCheckpoint: { ref, text } });
+}
+
+function restoreTasks(
+  job: Job,
+  occurrence: number,
+  tasks: readonly TaskEntry[],
+  lookUp: CheckpointLookup,
+): void {
+  tasks.forEach((entry) => {
+    const place = job.find(occurrence, entry.step, entry.index);
+    if (place) restoreTask(place.task, entry, lookUp);
+  });
 }
 
 export const JobCodec = {
@@ -159,12 +180,11 @@
   },
 
   /** Encodes the tasks of one part; without effect on a new owner if its occurrence has ended. */
-  encodePart(job: Job, { occurrence, step, part }: ProgressPart): Buffer {
+  encodePart(job: Job, place: ProgressPart): Buffer {
     const tasks: TaskEntry[] = [];
-    const all = job.occurrences.get(occurrence)?.steps[step]?.tasks ?? [];
-    for (const task of all.slice(...taskRangeOf(part))) {
+    for (const task of JobCodec.tasksOf(job, place)) {
       const record = task.toRecord();
-      if (record) tasks.push({ step, index: task.index, ...record });
+      if (record) tasks.push({ step: place.step, index: task.index, ...record });
     }
     const record: PartRecord = { tasks };
     return Buffer.from(JSON.stringify(record));
@@ -186,8 +206,13 @@
   },
 
   /** Applies recorded progress to a job that was created from its definition. */
-  applyProgress(job: Job, record: ProgressRecord): void {
+  applyProgress(
+    job: Job,
+    record: ProgressRecord,
+    lookUp: CheckpointLookup = () => undefined,
+  ): void {
     const isDivided = 'openOccurrences' in record;
+    if (isDivided) job.divide();
     endedOf(record).forEach((index) => job.endedOccurrences.add(index));
     (isDivided ? record.openOccurrences : record.occurrences).forEach((entry) => {
       // Opens this occurrence and all earlier ones that have not ended.
@@ -196,11 +221,28 @@
     // A finished job opens no occurrences, but its runs may still be alive.
     Object.assign(job, { status: record.status, finishedUnixMs: record.finishedUnixMs });
     if (isDivided) return;
-    record.occurrences.forEach(({ index, tasks }) => restoreTasks(job, index, tasks));
+    record.occurrences.forEach(({ index, tasks }) => restoreTasks(job, index, tasks, lookUp));
   },
 
   /** Applies a recorded part to a job whose progress was applied before. */
-  applyPart(job: Job, { occurrence }: ProgressPart, { tasks }: PartRecord): void {
-    restoreTasks(job, occurrence, tasks);
+  applyPart(
+    job: Job,
+    { occurrence }: ProgressPart,
+    { tasks }: PartRecord,
+    lookUp: CheckpointLookup = () => undefined,
+  ): void {
+    restoreTasks(job, occurrence, tasks, lookUp);
+  },
+
+  /** The tasks whose entries are in the record of the part; without one, in that of the whole job. */
+  tasksOf(job: Job, place?: ProgressPart): TaskState[] {
+    if (place) {
+      const { occurrence, step, part } = place;
+      const all = job.occurrences.get(occurrence)?.steps[step]?.tasks ?? [];
+      return all.slice(...taskRangeOf(part));
+    }
+    return [...job.occurrences.values()].flatMap(({ steps }) =>
+      steps.flatMap(({ tasks }) => tasks),
+    );
   },
 } as const;
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -17,11 +17,29 @@
   readonly isAlone?: boolean | undefined;
 }
 
+/** Names the records that have a checkpoint which is too long for the record of its task. */
+export interface CheckpointRef {
+  readonly digest: string;
+  /** Number of records. */
+  readonly parts: number;
+}
+
+/** A checkpoint that has records of its own. */
+export interface StoredCheckpoint {
+  readonly ref: CheckpointRef;
+  readonly text: string;
+}
+
+/** Longest checkpoint that is stored in the record of its task, in bytes as they are stored. */
+const MAX_INLINE_BYTES = 66;
+
 export interface TaskRecord {
   readonly done: boolean;
   readonly failures: number;
   readonly lastRun: number;
   readonly checkpoint: string;
+  /** Omitted if the checkpoint is short enough to be stored here. */
+  readonly checkpointRef?: CheckpointRef | undefined;
   readonly runs: readonly TaskRun[];
   /** Omitted if no target has crashed while the task ran there. */
   readonly crashes?: number | undefined;
@@ -57,6 +75,9 @@
 
   checkpoint = '';
 
+  /** The newest checkpoint that is stored in records of its own. */
+  storedCheckpoint: StoredCheckpoint | undefined;
+
   runs: TaskRun[] = [];
 
   /**
@@ -122,14 +143,29 @@
     this.onChanged();
   }
 
+  /** The task is not started again, so that its checkpoint is not needed any more. */
   markDone(): void {
     this.done = true;
+    this.checkpoint = '';
+    this.storedCheckpoint = undefined;
     this.onChanged();
   }
 
   /** Stores a checkpoint; an empty one leaves the previous checkpoint in place. */
   recordCheckpoint(checkpoint: string): void {
-    if (checkpoint !== '') this.checkpoint = checkpoint;
+    if (checkpoint !== '' && !this.done) this.checkpoint = checkpoint;
+  }
+
+  /** Whether the checkpoint is short enough to be stored in the record of the task. */
+  get hasShortCheckpoint(): boolean {
+    const { checkpoint } = this;
+    if (checkpoint.length > MAX_INLINE_BYTES) return false;
+    return Buffer.byteLength(JSON.stringify(checkpoint)) <= MAX_INLINE_BYTES;
+  }
+
+  /** Whether the checkpoint is to be stored in records of its own before that of the task. */
+  get needsStoredCheckpoint(): boolean {
+    return !this.hasShortCheckpoint && this.storedCheckpoint?.text !== this.checkpoint;
   }
 
   /** Makes the next start avoid the target if another one fits. */
@@ -183,12 +219,19 @@
 
   /** Returns the stored form; undefined for a task that was never started and is not done. */
   toRecord(): TaskRecord | undefined {
-    const { done, failures, lastRun, checkpoint, runs, crashes, earlyCrashes } = this;
+    const { done, failures, lastRun, runs, crashes, earlyCrashes } = this;
     if (lastRun === 0 && !done) return undefined;
-    const record = { done, failures, lastRun, checkpoint, runs };
+    const record = { done, failures, lastRun, ...this.checkpointRecord(), runs };
     return crashes === 0 ? record : { ...record, crashes, earlyCrashes };
   }
 
+  private checkpointRecord(): Pick<TaskRecord, 'checkpoint' | 'checkpointRef'> {
+    const { checkpoint, storedCheckpoint } = this;
+    if (this.hasShortCheckpoint) return { checkpoint };
+    const checkpointRef = storedCheckpoint?.ref;
+    return checkpointRef ? { checkpoint: '', checkpointRef } : { checkpoint: '' };
+  }
+
   restore(record: TaskRecord): void {
     this.done = record.done;
     this.failures = record.failures;
--- a/packages/journal/src/Commit.ts
+++ b/packages/journal/src/Commit.ts
@@ -20,3 +20,12 @@
   });
   return { promise, settle };
 }
+
+/** The outcome of several writes of which all are needed. */
+export async function joinOutcomes(
+  commits: readonly Promise<CommitOutcome>[],
+): Promise<CommitOutcome> {
+  const outcomes = await Promise.all(commits);
+  if (outcomes.includes('ownership-lost')) return 'ownership-lost';
+  return outcomes.includes('withdrawn') ? 'withdrawn' : 'durable';
+}
--- a/packages/journal/src/CreatedKey.ts
+++ b/packages/journal/src/CreatedKey.ts
@@ -4,7 +4,7 @@
  * proves nothing about it.
  */
 import { type CommitOutcome, createCommit } from './Commit.js';
-import { type RecordEncoder } from './RecordLog.js';
+import { type RecordEncoder } from './RecordEncoder.js';
 
 export class CreatedKey {
   private readonly withdrawal = createCommit();
--- a/packages/journal/src/JournalClaim.ts
+++ b/packages/journal/src/JournalClaim.ts
@@ -5,6 +5,7 @@
  */
 import { type Clock } from '@acaciadock/core';
 import { CallRepeater } from './CallRepeater.js';
+import { FittingRecord } from './FittingRecord.js';
 import { type JournalCopy } from './JournalCopy.js';
 import { type LogFailure, type RecordLog, type StoredRecord } from './RecordLog.js';
 
@@ -65,12 +66,13 @@
    */
   async acquire(request: ClaimRequest): Promise<OwnedJournal | undefined> {
     const { holder, isWanted, firstOffset = 0 } = request;
-    const value = Buffer.from(JSON.stringify(holder));
+    const claim = FittingRecord.of(CLAIM_KEY, Buffer.from(JSON.stringify(holder)));
+    if (claim.isErr()) return undefined;
     let expectedOffset = firstOffset;
     // What the last owner wrote is in the log already, so it is read while the claim is appended.
     const isFollowed = request.copy?.follow();
     while (isWanted()) {
-      const endOffset = await this.appendClaim(expectedOffset, value, isWanted);
+      const endOffset = await this.appendClaim(expectedOffset, claim.value, isWanted);
       if (endOffset === undefined) {
         request.onClaimed(expectedOffset);
         await isFollowed;
@@ -87,16 +89,15 @@
    */
   private async appendClaim(
     epoch: number,
-    value: Buffer,
+    claim: FittingRecord,
     isWanted: () => boolean,
   ): Promise<number | undefined> {
     while (isWanted()) {
-      const records = [{ key: CLAIM_KEY, value }];
-      const done = await this.repeater.call((signal) => this.log.append(epoch, records, signal));
+      const done = await this.repeater.call((signal) => this.log.append(epoch, [claim], signal));
       if (done.isOk()) return undefined;
       if (done.error.kind === 'offset-mismatch') {
         const { endOffset } = done.error;
-        const isOwnClaim = endOffset === epoch + 1 && (await this.isOwnClaim(epoch, value));
+        const isOwnClaim = endOffset === epoch + 1 && (await this.isOwnClaim(epoch, claim));
         return isOwnClaim ? undefined : endOffset;
       }
       await this.clock.sleep(RETRY_DELAY_MS);
@@ -105,11 +106,11 @@
   }
 
   /** Whether the record at `epoch` is this claim: an append without an answer was carried out. */
-  private async isOwnClaim(epoch: number, value: Buffer): Promise<boolean> {
+  private async isOwnClaim(epoch: number, { value }: FittingRecord): Promise<boolean> {
     const slice = await this.repeater.call((signal) => this.log.readFrom(epoch, 0, signal));
     if (slice.isErr()) return false;
     const [claim] = slice.value.records;
-    return claim?.key === CLAIM_KEY && claim.value?.equals(value) === true;
+    return value !== undefined && claim?.key === CLAIM_KEY && claim.value?.equals(value) === true;
   }
 
   private async load(epoch: number, request: ClaimRequest): Promise<OwnedJournal | undefined> {
--- a/packages/journal/src/JournalWriter.test.ts
+++ b/packages/journal/src/JournalWriter.test.ts
@@ -22,7 +22,7 @@
     if (at !== this.records.length) {
       return Promise.resolve(err({ kind: 'offset-mismatch', endOffset: this.records.length }));
     }
-    this.records.push(...records);
+    this.records.push(...records.map(({ key, value }) => ({ key, value })));
     if (this.mode === 'answers') return Promise.resolve(ok(undefined));
     return Promise.resolve(err({ kind: 'unknown-outcome', detail: '' }));
   }
--- a/packages/journal/src/JournalWriter.ts
+++ b/packages/journal/src/JournalWriter.ts
@@ -3,20 +3,19 @@
  * meanwhile are collected for the next one. Each append names the offset that it expects, so the
  * claim of a new owner fences this writer. An append without an answer is repeated and, if it had an
  * effect, resolved by reading the log. A batch that the store has certainly not taken is dissolved,
- * so that its keys can still be withdrawn.
+ * so that its keys can still be withdrawn. A record that the store does not take at all is set aside, and
+ * the others go on without it.
  */
-import { type Clock, Disposable, EventEmitter } from '@acaciadock/core';
+import { type Clock, Disposable, EventEmitter, type IDisposable } from '@acaciadock/core';
 import { type Result } from 'neverthrow';
 import { CallRepeater } from './CallRepeater.js';
 import { type Commit, type CommitOutcome, createCommit } from './Commit.js';
 import { CreatedKey } from './CreatedKey.js';
-import {
-  type KeyedRecord,
-  type LogFailure,
-  type RecordEncoder,
-  type RecordLog,
-} from './RecordLog.js';
+import { FittingRecord } from './FittingRecord.js';
 import { type OwnedJournal } from './JournalClaim.js';
+import { ENCODE_LATER, type RecordEncoder } from './RecordEncoder.js';
+import { type LogFailure, type RecordLog } from './RecordLog.js';
+import { SetAsideRecords } from './SetAsideRecords.js';
 
 /** Delay before an append is retried, in milliseconds. */
 const RETRY_DELAY_MS = 50;
@@ -27,13 +26,25 @@
  */
 const MAX_BATCH_BYTES = 1_000_000;
 
+/** Bytes of a call for each record beside the record itself. */
+const FRAMING_BYTES = 4;
+
 /** The records of one append, and what is needed to dissolve it. */
 interface Batch {
-  readonly records: readonly KeyedRecord[];
+  readonly records: readonly FittingRecord[];
   readonly encoders: ReadonlyMap<string, RecordEncoder>;
   readonly bytes: number;
   /** Settled once the batch is; empty if records of the same commits follow in a later batch. */
   readonly commits: readonly Commit[];
+  /** Whether its record is one that was set aside. */
+  readonly isRetry: boolean;
+}
+
+/** A record that the store does not take. */
+export interface SetAsideNotice {
+  readonly key: string;
+  readonly bytes: number;
+  readonly detail: string;
 }
 
 /** A span without an acknowledged append. */
@@ -53,8 +64,8 @@
 
 type SettledAppend = Exclude<CommitOutcome, 'withdrawn'>;
 
-/** `rejected`: no attempt had an effect. */
-type AppendOutcome = SettledAppend | 'rejected';
+/** `rejected`: no attempt had an effect. `invalid`: none of these records has an effect in this batch, ever. */
+type AppendOutcome = SettledAppend | 'rejected' | 'invalid';
 
 export class JournalWriter extends Disposable {
   private dirty = new Map<string, RecordEncoder>();
@@ -74,6 +85,18 @@
   /** The batch whose append is under way. */
   private inFlight: Batch | undefined;
 
+  private readonly setAside: SetAsideRecords;
+
+  private setAsideTimer: IDisposable | undefined;
+
+  /** Records that the next batch may have at most; lowered to find the one that makes a batch invalid. */
+  private maxRecords = Infinity;
+
+  private isEncoding = false;
+
+  /** The key that comes after all others, once the writer is closing. */
+  private lastKey: string | undefined;
+
   /** Keys that were created and of which no write can be in the store yet. */
   private readonly created = new Map<string, CreatedKey>();
 
@@ -99,6 +122,11 @@
   /** Fires when an append has succeeded after failures. */
   readonly onResumed = this.resumedEmitter.event;
 
+  private readonly setAsideEmitter = this.register(new EventEmitter<SetAsideNotice>());
+
+  /** Fires at each attempt to write a record that the store does not take. */
+  readonly onSetAside = this.setAsideEmitter.event;
+
   /** Failures since the last acknowledged append. */
   private failures = 0;
 
@@ -130,6 +158,8 @@
   ) {
     super();
     this.repeater = new CallRepeater(clock);
+    this.setAside = new SetAsideRecords(clock);
+    this.register({ dispose: () => this.setAsideTimer?.dispose() });
     this.nextOffset = owned.nextOffset;
     this.lastDurableMs = clock.monotonicMs();
     this.lastDurableUnixMs = clock.unixMs();
@@ -158,12 +188,18 @@
 
   /**
    * Adds the key to the next batch, and replaces an earlier write of the key that is not in a batch
-   * yet. The promise resolves once the batch is durable, the ownership is lost or the key is withdrawn.
+   * yet. The promise resolves once the batch is durable, the ownership is lost or the key is withdrawn. The
+   * write of a record that the store does not take waits until it takes a later one of the key.
    */
   write(key: string, encode: RecordEncoder): Promise<CommitOutcome> {
-    if (this.lost || this.closing || this.isDisposed) return Promise.resolve('ownership-lost');
+    const isClosed = this.closing && !this.isEncoding;
+    if (this.lost || isClosed || this.isDisposed) return Promise.resolve('ownership-lost');
+    const refused = this.setAside.replaceRefused(key, encode);
+    if (refused) return refused;
     this.dirty.set(key, encode);
-    const { promise } = this.nextCommit;
+    const promise = this.nextCommit.promise.then(
+      (outcome) => (outcome === 'durable' && this.setAside.outcomeOf(key)) || outcome,
+    );
     this.scheduleRun();
     return this.created.get(key)?.outcomeOf(promise) ?? promise;
   }
@@ -181,6 +217,7 @@
   delete(key: string): Promise<CommitOutcome> {
     this.created.get(key)?.withdraw();
     this.created.delete(key);
+    this.setAside.settle(key, 'withdrawn');
     return this.write(key, () => undefined);
   }
 
@@ -190,10 +227,16 @@
    */
   close(key: string, encode: RecordEncoder): Promise<CommitOutcome> {
     const written = this.write(key, encode);
+    this.lastKey = key;
     this.closing = true;
     return written;
   }
 
+  /** Whether the store does not take the record of the key, as of the last attempt. */
+  isSetAside(key: string): boolean {
+    return this.setAside.outcomeOf(key) !== undefined;
+  }
+
   /** Whether the writer takes no more records. */
   get isClosing(): boolean {
     return this.closing;
@@ -207,6 +250,7 @@
     const created = this.created.get(key);
     if (!created || this.inFlight?.encoders.has(key)) return false;
     this.created.delete(key);
+    this.setAside.settle(key, 'withdrawn');
     if (created.replaced) this.dirty.set(key, created.replaced);
     else this.dirty.delete(key);
     created.withdraw();
@@ -232,39 +276,104 @@
   }
 
   private async run(): Promise<void> {
-    while (this.dirty.size > 0 && !this.lost) {
-      const batch = this.takeBatch();
+    while (!this.lost) {
+      const batch = this.takeSetAside() ?? this.takeBatch();
+      if (!batch) break;
       this.inFlight = batch;
-      const outcome = await this.appendUntilSettled(batch);
+      const outcome = batch.records.length > 0 ? await this.appendUntilSettled(batch) : 'durable';
       this.inFlight = undefined;
       this.isRejected = outcome === 'rejected';
-      if (outcome === 'rejected') {
+      if (outcome === 'invalid') this.isolate(batch);
+      else if (outcome === 'rejected') {
         this.dissolve(batch);
         await this.clock.sleep(RETRY_DELAY_MS);
-        continue;
-      }
-      batch.records.forEach(({ key }) => this.created.delete(key));
-      batch.commits.forEach((commit) => commit.settle(outcome));
+      } else this.settle(batch, outcome);
     }
     this.isWriting = false;
+    this.scheduleSetAside();
   }
 
-  private takeBatch(): Batch {
-    const records: KeyedRecord[] = [];
+  private takeBatch(): Batch | undefined {
+    if (this.dirty.size === 0) return undefined;
+    const records: FittingRecord[] = [];
     const encoders = new Map<string, RecordEncoder>();
     let bytes = 0;
     for (const [key, encode] of this.dirty) {
-      if (bytes > MAX_BATCH_BYTES) break;
-      const value = encode();
-      records.push({ key, value });
-      encoders.set(key, encode);
-      bytes += key.length + (value?.length ?? 0);
+      if (bytes > MAX_BATCH_BYTES || records.length >= this.maxRecords) break;
+      const isTooEarly = key === this.lastKey && this.dirty.size > 1;
       this.dirty.delete(key);
+      const record = isTooEarly ? undefined : this.encodeRecord(key, encode);
+      // A key that is set again is visited again, after those that were written meanwhile.
+      if (!record) this.dirty.set(key, encode);
+      else if (record.isErr()) this.putAside(key, encode, record.error.bytes);
+      else {
+        records.push(record.value);
+        encoders.set(key, encode);
+        bytes += record.value.bytes + FRAMING_BYTES;
+      }
     }
     this.appendedBytes += bytes;
     // Records that did not fit share the commits, which settle with the last batch.
     const commits = this.dirty.size === 0 ? this.takeCommits() : [];
-    return { records, encoders, bytes, commits };
+    return { records, encoders, bytes, commits, isRetry: false };
+  }
+
+  /** Encodes a record; undefined if it is to follow records that were written just now. */
+  private encodeRecord(
+    key: string,
+    encode: RecordEncoder,
+  ): ReturnType<typeof FittingRecord.of> | undefined {
+    this.isEncoding = true;
+    const value = encode();
+    this.isEncoding = false;
+    return value === ENCODE_LATER ? undefined : FittingRecord.of(key, value);
+  }
+
+  /** A batch with one record that was set aside, if an attempt is due. */
+  private takeSetAside(): Batch | undefined {
+    const [key, encode] = this.setAside.takeDue() ?? [];
+    if (key === undefined || !encode || this.dirty.has(key)) return undefined;
+    const record = this.encodeRecord(key, encode);
+    if (!record) this.dirty.set(key, encode);
+    if (record?.isErr()) this.putAside(key, encode, record.error.bytes);
+    if (!record?.isOk()) return undefined;
+    const { value } = record;
+    const encoders = new Map([[key, encode]]);
+    return { records: [value], encoders, bytes: value.bytes, commits: [], isRetry: true };
+  }
+
+  private putAside(key: string, encode: RecordEncoder, bytes: number, refusal?: string): void {
+    this.setAside.add(key, encode, refusal !== undefined);
+    this.setAsideEmitter.fire({ key, bytes, detail: refusal ?? 'record too large' });
+  }
+
+  /** Tries the records that were set aside again, even if nothing else is written. */
+  private scheduleSetAside(): void {
+    if (this.setAside.size === 0 || this.lost) return;
+    this.setAsideTimer?.dispose();
+    this.setAsideTimer = this.clock.after(this.setAside.waitMs, () => this.scheduleRun());
+  }
+
+  /** Finds the record that makes a batch invalid, by halves, and sets it aside. */
+  private isolate(batch: Batch): void {
+    const [record] = batch.records;
+    const encode = record && batch.encoders.get(record.key);
+    if (batch.records.length > 1 || !record || !encode) {
+      this.maxRecords = Math.floor(batch.records.length / 2);
+      this.dissolve(batch);
+      return;
+    }
+    this.putAside(record.key, encode, record.bytes, 'refused by the store');
+    batch.commits.forEach((commit) => commit.settle('durable'));
+  }
+
+  private settle({ records, commits }: Batch, outcome: SettledAppend): void {
+    this.maxRecords *= 2;
+    records.forEach(({ key }) => {
+      this.created.delete(key);
+      this.setAside.settle(key, outcome);
+    });
+    commits.forEach((commit) => commit.settle(outcome));
   }
 
   private takeCommits(): readonly Commit[] {
@@ -275,7 +384,8 @@
   }
 
   /** Returns the records of a batch that had no effect to those that wait for an append. */
-  private dissolve({ encoders, commits }: Batch): void {
+  private dissolve({ encoders, commits, isRetry }: Batch): void {
+    if (isRetry) return;
     this.dirty = new Map([...encoders, ...this.dirty]);
     this.dissolvedCommits = [...this.dissolvedCommits, ...commits];
     if (this.lost) this.settleUnwritten();
@@ -283,6 +393,7 @@
 
   private settleUnwritten(): void {
     this.takeCommits().forEach((commit) => commit.settle('ownership-lost'));
+    this.setAside.settleAll('ownership-lost');
   }
 
   /** Repeats the append until its outcome is certain. */
@@ -297,6 +408,8 @@
       const { error } = done;
       this.recordFailure(error);
       if (error.kind === 'rejected' && !mayHaveEffect) return 'rejected';
+      // An earlier attempt had the same records. If it has an effect all the same, the next append finds it.
+      if (error.kind === 'invalid') return 'invalid';
       mayHaveEffect ||= error.kind === 'unknown-outcome';
       if (error.kind === 'offset-mismatch') {
         const isOwn = await this.hasOwnRecords(records);
@@ -312,7 +425,7 @@
 
   /** Sends an append; the result is the time at which it was sent. */
   private async attempt(
-    records: readonly KeyedRecord[],
+    records: readonly FittingRecord[],
     signal: AbortSignal,
   ): Promise<Result<SendTime, LogFailure>> {
     this.appendCount += 1;
@@ -354,7 +467,7 @@
    * Whether the log has these records at the expected offset; undefined if the read failed and the
    * append has to be repeated. Also false if that offset has expired.
    */
-  private async hasOwnRecords(records: readonly KeyedRecord[]): Promise<boolean | undefined> {
+  private async hasOwnRecords(records: readonly FittingRecord[]): Promise<boolean | undefined> {
     const slice = await this.repeater.call((signal) =>
       this.log.readFrom(this.nextOffset, 0, signal),
     );
--- a/packages/journal/src/RecordLog.ts
+++ b/packages/journal/src/RecordLog.ts
@@ -3,6 +3,7 @@
  * offsets and conditional appends. The newest record of each key never expires.
  */
 import { type Result } from 'neverthrow';
+import { type FittingRecord } from './FittingRecord.js';
 
 export interface KeyedRecord {
   readonly key: string;
@@ -10,9 +11,6 @@
   readonly value: Buffer | undefined;
 }
 
-/** Encodes the value when its batch is formed, so that the newest state is written. */
-export type RecordEncoder = () => Buffer | undefined;
-
 export interface StoredRecord extends KeyedRecord {
   readonly offset: number;
 }
@@ -38,6 +36,8 @@
   | { readonly kind: 'offset-mismatch'; readonly endOffset: number }
   /** The call had no effect and may be retried. */
   | { readonly kind: 'rejected'; readonly detail: string }
+  /** The log does not take these records, so the call had no effect, and a repeat of it has none either. */
+  | { readonly kind: 'invalid'; readonly detail: string }
   /** The call may have taken effect, or may still do so later. */
   | { readonly kind: 'unknown-outcome'; readonly detail: string }
   /** The requested offset has expired. */
@@ -50,7 +50,7 @@
    */
   abstract append(
     expectedOffset: number,
-    records: readonly KeyedRecord[],
+    records: readonly FittingRecord[],
     signal?: AbortSignal,
   ): Promise<Result<void, LogFailure>>;
 
