Leases are as long as a successor takes them to be

Cause: the clock of an idle target was taken to run at full speed since its last report, so that the lease of its next start was longer than LEASE_MS on a slow clock, and as long as the target permits in a later lifetime. The owner allowed for that; a successor took each inherited lease for one LEASE_MS.

Change: a lease is granted from the lowest value that the clock can have. The first start on an idle target needs a report of the last 0.1 s, which is asked for while the run is journaled and extends no lease.

Why this works: no order of this build gives a lease of more than LEASE_MS on the clock of the lifetime that it reaches, but one that is carried out seconds late by a later lifetime.

--- a/packages/coordinator/src/Coordinator.ts
+++ b/packages/coordinator/src/Coordinator.ts
@@ -60,9 +60,16 @@
 const RESTART_DELAY_MS = 100;
 const MAX_RESTART_DELAY_MS = 1_600;
 
-export interface CoordinatorOptions extends FleetControllerOptions, AdmissionOptions {
+/** What is known of the leases that earlier owners granted. */
+export interface InheritedLeases {
   /** No previous owner extends leases any more: each has released the journal or has exited. */
   readonly hasPreviousOwnerStopped: boolean;
+  /** The longest lease of earlier owners, in milliseconds; undefined if only the targets bound it. */
+  readonly inheritedLeaseMs: number | undefined;
+}
+
+/** Settings that are the same in each period of ownership. */
+export interface CoordinatorSettings extends FleetControllerOptions, AdmissionOptions {
   /** Longest lease that a target grants, in milliseconds. */
   readonly maxLeaseMs: number;
   /** Retention of finished jobs, during which their state can be queried, in milliseconds. */
@@ -74,6 +81,8 @@
   readonly evacuateMs: number | undefined;
 }
 
+export interface CoordinatorOptions extends CoordinatorSettings, InheritedLeases {}
+
 export interface CoordinatorDeps {
   readonly ownership: Ownership;
   readonly registry: TargetRegistry;
@@ -130,6 +139,9 @@
 
   private readonly callHandler: JobCallHandler;
 
+  /** Monotonic time by which all leases of earlier owners have expired. */
+  private readonly inheritedUntilMs: number;
+
   private readonly meter: WorkMeter;
 
   private readonly loadLog: OwnerLoadLog;
@@ -149,7 +161,8 @@
     this.meter = meter;
     this.load = new LoadMeter(clock, deps.busyMs);
     const extensionMs = options.hasPreviousOwnerStopped ? 0 : EXTENSION_BOUND_MS;
-    const inheritedUntilMs = clock.monotonicMs() + extensionMs + LEASE_MS / SLOWEST_CLOCK_RATE;
+    const inheritedUntilMs = clock.monotonicMs() + extensionMs + this.longestInheritedMs;
+    this.inheritedUntilMs = inheritedUntilMs;
     const estimates = new RuntimeEstimates();
     this.runtimeRecord = new RuntimeRecord(estimates, deps);
     this.jobs = new JobTable(ownership, clock, meter, logger, deps.decoder);
@@ -267,17 +280,31 @@
     this.register(
       clock.every(RUN_CHECK_MS, () => this.meter.measure('run-checks', () => this.checkRuns())),
     );
+    this.markInheritedLeasesExpired();
     void this.drivers.followRegistry();
     void this.fleetController?.run();
   }
 
   /**
-   * Bounds the leases that previous owners granted. The last one expires at most one lease length
+   * Bounds the leases that previous owners granted. The last one expires at most one of their lease lengths
    * from now on the clock of its target, which may run as slow as `SLOWEST_CLOCK_RATE`.
    */
   private onPreviousOwnerStopped(): void {
     const nowMs = this.deps.clock.monotonicMs();
-    this.targets.boundInherited(nowMs + LEASE_MS / SLOWEST_CLOCK_RATE);
+    this.targets.boundInherited(nowMs + this.longestInheritedMs);
+  }
+
+  /** Real time that a lease of an earlier owner may last, in milliseconds. */
+  private get longestInheritedMs(): number {
+    const { inheritedLeaseMs, maxLeaseMs } = this.options;
+    return Math.min(inheritedLeaseMs ?? maxLeaseMs, maxLeaseMs) / SLOWEST_CLOCK_RATE;
+  }
+
+  private markInheritedLeasesExpired(): void {
+    if (this.options.inheritedLeaseMs === LEASE_MS) return;
+    const waitMs = this.inheritedUntilMs - this.deps.clock.monotonicMs();
+    const { ownership, clock } = this.deps;
+    this.register(clock.after(waitMs, () => ownership.markInheritedLeasesExpired(LEASE_MS)));
   }
 
   call(call: JobCall): Promise<JobReply> {
--- a/packages/coordinator/src/Ownership.ts
+++ b/packages/coordinator/src/Ownership.ts
@@ -78,6 +78,12 @@
   formerMayExtend: z.boolean(),
   /** The owners that may; omitted if there is none, or one of them is unknown. */
   formers: z.array(formerOwnerSchema).optional(),
+  /**
+   * The longest lease, in milliseconds on the clock of its target, that this owner grants and that an earlier one may
+   * have granted whose leases have not certainly expired. Omitted if only the targets bound it: earlier builds
+   * grant longer leases to targets that were idle or have begun a new lifetime.
+   */
+  leaseBoundMs: z.number().nonnegative().optional(),
 });
 
 export type OwnerRecord = Readonly<z.infer<typeof ownerRecordSchema>>;
@@ -133,6 +139,8 @@
 
   private previousMayExtend: boolean;
 
+  private leaseBoundMs: number | undefined;
+
   constructor(
     log: RecordLog,
     owned: OwnedJournal,
@@ -141,6 +149,7 @@
   ) {
     super();
     this.previousMayExtend = ownerRecord.formerMayExtend;
+    this.leaseBoundMs = ownerRecord.leaseBoundMs;
     this.epoch = owned.epoch;
     this.writer = this.register(new JournalWriter(log, owned, clock));
     this.writer.onLost(() => this.end('journal-lost'));
@@ -167,6 +176,16 @@
     this.previousOwnerStoppedEmitter.fire();
   }
 
+  /**
+   * Records that all leases of earlier owners have expired, so that a successor need only wait for those of this
+   * owner, which are at most `leaseBoundMs` long.
+   */
+  markInheritedLeasesExpired(leaseBoundMs: number): void {
+    if (this.leaseBoundMs === leaseBoundMs || this.ended) return;
+    this.leaseBoundMs = leaseBoundMs;
+    this.writeOwnerRecord();
+  }
+
   get isActive(): boolean {
     return !this.ended;
   }
@@ -237,6 +256,7 @@
         epoch: this.epoch,
         formerMayExtend: this.previousMayExtend,
         ...(this.previousMayExtend && formers ? { formers } : {}),
+        ...(this.leaseBoundMs === undefined ? {} : { leaseBoundMs: this.leaseBoundMs }),
       };
       return Buffer.from(JSON.stringify(name));
     });
--- a/packages/coordinator/src/RunTracker.ts
+++ b/packages/coordinator/src/RunTracker.ts
@@ -33,10 +33,10 @@
   /** Fires when a stop order is to be sent to a run's target. */
   readonly onStopWanted = this.stopEmitter.event;
 
-  private readonly plannedAloneEmitter = this.register(new EventEmitter<LiveRun>());
+  private readonly plannedEmitter = this.register(new EventEmitter<LiveRun>());
 
-  /** Fires when a suspect has been planned on a target that is kept for suspects. */
-  readonly onPlannedAlone = this.plannedAloneEmitter.event;
+  /** Fires when a run has been planned, before it is journaled. */
+  readonly onPlanned = this.plannedEmitter.event;
 
   private readonly changeEmitter = this.register(new EventEmitter<JobEntry>());
 
@@ -78,7 +78,7 @@
     live.isAlone = isAlone;
     live.isContinued = place.task.checkpoint !== '';
     this.track(live, target);
-    if (isAlone) this.plannedAloneEmitter.fire(live);
+    this.plannedEmitter.fire(live);
     return live;
   }
 
--- a/packages/coordinator/src/TargetDriver.ts
+++ b/packages/coordinator/src/TargetDriver.ts
@@ -49,10 +49,12 @@
 const SILENT_RETRY_MS = 250;
 
 /**
- * A suspect starts only on a target that has reported within this time, in milliseconds. An unanswered start of a
- * suspect counts as a crash that it has caused, so the target must not have been down before.
+ * A suspect, and the first task on an idle target, starts only on a target that has reported within this time, in
+ * milliseconds. An unanswered start of a suspect counts as a crash that it has caused, so the target must not have been
+ * down before. An idle target may have begun a new lifetime, with another clock and of another kind, unnoticed; the time
+ * is shorter than any process takes to start.
  */
-const SUSPECT_REPORT_AGE_MS = 100;
+const START_REPORT_AGE_MS = 100;
 
 /** Retry delay of a stop order, in milliseconds. */
 const STOP_RETRY_MS = 100;
@@ -117,7 +119,7 @@
     const { target } = this;
     const { port, clock, meter } = this.deps;
     if (!this.isPlanned(live)) return;
-    const isSilent = live.isAlone && !(await this.hasJustReported());
+    const isSilent = this.needsReportBefore(live) && !(await this.hasJustReported());
     if (!this.isPlanned(live)) return;
     const obstacle = isSilent
       ? 'target-silent'
@@ -143,23 +145,38 @@
     return this.isCurrent(live) && live.phase === 'planned';
   }
 
-  /** Checks that the target is alive while the run of a suspect is being journaled. */
-  prepareStart(): void {
-    void this.hasJustReported();
+  /** Asks the target for a report, if the start needs one, while the run is being journaled. */
+  prepareStart(live: LiveRun): void {
+    if (this.needsReportBefore(live)) void this.hasJustReported();
+  }
+
+  /** Whether the start of the run needs a report first: nothing else shows that the target still lives. */
+  private needsReportBefore(live: LiveRun): boolean {
+    return live.isAlone || this.isIdle;
+  }
+
+  /** Whether the report loop waits until the target is in use. */
+  private get isIdle(): boolean {
+    return this.wakeUp !== undefined;
   }
 
   private async checkLiveness(): Promise<boolean> {
-    // The report loop of an idle target stands still; it has to notice a silence, too.
-    this.wake();
-    const done = await this.requestReport(0, NO_END_SEEN);
+    // A suspect's target is watched from now on.
+    if (this.target.isIsolated) this.wake();
+    const done = await this.requestReport(0, NO_END_SEEN, false);
     this.livenessCheck = undefined;
+    if (done.isErr() && this.isActive) {
+      // The report loop of an idle target stands still; it has to notice a silence, too.
+      if (this.isIdle) void this.onReportFailed(done.error);
+      this.wake();
+    }
     return done.isOk();
   }
 
   /** Whether the last report is new, or the target answers a request for one. */
   private async hasJustReported(): Promise<boolean> {
     const ageMs = this.deps.clock.monotonicMs() - this.target.reportedMs;
-    if (ageMs <= SUSPECT_REPORT_AGE_MS) return true;
+    if (ageMs <= START_REPORT_AGE_MS) return true;
     this.livenessCheck ??= this.checkLiveness();
     return this.livenessCheck;
   }
@@ -248,11 +265,13 @@
 
   /**
    * Requests one report and processes it. Several requests may be in flight, and their answers may
-   * arrive out of order: a late older answer adds nothing to a newer one.
+   * arrive out of order: a late older answer adds nothing to a newer one. A target that may have begun a new
+   * lifetime gets no lease: on its new clock the expiry would be far in the future.
    */
   private async requestReport(
     waitMs: number,
     lastSeenEnd: number,
+    extendsLease = true,
   ): Promise<Result<ReportResult, OrderFailure>> {
     const { target } = this;
     const { port, ownership, clock, meter, reportProcessor } = this.deps;
@@ -260,7 +279,7 @@
     const request = {
       fencingToken: ownership.epoch,
       lastSeenEnd,
-      leaseUntilMs: this.leaseUntilMs(sentAtMs),
+      leaseUntilMs: extendsLease ? this.leaseUntilMs(sentAtMs) : undefined,
       waitMs,
     };
     const done = await meter.measure('holds', () => port.hold(target.address, request));
--- a/packages/coordinator/src/TargetDrivers.ts
+++ b/packages/coordinator/src/TargetDrivers.ts
@@ -48,7 +48,7 @@
     this.register(targets.onDraining((target) => this.onDraining(target)));
     this.register(targets.onRemoved((target) => this.onRemoved(target)));
     this.register(
-      runTracker.onPlannedAlone(({ targetId }) => this.drivers.get(targetId)?.prepareStart()),
+      runTracker.onPlanned((live) => this.drivers.get(live.targetId)?.prepareStart(live)),
     );
     this.register(
       runTracker.onStopWanted((live) => {
--- a/packages/coordinator/src/WarmUp.ts
+++ b/packages/coordinator/src/WarmUp.ts
@@ -12,7 +12,7 @@
 } from '@acaciadock/journal';
 import { err, ok } from 'neverthrow';
 import { type AdviceService, type WaveReports } from './contracts/index.js';
-import { Coordinator, type CoordinatorDeps, type CoordinatorOptions } from './Coordinator.js';
+import { Coordinator, type CoordinatorDeps, type CoordinatorSettings } from './Coordinator.js';
 import { LoopbackPort } from './LoopbackPort.js';
 import { Ownership } from './Ownership.js';
 
@@ -41,7 +41,7 @@
 
 export class WarmUp {
   constructor(
-    private readonly options: Omit<CoordinatorOptions, 'hasPreviousOwnerStopped'>,
+    private readonly options: CoordinatorSettings,
     private readonly deps: WarmUpDeps,
   ) {}
 
@@ -64,7 +64,7 @@
     const { clock } = this.deps;
     const coordinator: Coordinator = new Coordinator(
       owned,
-      { ...this.options, hasPreviousOwnerStopped: true },
+      { ...this.options, hasPreviousOwnerStopped: true, inheritedLeaseMs: undefined },
       {
         ...this.deps,
         ownership,
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -6,5 +6,6 @@
 export * from './LoadMeter.js';
 export * from './Ownership.js';
 export * from './TargetConnector.js';
+export { LEASE_MS } from './TargetDriver.js';
 export * from './WarmUp.js';
 export * from './ZoneEvacuation.js';
--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -85,6 +85,9 @@
   /** Character that fills the checkpoints up to their length. */
   checkpointFiller = '.';
 
+  /** Rate of the target's clock relative to real time. */
+  clockRate = 1;
+
   /** Factor on the runtimes of runs that start from now on. */
   slowdown = 1;
 
@@ -288,7 +291,7 @@
   }
 
   private get clockMs(): number {
-    return this.clock.unixMs() - this.bornMs + 1_000;
+    return (this.clock.unixMs() - this.bornMs) * this.clockRate + 1_000;
   }
 
   private recordEndedRun(taskId: string, run: number): void {
@@ -306,7 +309,8 @@
     const maxMs = this.clockMs + this.options.maxLeaseMs;
     this.untilMs = Math.max(this.untilMs, Math.min(untilMs, maxMs));
     this.leaseTimer?.dispose();
-    this.leaseTimer = this.clock.after(this.untilMs - this.clockMs, () => this.expireLease());
+    const remainingMs = (this.untilMs - this.clockMs) / this.clockRate;
+    this.leaseTimer = this.clock.after(remainingMs, () => this.expireLease());
   }
 
   private expireLease(): void {
--- a/packages/execution/src/LeaseClock.ts
+++ b/packages/execution/src/LeaseClock.ts
@@ -54,9 +54,13 @@
     this.inheritedUntilMs = Math.min(this.inheritedUntilMs, untilMs);
   }
 
-  /** Returns a lease expiry `leaseMs` from now on the target's clock, and records it as granted. */
+  /**
+   * Returns a lease expiry at most `leaseMs` from now on the target's clock, and records it as granted. The clock is
+   * taken to be as slow as it may be, so that no lease is longer than a successor of this owner takes it to be.
+   */
   grant(leaseMs: number, nowMs: number): number {
-    const clockMs = (this.reportedClockMs ?? 0) + (nowMs - this.reportedAtMs);
+    const passedMs = (nowMs - this.reportedAtMs) * SLOWEST_CLOCK_RATE;
+    const clockMs = (this.reportedClockMs ?? 0) + passedMs;
     const untilMs = Math.floor(clockMs + Math.min(leaseMs, this.maxLeaseMs));
     this.maxGrantedUntilMs = Math.max(this.maxGrantedUntilMs, untilMs);
     return untilMs;
--- a/packages/jobdesk/src/Election.ts
+++ b/packages/jobdesk/src/Election.ts
@@ -5,7 +5,7 @@
  * announcement is an `OwnerNotice`: the store holds the last one, and entries exchange them.
  */
 import { Disposable, EventEmitter } from '@acaciadock/core';
-import { Ownership } from '@acaciadock/coordinator';
+import { type InheritedLeases, LEASE_MS, Ownership } from '@acaciadock/coordinator';
 import {
   CLAIM_KEY,
   type GroupMember,
@@ -53,11 +53,9 @@
 /** The store serves an entry if it has answered a renewal within this time, in milliseconds. */
 const MAX_ANSWER_AGE_MS = 2 * RENEW_PERIOD_MS;
 
-export interface OwnedPeriod {
+export interface OwnedPeriod extends InheritedLeases {
   readonly ownership: Ownership;
   readonly owned: OwnedJournal;
-  /** Whether no earlier owner extends leases any more. */
-  readonly hasPreviousOwnerStopped: boolean;
 }
 
 export type ElectionDeps = ClaimantDeps & SuccessionPreparationDeps;
@@ -337,7 +335,11 @@
     const { clock, log, logger } = deps;
     const previousOwner = new PreviousOwner(owned, self, directory, announcer, deps);
     const { hasStoppedExtending: hasPreviousOwnerStopped, extending: formers } = previousOwner;
-    const ownerRecord = { ...self, formerMayExtend: !hasPreviousOwnerStopped, formers };
+    const inheritedLeaseMs = previousOwner.leaseBoundMs;
+    const leaseBoundMs =
+      inheritedLeaseMs === undefined ? undefined : Math.max(inheritedLeaseMs, LEASE_MS);
+    const formerMayExtend = !hasPreviousOwnerStopped;
+    const ownerRecord = { ...self, formerMayExtend, formers, leaseBoundMs };
     const ownership = new Ownership(log, owned, ownerRecord, clock);
     this.ownership = ownership;
     this.ownerWatch.set(undefined);
@@ -349,7 +351,7 @@
     ownership.onEnd((reason) => {
       logger.info('ownership-ended', { epoch: owned.epoch, reason });
     });
-    this.ownedEmitter.fire({ ownership, owned, hasPreviousOwnerStopped });
+    this.ownedEmitter.fire({ ownership, owned, hasPreviousOwnerStopped, inheritedLeaseMs });
     void announcer.announce(ownership);
     if (!hasPreviousOwnerStopped) void previousOwner.notify(ownership);
   }
--- a/packages/jobdesk/src/PreviousOwner.ts
+++ b/packages/jobdesk/src/PreviousOwner.ts
@@ -17,6 +17,9 @@
   /** Undefined if one of them is unknown, so that only waiting out the bound rules it out. */
   private readonly formers: readonly FormerOwner[] | undefined;
 
+  /** The longest lease of theirs that may be in force, in milliseconds; undefined if only the targets bound it. */
+  readonly leaseBoundMs: number | undefined;
+
   constructor(
     owned: OwnedJournal,
     private readonly self: GroupMember,
@@ -25,6 +28,11 @@
     private readonly deps: OwnerDirectoryDeps,
   ) {
     this.formers = this.readFormers(owned);
+    // An owner grants no lease before its record is durable.
+    this.leaseBoundMs = readOwnerRecord(owned).match(
+      (record) => (record ? record.leaseBoundMs : 0),
+      () => undefined,
+    );
   }
 
   /**
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -24,7 +24,7 @@
   type stepSpecSchema,
 } from '@acaciadock/jobs';
 import { type z } from 'zod';
-import { SimulatedEntry } from './SimulatedEntry.js';
+import { MAX_LEASE_MS, SimulatedEntry } from './SimulatedEntry.js';
 
 const STEP_MS = 5;
 const FLUSHES_PER_STEP = 4;
@@ -36,6 +36,8 @@
   /** Number of targets in each rack; 0 means that all are in one. */
   readonly targetsPerRack: number;
   readonly runtimeMs: number;
+  /** Longest lease that a target grants, on its own clock. */
+  readonly maxLeaseMs: number;
   readonly failShare: number;
   readonly maxAttempts: number;
   /** Number of instances that run targets. 0 means no fleet, only `targetCount` fixed targets. */
@@ -73,6 +75,7 @@
   targetCount: 4,
   targetsPerRack: 0,
   runtimeMs: 600,
+  maxLeaseMs: MAX_LEASE_MS,
   failShare: 0,
   maxAttempts: 3,
   instanceCount: 0,
@@ -135,6 +138,8 @@
 
   readonly ordersPerS: number;
 
+  readonly maxLeaseMs: number;
+
   readonly evacuateMs: number | undefined;
 
   readonly refusesOverload: boolean;
@@ -157,6 +162,7 @@
     this.logger = options.logger;
     this.random = new Random(options.seed);
     this.ordersPerS = options.ordersPerS;
+    this.maxLeaseMs = options.maxLeaseMs;
     this.evacuateMs = options.evacuateMs;
     this.refusesOverload = options.refusesOverload;
     this.ownerBusyShare = options.ownerBusyShare;
@@ -305,8 +311,8 @@
   }
 
   private targetOptions(): SimulatedTargetOptions {
-    const { runtimeMs, failShare, taskCpuMilli } = this.options;
-    const common = { maxLeaseMs: 6_000, cpuMilli: 4_000, runtimeMs, failShare };
+    const { runtimeMs, maxLeaseMs, failShare, taskCpuMilli } = this.options;
+    const common = { maxLeaseMs, cpuMilli: 4_000, runtimeMs, failShare };
     return taskCpuMilli === undefined ? common : { ...common, taskCpuMilli };
   }
 
--- a/packages/jobdesk/src/testing/SimulatedEntry.ts
+++ b/packages/jobdesk/src/testing/SimulatedEntry.ts
@@ -54,6 +54,8 @@
   readonly waves: readonly UpkeepWave[];
   /** Orders to instances that the platform accepts in a second. */
   readonly ordersPerS: number;
+  /** Longest lease that a target grants, on its own clock. */
+  readonly maxLeaseMs: number;
   /** Whether jobs that would end too late are refused. */
   readonly refusesOverload: boolean;
   readonly evacuatedZones: ReadonlyMap<string, number>;
@@ -127,7 +129,7 @@
       },
     });
     const options = {
-      maxLeaseMs: MAX_LEASE_MS,
+      maxLeaseMs: environment.maxLeaseMs,
       keepFinishedMs: KEEP_FINISHED_MS,
       holderId: entryId,
       bootMs: self.bootMs,
@@ -148,10 +150,10 @@
     };
     this.warmUp = new WarmUp(options, context);
     this.connector = new TargetConnector(context.registry, this.port);
-    this.election.onOwned(({ ownership, owned, hasPreviousOwnerStopped }) => {
+    this.election.onOwned(({ ownership, owned, hasPreviousOwnerStopped, inheritedLeaseMs }) => {
       this.coordinator = new Coordinator(
         owned,
-        { ...options, hasPreviousOwnerStopped },
+        { ...options, hasPreviousOwnerStopped, inheritedLeaseMs },
         {
           ...context,
           ownership,
