--- a/packages/coordinator/src/testing/SimulatedTarget.ts
+++ b/packages/coordinator/src/testing/SimulatedTarget.ts
@@ -85,6 +85,9 @@
   /** Character that fills the checkpoints up to their length. */
   checkpointFiller = '.';
 
+  /** First label of the target, which a new lifetime may change. */
+  kind = 'a';
+
   /** Rate of the target's clock relative to real time. */
   clockRate = 1;
 
@@ -151,7 +154,7 @@
       address: `${this.targetId}:1`,
       zoneId: this.options.zoneId ?? 'z',
       rackId: this.options.rackId ?? 'r',
-      labels: ['a', 'r'],
+      labels: [this.kind, 'r'],
       capacity: { cpuMilli: this.cpuMilli, memoryMb: 64_000, gpuCount: 0 },
       state: this.isDraining ? 'draining' : 'ready',
       remainingMs: undefined,
--- a/packages/jobdesk/src/idleTargets.test.ts
+++ b/packages/jobdesk/src/idleTargets.test.ts
@@ -114,6 +114,23 @@
   });
 });
 
+describe('an idle target that comes back as another kind', () => {
+  it('starts no task that requires its former label, before its registration is read', async (t) => {
+    // Fails if a start is sent on the strength of what was known of a former lifetime (review/15).
+    const world = await createWorld({ targetCount: 2 });
+    await world.run(5_000);
+    world.targets.forEach((target) => {
+      target.restart();
+      Object.assign(target, { kind: 'b' });
+    });
+    void world.submit('a', { steps: [{ taskCount: 1, cpuMilli: 100, requiredLabel: 'a' }] });
+    void world.submit('b', { steps: [{ taskCount: 1, cpuMilli: 100, requiredLabel: 'b' }] });
+    await world.run(3_000);
+    t.equal(world.observer.startsOf('a.0.0.0'), 0);
+    t.equal(world.observer.startsOf('b.0.0.0'), 1);
+  });
+});
+
 describe('a task of a target that is lost at a hand-over', () => {
   it('starts elsewhere within a lease if the former owner bounds its leases', async (t) => {
     const world = await createWorld({ ...WORLD, runtimeMs: 20_000 });
