Schedules with slow clocks and long checkpoints; fewer measurements of checkpoints

The random schedules had targets whose clocks run at full speed and without checkpoints of their own. Twelve seeds now have clocks at 0.98, leases of up to 10 s and checkpoints of 80,000 characters.

Each batch measured the checkpoint of every task of the jobs that changed; a task now keeps whether its last one is short.

--- a/packages/jobdesk/src/schedules.test.ts
+++ b/packages/jobdesk/src/schedules.test.ts
@@ -26,6 +26,13 @@
   2_000, 11_636, 20_746, 20_912, 32_205, 42_599, 52_971, 53_109, 53_387, 47_443, 200_203,
 ];
 
+/**
+ * Schedules with slow clocks, long leases of targets, and checkpoints of which a few exceed a record. Guards against a
+ * job that never ends because its record is too large, and against a start that resumes from a part of a checkpoint.
+ */
+const SLOW_COUNT = 12;
+const SLOW_TARGETS = { clockRate: 0.98, maxLeaseMs: 10_000, checkpointCharacters: 80_000 };
+
 describe('random schedules', () => {
   it('keep the guarantees on seeds that failed before', async (t) => {
     for (const seed of REGRESSION_SEEDS) {
@@ -49,6 +56,13 @@
     }
   });
 
+  it(`keep the guarantees with slow clocks and long checkpoints (${SLOW_COUNT} seeds)`, async (t) => {
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + SLOW_COUNT; seed += 1) {
+      const found = await runSchedule(new Random(seed), seed, true, 1, undefined, SLOW_TARGETS);
+      t.same(found, [], `seed ${seed}`);
+    }
+  });
+
   it(`keep the guarantees under ${LOAD} times the load (${OVERLOADED_COUNT} seeds)`, async (t) => {
     for (let seed = FIRST_SEED; seed < FIRST_SEED + OVERLOADED_COUNT; seed += 1) {
       t.same(await runSchedule(new Random(seed), seed, false, LOAD), [], `seed ${seed}`);
--- a/packages/jobdesk/src/testing/JobWorld.ts
+++ b/packages/jobdesk/src/testing/JobWorld.ts
@@ -38,6 +38,10 @@
   readonly runtimeMs: number;
   /** Longest lease that a target grants, on its own clock. */
   readonly maxLeaseMs: number;
+  /** Rate of the clocks of targets relative to real time. */
+  readonly clockRate: number;
+  /** Length of the checkpoints that runs produce; 0 if they produce none. */
+  readonly checkpointCharacters: number;
   readonly failShare: number;
   readonly maxAttempts: number;
   /** Number of instances that run targets. 0 means no fleet, only `targetCount` fixed targets. */
@@ -76,6 +80,8 @@
   targetsPerRack: 0,
   runtimeMs: 600,
   maxLeaseMs: MAX_LEASE_MS,
+  clockRate: 1,
+  checkpointCharacters: 0,
   failShare: 0,
   maxAttempts: 3,
   instanceCount: 0,
@@ -322,17 +328,17 @@
   }
 
   addTarget(targetId: string, zoneId: string, rackId = 'r'): void {
-    this.targets.set(
+    const target = new SimulatedTarget(
       targetId,
-      new SimulatedTarget(
-        targetId,
-        POOL_ID,
-        { ...this.targetOptions(), zoneId, rackId },
-        this.clock,
-        this.random,
-        this.observer,
-      ),
+      POOL_ID,
+      { ...this.targetOptions(), zoneId, rackId },
+      this.clock,
+      this.random,
+      this.observer,
     );
+    const { clockRate, checkpointCharacters } = this.options;
+    Object.assign(target, { clockRate, checkpointCharacters });
+    this.targets.set(targetId, target);
   }
 
   static context({ teamId = 'team', otherPoolId }: JobOrigin = {}): CallContext {
--- a/packages/jobs/src/JobCodec.ts
+++ b/packages/jobs/src/JobCodec.ts
@@ -241,8 +241,10 @@
       const all = job.occurrences.get(occurrence)?.steps[step]?.tasks ?? [];
       return all.slice(...taskRangeOf(part));
     }
-    return [...job.occurrences.values()].flatMap(({ steps }) =>
-      steps.flatMap(({ tasks }) => tasks),
-    );
+    const tasks: TaskState[] = [];
+    for (const { steps } of job.occurrences.values()) {
+      for (const step of steps) tasks.push(...step.tasks);
+    }
+    return tasks;
   },
 } as const;
--- a/packages/jobs/src/TaskState.ts
+++ b/packages/jobs/src/TaskState.ts
@@ -92,6 +92,11 @@
   /** The task must not be started before this monotonic time. */
   notBeforeMs = 0;
 
+  /** The checkpoint whose length was measured last, and whether it is short. */
+  private lastMeasured = '';
+
+  private isLastShort = true;
+
   private isBegun = false;
 
   /** A target may have crashed because it started the task. Not kept by a new owner. */
@@ -160,7 +165,12 @@
   get hasShortCheckpoint(): boolean {
     const { checkpoint } = this;
     if (checkpoint.length > MAX_INLINE_BYTES) return false;
-    return Buffer.byteLength(JSON.stringify(checkpoint)) <= MAX_INLINE_BYTES;
+    // Each batch asks this of every task of the changed jobs.
+    if (checkpoint !== this.lastMeasured) {
+      this.isLastShort = Buffer.byteLength(JSON.stringify(checkpoint)) <= MAX_INLINE_BYTES;
+      this.lastMeasured = checkpoint;
+    }
+    return this.isLastShort;
   }
 
   /** Whether the checkpoint is to be stored in records of its own before that of the task. */
